--- /dev/null
+++ b/internal/caller/intake/completion.go
@@ -0,0 +1,222 @@
+package intake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/visit"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+// completionRequest is the body of a generation request. Its own fields follow
+// the completions interface; the system's fields stand in Fulmarvalve.
+type completionRequest struct {
+	Model       string         `json:"model"`
+	Prompt      string         `json:"prompt"`
+	MaxTokens   int            `json:"max_tokens"`
+	Stream      bool           `json:"stream"`
+	Fulmarvalve completionPart `json:"fulmarvalve"`
+}
+
+// completionPart holds the system's fields of a generation request. Each may
+// be given by its header instead.
+type completionPart struct {
+	Account string
+	Class   string
+	// Key is the idempotency key of a request that may not be repeated.
+	Key string
+	// Deadline is absolute, in RFC 3339.
+	Deadline time.Time
+}
+
+// complete serves one generation.
+func (in *Intake) complete(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	id := uuid.NewString()
+	body, refusal := in.readCompletion(w, r)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	document, refusal := in.document(now)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	request, refusal := in.buildRequest(id, body, document, now)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	account, _ := document.Account(request.Account)
+	class, _ := document.Class(request.Class)
+	leave, refusal := in.enter(account, class, now)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	defer leave()
+	span := in.Observer.Began(request.Account, request.Class, now)
+	in.generate(w, r, request, body.Stream, span)
+}
+
+// generate runs the request and writes its answer.
+func (in *Intake) generate(w http.ResponseWriter, r *http.Request, request visit.Request, stream bool, span Span) {
+	if stream {
+		sink := newStream(w, request.ID, request.Model, span)
+		result := in.Runner.Generate(r.Context(), request, sink)
+		span.Ended(result, time.Now())
+		sink.end(result)
+		return
+	}
+	request.Whole = true
+	sink := &whole{requestID: request.ID, model: request.Model, span: span}
+	result := in.Runner.Generate(r.Context(), request, sink)
+	span.Ended(result, time.Now())
+	sink.write(w, result)
+}
+
+func (in *Intake) readCompletion(w http.ResponseWriter, r *http.Request) (completionRequest, *receipt.Result) {
+	var body completionRequest
+	reader := http.MaxBytesReader(w, r.Body, int64(in.MaxBodyBytes))
+	decoder := json.NewDecoder(reader)
+	if err := decoder.Decode(&body); err != nil {
+		return body, bodyRefusal(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return body, receipt.New(receipt.InvalidRequest, "the body holds more than one JSON value")
+	}
+	if body.Fulmarvalve.Account == "" {
+		body.Fulmarvalve.Account = r.Header.Get(HeaderAccount)
+	}
+	if body.Fulmarvalve.Class == "" {
+		body.Fulmarvalve.Class = r.Header.Get(HeaderClass)
+	}
+	if body.Fulmarvalve.Key == "" {
+		body.Fulmarvalve.Key = r.Header.Get(HeaderKey)
+	}
+	if !body.Fulmarvalve.Deadline.IsZero() {
+		return body, nil
+	}
+	deadline, refusal := headerDeadline(r)
+	body.Fulmarvalve.Deadline = deadline
+	return body, refusal
+}
+
+// bodyRefusal tells a body over the limit from a malformed one.
+func bodyRefusal(err error) *receipt.Result {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return receipt.New(receipt.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	}
+	return receipt.New(receipt.InvalidRequest, "the body is not valid: %v", err)
+}
+
+// headerDeadline reads the deadline header; zero means none.
+func headerDeadline(r *http.Request) (time.Time, *receipt.Result) {
+	text := r.Header.Get(HeaderDeadline)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	deadline, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return time.Time{}, receipt.New(receipt.InvalidRequest, "%s is not a time in RFC 3339: %s", HeaderDeadline, text)
+	}
+	return deadline, nil
+}
+
+// buildRequest checks the body against the configuration in force.
+func (in *Intake) buildRequest(
+	id string, body completionRequest, document *agreement.Document, now time.Time,
+) (visit.Request, *receipt.Result) {
+	var none visit.Request
+	class, refusal := permittedClass(document, body.Fulmarvalve.Account, body.Fulmarvalve.Class)
+	if refusal != nil {
+		return none, refusal
+	}
+	service, found := document.Service(class.Service)
+	if !found || service.Kind != agreement.KindGeneration {
+		return none, receipt.New(receipt.InvalidRequest, "class %s is not of a generation service", class.Name)
+	}
+	if body.Model != "" && body.Model != service.Model {
+		return none, receipt.New(receipt.InvalidRequest, "class %s uses model %s, not %s", class.Name, service.Model, body.Model)
+	}
+	if body.Prompt == "" {
+		return none, receipt.New(receipt.InvalidRequest, "prompt is empty")
+	}
+	if body.MaxTokens < 0 {
+		return none, receipt.New(receipt.InvalidRequest, "max_tokens is negative: %d", body.MaxTokens)
+	}
+	key, refusal := in.key(class.Repeatable, body.Fulmarvalve.Account, body.Fulmarvalve.Key, now)
+	if refusal != nil {
+		return none, refusal
+	}
+	return visit.Request{
+		ID:         id,
+		Account:    body.Fulmarvalve.Account,
+		Class:      class.Name,
+		Service:    service.Name,
+		Model:      service.Model,
+		Prompt:     body.Prompt,
+		MaxTokens:  tokenLimit(body.MaxTokens, class.MaxTokens),
+		Deadline:   body.Fulmarvalve.Deadline,
+		Key:        key,
+		Repeatable: class.Repeatable,
+		Whole:      class.Whole,
+	}, nil
+}
+
+// permittedClass looks up the class and whether the account may use it.
+func permittedClass(document *agreement.Document, accountName, className string) (agreement.Class, *receipt.Result) {
+	var none agreement.Class
+	account, found := document.Account(accountName)
+	if !found {
+		return none, receipt.New(receipt.AccountRefused, "client account %q is not configured", accountName)
+	}
+	class, found := document.Class(className)
+	if !found {
+		return none, receipt.New(receipt.InvalidRequest, "class %q is not configured", className)
+	}
+	if len(account.Classes) == 0 {
+		return class, nil
+	}
+	for _, allowed := range account.Classes {
+		if allowed == className {
+			return class, nil
+		}
+	}
+	return none, receipt.New(receipt.AccountRefused, "client account %s may not use class %s", accountName, className)
+}
+
+// key checks the idempotency key of a request that may not be repeated and
+// returns its identity. A repeatable request needs none.
+func (in *Intake) key(repeatable bool, account, key string, now time.Time) (string, *receipt.Result) {
+	if repeatable {
+		return "", nil
+	}
+	oldest := now.Add(-time.Duration(in.KeyWindowSeconds) * time.Second)
+	err := claim.CheckKey(key, now, oldest)
+	switch {
+	case err == nil:
+		return claim.KeyOf(account, key), nil
+	case errors.Is(err, claim.ErrKeyExpired):
+		return "", receipt.New(receipt.KeyExpired, "%v", err)
+	default:
+		return "", receipt.New(receipt.KeyRequired, "%v", err)
+	}
+}
+
+// tokenLimit returns the smaller limit that is set.
+func tokenLimit(asked, class int) uint32 {
+	if asked == 0 || (class > 0 && class < asked) {
+		return uint32(class)
+	}
+	return uint32(asked)
+}
--- /dev/null
+++ b/internal/caller/intake/plain.go
@@ -0,0 +1,114 @@
+package intake
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/visit"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+// call serves one request to a plain service.
+func (in *Intake) call(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	id := uuid.NewString()
+	document, refusal := in.document(now)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	request, class, refusal := in.buildCall(id, w, r, document, now)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	account, _ := document.Account(request.Account)
+	leave, refusal := in.enter(account, class, now)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	defer leave()
+	span := in.Observer.Began(request.Account, request.Class, now)
+	reply, result := in.Runner.Call(r.Context(), request)
+	span.Ended(result, time.Now())
+	if result.Code.Info().Outcome != receipt.Complete {
+		writeRefusal(w, id, result)
+		return
+	}
+	writeReply(w, id, reply, result)
+}
+
+func writeReply(w http.ResponseWriter, id string, reply visit.Reply, result *receipt.Result) {
+	header := w.Header()
+	header.Set("Content-Type", reply.ContentType)
+	header.Set(HeaderRequest, id)
+	header.Set(HeaderResult, strconv.Itoa(int(result.Code)))
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
+
+// buildCall checks the request against the configuration in force.
+func (in *Intake) buildCall(
+	id string, w http.ResponseWriter, r *http.Request, document *agreement.Document, now time.Time,
+) (visit.Call, agreement.Class, *receipt.Result) {
+	var none visit.Call
+	accountName := r.Header.Get(HeaderAccount)
+	class, refusal := permittedClass(document, accountName, r.Header.Get(HeaderClass))
+	if refusal != nil {
+		return none, class, refusal
+	}
+	service, found := document.Service(mux.Vars(r)["service"])
+	if !found || service.Kind != agreement.KindPlain {
+		return none, class, receipt.New(receipt.UnknownService, "no plain service %s is configured", mux.Vars(r)["service"])
+	}
+	if class.Service != service.Name {
+		return none, class, receipt.New(receipt.InvalidRequest, "class %s is of service %s", class.Name, class.Service)
+	}
+	path := strings.TrimPrefix(r.URL.Path, "/v1/services/"+service.Name)
+	repeatable, found := repeatableCall(service, r.Method, path)
+	if !found {
+		return none, class, receipt.New(receipt.UnknownService, "service %s has no call %s %s", service.Name, r.Method, path)
+	}
+	key, refusal := in.key(repeatable, accountName, r.Header.Get(HeaderKey), now)
+	if refusal != nil {
+		return none, class, refusal
+	}
+	deadline, refusal := headerDeadline(r)
+	if refusal != nil {
+		return none, class, refusal
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(in.MaxBodyBytes)))
+	if err != nil {
+		return none, class, bodyRefusal(err)
+	}
+	return visit.Call{
+		ID:         id,
+		Account:    accountName,
+		Class:      class.Name,
+		Service:    service.Name,
+		Method:     r.Method,
+		Path:       path,
+		Body:       body,
+		Deadline:   deadline,
+		Key:        key,
+		Repeatable: repeatable,
+	}, class, nil
+}
+
+// repeatableCall finds the configured call and whether it may be repeated.
+func repeatableCall(service agreement.Service, method, path string) (repeatable, found bool) {
+	for _, call := range service.Calls {
+		if call.Method == method && call.Path == path {
+			return call.Repeatable, true
+		}
+	}
+	return false, false
+}
--- /dev/null
+++ b/internal/caller/intake/stream.go
@@ -0,0 +1,171 @@
+package intake
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// callerWriteMillis bounds one write to a caller that takes no more bytes.
+	callerWriteMillis = 10000
+	// headerLastEvent carries the last position that a returning caller has.
+	headerLastEvent = "Last-Event-ID"
+)
+
+// stream writes an answer as server-sent events. The id of each event is the
+// count of tokens delivered so far, so that a caller resumes from it.
+type stream struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	requestID  string
+	model      string
+	span       Span
+	begun      bool
+	position   uint64
+	buffer     bytes.Buffer
+}
+
+func newStream(w http.ResponseWriter, requestID, model string, span Span) *stream {
+	return &stream{
+		writer:     w,
+		controller: http.NewResponseController(w),
+		requestID:  requestID,
+		model:      model,
+		span:       span,
+	}
+}
+
+// Begin sends the first event, which carries the ticket.
+func (s *stream) Begin(t ticket.Ticket) {
+	s.requestID = t.RequestID
+	s.open()
+	_ = s.send(answerPart{
+		RequestID: t.RequestID,
+		Ticket:    t.Encode(),
+		Backend:   t.Backend,
+	}, "", nil)
+}
+
+// Tokens sends one event for the given tokens.
+func (s *stream) Tokens(position uint64, text []string) error {
+	s.span.Tokens(len(text), time.Now())
+	s.position = position + uint64(len(text))
+	return s.send(answerPart{RequestID: s.requestID, Position: s.position}, strings.Join(text, ""), nil)
+}
+
+// Alive sends an event without a token, so that the caller can tell a wait
+// from a dead path.
+func (s *stream) Alive(state message.GenerationState) error {
+	name := strings.TrimPrefix(state.String(), "GENERATION_STATE_")
+	return s.send(answerPart{
+		RequestID: s.requestID,
+		Position:  s.position,
+		State:     name[:1] + strings.ToLower(name[1:]),
+	}, "", nil)
+}
+
+// open writes the head of the answer.
+func (s *stream) open() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	header := s.writer.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set(HeaderRequest, s.requestID)
+	s.writer.WriteHeader(http.StatusOK)
+}
+
+// end sends the last event, or a refusal where nothing was sent.
+func (s *stream) end(result *receipt.Result) {
+	if !s.begun {
+		writeRefusal(s.writer, s.requestID, result)
+		return
+	}
+	part := resultPart(s.requestID, result)
+	part.Position = s.position
+	reason := finishReason(result.Code)
+	if s.send(part, "", &reason) != nil {
+		return
+	}
+	_, _ = s.writer.Write([]byte("data: [DONE]\n\n"))
+	_ = s.controller.Flush()
+}
+
+// send writes one event before the write deadline.
+func (s *stream) send(part answerPart, text string, reason *string) error {
+	deadline := time.Now().Add(callerWriteMillis * time.Millisecond)
+	if err := s.controller.SetWriteDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Wrap(err, "set write deadline")
+	}
+	s.buffer.Reset()
+	s.buffer.WriteString("id: ")
+	s.buffer.WriteString(strconv.FormatUint(s.position, 10))
+	s.buffer.WriteString("\ndata: ")
+	encoder := json.NewEncoder(&s.buffer)
+	encoder.SetEscapeHTML(false)
+	err := encoder.Encode(answer{
+		ID:          s.requestID,
+		Object:      objectCompletion,
+		Model:       s.model,
+		Choices:     []choice{{Text: text, FinishReason: reason}},
+		Fulmarvalve: part,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode event")
+	}
+	s.buffer.WriteByte('\n')
+	if _, err := s.writer.Write(s.buffer.Bytes()); err != nil {
+		return errors.Wrap(err, "write event")
+	}
+	return errors.Wrap(s.controller.Flush(), "flush event")
+}
+
+// resume continues a generation that another connection or another entry host
+// began to deliver.
+func (in *Intake) resume(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	t, err := ticket.Decode(mux.Vars(r)["ticket"])
+	if err != nil {
+		writeRefusal(w, "", receipt.New(receipt.InvalidRequest, "%v", err))
+		return
+	}
+	from, err := lastPosition(r)
+	if err != nil {
+		writeRefusal(w, t.RequestID, receipt.New(receipt.InvalidRequest, "%v", err))
+		return
+	}
+	if r.Header.Get(HeaderAccount) != t.Account {
+		writeRefusal(w, t.RequestID, receipt.New(receipt.AccountRefused, "the ticket is of another client account"))
+		return
+	}
+	span := in.Observer.Began(t.Account, "Resume", now)
+	sink := newStream(w, t.RequestID, "", span)
+	sink.position = from
+	sink.open()
+	result := in.Runner.Resume(r.Context(), t, from, sink)
+	span.Ended(result, time.Now())
+	sink.end(result)
+}
+
+// lastPosition reads the count of tokens that the caller holds.
+func lastPosition(r *http.Request) (uint64, error) {
+	text := r.Header.Get(headerLastEvent)
+	if text == "" {
+		return 0, nil
+	}
+	position, err := strconv.ParseUint(text, 10, 64)
+	return position, errors.Wrapf(err, "%s is not a count of tokens", headerLastEvent)
+}
--- /dev/null
+++ b/internal/caller/turnstile/turnstile_test.go
@@ -0,0 +1,46 @@
+package turnstile
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+func TestEnterSharesRateBetweenEntryHosts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	gate := &Turnstile{MaxOpen: 100, EntryHosts: func() int { return 2 }}
+	account := agreement.Account{Name: "club", RequestsPerSecond: 2, Burst: 1}
+
+	_, refusal := gate.Enter(account, false, now)
+	is.True(refusal == nil)
+	_, refusal = gate.Enter(account, false, now)
+	is.Equal(refusal.Code, receipt.RateLimited)
+	is.Equal(refusal.RetryAt, now.Add(time.Second))
+	_, refusal = gate.Enter(account, false, now.Add(time.Second))
+	is.True(refusal == nil)
+}
+
+func TestEnterKeepsPlacesForUrgentRequests(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	gate := &Turnstile{MaxOpen: 10, EntryHosts: func() int { return 1 }}
+	account := agreement.Account{Name: "club"}
+
+	for range 9 {
+		_, refusal := gate.Enter(account, false, now)
+		is.True(refusal == nil)
+	}
+	_, refusal := gate.Enter(account, false, now)
+	is.Equal(refusal.Code, receipt.EntryFull)
+	leave, refusal := gate.Enter(account, true, now)
+	is.True(refusal == nil)
+	is.Equal(gate.Open(), 10)
+	leave()
+	leave()
+	is.Equal(gate.Open(), 9)
+}
--- /dev/null
+++ b/internal/routing/visit/claim.go
@@ -0,0 +1,60 @@
+package visit
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// claim binds the request's key to the target, or takes over the binding that
+// is in force. A binding that the owner refused is replaced.
+func (j *journey) claim(ctx context.Context) *receipt.Result {
+	request := &message.ClaimRequest{
+		Key:               j.request.Key,
+		Partition:         claim.PartitionOf(j.request.Key, j.Partitions),
+		RequestId:         j.request.ID,
+		Backend:           j.target.Backend,
+		Incarnation:       j.target.Incarnation,
+		DeadlineUnixNanos: deadlineNanos(j.request.Deadline),
+		Refused:           j.permit,
+	}
+	reply, err := j.Claimer.Claim(ctx, request)
+	if err != nil {
+		return receipt.New(receipt.LogUnavailable, "the key could not be bound: %v", err).
+			WithRetryAt(time.Now().Add(time.Second))
+	}
+	if reply.GetCode() != 0 {
+		return receipt.New(receipt.Code(reply.GetCode()), "%s", reply.GetReason()).
+			WithRetryAt(timeFromNanos(reply.GetRetryAtUnixNanos()))
+	}
+	return j.adopt(reply.GetPermit())
+}
+
+// adopt follows the binding in force. It may name another request and another
+// owner than this entry host asked for.
+func (j *journey) adopt(permit *message.Permit) *receipt.Result {
+	j.permit = permit
+	j.Journalist.Claimed(j.request.ID, permit)
+	if permit.GetBackend() == j.target.Backend && permit.GetIncarnation() == j.target.Incarnation {
+		j.follows(permit.GetRequestId())
+		return nil
+	}
+	target, known := j.Picker.Locate(permit.GetBackend(), permit.GetIncarnation())
+	if !known {
+		return receipt.New(receipt.KeySpent,
+			"the key is bound to incarnation %d of %s, which is not known here",
+			permit.GetIncarnation(), permit.GetBackend())
+	}
+	j.target = target
+	j.follows(permit.GetRequestId())
+	return nil
+}
+
+// follows makes the journey deliver the request that the key was bound to.
+func (j *journey) follows(requestID string) {
+	j.request.ID = requestID
+	j.delivery.RequestID = requestID
+}
--- /dev/null
+++ b/internal/routing/visit/follow.go
@@ -0,0 +1,218 @@
+package visit
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// errNoProgress is the cause of a path that was cut for its silence.
+var errNoProgress = errors.New("no frame came before the progress deadline")
+
+// errGap reports a frame that is missing; a fresh connection asks for it again.
+var errGap = errors.New("a frame is missing")
+
+// errSink marks a caller that takes no more of the answer.
+var errSink = errors.New("the caller takes no more of the answer")
+
+// follow relays the answer of one owner. A path that breaks is replaced by a
+// fresh connection to the same owner, which resumes by position.
+func (j *journey) follow(ctx context.Context) *receipt.Result {
+	ctx, stop := j.withDeadline(ctx)
+	defer stop()
+	silentUntil := j.silentDeadline()
+	sent := j.resumed
+	for {
+		before := j.delivery.Next()
+		result, err := j.attach(ctx)
+		if result != nil {
+			return result
+		}
+		if ctx.Err() != nil || errors.Is(err, errSink) {
+			return j.abandon(ctx)
+		}
+		j.Journalist.Disturbed(j.request.ID, j.target, err.Error())
+		if !errors.Is(err, line.ErrDial) {
+			sent = true
+		}
+		if j.delivery.Next() > before {
+			silentUntil = j.silentDeadline()
+		}
+		if lost := j.giveUp(sent, silentUntil, err); lost != nil {
+			return lost
+		}
+		pause(ctx, time.Now().Add(reattachMillis*time.Millisecond))
+	}
+}
+
+// giveUp decides whether the owner is asked again after a broken path.
+func (j *journey) giveUp(sent bool, silentUntil time.Time, cause error) *receipt.Result {
+	now := time.Now()
+	j.Picker.Unreachable(j.target, now)
+	if !sent {
+		return receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, cause).
+			WithRetryAt(now.Add(time.Second))
+	}
+	replaceable := j.request.Repeatable && !j.resumed && (j.delivery.Next() == 0 || j.request.Whole)
+	if replaceable && errors.Is(cause, line.ErrDial) {
+		return receipt.New(receipt.OwnerSilent, "%s is gone: %v", j.target.Backend, cause)
+	}
+	if now.Before(silentUntil) {
+		return nil
+	}
+	if j.delivery.Next() > 0 {
+		return receipt.New(receipt.GenerationLost, "%s does not answer: %v", j.target.Backend, cause)
+	}
+	return receipt.New(receipt.OwnerSilent, "%s does not answer: %v", j.target.Backend, cause).
+		WithRetryAt(now.Add(time.Second))
+}
+
+// withDeadline ends the relay at the caller's deadline.
+func (j *journey) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if j.request.Deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, j.request.Deadline)
+}
+
+// abandon ends a request whose caller went away or whose deadline passed. A
+// caller that went away may resume elsewhere, so only a passed deadline
+// cancels the generation.
+func (j *journey) abandon(ctx context.Context) *receipt.Result {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return receipt.New(receipt.Cancelled, "the caller went away")
+	}
+	j.cancel(context.WithoutCancel(ctx))
+	return receipt.New(receipt.DeadlineCut, "the deadline passed after %d tokens", j.delivery.Next())
+}
+
+// cancel frees the generation at its owner, as best it can.
+func (j *journey) cancel(ctx context.Context) {
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(cancelMillis*time.Millisecond))
+	defer stop()
+	request := &message.CancelRequest{RequestId: j.request.ID, Generation: j.delivery.Generation()}
+	_, err := line.Call(ctx, j.target.PeerAddress,
+		func(ctx context.Context, conn drpc.Conn) (*message.CancelReply, error) {
+			return message.NewDRPCBackendClient(conn).Cancel(ctx, request)
+		})
+	if err != nil {
+		j.Journalist.Disturbed(j.request.ID, j.target, "not cancelled: "+err.Error())
+	}
+}
+
+// attach opens one connection and relays until the answer ends or the path
+// breaks. A nil result comes with the cause of the break.
+func (j *journey) attach(ctx context.Context) (*receipt.Result, error) {
+	ctx, cut := context.WithCancelCause(ctx)
+	defer cut(nil)
+	conn, err := line.Dial(ctx, j.target.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	watchdog := time.AfterFunc(time.Until(j.progressDeadline()), func() { cut(errNoProgress) })
+	defer watchdog.Stop()
+	stream, err := message.NewDRPCBackendClient(conn).Generate(ctx, j.generateRequest())
+	if err != nil {
+		return nil, errors.CombineErrors(context.Cause(ctx), err)
+	}
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return nil, errors.CombineErrors(context.Cause(ctx), err)
+		}
+		watchdog.Reset(time.Until(j.progressDeadline()))
+		result, err := j.take(frame)
+		if result != nil || err != nil {
+			return result, err
+		}
+	}
+}
+
+func (j *journey) generateRequest() *message.GenerateRequest {
+	return &message.GenerateRequest{
+		RequestId:         j.request.ID,
+		Account:           j.request.Account,
+		Class:             j.request.Class,
+		Service:           j.request.Service,
+		Model:             j.request.Model,
+		Prompt:            j.request.Prompt,
+		MaxTokens:         j.request.MaxTokens,
+		DeadlineUnixNanos: deadlineNanos(j.request.Deadline),
+		FromPosition:      j.delivery.Next(),
+		Attach:            j.delivery.Generation(),
+		Repeatable:        j.request.Repeatable,
+		Permit:            j.permit,
+		Whole:             j.request.Whole,
+	}
+}
+
+// take handles one frame. A result ends the request, an error breaks the path.
+func (j *journey) take(frame *message.Frame) (*receipt.Result, error) {
+	if load := frame.GetLoad(); load != nil {
+		j.Picker.Observe(load, time.Now())
+	}
+	bound := j.delivery.Generation() != nil
+	step := j.delivery.Accept(frame)
+	if !bound && j.delivery.Generation() != nil {
+		j.sink.Begin(j.ticket())
+	}
+	switch s := step.(type) {
+	case delivery.Deliver:
+		return nil, errors.Mark(j.sink.Tokens(s.Position, s.Text), errSink)
+	case delivery.Alive:
+		return nil, errors.Mark(j.sink.Alive(s.State), errSink)
+	case delivery.Gap:
+		return nil, errors.Wrapf(errGap, "position %d", s.From)
+	case delivery.Foreign:
+		j.Journalist.Disturbed(j.request.ID, j.target, "frame rejected: "+s.Reason)
+		return nil, nil
+	case delivery.Refused:
+		return j.takeRefusal(s), nil
+	case delivery.Ended:
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason), nil
+	default:
+		return nil, nil
+	}
+}
+
+func (j *journey) takeRefusal(refusal delivery.Refused) *receipt.Result {
+	result := receipt.New(receipt.Code(refusal.Code), "%s", refusal.Reason).
+		WithRetryAt(timeFromNanos(refusal.RetryAtUnixNanos))
+	j.Journalist.Disturbed(j.request.ID, j.target, "refused: "+result.Error())
+	j.Picker.Refused(j.target, result, time.Now())
+	if result.Code == receipt.NotHeld && j.delivery.Next() > 0 {
+		return receipt.New(receipt.GenerationLost, "%s", refusal.Reason)
+	}
+	return result
+}
+
+func (j *journey) ticket() ticket.Ticket {
+	generation := j.delivery.Generation()
+	return ticket.Ticket{
+		RequestID:   j.request.ID,
+		Account:     j.request.Account,
+		Backend:     generation.GetBackend(),
+		PeerAddress: j.target.PeerAddress,
+		Incarnation: generation.GetIncarnation(),
+		Sequence:    generation.GetSequence(),
+	}
+}
+
+// pause waits until the given time or the end of ctx.
+func pause(ctx context.Context, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/routing/visit/journey.go
@@ -0,0 +1,143 @@
+package visit
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// journey is the state of one request on its entry host. One goroutine uses it.
+type journey struct {
+	*Runner
+
+	request  Request
+	sink     Sink
+	delivery *delivery.Delivery
+	// target is the owner of the current attempt.
+	target Target
+	// permit is set once the key is bound; then target is its backend server.
+	permit *message.Permit
+	// refused holds the backend servers that refused the request.
+	refused map[string]bool
+	// attempt counts the owners that were asked.
+	attempt int
+	// lastRefusal is the newest refusal of an owner.
+	lastRefusal *receipt.Result
+	// resumed tells that the caller holds tokens that another entry host delivered.
+	resumed bool
+}
+
+// run asks owners until one carries the request to its end.
+func (j *journey) run(ctx context.Context) *receipt.Result {
+	for {
+		if result := j.checkTime(ctx); result != nil {
+			return result
+		}
+		if result := j.nextOwner(ctx); result != nil {
+			return result
+		}
+		result := j.follow(ctx)
+		if !j.mayMoveOn(result) {
+			return result
+		}
+		j.lastRefusal = result
+	}
+}
+
+// checkTime ends a request whose caller went away or whose deadline passed
+// before anything was started.
+func (j *journey) checkTime(ctx context.Context) *receipt.Result {
+	if ctx.Err() != nil {
+		return receipt.New(receipt.Cancelled, "the caller went away")
+	}
+	deadline := j.request.Deadline
+	if !deadline.IsZero() && !time.Now().Before(deadline) {
+		if j.delivery.Generation() != nil {
+			return receipt.New(receipt.DeadlineCut, "the deadline passed after a generation was lost")
+		}
+		return receipt.New(receipt.DeadlinePassed, "the deadline passed before the start")
+	}
+	return nil
+}
+
+// nextOwner picks a backend server and, where needed, binds the key to it.
+func (j *journey) nextOwner(ctx context.Context) *receipt.Result {
+	j.attempt++
+	now := time.Now()
+	target, result := j.Picker.Pick(Selection{
+		RequestID: j.request.ID,
+		Service:   j.request.Service,
+		Model:     j.request.Model,
+		Class:     j.request.Class,
+		Account:   j.request.Account,
+		Prompt:    j.request.Prompt,
+		Attempt:   j.attempt,
+		Deadline:  j.request.Deadline,
+		Refused:   j.refused,
+	}, now)
+	if result != nil {
+		return j.explainNoOwner(result)
+	}
+	j.target = target
+	j.Journalist.Attempted(j.request.ID, target, j.attempt)
+	if j.request.Key == "" {
+		return nil
+	}
+	return j.claim(ctx)
+}
+
+// explainNoOwner keeps the refusal of an owner where there was one, since it
+// tells the caller more.
+func (j *journey) explainNoOwner(result *receipt.Result) *receipt.Result {
+	if j.lastRefusal == nil {
+		return result
+	}
+	if j.lastRefusal.Code.Info().Outcome != receipt.NotRun {
+		return j.lastRefusal
+	}
+	combined := receipt.New(j.lastRefusal.Code, "%s; after %d attempts: %s",
+		j.lastRefusal.Reason, j.attempt-1, result.Reason)
+	retryAt := j.lastRefusal.RetryAt
+	if retryAt.Before(result.RetryAt) {
+		retryAt = result.RetryAt
+	}
+	return combined.WithRetryAt(retryAt)
+}
+
+// mayMoveOn tells whether another owner may be asked after the result, and
+// prepares for it.
+func (j *journey) mayMoveOn(result *receipt.Result) bool {
+	info := result.Code.Info()
+	j.refused[j.target.Backend] = true
+	switch info.Outcome {
+	case receipt.Complete:
+		return false
+	case receipt.NotRun:
+		return info.Repeat == receipt.RepeatSafe && result.Code != receipt.DeadlinePassed
+	case receipt.Unknown:
+		return j.mayReplace(result.Code)
+	default:
+		return false
+	}
+}
+
+// mayReplace tells whether a new generation may replace a lost one: only for a
+// repeatable request of which nothing left the entry host.
+func (j *journey) mayReplace(code receipt.Code) bool {
+	if !j.request.Repeatable || j.resumed {
+		return false
+	}
+	switch code {
+	case receipt.GenerationLost, receipt.OwnerSilent, receipt.EngineFailed, receipt.NotHeld, receipt.DrainCut:
+	default:
+		return false
+	}
+	if j.delivery.Next() > 0 && !j.request.Whole {
+		return false
+	}
+	j.delivery = &delivery.Delivery{RequestID: j.request.ID}
+	return true
+}
--- /dev/null
+++ b/internal/routing/visit/visit.go
@@ -0,0 +1,163 @@
+// Package visit carries one request through its attempts: choice of a backend
+// server, relay of the answer, resume on a fresh connection, and retries.
+package visit
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// defaultProgressMillis is the silence after which a path counts as dead.
+	defaultProgressMillis = 3000
+	// defaultSilentMillis bounds the attempts to reach an owner that may run
+	// the request.
+	defaultSilentMillis = 15000
+	// reattachMillis is the pause between two attempts at the same owner.
+	reattachMillis = 200
+	// cancelMillis bounds a cancellation, which is best effort.
+	cancelMillis = 1000
+)
+
+// Target is the backend server chosen for an attempt.
+type Target struct {
+	Backend     string
+	PeerAddress string
+	// Incarnation is zero while no reply of the process is known.
+	Incarnation uint64
+}
+
+// Selection asks for a backend server.
+type Selection struct {
+	RequestID string
+	Service   string
+	Model     string
+	Class     string
+	Account   string
+	Prompt    string
+	// Attempt counts from one; from two on it spends the retry budget.
+	Attempt  int
+	Deadline time.Time
+	// Refused holds the backend servers that refused the request.
+	Refused map[string]bool
+}
+
+// Picker chooses backend servers and learns from their answers.
+type Picker interface {
+	// Pick returns a target or why there is none.
+	Pick(Selection, time.Time) (Target, *receipt.Result)
+	// Locate finds the process of one incarnation of a backend server. It
+	// returns false when the incarnation is known to be gone.
+	Locate(backend string, incarnation uint64) (Target, bool)
+	// Observe takes the load that a reply carried.
+	Observe(*message.Load, time.Time)
+	// Refused takes a refusal by the owner.
+	Refused(Target, *receipt.Result, time.Time)
+	// Unreachable takes a failure to reach the owner.
+	Unreachable(Target, time.Time)
+	// Succeeded takes a request that ended well; it earns retry budget.
+	Succeeded(time.Time)
+}
+
+// Claimer binds idempotency keys.
+type Claimer interface {
+	Claim(context.Context, *message.ClaimRequest) (*message.ClaimReply, error)
+}
+
+// Journalist keeps the decision records of requests.
+type Journalist interface {
+	// Attempted records a choice and its reason.
+	Attempted(requestID string, target Target, attempt int)
+	// Claimed records the binding of a key.
+	Claimed(requestID string, permit *message.Permit)
+	// Disturbed records a refusal, a dead path or a rejected frame.
+	Disturbed(requestID string, target Target, reason string)
+	// Ended records the final result.
+	Ended(requestID string, result *receipt.Result)
+}
+
+// Runner runs requests. It is safe for concurrent use.
+type Runner struct {
+	// Picker, Claimer and Journalist must be set before use.
+	Picker     Picker
+	Claimer    Claimer
+	Journalist Journalist
+	// ProgressMillis is the silence after which a path counts as dead; zero
+	// means the default.
+	ProgressMillis int
+	// SilentMillis bounds the attempts to reach an owner that may run the
+	// request; zero means the default.
+	SilentMillis int
+	// Partitions is the number of claim partitions.
+	Partitions int
+}
+
+// Generate runs one generation to its final result.
+func (r *Runner) Generate(ctx context.Context, request Request, sink Sink) *receipt.Result {
+	journey := &journey{
+		Runner:   r,
+		request:  request,
+		sink:     sink,
+		delivery: &delivery.Delivery{RequestID: request.ID},
+		refused:  make(map[string]bool),
+	}
+	result := journey.run(ctx)
+	r.finish(request.ID, result)
+	return result
+}
+
+// Resume continues the delivery of the generation that the ticket names, from
+// the given position.
+func (r *Runner) Resume(ctx context.Context, t ticket.Ticket, from uint64, sink Sink) *receipt.Result {
+	generation := &message.Generation{
+		Backend:     t.Backend,
+		Incarnation: t.Incarnation,
+		Sequence:    t.Sequence,
+	}
+	resumed := &delivery.Delivery{RequestID: t.RequestID}
+	resumed.ResumeAt(generation, from)
+	journey := &journey{
+		Runner:   r,
+		request:  Request{ID: t.RequestID, Account: t.Account},
+		sink:     sink,
+		delivery: resumed,
+		resumed:  true,
+		refused:  make(map[string]bool),
+		target: Target{
+			Backend:     t.Backend,
+			PeerAddress: t.PeerAddress,
+			Incarnation: t.Incarnation,
+		},
+	}
+	result := journey.follow(ctx)
+	r.finish(t.RequestID, result)
+	return result
+}
+
+func (r *Runner) finish(requestID string, result *receipt.Result) {
+	r.Journalist.Ended(requestID, result)
+	if result.Code.Info().Outcome == receipt.Complete {
+		r.Picker.Succeeded(time.Now())
+	}
+}
+
+func (r *Runner) progressDeadline() time.Time {
+	millis := r.ProgressMillis
+	if millis == 0 {
+		millis = defaultProgressMillis
+	}
+	return time.Now().Add(time.Duration(millis) * time.Millisecond)
+}
+
+func (r *Runner) silentDeadline() time.Time {
+	millis := r.SilentMillis
+	if millis == 0 {
+		millis = defaultSilentMillis
+	}
+	return time.Now().Add(time.Duration(millis) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/wire/line/line.go
@@ -0,0 +1,120 @@
+// Package line serves and dials the connections between own processes.
+//
+// Every call uses a connection of its own. A connection that went silent is
+// therefore never given to a later call, and a retry always takes a new path.
+package line
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// MaxMessageBytes bounds one message in either direction.
+	MaxMessageBytes = 4 << 20
+	// dialMillis bounds the set-up of a connection.
+	dialMillis = 1000
+	// writeMillis bounds one write to a connection that takes no more bytes.
+	writeMillis = 5000
+	// idleMillis bounds the wait of a server for a call on a new connection.
+	idleMillis = 10000
+)
+
+// ErrDial marks failures before anything was sent, so that the call certainly
+// did not reach the other process.
+var ErrDial = errors.New("connection could not be set up")
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+		InactivityTimeout: idleMillis * time.Millisecond,
+	}
+}
+
+// boundedConn gives every write a deadline, so that a silent path cannot block
+// the writer for good.
+type boundedConn struct {
+	net.Conn
+}
+
+// Write writes p before the write deadline.
+func (c boundedConn) Write(p []byte) (int, error) {
+	deadline := time.Now().Add(writeMillis * time.Millisecond)
+	if err := c.SetWriteDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// boundedListener wraps accepted connections.
+type boundedListener struct {
+	net.Listener
+}
+
+// Accept waits for the next connection.
+func (l boundedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return boundedConn{conn}, nil
+}
+
+// Dial opens a connection to the process at address, a host and port. The
+// caller closes it. The error is marked with ErrDial.
+func Dial(ctx context.Context, address string) (drpc.Conn, error) {
+	deadline := time.Now().Add(dialMillis * time.Millisecond)
+	dialer := net.Dialer{Deadline: deadline}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
+	}
+	return drpcconn.NewWithOptions(boundedConn{conn}, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Call dials address, runs one unary call and closes the connection.
+func Call[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
+	var none R
+	conn, err := Dial(ctx, address)
+	if err != nil {
+		return none, err
+	}
+	defer func() { _ = conn.Close() }()
+	reply, err := call(ctx, conn)
+	if err != nil {
+		return none, errors.Wrapf(err, "call %s", address)
+	}
+	return reply, nil
+}
+
+// Server serves the project's calls on one address.
+type Server struct {
+	// Listener must be set before Run.
+	Listener net.Listener
+	// Handler must be set before Run.
+	Handler drpc.Handler
+	// Report receives errors of single connections; nil drops them.
+	Report func(error)
+}
+
+// Run serves until ctx ends, then waits for the open calls.
+func (s *Server) Run(ctx context.Context) error {
+	server := drpcserver.NewWithOptions(s.Handler, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     s.Report,
+	})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return server.Serve(ctx, boundedListener{s.Listener})
+	})
+	return errors.Wrap(group.Wait(), "serve calls")
+}
