feat: settings of a process and the operator file

A decoder that stops at its first error makes an operator repair a file one run at a time, and encoding/json accepts unknown fields, fields in another case, fields that stand twice and null. Decoding with DisallowUnknownFields was ruled out, because it reports one fault only and gives no path into an array.

The new package inspection compares the token stream with the target type, decodes the parts that fit over the defaults, and runs the validator's tags and the passes for duplicates and references. All faults come at once, each with its path. An explicit zero stays a zero; only absent fields take their defaults.

--- /dev/null
+++ b/internal/settings/agreement/reference.go
@@ -0,0 +1,101 @@
+package agreement
+
+import (
+	"fmt"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/inspection"
+)
+
+// addDuplicates records a fault for each name that stands twice in its list.
+func addDuplicates(in *inspection.Inspection, d Document) {
+	services := newNames("Services[%d].Name")
+	for i, s := range d.Services {
+		services.add(in, i, s.Name)
+		addCallDuplicates(in, i, s.Calls)
+	}
+	models := newNames("Models[%d].Name")
+	for i, m := range d.Models {
+		models.add(in, i, m.Name)
+		adapters := newNames(fmt.Sprintf("Models[%d].Adapters[%%d]", i))
+		for j, a := range m.Adapters {
+			adapters.add(in, j, a)
+		}
+	}
+	classes := newNames("Classes[%d].Name")
+	for i, c := range d.Classes {
+		classes.add(in, i, c.Name)
+	}
+	accounts := newNames("Accounts[%d].Name")
+	for i, a := range d.Accounts {
+		accounts.add(in, i, a.Name)
+		allowed := newNames(fmt.Sprintf("Accounts[%d].Classes[%%d]", i))
+		for j, c := range a.Classes {
+			allowed.add(in, j, c)
+		}
+	}
+}
+
+func addCallDuplicates(in *inspection.Inspection, service int, calls []Call) {
+	names := newNames(fmt.Sprintf("Services[%d].Calls[%%d]", service))
+	for i, c := range calls {
+		names.add(in, i, c.Method+" "+c.Path)
+	}
+}
+
+// addReferences records a fault for each name that refers to nothing.
+func addReferences(in *inspection.Inspection, d Document) {
+	known := newIndex(d)
+	for i, s := range d.Services {
+		if _, ok := known.models[s.Model]; !ok && s.Model != "" {
+			in.Add(fmt.Sprintf("Services[%d].Model", i), fmt.Sprintf("no such model: %q", s.Model))
+		}
+	}
+	for i, c := range d.Classes {
+		addClassReferences(in, i, c, d, known)
+	}
+	for i, a := range d.Accounts {
+		for j, name := range a.Classes {
+			if _, ok := known.classes[name]; !ok && name != "" {
+				in.Add(fmt.Sprintf("Accounts[%d].Classes[%d]", i, j), fmt.Sprintf("no such class: %q", name))
+			}
+		}
+	}
+}
+
+func addClassReferences(in *inspection.Inspection, i int, c Class, d Document, known *index) {
+	at, ok := known.services[c.Service]
+	if !ok {
+		in.Add(fmt.Sprintf("Classes[%d].Service", i), fmt.Sprintf("no such service: %q", c.Service))
+		return
+	}
+	path := fmt.Sprintf("Classes[%d].MaxTokens", i)
+	switch kind := d.Services[at].Kind; {
+	case kind == KindGeneration && c.MaxTokens == 0:
+		in.Add(path, "a value is required for a generation")
+	case kind == KindPlain && c.MaxTokens != 0:
+		in.Add(path, "has no meaning for a plain service and must be absent")
+	}
+}
+
+// names finds duplicates in one list.
+type names struct {
+	// format turns a position into a path.
+	format string
+	first  map[string]int
+}
+
+func newNames(format string) names {
+	return names{format: format, first: make(map[string]int)}
+}
+
+func (n names) add(in *inspection.Inspection, position int, name string) {
+	if name == "" {
+		return
+	}
+	earlier, taken := n.first[name]
+	if taken {
+		in.Add(fmt.Sprintf(n.format, position), fmt.Sprintf("%q stands already at position %d", name, earlier))
+		return
+	}
+	n.first[name] = position
+}
--- /dev/null
+++ b/internal/settings/inspection/structure.go
@@ -0,0 +1,166 @@
+package inspection
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxFileBytes is the size above which a file is refused unread.
+const MaxFileBytes = 4 << 20
+
+// maxDepth limits the nesting of arrays and objects.
+const maxDepth = 32
+
+// comparison walks a token stream beside the type that it should fit.
+type comparison struct {
+	decoder    *json.Decoder
+	inspection *Inspection
+	// depth counts the arrays and objects that are open.
+	depth int
+}
+
+// compare returns the parts of data that fit the type of target. It reports
+// false when data is not one JSON object.
+func (in *Inspection) compare(data []byte, target any) (any, bool) {
+	if len(data) > MaxFileBytes {
+		in.Add("", fmt.Sprintf("the file is larger than %d bytes", MaxFileBytes))
+		return nil, false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	c := comparison{decoder: decoder, inspection: in}
+	value, fits, err := c.value("", reflect.TypeOf(target).Elem())
+	if err != nil {
+		in.Add("", syntaxText(data, decoder.InputOffset(), err))
+		return nil, false
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		in.Add("", syntaxText(data, decoder.InputOffset(), errors.New("text follows the object")))
+		return nil, false
+	}
+	return value, fits
+}
+
+// value consumes one value and returns the parts of it that fit the type.
+func (c *comparison) value(path string, want reflect.Type) (any, bool, error) {
+	token, err := c.decoder.Token()
+	if err != nil {
+		return nil, false, err
+	}
+	if delim, ok := token.(json.Delim); ok {
+		return c.nested(path, want, delim)
+	}
+	if want == nil {
+		return nil, false, nil
+	}
+	if !scalarFits(token, want) {
+		c.inspection.Add(path, fmt.Sprintf("expected %s, found %s", typeText(want), tokenText(token)))
+		return nil, false, nil
+	}
+	return token, true, nil
+}
+
+// nested consumes an array or object of which the opening is read.
+func (c *comparison) nested(path string, want reflect.Type, opening json.Delim) (any, bool, error) {
+	if c.depth == maxDepth {
+		return nil, false, errors.Newf("nested deeper than %d levels", maxDepth)
+	}
+	c.depth++
+	defer func() { c.depth-- }()
+	if opening == '{' {
+		return c.object(path, want)
+	}
+	return c.array(path, want)
+}
+
+// object consumes the members of an object and its closing brace. With a nil
+// type it skips them.
+func (c *comparison) object(path string, want reflect.Type) (any, bool, error) {
+	fits := want != nil && want.Kind() == reflect.Struct
+	if !fits && want != nil {
+		c.inspection.Add(path, fmt.Sprintf("expected %s, found an object", typeText(want)))
+	}
+	members := make(map[string]any)
+	seen := make(map[string]bool)
+	for c.decoder.More() {
+		token, err := c.decoder.Token()
+		if err != nil {
+			return nil, false, err
+		}
+		name := fmt.Sprint(token)
+		memberPath := joinPath(path, name)
+		if seen[name] && fits {
+			c.inspection.Add(memberPath, "the field stands twice")
+		}
+		seen[name] = true
+		value, ok, err := c.value(memberPath, c.member(memberPath, name, want, fits))
+		if err != nil {
+			return nil, false, err
+		}
+		if ok {
+			members[name] = value
+		}
+	}
+	_, err := c.decoder.Token()
+	return members, fits, err
+}
+
+// member returns the type of a field. It returns nil for an unknown field, the
+// value of which is skipped.
+func (c *comparison) member(path, name string, want reflect.Type, fits bool) reflect.Type {
+	if !fits {
+		return nil
+	}
+	field, ok := want.FieldByName(name)
+	if !ok || !field.IsExported() {
+		c.inspection.Add(path, "unknown field")
+		return nil
+	}
+	return field.Type
+}
+
+// array consumes the elements of an array and its closing bracket.
+func (c *comparison) array(path string, want reflect.Type) (any, bool, error) {
+	var element reflect.Type
+	fits := want != nil && want.Kind() == reflect.Slice
+	if fits {
+		element = want.Elem()
+	} else if want != nil {
+		c.inspection.Add(path, fmt.Sprintf("expected %s, found an array", typeText(want)))
+	}
+	elements := []any{}
+	for i := 0; c.decoder.More(); i++ {
+		value, ok, err := c.value(path+"["+strconv.Itoa(i)+"]", element)
+		if err != nil {
+			return nil, false, err
+		}
+		if !ok {
+			value = emptyElement(element)
+		}
+		elements = append(elements, value)
+	}
+	_, err := c.decoder.Token()
+	return elements, fits, err
+}
+
+// emptyElement keeps the place of an element that does not fit, so that the
+// paths of later elements stay right.
+func emptyElement(element reflect.Type) any {
+	if element == nil {
+		return nil
+	}
+	return reflect.Zero(element).Interface()
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/settings/inspection/validation.go
@@ -0,0 +1,78 @@
+package inspection
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+)
+
+// sharedValidator caches the parsed tags of each type.
+var sharedValidator = sync.OnceValue(newValidator)
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	if err := v.RegisterValidation("ipport", isIPPort); err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register the ipport check"))
+	}
+	return v
+}
+
+// isIPPort reports whether a field is an IP number and a port other than 0.
+func isIPPort(fl validator.FieldLevel) bool {
+	address, err := netip.ParseAddrPort(fl.Field().String())
+	return err == nil && address.Port() != 0
+}
+
+// Validate checks the validate tags of a struct and records each violation.
+func (in *Inspection) Validate(value any) {
+	err := sharedValidator().Struct(value)
+	if err == nil {
+		return
+	}
+	var violations validator.ValidationErrors
+	if !errors.As(err, &violations) {
+		in.Add("", errors.Wrap(err, "validate").Error())
+		return
+	}
+	for _, violation := range violations {
+		_, path, _ := strings.Cut(violation.Namespace(), ".")
+		in.Add(path, violationText(violation))
+	}
+}
+
+func violationText(violation validator.FieldError) string {
+	param := violation.Param()
+	switch violation.Tag() {
+	case "required":
+		return "a value is required"
+	case "required_if":
+		return "a value is required with " + conditionText(param)
+	case "excluded_if", "excluded_unless":
+		return "has no meaning for this Kind and must be absent"
+	case "oneof":
+		return fmt.Sprintf("expected one of %s, found %q", param, violation.Value())
+	case "ipport":
+		return fmt.Sprintf("expected an IP number and a port, found %q", violation.Value())
+	case "min":
+		return fmt.Sprintf("must be at least %s, found %v", param, violation.Value())
+	case "max":
+		return fmt.Sprintf("must be at most %s, found %v", param, violation.Value())
+	case "gt":
+		return fmt.Sprintf("must be greater than %s, found %v", param, violation.Value())
+	case "gtfield":
+		return fmt.Sprintf("must be greater than %s, found %v", param, violation.Value())
+	case "startswith":
+		return fmt.Sprintf("must start with %q, found %q", param, violation.Value())
+	default:
+		return fmt.Sprintf("fails the check %s %s", violation.Tag(), param)
+	}
+}
+
+// conditionText turns the validator's "Kind Engine" into "Kind = Engine".
+func conditionText(param string) string {
+	return strings.Replace(param, " ", " = ", 1)
+}
--- /dev/null
+++ b/internal/settings/process/process.go
@@ -0,0 +1,60 @@
+// Package process holds the settings of one process: its addresses, its
+// availability zone and its limits. They are read once at the start.
+//
+// Files give periods as whole numbers in named units, because a file cannot
+// hold a deadline. At run time the project stores deadlines only.
+package process
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/inspection"
+)
+
+// Fault is one reason why a settings file is invalid.
+type Fault = inspection.Fault
+
+// Faults is the error for an invalid settings file.
+type Faults = inspection.Faults //nolint:errname // a list of faults, used as an error
+
+// LoadEntry reads the settings of an entry host. The error is a *Faults when
+// the file can be read and is invalid.
+func LoadEntry(path string) (Entry, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Entry{}, errors.Wrap(err, "read entry host settings")
+	}
+	return ParseEntry(data)
+}
+
+// LoadBackend reads the settings of the process beside a backend server. The
+// error is a *Faults when the file can be read and is invalid.
+func LoadBackend(path string) (Backend, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Backend{}, errors.Wrap(err, "read backend server settings")
+	}
+	return ParseBackend(data)
+}
+
+// addListeners records a fault for each listening address that stands twice.
+func addListeners(in *inspection.Inspection, listeners []listener) {
+	first := make(map[string]string, len(listeners))
+	for _, l := range listeners {
+		other, taken := first[l.Address]
+		if taken && l.Address != "" {
+			in.Add(l.Field, "has the same address as "+other)
+			continue
+		}
+		first[l.Address] = l.Field
+	}
+}
+
+// listener is an address that the process itself listens on.
+type listener struct {
+	// Field is the name of the settings field.
+	Field   string
+	Address string
+}
--- /dev/null
+++ b/internal/settings/process/process_test.go
@@ -0,0 +1,118 @@
+package process
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+const (
+	validEntry = `{
+  "Name": "entry-1", "Region": "hr", "Zone": "zg-1",
+  "CallerAddress": "127.0.0.1:18080", "PeerAddress": "127.0.0.1:19080", "MetricsAddress": "127.0.0.1:17080",
+  "LogServiceAddress": "127.0.0.1:16000", "HostListAddress": "127.0.0.1:16001"
+}`
+	validBackend = `{
+  "Name": "coaching-01", "Region": "hr", "Zone": "zg-1",
+  "PeerAddress": "127.0.0.1:19100", "MetricsAddress": "127.0.0.1:17100",
+  "Kind": "Engine", "EngineAddress": "127.0.0.1:15001", "Service": "coaching", "Model": "coach", "MemoryTokens": 100000,
+  "LogServiceAddress": "127.0.0.1:16000", "HostListAddress": "127.0.0.1:16001"
+}`
+)
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func faultLines(err error) []string {
+	var faults *Faults
+	if !errors.As(err, &faults) {
+		return nil
+	}
+	return strings.Split(faults.Error(), "\n")
+}
+
+func TestLoadEntry(t *testing.T) {
+	is := is.New(t)
+	entry, err := LoadEntry(writeFile(t, validEntry))
+	is.NoErr(err)
+	want := DefaultEntry()
+	want.Name, want.Region, want.Zone = "entry-1", "hr", "zg-1"
+	want.CallerAddress, want.PeerAddress, want.MetricsAddress = "127.0.0.1:18080", "127.0.0.1:19080", "127.0.0.1:17080"
+	want.LogServiceAddress, want.HostListAddress = "127.0.0.1:16000", "127.0.0.1:16001"
+	is.Equal(entry, want)
+}
+
+func TestLoadBackend(t *testing.T) {
+	is := is.New(t)
+	backend, err := LoadBackend(writeFile(t, validBackend))
+	is.NoErr(err)
+	is.Equal(backend.HoldSeconds, DefaultHoldSeconds)
+	is.Equal(backend.MaxRunning, DefaultMaxRunning)
+	is.Equal(backend.MemoryTokens, 100000)
+}
+
+func TestLoadMissingFile(t *testing.T) {
+	is := is.New(t)
+	_, err := LoadEntry(filepath.Join(t.TempDir(), "absent.json"))
+	is.True(errors.Is(err, os.ErrNotExist))
+	_, err = LoadBackend(filepath.Join(t.TempDir(), "absent.json"))
+	is.True(errors.Is(err, os.ErrNotExist))
+}
+
+func TestEntryFaults(t *testing.T) {
+	tests := map[string]struct {
+		old, replacement string
+		want             []string
+	}{
+		"no zone": {`"Zone": "zg-1",`, ``, []string{"Zone: a value is required"}},
+		"host name for an IP number": {"127.0.0.1:18080", "localhost:18080", []string{
+			`CallerAddress: expected an IP number and a port, found "localhost:18080"`,
+		}},
+		"port zero":           {"127.0.0.1:18080", "127.0.0.1:0", []string{`CallerAddress: expected an IP number and a port, found "127.0.0.1:0"`}},
+		"address twice":       {"127.0.0.1:19080", "127.0.0.1:18080", []string{"PeerAddress: has the same address as CallerAddress"}},
+		"progress too short":  {`"Zone"`, `"ProgressMillis": 900, "Zone"`, []string{"ProgressMillis: must be greater than HeartbeatMillis, found 900"}},
+		"explicit zero":       {`"Zone"`, `"Partitions": 0, "Zone"`, []string{"Partitions: must be at least 1, found 0"}},
+		"faulty peer":         {`"Zone"`, `"Peers": ["127.0.0.1:1", "x"], "Zone"`, []string{`Peers[1]: expected an IP number and a port, found "x"`}},
+		"fields of a backend": {`"Zone"`, `"Kind": "Engine", "Zone"`, []string{"Kind: unknown field"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(validEntry, tt.old)) // the case changes something
+			_, err := ParseEntry([]byte(strings.Replace(validEntry, tt.old, tt.replacement, 1)))
+			is.Equal(faultLines(err), tt.want)
+		})
+	}
+}
+
+func TestBackendFaults(t *testing.T) {
+	tests := map[string]struct {
+		old, replacement string
+		want             []string
+	}{
+		"unknown kind": {`"Kind": "Engine"`, `"Kind": "engine"`, []string{`Kind: expected one of Engine Plain, found "engine"`}},
+		"plain with an engine": {`"Kind": "Engine"`, `"Kind": "Plain"`, []string{
+			"EngineAddress: has no meaning for this Kind and must be absent",
+			"MemoryTokens: has no meaning for this Kind and must be absent",
+			"Model: has no meaning for this Kind and must be absent",
+			"ServiceAddress: a value is required with Kind = Plain",
+		}},
+		"no memory": {`, "MemoryTokens": 100000`, ``, []string{"MemoryTokens: a value is required with Kind = Engine"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(validBackend, tt.old)) // the case changes something
+			_, err := ParseBackend([]byte(strings.Replace(validBackend, tt.old, tt.replacement, 1)))
+			is.Equal(faultLines(err), tt.want)
+		})
+	}
+}
