feat: resume token that says where a generation lives

Cause: a caller whose entry host died comes back through any other one, and no lookup store may be kept.

Ruled out: protobuf encoding, as its decoder takes unknown fields.

Change: Ticket is encoded as JSON in the URL-safe alphabet. Decode bounds the size and rejects unknown fields, trailing data and missing identities.

--- /dev/null
+++ b/internal/caller/ticket/ticket.go
@@ -0,0 +1,95 @@
+// Package ticket encodes the resume token that a caller brings back to any
+// entry host to continue its answer.
+package ticket
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxEncodedBytes bounds the encoded form of a ticket.
+const MaxEncodedBytes = 2048
+
+// ErrInvalid means that a text is no ticket.
+var ErrInvalid = errors.New("invalid resume token")
+
+// Ticket says where the generation of an answer lives, so that no lookup store
+// is needed. It carries no proof: whoever decodes one must check that the
+// caller belongs to Account, and that PeerAddress is a known host's.
+type Ticket struct {
+	// RequestID of the answer, not empty.
+	RequestID string
+	// Account is the client account that sent the request, not empty.
+	Account string
+	// Backend is the name of the backend server, not empty.
+	Backend string
+	// PeerAddress of the process beside the backend server, as host:port.
+	PeerAddress string
+	// Incarnation of that process, not zero.
+	Incarnation uint64
+	// Sequence counts the generations of the incarnation, from 1.
+	Sequence uint64
+}
+
+// Encode returns the ticket in the URL-safe alphabet without padding.
+func (t Ticket) Encode() string {
+	// A struct of strings and numbers always marshals.
+	text, _ := json.Marshal(t)
+	return base64.RawURLEncoding.EncodeToString(text)
+}
+
+// Decode returns the ticket that Encode wrote. Unknown fields, trailing data,
+// missing identities and oversized texts are errors.
+func Decode(text string) (Ticket, error) {
+	if len(text) > MaxEncodedBytes {
+		return Ticket{}, errors.Wrapf(ErrInvalid, "%d bytes are over the bound of %d", len(text), MaxEncodedBytes)
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil {
+		return Ticket{}, errors.Wrapf(ErrInvalid, "decode base64: %v", err)
+	}
+	ticket, err := unmarshal(raw)
+	if err != nil {
+		return Ticket{}, err
+	}
+	if err := ticket.validate(); err != nil {
+		return Ticket{}, err
+	}
+	return ticket, nil
+}
+
+func unmarshal(raw []byte) (Ticket, error) {
+	var ticket Ticket
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&ticket); err != nil {
+		return Ticket{}, errors.Wrapf(ErrInvalid, "decode fields: %v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Ticket{}, errors.Wrap(ErrInvalid, "data after the end")
+	}
+	return ticket, nil
+}
+
+func (t Ticket) validate() error {
+	switch {
+	case t.RequestID == "":
+		return errors.Wrap(ErrInvalid, "RequestID is empty")
+	case t.Account == "":
+		return errors.Wrap(ErrInvalid, "Account is empty")
+	case t.Backend == "":
+		return errors.Wrap(ErrInvalid, "Backend is empty")
+	case t.PeerAddress == "":
+		return errors.Wrap(ErrInvalid, "PeerAddress is empty")
+	case t.Incarnation == 0:
+		return errors.Wrap(ErrInvalid, "Incarnation is zero")
+	case t.Sequence == 0:
+		return errors.Wrap(ErrInvalid, "Sequence is zero")
+	default:
+		return nil
+	}
+}
