--- /dev/null
+++ b/internal/backend/tide/bucket.go
@@ -0,0 +1,31 @@
+package tide
+
+import "math"
+
+const (
+	// bucketsPerDoubling is the resolution of the buckets.
+	bucketsPerDoubling = 4
+	// doublings is the base-2 logarithm of the longest length told apart.
+	doublings = 18
+	// bucketCount counts the buckets. Bucket i ends at 2^(i/bucketsPerDoubling).
+	bucketCount = bucketsPerDoubling*doublings + 1
+)
+
+// bucketOf returns the bucket that holds a length of the given tokens.
+func bucketOf(tokens int) int {
+	if tokens <= 1 {
+		return 0
+	}
+	i := int(math.Ceil(bucketScale(float64(tokens))))
+	return min(i, bucketCount-1)
+}
+
+// bucketScale returns the position of a length on the axis of buckets.
+func bucketScale(tokens float64) float64 {
+	return bucketsPerDoubling * math.Log2(tokens)
+}
+
+// tokensAt is the inverse of bucketScale.
+func tokensAt(position float64) float64 {
+	return math.Exp2(position / bucketsPerDoubling)
+}
--- /dev/null
+++ b/internal/backend/tide/curve.go
@@ -0,0 +1,108 @@
+package tide
+
+import "math"
+
+const (
+	// priorMedianTokens is the median length before anything was observed.
+	priorMedianTokens = 256
+	// priorDeviation is the standard deviation of the prior, in doublings.
+	priorDeviation = 2
+	// tailFloor is the survival below which the learnt tail says nothing.
+	tailFloor = 1e-9
+	// tailExponent shapes the Pareto tail assumed below tailFloor.
+	tailExponent = 2
+)
+
+// Curve is an immutable distribution of answer lengths.
+type Curve struct {
+	// tail holds the probability that a length is beyond the end of each
+	// bucket. It never rises, and lies between 0 and 1.
+	tail [bucketCount]float64
+}
+
+// prior is the curve of a class that was never observed: log-normal.
+var prior = newPrior()
+
+func newPrior() *Curve {
+	c := &Curve{}
+	center := bucketScale(priorMedianTokens)
+	for i := range c.tail {
+		z := (float64(i) - center) / (priorDeviation * bucketsPerDoubling)
+		c.tail[i] = math.Erfc(z/math.Sqrt2) / 2
+	}
+	return c
+}
+
+// Survival returns the probability that an answer is longer than the given
+// tokens.
+func (c *Curve) Survival(tokens int) float64 {
+	if tokens < 1 {
+		return 1
+	}
+	position := bucketScale(float64(tokens))
+	i := int(position)
+	if i >= bucketCount-1 {
+		return c.tail[bucketCount-1] * paretoTail(float64(tokens), tokensAt(bucketCount-1))
+	}
+	part := position - float64(i)
+	return c.tail[i]*(1-part) + c.tail[i+1]*part
+}
+
+// Conditional returns the probability that an answer that has reached produced
+// tokens is longer than produced+further.
+func (c *Curve) Conditional(produced, further int) float64 {
+	if further <= 0 {
+		return 1
+	}
+	reached := c.Survival(produced)
+	if reached < tailFloor {
+		return paretoTail(float64(produced+further), float64(produced))
+	}
+	return math.Min(1, c.Survival(produced+further)/reached)
+}
+
+// Remaining returns the further tokens that an answer that has reached produced
+// tokens needs, at the given quantile between 0 and 1. It is at least 1.
+func (c *Curve) Remaining(produced int, quantile float64) int {
+	produced = max(produced, 0)
+	quantile = math.Max(0, math.Min(quantile, 1-tailFloor))
+	goal := c.Survival(produced) * (1 - quantile)
+	if goal < tailFloor*(1-quantile) || goal < c.tail[bucketCount-1] {
+		return beyondTail(produced, quantile)
+	}
+	return max(1, c.lengthAt(goal)-produced)
+}
+
+// lengthAt returns the length that is exceeded with the given probability.
+func (c *Curve) lengthAt(goal float64) int {
+	low, high := 0, bucketCount-1
+	for low < high {
+		middle := (low + high) / 2
+		if c.tail[middle] <= goal {
+			high = middle
+		} else {
+			low = middle + 1
+		}
+	}
+	if low == 0 {
+		return 1
+	}
+	before, after := c.tail[low-1], c.tail[low]
+	part := 1.0
+	if before > after {
+		part = (before - goal) / (before - after)
+	}
+	return int(math.Ceil(tokensAt(float64(low-1) + part)))
+}
+
+// beyondTail returns a quantile of the remaining tokens of an answer that
+// outlived all that was learnt.
+func beyondTail(produced int, quantile float64) int {
+	factor := math.Pow(1-quantile, -1.0/tailExponent) - 1
+	return max(1, int(math.Ceil(float64(max(produced, 1))*factor)))
+}
+
+// paretoTail returns the probability to reach a length from a shorter one.
+func paretoTail(length, reached float64) float64 {
+	return math.Pow(math.Max(reached, 1)/length, tailExponent)
+}
--- /dev/null
+++ b/internal/backend/tide/observe.go
@@ -0,0 +1,22 @@
+package tide
+
+// Observe records that an answer of the class ended after the given tokens.
+// Answers that were cut short must not be observed.
+func (m *Model) Observe(class, account string, tokens int) {
+	if m.classes == nil {
+		m.classes = newRecency[string, *history](classLimit)
+		m.accounts = newRecency[pair, *history](m.limit())
+	}
+	byClass := m.classes.renew(class, func() *history { return newHistory(classHalfLife) })
+	byClass.observe(tokens)
+	key := pair{Class: class, Account: account}
+	byAccount := m.accounts.renew(key, func() *history { return newHistory(accountHalfLife) })
+	byAccount.observe(tokens)
+}
+
+func (m *Model) limit() int {
+	if m.Limit > 0 {
+		return m.Limit
+	}
+	return DefaultLimit
+}
