--- /dev/null
+++ b/internal/backend/keeper/admission.go
@@ -0,0 +1,205 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// promptBytesPerToken converts the length of a prompt to tokens.
+	promptBytesPerToken = 4
+	// prefixBytes is the part of a prompt that prefix affinity looks at.
+	prefixBytes = 256
+	// retryLeavingMillis is when another backend server is worth a try.
+	retryLeavingMillis = 500
+)
+
+// PrefixHash returns the hash that names the prefix of a prompt.
+func PrefixHash(prompt string) uint64 {
+	return xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// admit decides on a request that this incarnation does not hold. A nil
+// result means that it is open now. Every refusal is truthful: the request was
+// not run here, and one that may not be repeated never will be.
+func (k *Keeper) admit(in *message.GenerateRequest, now time.Time) *receipt.Result {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, held := k.Logbook.Find(in.GetRequestId()); held {
+		return nil
+	}
+	forgetAt, refusal := k.forgetAt(in.GetRequestId())
+	if refusal != nil {
+		return refusal
+	}
+	class, refusal := k.check(in, now)
+	if refusal == nil {
+		refusal = k.offer(in, class, forgetAt, now)
+	}
+	if refusal == nil || in.GetRepeatable() {
+		return refusal
+	}
+	return k.refuseForGood(in.GetRequestId(), refusal, forgetAt)
+}
+
+// forgetAt returns the time from which the request identity is rejected, which
+// is a function of the identity alone.
+func (k *Keeper) forgetAt(requestID string) (time.Time, *receipt.Result) {
+	id, err := uuid.Parse(requestID)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, receipt.New(receipt.InvalidRequest, "request identity %q is not a UUID of version 7", requestID)
+	}
+	seconds, nanos := id.Time().UnixTime()
+	remembered := time.Duration(k.Settings.RememberSeconds) * time.Second
+	return time.Unix(seconds, nanos).Add(remembered), nil
+}
+
+// refuseForGood records that the request will never run here, before the
+// refusal is told.
+func (k *Keeper) refuseForGood(id string, refusal *receipt.Result, forgetAt time.Time) *receipt.Result {
+	_, held, err := k.Logbook.Refuse(id, uint32(refusal.Code), refusal.Reason, forgetAt)
+	if errors.Is(err, logbook.ErrExpired) {
+		return receipt.New(receipt.KeyExpired, "the request identity is too old")
+	}
+	if err != nil || held {
+		return receipt.New(receipt.OwnerSilent, "the refusal could not be recorded: %v", err)
+	}
+	return refusal
+}
+
+// check refuses what no queue can help.
+func (k *Keeper) check(in *message.GenerateRequest, now time.Time) (agreement.Class, *receipt.Result) {
+	var none agreement.Class
+	if k.leaving.Load() {
+		return none, receipt.New(receipt.Leaving, "%s is leaving", k.Settings.Name).
+			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+	}
+	if !in.GetRepeatable() && !k.permits(in) {
+		return none, receipt.New(receipt.NotOwner, "the permit names another request or incarnation").
+			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+	}
+	k.adoptConfiguration()
+	if k.applied == nil {
+		return none, receipt.New(receipt.NotConfigured, "no configuration is in force yet").
+			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+	}
+	class, found := k.applied.Class(in.GetClass())
+	if !found {
+		return none, receipt.New(receipt.InvalidRequest, "class %q is not configured", in.GetClass())
+	}
+	if in.GetModel() != k.Settings.Model {
+		return none, receipt.New(receipt.EngineRefused, "the engine serves model %s, not %s", k.Settings.Model, in.GetModel()).
+			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+	}
+	return class, nil
+}
+
+// permits tells whether the permit is for this request and this incarnation.
+func (k *Keeper) permits(in *message.GenerateRequest) bool {
+	permit := in.GetPermit()
+	return permit.GetRequestId() == in.GetRequestId() &&
+		permit.GetBackend() == k.Settings.Name &&
+		permit.GetIncarnation() == k.Incarnation
+}
+
+// offer asks the book and opens the request where it has a place. The caller
+// holds the mutex.
+func (k *Keeper) offer(
+	in *message.GenerateRequest, class agreement.Class, forgetAt, now time.Time,
+) *receipt.Result {
+	id := in.GetRequestId()
+	request := booking.Request{
+		RequestID:    id,
+		Account:      in.GetAccount(),
+		Class:        class.Name,
+		Priority:     class.Priority,
+		Urgent:       class.Urgent,
+		Repeatable:   in.GetRepeatable(),
+		PromptTokens: len(in.GetPrompt())/promptBytesPerToken + 1,
+		MaxTokens:    int(in.GetMaxTokens()),
+		Deadline:     timeFromNanos(in.GetDeadlineUnixNanos()),
+	}
+	switch d := k.Book.Offer(request, now).(type) {
+	case booking.Refuse:
+		return refusalOf(d)
+	case booking.Admit:
+		k.Journalist.Decided(id, "Admitted", "memory and batch have room")
+		return k.open(in, class, forgetAt, true)
+	case booking.Wait:
+		k.Journalist.Decided(id, "Waiting", d.Reason.String())
+		return k.open(in, class, forgetAt, false)
+	default:
+		return receipt.New(receipt.EngineRefused, "no decision")
+	}
+}
+
+// open holds the request from now on and starts it where it is admitted.
+func (k *Keeper) open(in *message.GenerateRequest, class agreement.Class, forgetAt time.Time, admitted bool) *receipt.Result {
+	id := in.GetRequestId()
+	entry, _, err := k.Logbook.Start(id, forgetAt)
+	if err != nil {
+		k.Book.Release(id)
+		return startRefusal(err)
+	}
+	j := &job{
+		request: engine.Request{
+			ID:         id,
+			Model:      in.GetModel(),
+			Prompt:     in.GetPrompt(),
+			MaxTokens:  int(in.GetMaxTokens()),
+			Priority:   class.Priority,
+			PrefixHash: PrefixHash(in.GetPrompt()),
+		},
+		account:     in.GetAccount(),
+		class:       class.Name,
+		repeatable:  in.GetRepeatable(),
+		deadline:    timeFromNanos(in.GetDeadlineUnixNanos()),
+		sequence:    entry.Sequence,
+		abandonedAt: time.Now(),
+	}
+	k.jobs[id] = j
+	if admitted {
+		k.launch(j)
+	}
+	return nil
+}
+
+// startRefusal maps an identity that can't be held.
+func startRefusal(err error) *receipt.Result {
+	if errors.Is(err, logbook.ErrExpired) {
+		return receipt.New(receipt.KeyExpired, "the request identity is too old")
+	}
+	return receipt.New(receipt.QueueFull, "%v", err).
+		WithRetryAt(time.Now().Add(retryLeavingMillis * time.Millisecond))
+}
+
+// refusalOf maps the book's refusal to a result code.
+func refusalOf(d booking.Refuse) *receipt.Result {
+	code := receipt.QueueFull
+	switch d.Reason {
+	case booking.ReasonDeadline:
+		code = receipt.DeadlinePassed
+	case booking.ReasonTooLarge:
+		code = receipt.InvalidRequest
+	default:
+	}
+	return receipt.New(code, "%s", d.Reason).WithRetryAt(d.RetryAt)
+}
+
+// timeFromNanos converts a time from the wire; zero stays zero.
+func timeFromNanos(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos)
+}
--- /dev/null
+++ b/internal/backend/keeper/drive.go
@@ -0,0 +1,262 @@
+package keeper
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// engineSilentMillis is the silence after which the engine's stream is
+	// opened again. A generation that stalls for memory goes on afterwards.
+	engineSilentMillis = 3000
+	// engineLostMillis bounds the attempts to reach an engine that does not answer.
+	engineLostMillis = 10000
+)
+
+var (
+	errSilent = errors.New("the engine's stream is silent")
+	errGap    = errors.New("the engine's stream lacks a token")
+)
+
+// drive runs one generation on the engine to its end.
+func (k *Keeper) drive(ctx context.Context, j *job) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if !k.bindStop(j, stop) {
+		k.finish(j, receipt.Cancelled, "cancelled before the start")
+		return nil
+	}
+	code, reason := k.generate(ctx, j)
+	k.finish(j, code, reason)
+	return nil
+}
+
+// bindStop lets others stop the job from now on. It returns false when the job
+// was stopped already.
+func (k *Keeper) bindStop(j *job, stop context.CancelFunc) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j.stop = stop
+	k.recent.use(j.request.PrefixHash)
+	return j.stopCode == 0
+}
+
+// generate opens the engine's stream, and opens it again by position whenever
+// it breaks, falls silent or lacks a token.
+func (k *Keeper) generate(ctx context.Context, j *job) (receipt.Code, string) {
+	run := &run{keeper: k, job: j}
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = 50 * time.Millisecond
+	pauses.MaxInterval = time.Second
+	lostAt := time.Now().Add(engineLostMillis * time.Millisecond)
+	for {
+		before := run.position
+		finished, err := run.attach(ctx)
+		if err == nil {
+			return resultOf(finished)
+		}
+		if ctx.Err() != nil {
+			return k.stopped(j)
+		}
+		if errors.Is(err, engine.ErrRefused) {
+			return run.refused(err)
+		}
+		k.Log.Warn("engine stream opened again", "request", j.request.ID, "position", run.position, "cause", err)
+		now := time.Now()
+		if run.position > before || errors.Is(err, errSilent) {
+			lostAt = now.Add(engineLostMillis * time.Millisecond)
+			pauses.Reset()
+		}
+		if now.After(lostAt) {
+			return receipt.EngineFailed, err.Error()
+		}
+		wait(ctx, now.Add(pauses.NextBackOff()))
+	}
+}
+
+// stopped returns why the job was stopped.
+func (k *Keeper) stopped(j *job) (receipt.Code, string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if j.stopCode != 0 {
+		code := receipt.Code(j.stopCode)
+		return code, code.Info().Text
+	}
+	return receipt.DrainCut, "the process ended"
+}
+
+// resultOf maps the engine's reason for the end.
+func resultOf(finished engine.Finished) (receipt.Code, string) {
+	switch {
+	case finished.Reason == engine.ReasonStop:
+		return receipt.OK, ""
+	case finished.Reason == engine.ReasonLength:
+		return receipt.OKLength, ""
+	default:
+		return receipt.EngineFailed, strings.TrimPrefix(finished.Reason, engine.ReasonErrorPrefix)
+	}
+}
+
+// run is the state of one generation on the engine.
+type run struct {
+	keeper *Keeper
+	job    *job
+	// position counts the tokens held in the logbook.
+	position int
+	// started tells that the engine may hold the generation.
+	started bool
+	// lastToken is when the newest token came; zero before the first and after
+	// a stall.
+	lastToken time.Time
+	// stalledAt is when the engine pushed the generation aside; zero otherwise.
+	stalledAt time.Time
+}
+
+// refused maps a refusal: before the start nothing ran, later the engine has
+// lost the generation.
+func (r *run) refused(err error) (receipt.Code, string) {
+	if !r.started {
+		return receipt.EngineRefused, err.Error()
+	}
+	return receipt.EngineFailed, err.Error()
+}
+
+// attach opens one stream and reads it to its end.
+func (r *run) attach(ctx context.Context) (engine.Finished, error) {
+	ctx, cut := context.WithCancelCause(ctx)
+	defer cut(nil)
+	silentAt := func() time.Duration { return time.Until(time.Now().Add(engineSilentMillis * time.Millisecond)) }
+	watchdog := time.AfterFunc(silentAt(), func() { cut(errSilent) })
+	defer watchdog.Stop()
+	request := r.job.request
+	if r.started {
+		request.ResumeFrom = r.position
+	}
+	if r.started && r.position == 0 {
+		request.ResumeFrom = engine.ResumeFromStart
+	}
+	stream, err := r.keeper.Engine.Generate(ctx, request)
+	if err != nil {
+		r.started = r.started || !errors.Is(err, engine.ErrRefused)
+		return engine.Finished{}, errors.CombineErrors(err, context.Cause(ctx))
+	}
+	defer func() { _ = stream.Close() }()
+	r.started = true
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return engine.Finished{}, errors.CombineErrors(context.Cause(ctx), err)
+		}
+		watchdog.Reset(silentAt())
+		finished, err := r.take(event)
+		if err != nil || finished != nil {
+			return deref(finished), err
+		}
+	}
+}
+
+func deref(finished *engine.Finished) engine.Finished {
+	if finished == nil {
+		return engine.Finished{}
+	}
+	return *finished
+}
+
+// take handles one event. Events of other requests are dropped.
+func (r *run) take(event engine.Event) (*engine.Finished, error) {
+	id := r.job.request.ID
+	switch e := event.(type) {
+	case engine.Token:
+		if e.RequestID != id {
+			r.keeper.Journalist.Decided(id, "Rejected", "engine sent a token of request "+e.RequestID)
+			return nil, nil
+		}
+		return nil, r.token(e)
+	case engine.Preempted:
+		if e.RequestID == id {
+			r.preempted()
+		}
+	case engine.Resumed:
+		if e.RequestID == id {
+			r.resumed()
+		}
+	case engine.Finished:
+		if e.RequestID != id {
+			return nil, nil
+		}
+		if e.Tokens > r.position {
+			return nil, errors.Wrapf(errGap, "end at %d, held %d", e.Tokens, r.position)
+		}
+		return &e, nil
+	}
+	return nil, nil
+}
+
+func (r *run) token(token engine.Token) error {
+	if token.Position < r.position {
+		return nil
+	}
+	err := r.keeper.Logbook.Append(r.job.request.ID, uint64(token.Position), []string{token.Text})
+	if errors.Is(err, logbook.ErrGap) {
+		return errors.Wrapf(errGap, "token %d, held %d", token.Position, r.position)
+	}
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	r.position++
+	r.keeper.progressed(r.job, r.position, r.lastToken, now)
+	r.lastToken = now
+	return nil
+}
+
+func (r *run) preempted() {
+	k := r.keeper
+	r.stalledAt = time.Now()
+	r.lastToken = time.Time{}
+	k.Gauge.Preempted(r.job.account, r.job.class)
+	k.Journalist.Decided(r.job.request.ID, "Preempted", "the engine freed memory")
+	_ = k.Logbook.Progress(r.job.request.ID, message.GenerationState_GENERATION_STATE_PREEMPTED)
+}
+
+func (r *run) resumed() {
+	k := r.keeper
+	if !r.stalledAt.IsZero() {
+		k.Gauge.Stalled(r.job.account, r.job.class, r.stalledAt, time.Now())
+	}
+	r.stalledAt = time.Time{}
+	k.Journalist.Decided(r.job.request.ID, "Resumed", "the engine has memory again")
+	_ = k.Logbook.Progress(r.job.request.ID, message.GenerationState_GENERATION_STATE_RUNNING)
+}
+
+// progressed tells the book of a new token and measures the engine's pace.
+func (k *Keeper) progressed(j *job, produced int, previous, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !previous.IsZero() {
+		k.pace.observe(previous, now)
+	}
+	if produced == 1 {
+		_ = k.Logbook.Progress(j.request.ID, message.GenerationState_GENERATION_STATE_RUNNING)
+	}
+	_ = k.Book.Progress(j.request.ID, produced)
+}
+
+// wait returns at the given time or at the end of ctx.
+func wait(ctx context.Context, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/backend/keeper/load.go
@@ -0,0 +1,41 @@
+package keeper
+
+import (
+	"context"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// Load returns the current load.
+func (k *Keeper) Load() *message.Load {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	load := k.Book.Load()
+	return &message.Load{
+		Backend:          k.Settings.Name,
+		Incarnation:      k.Incarnation,
+		Running:          uint32(load.Running),
+		Waiting:          uint32(load.Waiting),
+		MemoryPermille:   uint32(load.MemoryPermille),
+		ForecastPermille: uint32(load.ForecastPermille),
+		Leaving:          k.leaving.Load(),
+		ConfigVersion:    k.ConfigVersion(),
+		Prefixes:         k.recent.hashes,
+	}
+}
+
+// Probe answers with the current load.
+func (k *Keeper) Probe(context.Context, *message.ProbeRequest) (*message.Load, error) {
+	return k.Load(), nil
+}
+
+// Open returns the count of generations that have not ended and of streams
+// that still deliver.
+func (k *Keeper) Open() int {
+	return max(k.Logbook.OpenRequests(), int(k.readers.Load()))
+}
+
+// Leave stops the admission of new work. Open generations run to their end.
+func (k *Keeper) Leave() {
+	k.leaving.Store(true)
+}
--- /dev/null
+++ b/internal/backend/keeper/policy.go
@@ -0,0 +1,74 @@
+package keeper
+
+import (
+	"math"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+// shareUnits is the number of integer shares for a configured share of one.
+const shareUnits = 100
+
+// policyOf maps the configured policy to the book's.
+func policyOf(p agreement.Policy) booking.Policy {
+	return booking.Policy{
+		StallWeight:            p.StallWeight,
+		PreemptionWeight:       p.PreemptionWeight,
+		MemoryQuantile:         p.MemoryQuantile,
+		UrgentHeadroomPermille: p.UrgentHeadroomPermille,
+		QueueLimit:             p.QueueLimit,
+	}
+}
+
+// sharesOf maps the configured shares to whole numbers.
+func sharesOf(accounts []agreement.Account) map[string]int {
+	shares := make(map[string]int, len(accounts))
+	for _, account := range accounts {
+		shares[account.Name] = max(1, int(math.Round(account.Share*shareUnits)))
+	}
+	return shares
+}
+
+// pace estimates the time between two tokens of one generation.
+type pace struct {
+	// micros is the estimate in microseconds; positive.
+	micros float64
+}
+
+const (
+	// paceWeight is the weight of a new measurement.
+	paceWeight = 0.02
+	// paceCeilingMicros drops gaps that are stalls and not the engine's step.
+	paceCeilingMicros = 1_000_000
+)
+
+// observe takes the time between two consecutive tokens.
+func (p *pace) observe(from, to time.Time) {
+	micros := float64(to.Sub(from).Microseconds())
+	if micros <= 0 || micros > paceCeilingMicros {
+		return
+	}
+	p.micros += paceWeight * (micros - p.micros)
+}
+
+// prefixLimit bounds the prefixes that a load report names.
+const prefixLimit = 8
+
+// prefixes holds the prompt prefixes that ran last, the newest first.
+type prefixes struct {
+	hashes []uint64
+}
+
+// use moves the hash to the front.
+func (p *prefixes) use(hash uint64) {
+	kept := make([]uint64, 0, prefixLimit)
+	kept = append(kept, hash)
+	for _, h := range p.hashes {
+		if h != hash && len(kept) < prefixLimit {
+			kept = append(kept, h)
+		}
+	}
+	p.hashes = kept
+}
