feat: clients and stand-ins of the log and the model engine

The entry hosts and the processes beside the backend servers need the log and the engines before any of their own decisions can run.

The clients tell apart what certainly did not happen from what may have: a failed dial and a refusal are certain, everything later is unknown. POST bodies carry no GetBody, so that the transport can't send one twice by itself.

The stand-in engine keeps batch and memory in a type without clock or I/O, so that experiments in virtual time use the same engine as the tests.

--- /dev/null
+++ b/internal/platform/exchange/exchange.go
@@ -0,0 +1,96 @@
+// Package exchange holds what the clients of the platform share: one bounded
+// HTTP exchange, and whether a failed one can have reached the other side.
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxBodyBytes bounds the body of an answer.
+const MaxBodyBytes = 16 << 20
+
+// ErrTooLarge says that an answer's body is longer than MaxBodyBytes.
+var ErrTooLarge = errors.New("answer is too large")
+
+// Call is one HTTP request to a platform service.
+type Call struct {
+	// Method is the HTTP method.
+	Method string
+	// Address is host and port of the service.
+	Address string
+	// Path is the escaped path with its query; it starts with a slash.
+	Path string
+	// Header is sent as it is; it may be nil.
+	Header http.Header
+	// Body is the request's body; it may be nil.
+	Body []byte
+}
+
+// Answer is a whole HTTP answer.
+type Answer struct {
+	// Status is the HTTP status code.
+	Status int
+	// Header is the answer's header.
+	Header http.Header
+	// Body is the whole body, at most MaxBodyBytes.
+	Body []byte
+}
+
+// Open sends the call and returns the answer with its body still to be read.
+func Open(ctx context.Context, client *http.Client, c Call) (*http.Response, error) {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	for name, values := range c.Header {
+		req.Header[name] = values
+	}
+	// Without GetBody the transport can't send a request a second time by
+	// itself, so that one call is at most one execution.
+	req.GetBody = nil
+	return client.Do(req)
+}
+
+// Do sends the call and reads the whole answer.
+func Do(ctx context.Context, client *http.Client, c Call) (Answer, error) {
+	resp, err := Open(ctx, client, c)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "read answer")
+	}
+	if len(body) > MaxBodyBytes {
+		return Answer{}, ErrTooLarge
+	}
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// Decode reads a JSON answer into value.
+func Decode(a Answer, value any) error {
+	return errors.Wrap(json.Unmarshal(a.Body, value), "decode answer")
+}
+
+// NeverSent reports whether err certainly came before anything was sent.
+func NeverSent(err error) bool {
+	var oe *net.OpError
+	return errors.As(err, &oe) && oe.Op == "dial"
+}
+
+// Escape makes a path segment of name.
+func Escape(name string) string {
+	return url.PathEscape(name)
+}
--- /dev/null
+++ b/internal/platform/journal/client.go
@@ -0,0 +1,86 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/exchange"
+)
+
+// Appended is the log's answer to an append.
+type Appended struct {
+	// Offset is the offset of the new record.
+	Offset uint64
+}
+
+// Client reaches the log over HTTP. It implements Log.
+type Client struct {
+	// Address is host and port of the log.
+	Address string
+	// HTTP sends the requests; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+var _ Log = (*Client)(nil)
+
+// Append adds one record. It fails with ErrThrottled or ErrRefused when the
+// record was certainly not appended, else with ErrUnavailable or ErrUnknown.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	path := "/streams/" + exchange.Escape(stream) + "/records"
+	a, err := exchange.Do(ctx, c.HTTP, exchange.Call{Method: http.MethodPost, Address: c.Address, Path: path, Body: data})
+	if exchange.NeverSent(err) {
+		return 0, errors.Wrapf(exchange.Fail(ErrUnavailable, err), "append to %s", stream)
+	}
+	if err != nil {
+		return 0, errors.Wrapf(exchange.Fail(ErrUnknown, err), "append to %s", stream)
+	}
+	if err := refusal(a.Status, ErrUnknown); err != nil {
+		return 0, errors.Wrapf(err, "append to %s", stream)
+	}
+	var done Appended
+	if err := exchange.Decode(a, &done); err != nil {
+		return 0, errors.Wrapf(exchange.Fail(ErrUnknown, err), "append to %s", stream)
+	}
+	if done.Offset == 0 {
+		return 0, errors.Wrapf(ErrUnknown, "append to %s: answer without offset", stream)
+	}
+	return done.Offset, nil
+}
+
+// Read returns a page of the stream. It fails with ErrThrottled, ErrRefused
+// or ErrUnavailable.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int) (Page, error) {
+	path := fmt.Sprintf("/streams/%s/records?from=%d&limit=%d", exchange.Escape(stream), from, limit)
+	a, err := exchange.Do(ctx, c.HTTP, exchange.Call{Method: http.MethodGet, Address: c.Address, Path: path})
+	if err != nil {
+		return Page{}, errors.Wrapf(exchange.Fail(ErrUnavailable, err), "read %s", stream)
+	}
+	if err := refusal(a.Status, ErrUnavailable); err != nil {
+		return Page{}, errors.Wrapf(err, "read %s", stream)
+	}
+	var p Page
+	if err := exchange.Decode(a, &p); err != nil {
+		return Page{}, errors.Wrapf(exchange.Fail(ErrUnavailable, err), "read %s", stream)
+	}
+	return p, nil
+}
+
+// refusal names the error that a status stands for, and otherwise for a
+// status that says nothing of the outcome.
+func refusal(status int, otherwise error) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusTooManyRequests:
+		return ErrThrottled
+	case status == http.StatusServiceUnavailable:
+		return ErrUnavailable
+	case status >= 400 && status < 500:
+		return errors.Wrapf(ErrRefused, "status %d", status)
+	default:
+		return errors.Wrapf(otherwise, "status %d", status)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/faults.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+)
+
+// Faults are switched while the engine runs.
+type Faults struct {
+	// Down drops every connection that asks for something, and halts the steps.
+	Down atomic.Bool
+	// Frozen halts the steps; streams stay open.
+	Frozen atomic.Bool
+	// Silent keeps open streams from carrying anything more, and new ones
+	// accept without a byte of an event. What they missed they never send.
+	Silent atomic.Bool
+	// CrossEvents is how many coming tokens of streams are followed by an event
+	// of another request.
+	CrossEvents atomic.Int64
+	// RepeatTokens is how many coming tokens of streams are sent twice.
+	RepeatTokens atomic.Int64
+	// OmitTokens is how many coming tokens of streams are left out.
+	OmitTokens atomic.Int64
+	// LoseAnswers is how many coming generations start while their connection
+	// drops before the answer.
+	LoseAnswers atomic.Int64
+	// LoseOrders is how many coming orders take effect while their connection
+	// drops before the answer.
+	LoseOrders atomic.Int64
+	// LoadStuck keeps the load at what was last reported.
+	LoadStuck atomic.Bool
+}
+
+// crossedRequestID names the other request of a crossed event when the engine
+// has run none.
+const crossedRequestID = "crossed"
+
+// disturb returns what a stream sends for event.
+func (s *Server) disturb(event engine.Event) []engine.Event {
+	token, ok := event.(engine.Token)
+	if !ok {
+		return []engine.Event{event}
+	}
+	if takeOne(&s.Faults.OmitTokens) {
+		return nil
+	}
+	sent := []engine.Event{token}
+	if takeOne(&s.Faults.RepeatTokens) {
+		sent = append(sent, token)
+	}
+	if takeOne(&s.Faults.CrossEvents) {
+		crossed := token
+		crossed.RequestID = s.otherRequest(token.RequestID)
+		crossed.Position++
+		sent = append(sent, crossed)
+	}
+	return sent
+}
+
+// otherRequest names a request that is not id.
+func (s *Server) otherRequest(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.live {
+		if g.request.ID != id {
+			return g.request.ID
+		}
+	}
+	return crossedRequestID
+}
+
+// failWhenDown drops the connection of each request while the engine is down.
+func (s *Server) failWhenDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Faults.Down.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// takeOne counts n down and reports whether it was above zero.
+func takeOne(n *atomic.Int64) bool {
+	for {
+		left := n.Load()
+		if left <= 0 {
+			return false
+		}
+		if n.CompareAndSwap(left, left-1) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/generation.go
@@ -0,0 +1,58 @@
+package engine
+
+import (
+	"sync"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+)
+
+// generation is one execution of a request with the events it has had.
+type generation struct {
+	request engine.Request
+	key     uint64
+
+	mu sync.Mutex
+	// events only grow; the last one is Finished once the generation ended.
+	events []engine.Event
+	// changed is closed and replaced when events grow.
+	changed chan struct{}
+	ended   bool
+}
+
+func newGeneration(req engine.Request, key uint64) *generation {
+	return &generation{request: req, key: key, changed: make(chan struct{})}
+}
+
+// add appends an event; nothing comes after Finished.
+func (g *generation) add(event engine.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return
+	}
+	_, g.ended = event.(engine.Finished)
+	g.events = append(g.events, event)
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// after returns the events from index from on, whether the last of them is the
+// end, and a channel that is closed when there are more.
+func (g *generation) after(from int) ([]engine.Event, bool, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.events[from:len(g.events):len(g.events)], g.ended, g.changed
+}
+
+// tokens counts the tokens that were produced.
+func (g *generation) tokens() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	for _, event := range g.events {
+		if _, ok := event.(engine.Token); ok {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+)
+
+// orderBook holds what orders have changed.
+type orderBook struct {
+	// highest is the highest fencing number of an executed order.
+	highest  uint64
+	executed []engine.Order
+}
+
+// Orders returns the orders that took effect, in order.
+func (s *Server) Orders() []engine.Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.orders.executed)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	status := s.execute(order)
+	if status == http.StatusNoContent && takeOne(&s.Faults.LoseOrders) {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+// execute carries an order out and returns the status of the answer.
+func (s *Server) execute(order engine.Order) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if s.ChecksFencing && order.Fence < s.orders.highest {
+		return http.StatusPreconditionFailed
+	}
+	switch order.Kind {
+	case engine.LoadModel, engine.LoadAdapter, engine.LoadVersion, engine.ChangeRole:
+	case engine.Preempt:
+		g, ok := s.latest[order.RequestID]
+		if !ok || !s.batch.Preempt(g.key) {
+			return http.StatusNotFound
+		}
+	default:
+		return http.StatusBadRequest
+	}
+	s.orders.highest = max(s.orders.highest, order.Fence)
+	s.orders.executed = append(s.orders.executed, order)
+	return http.StatusNoContent
+}
--- /dev/null
+++ b/internal/standin/engine/prefix_cache.go
@@ -0,0 +1,71 @@
+package engine
+
+import "container/list"
+
+// prefix is one cached prefix.
+type prefix struct {
+	hash   uint64
+	tokens int
+	// users counts the running jobs that share it.
+	users int
+	// place is its place among the idle ones; nil while users is above zero.
+	place *list.Element
+}
+
+// prefixCache holds the computed prefixes. Those without a user may be
+// evicted, least recently used first.
+type prefixCache struct {
+	entries map[uint64]*prefix
+	// idle lists the prefixes without a user, least recently used first.
+	idle list.List
+	// idleTokens is the memory of the idle prefixes, in tokens.
+	idleTokens int
+}
+
+// find returns the prefix of hash, or nil.
+func (c *prefixCache) find(hash uint64) *prefix {
+	return c.entries[hash]
+}
+
+// store adds a prefix with one user.
+func (c *prefixCache) store(hash uint64, tokens int) *prefix {
+	if c.entries == nil {
+		c.entries = make(map[uint64]*prefix)
+	}
+	p := &prefix{hash: hash, tokens: tokens, users: 1}
+	c.entries[hash] = p
+	return p
+}
+
+// acquire adds a user.
+func (c *prefixCache) acquire(p *prefix) {
+	p.users++
+	if p.place == nil {
+		return
+	}
+	c.idle.Remove(p.place)
+	p.place = nil
+	c.idleTokens -= p.tokens
+}
+
+// release takes a user away; p may be nil.
+func (c *prefixCache) release(p *prefix) {
+	if p == nil {
+		return
+	}
+	p.users--
+	if p.users > 0 {
+		return
+	}
+	p.place = c.idle.PushBack(p)
+	c.idleTokens += p.tokens
+}
+
+// evict removes the idle prefix that was least recently used; there is one.
+func (c *prefixCache) evict() *prefix {
+	p := c.idle.Remove(c.idle.Front()).(*prefix)
+	p.place = nil
+	c.idleTokens -= p.tokens
+	delete(c.entries, p.hash)
+	return p
+}
--- /dev/null
+++ b/internal/standin/engine/step.go
@@ -0,0 +1,76 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+)
+
+// Step runs one step, unless the engine is frozen or down.
+func (s *Server) Step() {
+	if s.Faults.Frozen.Load() || s.Faults.Down.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	now := time.Now()
+	for _, c := range s.batch.Step() {
+		s.apply(c, now)
+	}
+	s.loads.add(engine.Load{
+		Running:     s.batch.Running(),
+		Waiting:     s.batch.Waiting(),
+		MemoryUsed:  s.batch.MemoryUsed(),
+		MemoryTotal: s.batch.MemoryTokens,
+		MeasuredAt:  now,
+	}, now.Add(-millis(s.LoadLagMillis)))
+}
+
+// apply turns a change of the batch into events; the caller holds mu.
+func (s *Server) apply(c Change, now time.Time) {
+	switch c.Kind {
+	case PrefixStored:
+		s.cacheFeed.add(engine.Stored, c.PrefixHash, now)
+	case PrefixEvicted:
+		s.cacheFeed.add(engine.Evicted, c.PrefixHash, now)
+	case TokenProduced, JobPreempted, JobResumed, JobFinished, JobFailed:
+		if g, ok := s.live[c.Key]; ok {
+			s.applyTo(g, c)
+		}
+	}
+}
+
+func (s *Server) applyTo(g *generation, c Change) {
+	id := g.request.ID
+	switch c.Kind {
+	case TokenProduced:
+		g.add(engine.Token{RequestID: id, Position: c.Position, Text: s.word(g.request.Prompt, c.Position)})
+	case JobPreempted:
+		g.add(engine.Preempted{RequestID: id})
+	case JobResumed:
+		g.add(engine.Resumed{RequestID: id})
+	case JobFinished:
+		s.finish(g, s.endReason(g.request))
+	case JobFailed:
+		s.finish(g, engine.ReasonErrorPrefix+"needs more than the whole memory")
+	case PrefixStored, PrefixEvicted:
+	}
+}
+
+// finish ends a generation; the caller holds mu.
+func (s *Server) finish(g *generation, reason string) {
+	delete(s.live, g.key)
+	g.add(engine.Finished{RequestID: g.request.ID, Reason: reason, Tokens: g.tokens()})
+}
+
+func (s *Server) endReason(req engine.Request) string {
+	if req.MaxTokens > 0 && s.length(req.Prompt) > req.MaxTokens {
+		return engine.ReasonLength
+	}
+	return engine.ReasonStop
+}
+
+func millis(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/internal/standin/serving/answer.go
@@ -0,0 +1,15 @@
+package serving
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+)
+
+// WriteJSON answers with value as JSON.
+func WriteJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		slog.Warn("standin: answer was not written", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/serving/path.go
@@ -0,0 +1,19 @@
+package serving
+
+import (
+	"net/http"
+	"net/url"
+
+	"github.com/gorilla/mux"
+)
+
+// PathValue is the unescaped value of a variable in the path, for routers that
+// use the encoded path.
+func PathValue(r *http.Request, name string) string {
+	escaped := mux.Vars(r)[name]
+	value, err := url.PathUnescape(escaped)
+	if err != nil {
+		return escaped
+	}
+	return value
+}
--- /dev/null
+++ b/internal/standin/serving/serving.go
@@ -0,0 +1,74 @@
+// Package serving listens for a stand-in of the platform.
+package serving
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const headerTimeoutSeconds = 10
+
+// Listener serves one handler until its context ends.
+type Listener struct {
+	// Address is host and port to listen on; port 0 takes a free one.
+	Address string
+	// Handler serves every request.
+	Handler http.Handler
+
+	once  sync.Once
+	ready chan struct{}
+	// bound is set before ready is closed, and never again.
+	bound string
+}
+
+// Addr waits until Run listens, and returns the address; it is empty when Run
+// could not listen.
+func (l *Listener) Addr() string {
+	l.init()
+	<-l.ready
+	return l.bound
+}
+
+// Run listens and serves until ctx ends, then drops all connections.
+func (l *Listener) Run(ctx context.Context) error {
+	l.init()
+	defer l.markReady()
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", l.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	l.bound = ln.Addr().String()
+	l.markReady()
+	server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: headerTimeoutSeconds * time.Second}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	g.Go(func() error {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve")
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+func (l *Listener) init() {
+	l.once.Do(func() { l.ready = make(chan struct{}) })
+}
+
+func (l *Listener) markReady() {
+	select {
+	case <-l.ready:
+	default:
+		close(l.ready)
+	}
+}
