--- a/internal/caller/intake/completion.go
+++ b/internal/caller/intake/completion.go
@@ -36,10 +36,15 @@
 	Deadline time.Time
 }
 
+// newRequestID returns a request identity, which carries the time of its making.
+func newRequestID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
 // complete serves one generation.
 func (in *Intake) complete(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	id := uuid.NewString()
+	id := newRequestID()
 	body, refusal := in.readCompletion(w, r)
 	if refusal != nil {
 		writeRefusal(w, id, refusal)
@@ -201,11 +206,14 @@
 	if repeatable {
 		return "", nil
 	}
-	oldest := now.Add(-time.Duration(in.KeyWindowSeconds) * time.Second)
-	err := claim.CheckKey(key, now, oldest)
+	identity, err := claim.KeyOf(account, key)
+	if err != nil {
+		return "", receipt.New(receipt.KeyRequired, "%v", err)
+	}
+	err = claim.CheckKey(identity, now, claim.Oldest(now, in.KeyWindowSeconds))
 	switch {
 	case err == nil:
-		return claim.KeyOf(account, key), nil
+		return identity, nil
 	case errors.Is(err, claim.ErrKeyExpired):
 		return "", receipt.New(receipt.KeyExpired, "%v", err)
 	default:
--- a/internal/caller/intake/plain.go
+++ b/internal/caller/intake/plain.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
@@ -18,7 +17,7 @@
 // call serves one request to a plain service.
 func (in *Intake) call(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	id := uuid.NewString()
+	id := newRequestID()
 	document, refusal := in.document(now)
 	if refusal != nil {
 		writeRefusal(w, id, refusal)
--- /dev/null
+++ b/internal/routing/visit/call.go
@@ -0,0 +1,141 @@
+package visit
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// callMillis bounds a call of a plain service whose caller set no deadline.
+const callMillis = 10000
+
+// Call runs one request against a plain service to its final result.
+func (r *Runner) Call(ctx context.Context, call Call) (Reply, *receipt.Result) {
+	if call.Deadline.IsZero() {
+		call.Deadline = time.Now().Add(callMillis * time.Millisecond)
+	}
+	journey := &journey{
+		Runner: r,
+		request: Request{
+			ID:         call.ID,
+			Account:    call.Account,
+			Class:      call.Class,
+			Service:    call.Service,
+			Deadline:   call.Deadline,
+			Key:        call.Key,
+			Repeatable: call.Repeatable,
+		},
+		delivery: &delivery.Delivery{RequestID: call.ID},
+		refused:  make(map[string]bool),
+	}
+	reply, result := journey.call(ctx, call)
+	r.finish(call.ID, result)
+	return reply, result
+}
+
+// call asks backend servers until one answers.
+func (j *journey) call(ctx context.Context, call Call) (Reply, *receipt.Result) {
+	for {
+		if result := j.checkTime(ctx); result != nil {
+			return Reply{}, result
+		}
+		if result := j.nextOwner(ctx); result != nil {
+			return Reply{}, result
+		}
+		reply, result := j.askOwner(ctx, call)
+		if !j.mayMoveOn(result) {
+			return reply, result
+		}
+		j.lastRefusal = result
+	}
+}
+
+// askOwner sends the call to the target. A call whose reply was lost is asked
+// again by request identity where it may not be repeated elsewhere.
+func (j *journey) askOwner(ctx context.Context, call Call) (Reply, *receipt.Result) {
+	ctx, stop := context.WithDeadline(ctx, call.Deadline)
+	defer stop()
+	silentUntil := j.silentDeadline()
+	sent := false
+	for {
+		reply, err := j.send(ctx, call)
+		if err == nil {
+			return j.takeReply(reply)
+		}
+		if ctx.Err() != nil {
+			return Reply{}, j.callCut(ctx, sent)
+		}
+		sent = sent || !errors.Is(err, line.ErrDial)
+		j.Journalist.Disturbed(j.request.ID, j.target, err.Error())
+		now := time.Now()
+		j.Picker.Unreachable(j.target, now)
+		if !sent {
+			return Reply{}, receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, err).
+				WithRetryAt(now.Add(time.Second))
+		}
+		if j.request.Repeatable || now.After(silentUntil) {
+			return Reply{}, receipt.New(receipt.OwnerSilent, "%s does not answer: %v", j.target.Backend, err).
+				WithRetryAt(now.Add(time.Second))
+		}
+		pause(ctx, now.Add(reattachMillis*time.Millisecond))
+	}
+}
+
+// callCut is the result of a call whose caller or deadline ended it.
+func (j *journey) callCut(ctx context.Context, sent bool) *receipt.Result {
+	switch {
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return receipt.New(receipt.Cancelled, "the caller went away")
+	case sent:
+		return receipt.New(receipt.DeadlineCut, "the deadline passed without a reply of %s", j.target.Backend)
+	default:
+		return receipt.New(receipt.OwnerSilent, "the deadline passed before %s was reached", j.target.Backend)
+	}
+}
+
+func (j *journey) send(ctx context.Context, call Call) (*message.CallReply, error) {
+	ctx, stop := context.WithDeadline(ctx, j.progressDeadline())
+	defer stop()
+	request := &message.CallRequest{
+		RequestId:         j.request.ID,
+		Account:           call.Account,
+		Class:             call.Class,
+		Service:           call.Service,
+		Method:            call.Method,
+		Path:              call.Path,
+		Body:              call.Body,
+		DeadlineUnixNanos: deadlineNanos(call.Deadline),
+		Permit:            j.permit,
+		Repeatable:        call.Repeatable,
+	}
+	return line.Call(ctx, j.target.PeerAddress,
+		func(ctx context.Context, conn drpc.Conn) (*message.CallReply, error) {
+			return message.NewDRPCBackendClient(conn).Call(ctx, request)
+		})
+}
+
+func (j *journey) takeReply(reply *message.CallReply) (Reply, *receipt.Result) {
+	if load := reply.GetLoad(); load != nil {
+		j.Picker.Observe(load, time.Now())
+	}
+	if reply.GetCode() != 0 {
+		result := receipt.New(receipt.Code(reply.GetCode()), "%s", reply.GetReason()).
+			WithRetryAt(timeFromNanos(reply.GetRetryAtUnixNanos()))
+		j.Journalist.Disturbed(j.request.ID, j.target, "refused: "+result.Error())
+		j.Picker.Refused(j.target, result, time.Now())
+		return Reply{}, result
+	}
+	return Reply{
+		Status:      int(reply.GetHttpStatus()),
+		ContentType: reply.GetContentType(),
+		Body:        reply.GetBody(),
+		Backend:     j.target.Backend,
+	}, receipt.New(receipt.OK, "%s answered", j.target.Backend)
+}
--- a/internal/routing/visit/claim.go
+++ b/internal/routing/visit/claim.go
@@ -42,11 +42,12 @@
 		j.follows(permit.GetRequestId())
 		return nil
 	}
-	target, known := j.Picker.Locate(permit.GetBackend(), permit.GetIncarnation())
-	if !known {
-		return receipt.New(receipt.KeySpent,
-			"the key is bound to incarnation %d of %s, which is not known here",
-			permit.GetIncarnation(), permit.GetBackend())
+	target, refusal := j.locate(permit.GetBackend(), permit.GetIncarnation())
+	if refusal != nil && refusal.Code == receipt.GenerationLost {
+		return receipt.New(receipt.KeySpent, "the key is bound to an owner that is gone: %s", refusal.Reason)
+	}
+	if refusal != nil {
+		return refusal
 	}
 	j.target = target
 	j.follows(permit.GetRequestId())
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -98,7 +98,7 @@
 func (j *journey) cancel(ctx context.Context) {
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(cancelMillis*time.Millisecond))
 	defer stop()
-	request := &message.CancelRequest{RequestId: j.request.ID, Generation: j.delivery.Generation()}
+	request := &message.CancelRequest{RequestId: j.request.ID, Generation: j.generationMessage()}
 	_, err := line.Call(ctx, j.target.PeerAddress,
 		func(ctx context.Context, conn drpc.Conn) (*message.CancelReply, error) {
 			return message.NewDRPCBackendClient(conn).Cancel(ctx, request)
@@ -137,6 +137,15 @@
 	}
 }
 
+// generationMessage names the bound generation, or is nil before there is one.
+func (j *journey) generationMessage() *message.Generation {
+	generation := j.delivery.Generation()
+	if generation.IsZero() {
+		return nil
+	}
+	return generation.Message()
+}
+
 func (j *journey) generateRequest() *message.GenerateRequest {
 	return &message.GenerateRequest{
 		RequestId:         j.request.ID,
@@ -148,7 +157,7 @@
 		MaxTokens:         j.request.MaxTokens,
 		DeadlineUnixNanos: deadlineNanos(j.request.Deadline),
 		FromPosition:      j.delivery.Next(),
-		Attach:            j.delivery.Generation(),
+		Attach:            j.generationMessage(),
 		Repeatable:        j.request.Repeatable,
 		Permit:            j.permit,
 		Whole:             j.request.Whole,
@@ -160,9 +169,9 @@
 	if load := frame.GetLoad(); load != nil {
 		j.Picker.Observe(load, time.Now())
 	}
-	bound := j.delivery.Generation() != nil
+	bound := !j.delivery.Generation().IsZero()
 	step := j.delivery.Accept(frame)
-	if !bound && j.delivery.Generation() != nil {
+	if !bound && !j.delivery.Generation().IsZero() {
 		j.sink.Begin(j.ticket())
 	}
 	switch s := step.(type) {
@@ -173,7 +182,7 @@
 	case delivery.Gap:
 		return nil, errors.Wrapf(errGap, "position %d", s.From)
 	case delivery.Foreign:
-		j.Journalist.Disturbed(j.request.ID, j.target, "frame rejected: "+s.Reason)
+		j.Journalist.Disturbed(j.request.ID, j.target, "frame rejected: "+s.Reason.String())
 		return nil, nil
 	case delivery.Refused:
 		return j.takeRefusal(s), nil
@@ -200,10 +209,10 @@
 	return ticket.Ticket{
 		RequestID:   j.request.ID,
 		Account:     j.request.Account,
-		Backend:     generation.GetBackend(),
+		Backend:     generation.Backend,
 		PeerAddress: j.target.PeerAddress,
-		Incarnation: generation.GetIncarnation(),
-		Sequence:    generation.GetSequence(),
+		Incarnation: generation.Incarnation,
+		Sequence:    generation.Sequence,
 	}
 }
 
--- a/internal/routing/visit/journey.go
+++ b/internal/routing/visit/journey.go
@@ -55,7 +55,7 @@
 	}
 	deadline := j.request.Deadline
 	if !deadline.IsZero() && !time.Now().Before(deadline) {
-		if j.delivery.Generation() != nil {
+		if !j.delivery.Generation().IsZero() {
 			return receipt.New(receipt.DeadlineCut, "the deadline passed after a generation was lost")
 		}
 		return receipt.New(receipt.DeadlinePassed, "the deadline passed before the start")
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -32,6 +32,19 @@
 	Incarnation uint64
 }
 
+// Presence tells what is known of one incarnation.
+type Presence int
+
+// What may be known of one incarnation.
+const (
+	// Unlisted means that the backend server is not known here.
+	Unlisted Presence = iota
+	// Present means that the incarnation may live.
+	Present
+	// Replaced means that another incarnation has taken its place.
+	Replaced
+)
+
 // Selection asks for a backend server.
 type Selection struct {
 	RequestID string
@@ -51,9 +64,8 @@
 type Picker interface {
 	// Pick returns a target or why there is none.
 	Pick(Selection, time.Time) (Target, *receipt.Result)
-	// Locate finds the process of one incarnation of a backend server. It
-	// returns false when the incarnation is known to be gone.
-	Locate(backend string, incarnation uint64) (Target, bool)
+	// Locate finds the process of one incarnation of a backend server.
+	Locate(backend string, incarnation uint64) (Target, Presence)
 	// Observe takes the load that a reply carried.
 	Observe(*message.Load, time.Time)
 	// Refused takes a refusal by the owner.
@@ -114,13 +126,25 @@
 // Resume continues the delivery of the generation that the ticket names, from
 // the given position.
 func (r *Runner) Resume(ctx context.Context, t ticket.Ticket, from uint64, sink Sink) *receipt.Result {
-	generation := &message.Generation{
+	result := r.resume(ctx, t, from, sink)
+	r.finish(t.RequestID, result)
+	return result
+}
+
+func (r *Runner) resume(ctx context.Context, t ticket.Ticket, from uint64, sink Sink) *receipt.Result {
+	target, refusal := r.locate(t.Backend, t.Incarnation)
+	if refusal != nil {
+		return refusal
+	}
+	generation := delivery.Generation{
 		Backend:     t.Backend,
 		Incarnation: t.Incarnation,
 		Sequence:    t.Sequence,
 	}
 	resumed := &delivery.Delivery{RequestID: t.RequestID}
-	resumed.ResumeAt(generation, from)
+	if err := resumed.ResumeAt(generation, from); err != nil {
+		return receipt.New(receipt.InvalidRequest, "%v", err)
+	}
 	journey := &journey{
 		Runner:   r,
 		request:  Request{ID: t.RequestID, Account: t.Account},
@@ -128,15 +152,25 @@
 		delivery: resumed,
 		resumed:  true,
 		refused:  make(map[string]bool),
-		target: Target{
-			Backend:     t.Backend,
-			PeerAddress: t.PeerAddress,
-			Incarnation: t.Incarnation,
-		},
+		target:   target,
+	}
+	return journey.follow(ctx)
+}
+
+// locate finds the owner of a generation. Only addresses that this entry host
+// knows itself are dialled, never one that a caller brings.
+func (r *Runner) locate(backend string, incarnation uint64) (Target, *receipt.Result) {
+	target, presence := r.Picker.Locate(backend, incarnation)
+	switch presence {
+	case Present:
+		return target, nil
+	case Replaced:
+		return target, receipt.New(receipt.GenerationLost,
+			"incarnation %d of %s is gone", incarnation, backend)
+	default:
+		return target, receipt.New(receipt.OwnerSilent, "%s is not known here yet", backend).
+			WithRetryAt(time.Now().Add(time.Second))
 	}
-	result := journey.follow(ctx)
-	r.finish(t.RequestID, result)
-	return result
 }
 
 func (r *Runner) finish(requestID string, result *receipt.Result) {
