feat: admission by memory forecast with an ordered waiting queue

The forecast adds up, for a row of horizons, the mean and the variance of the memory of each generation that is still alive by then; its peak at the policy's quantile must fit.

--- /dev/null
+++ b/internal/backend/booking/booking_test.go
@@ -0,0 +1,323 @@
+package booking
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/tide"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func after(millis int) time.Time {
+	return start.Add(time.Duration(millis) * time.Millisecond)
+}
+
+// newBook returns a book whose answers are all close to 100 tokens long.
+func newBook() *Book {
+	lengths := &tide.Model{}
+	for range 500 {
+		lengths.Observe("programme", "gym", 100)
+	}
+	return &Book{
+		Policy:         DefaultPolicy(),
+		CapacityTokens: 2000,
+		BatchLimit:     64,
+		StepMicros:     20_000,
+		Lengths:        lengths,
+	}
+}
+
+func request(id string) Request {
+	return Request{RequestID: id, Account: "gym", Class: "programme", PromptTokens: 100}
+}
+
+func fill(b *Book) (admitted int) {
+	for i := range 100 {
+		if _, ok := b.Offer(request(fmt.Sprint("fill ", i)), start).(Admit); !ok {
+			b.Release(fmt.Sprint("fill ", i))
+			return admitted
+		}
+		admitted++
+	}
+	return admitted
+}
+
+func TestAdmitsWhileForecastFits(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	admitted := fill(b)
+	is.True(admitted >= 7 && admitted <= 10) // 2,000 tokens at about 200 each
+	is.True(b.Load().MemoryPermille <= 500)  // the prompts alone
+	is.True(b.Load().ForecastPermille > 700)
+
+	w, ok := b.Offer(request("waits"), start).(Wait)
+	is.True(ok)
+	is.Equal(w.Position, 1)
+	is.Equal(w.Reason, ReasonMemory)
+	is.Equal(len(b.Next(start)), 0)
+
+	b.Release("fill 0")
+	admits := b.Next(after(100))
+	is.Equal(len(admits), 1)
+	is.Equal(admits[0].RequestID, "waits")
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(*Book)
+		change  func(*Request)
+		want    Reason
+		comes   bool
+	}{
+		{
+			name:    "duplicate",
+			prepare: func(b *Book) { b.Offer(request("new"), start) },
+			want:    ReasonDuplicate,
+		},
+		{
+			name:   "prompt beyond the memory",
+			change: func(r *Request) { r.PromptTokens = 2000 },
+			want:   ReasonTooLarge,
+		},
+		{
+			name:   "deadline out of reach",
+			change: func(r *Request) { r.Deadline = after(200) },
+			want:   ReasonDeadline,
+			comes:  true,
+		},
+		{
+			name: "queue full",
+			prepare: func(b *Book) {
+				b.Policy.QueueLimit = 4
+				fill(b)
+				for i := range 4 {
+					r := request(fmt.Sprint("queued ", i))
+					r.Account = fmt.Sprint("account ", i)
+					b.Offer(r, start)
+				}
+			},
+			want:  ReasonQueueFull,
+			comes: true,
+		},
+		{
+			name: "account holds its part of the queue",
+			prepare: func(b *Book) {
+				b.Policy.QueueLimit = 4
+				fill(b)
+				b.Offer(request("queued 0"), start)
+				b.Offer(request("queued 1"), start)
+			},
+			want:  ReasonAccountLimit,
+			comes: true,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBook()
+			if c.prepare != nil {
+				c.prepare(b)
+			}
+			r := request("new")
+			if c.change != nil {
+				c.change(&r)
+			}
+			refuse, ok := b.Offer(r, start).(Refuse)
+			is.True(ok)
+			is.Equal(refuse.Reason, c.want)
+			is.Equal(refuse.RetryAt.After(start), c.comes)
+		})
+	}
+}
+
+func TestUrgentUsesHeadroom(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.Policy.UrgentHeadroomPermille = 200
+	fill(b)
+	urgent := request("urgent")
+	urgent.Urgent = true
+	_, ok := b.Offer(urgent, start).(Admit)
+	is.True(ok)
+}
+
+func TestUrgentDuringFlood(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.Policy.QueueLimit = 8
+	b.Policy.UrgentHeadroomPermille = 200
+	for i := range 100 {
+		b.Offer(request(fmt.Sprint("flood ", i)), start)
+	}
+	urgent := request("urgent")
+	urgent.Urgent = true
+	urgent.Account = "desk"
+	_, ok := b.Offer(urgent, start).(Admit)
+	is.True(ok)
+}
+
+func TestExpire(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	fill(b)
+	r := request("waits")
+	r.Deadline = after(30_000)
+	_, ok := b.Offer(r, start).(Wait)
+	is.True(ok)
+	is.Equal(len(b.Expire(after(1000))), 0)
+	expired := b.Expire(after(29_500))
+	is.Equal(len(expired), 1)
+	is.Equal(expired[0].Reason, ReasonDeadline)
+	is.Equal(b.Load().Waiting, 0)
+}
+
+func TestFairBetweenAccounts(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.Shares = map[string]int{"large": 3, "small": 1}
+	b.BatchLimit = 1
+	b.Policy.QueueLimit = 1000
+	for i := range 200 {
+		for _, account := range []string{"large", "small"} {
+			r := request(fmt.Sprint(account, i))
+			r.Account = account
+			b.Offer(r, start)
+		}
+	}
+	counts := map[string]int{}
+	for range 100 {
+		for _, r := range b.Running() {
+			counts[r.Account]++
+			is.NoErr(b.Progress(r.RequestID, 100))
+			b.Release(r.RequestID)
+		}
+		b.Next(start)
+	}
+	is.True(counts["large"] >= 70 && counts["large"] <= 80)
+}
+
+func TestAgeing(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	fill(b)
+	b.Offer(request("old"), start)
+	high := request("new")
+	high.Priority = 2
+	b.Offer(high, after(3*agingMillis))
+	is.Equal(b.Waiting(after(3 * agingMillis))[0].RequestID, "old")
+}
+
+func TestForecastCoversOutcome(t *testing.T) {
+	const seed, rounds = 11, 100
+	t.Logf("seed %d", seed)
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(seed, 2))
+	lengths := &tide.Model{}
+	draw := func() int { return 20 + int(random.ExpFloat64()*300) }
+	for range 2000 {
+		lengths.Observe("programme", "gym", draw())
+	}
+	exceeded := 0
+	for range rounds {
+		b := newBook()
+		b.Lengths = lengths
+		b.CapacityTokens = 20_000
+		if overflows(b, draw) {
+			exceeded++
+		}
+	}
+	is.True(exceeded < rounds/10) // the policy asks for one in twenty
+}
+
+// overflows fills the book with one burst and tells whether the memory is
+// exceeded before all generations have ended.
+func overflows(b *Book, draw func() int) bool {
+	left := []int{}
+	for range fill(b) {
+		left = append(left, draw())
+	}
+	for step := 0; ; step++ {
+		used := 0
+		for _, n := range left {
+			if n > step {
+				used += 100 + step
+			}
+		}
+		if used == 0 {
+			return false
+		}
+		if used > b.CapacityTokens {
+			return true
+		}
+	}
+}
+
+func TestBookProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBook()
+		b.BatchLimit = rapid.IntRange(1, 12).Draw(t, "batch")
+		b.Policy.QueueLimit = rapid.IntRange(0, 12).Draw(t, "queue")
+		held := map[string]bool{}
+		now := start
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "millis")) * time.Millisecond)
+			randomStep(t, b, i, held, now)
+			load := b.Load()
+			if load.Running+load.Waiting != len(held) {
+				t.Fatalf("%d running and %d waiting of %d held", load.Running, load.Waiting, len(held))
+			}
+			if load.Running > b.BatchLimit {
+				t.Fatalf("%d running of %d", load.Running, b.BatchLimit)
+			}
+			if load.Waiting > b.Policy.QueueLimit+b.Policy.QueueLimit/urgentQueueDivisor {
+				t.Fatalf("%d waiting of %d", load.Waiting, b.Policy.QueueLimit)
+			}
+		}
+	})
+}
+
+func randomStep(t *rapid.T, b *Book, i int, held map[string]bool, now time.Time) {
+	switch rapid.IntRange(0, 3).Draw(t, "step") {
+	case 0, 1:
+		r := request(fmt.Sprint("request ", i))
+		r.Urgent = rapid.Bool().Draw(t, "urgent")
+		r.PromptTokens = rapid.IntRange(1, 600).Draw(t, "prompt")
+		r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "deadline")) * time.Second)
+		if _, refused := b.Offer(r, now).(Refuse); !refused {
+			held[r.RequestID] = true
+		}
+	case 2:
+		for id := range held {
+			b.Release(id)
+			delete(held, id)
+			break
+		}
+	default:
+		b.Next(now)
+		for _, r := range b.Expire(now) {
+			delete(held, r.RequestID)
+		}
+	}
+	if len(b.running) != len(b.byID) {
+		t.Fatalf("%d running, %d known by identity", len(b.running), len(b.byID))
+	}
+}
+
+func BenchmarkOffer(b *testing.B) {
+	book := newBook()
+	book.CapacityTokens = 20_000
+	fill(book)
+	b.ReportMetric(float64(len(book.running)), "running")
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Offer(request("new"), start)
+		book.Release("new")
+	}
+}
--- /dev/null
+++ b/internal/backend/booking/offer.go
@@ -0,0 +1,97 @@
+package booking
+
+import "time"
+
+const (
+	// medianQuantile is the quantile of an even chance.
+	medianQuantile = 0.5
+	// hopeQuantile is the quantile of the answer's length with which a deadline
+	// must be within reach; below it the request is refused at once.
+	hopeQuantile = 0.1
+)
+
+// Offer decides on a new request. After Admit the generation counts as running;
+// after Wait it stands in the queue; after Refuse nothing is held.
+func (b *Book) Offer(r Request, now time.Time) Decision {
+	if b.holds(r.RequestID) {
+		return Refuse{RequestID: r.RequestID, Reason: ReasonDuplicate}
+	}
+	if roundUp(r.PromptTokens+1, b.BlockTokens) > b.limitTokens(r.Urgent) {
+		return Refuse{RequestID: r.RequestID, Reason: ReasonTooLarge}
+	}
+	w := &Waiting{Request: r, QueuedAt: now}
+	behind := b.ahead(w, now)
+	reason := ReasonBehind
+	if behind == 0 {
+		admit, blocked := b.try(w, b.profile())
+		if blocked == 0 && !b.late(w, now) {
+			b.start(w, now)
+			return admit
+		}
+		reason = blocked
+	}
+	return b.enqueue(w, behind, reason, now)
+}
+
+// enqueue puts a request that cannot start into the queue, or refuses it.
+func (b *Book) enqueue(w *Waiting, behind int, reason Reason, now time.Time) Decision {
+	startAt := b.startAt(behind, now)
+	if b.late(w, startAt) {
+		return Refuse{RequestID: w.RequestID, Reason: ReasonDeadline, RetryAt: b.retryAt(now)}
+	}
+	if full, ok := b.room(w.Request); !ok {
+		return Refuse{RequestID: w.RequestID, Reason: full, RetryAt: b.retryAt(now)}
+	}
+	b.waiting = append(b.waiting, w)
+	return Wait{RequestID: w.RequestID, Position: behind + 1, Reason: reason, StartAt: startAt}
+}
+
+// late tells whether a request that starts at the given time has no fair chance
+// to end before its deadline.
+func (b *Book) late(w *Waiting, startAt time.Time) bool {
+	if w.Deadline.IsZero() {
+		return false
+	}
+	tokens := b.Lengths.Remaining(w.Class, w.Account, 0, hopeQuantile)
+	if w.MaxTokens > 0 {
+		tokens = min(tokens, w.MaxTokens)
+	}
+	usual := time.Duration(tokens) * time.Duration(b.StepMicros) * time.Microsecond
+	return startAt.Add(usual).After(w.Deadline)
+}
+
+// try returns the start of a request, or what stands against it.
+func (b *Book) try(w *Waiting, p *profile) (Admit, Reason) {
+	if len(b.running) >= b.batchLimit(w.Urgent) {
+		return Admit{}, ReasonBatch
+	}
+	with := *p
+	with.add(b.Lengths.Curve(w.Class, w.Account), w.Request, 0, b.BlockTokens)
+	f := b.forecast(&with, w.Urgent)
+	if !f.fits() && len(b.running) > 0 {
+		return Admit{}, ReasonMemory
+	}
+	*p = with
+	return Admit{RequestID: w.RequestID, QueuedAt: w.QueuedAt, Forecast: f}, 0
+}
+
+// batchLimit returns the places on the engine that requests of the given
+// urgency may use.
+func (b *Book) batchLimit(urgent bool) int {
+	if urgent {
+		return b.BatchLimit
+	}
+	return max(1, b.BatchLimit-b.BatchLimit*b.Policy.UrgentHeadroomPermille/1000)
+}
+
+// start counts a request as running.
+func (b *Book) start(w *Waiting, now time.Time) {
+	if b.byID == nil {
+		b.byID = make(map[string]*Running)
+	}
+	r := &Running{Request: w.Request, StartedAt: now}
+	b.byID[w.RequestID] = r
+	b.running = append(b.running, r)
+	b.ledger.advance(w.Account)
+	b.ledger.charge(w.Account, w.PromptTokens, b.share(w.Account))
+}
--- /dev/null
+++ b/internal/backend/booking/pace.go
@@ -0,0 +1,75 @@
+package booking
+
+import "time"
+
+const (
+	// paceSmoothing is the weight of the latest interval between two starts.
+	paceSmoothing = 0.1
+	// retryLeastMillis and retryMostMillis bound how far ahead a refused
+	// request is told to come back.
+	retryLeastMillis = 100
+	retryMostMillis  = 60_000
+)
+
+// pace estimates how fast the queue moves from the intervals between starts
+// while requests wait.
+type pace struct {
+	// intervalMicros is the smoothed interval. Zero means not known.
+	intervalMicros float64
+	// lastStart is the latest start from the queue. Zero means that the queue
+	// was empty since.
+	lastStart time.Time
+}
+
+// started records a start from the queue.
+func (p *pace) started(now time.Time) {
+	if !p.lastStart.IsZero() {
+		sample := float64(now.Sub(p.lastStart).Microseconds())
+		if p.intervalMicros == 0 {
+			p.intervalMicros = sample
+		}
+		p.intervalMicros += paceSmoothing * (sample - p.intervalMicros)
+	}
+	p.lastStart = now
+}
+
+// idle records that the queue is empty.
+func (p *pace) idle() {
+	p.lastStart = time.Time{}
+}
+
+// startAt returns when a request behind the given number of others is expected
+// to start.
+func (b *Book) startAt(behind int, now time.Time) time.Time {
+	interval := b.pace.intervalMicros
+	if interval == 0 {
+		interval = b.guessIntervalMicros()
+	}
+	return now.Add(time.Duration(interval*float64(behind+1)) * time.Microsecond)
+}
+
+// guessIntervalMicros is the interval between starts that the usual length and
+// the running generations suggest.
+func (b *Book) guessIntervalMicros() float64 {
+	steps := 0
+	for _, r := range b.running {
+		steps += b.Lengths.Remaining(r.Class, r.Account, r.Produced, medianQuantile)
+	}
+	count := max(len(b.running), 1)
+	return float64(steps) * float64(b.StepMicros) / float64(count*count)
+}
+
+// retryAt returns when a refused request should come back: when half of the
+// queue is expected to have moved.
+func (b *Book) retryAt(now time.Time) time.Time {
+	at := b.startAt(len(b.waiting)/2, now)
+	least := now.Add(retryLeastMillis * time.Millisecond)
+	most := now.Add(retryMostMillis * time.Millisecond)
+	if at.Before(least) {
+		return least
+	}
+	if at.After(most) {
+		return most
+	}
+	return at
+}
--- a/internal/backend/tide/curve.go
+++ b/internal/backend/tide/curve.go
@@ -51,10 +51,14 @@
 // Conditional returns the probability that an answer that has reached produced
 // tokens is longer than produced+further.
 func (c *Curve) Conditional(produced, further int) float64 {
+	return c.ConditionalFrom(c.Survival(produced), produced, further)
+}
+
+// ConditionalFrom is Conditional for a caller that holds Survival(produced).
+func (c *Curve) ConditionalFrom(reached float64, produced, further int) float64 {
 	if further <= 0 {
 		return 1
 	}
-	reached := c.Survival(produced)
 	if reached < tailFloor {
 		return paretoTail(float64(produced+further), float64(produced))
 	}
@@ -66,15 +70,20 @@
 func (c *Curve) Remaining(produced int, quantile float64) int {
 	produced = max(produced, 0)
 	quantile = math.Max(0, math.Min(quantile, 1-tailFloor))
-	goal := c.Survival(produced) * (1 - quantile)
-	if goal < tailFloor*(1-quantile) || goal < c.tail[bucketCount-1] {
+	reached := c.Survival(produced)
+	if reached < tailFloor {
 		return beyondTail(produced, quantile)
 	}
-	return max(1, c.lengthAt(goal)-produced)
+	return max(1, c.lengthAt(reached*(1-quantile))-produced)
 }
 
 // lengthAt returns the length that is exceeded with the given probability.
 func (c *Curve) lengthAt(goal float64) int {
+	last := c.tail[bucketCount-1]
+	if goal < last {
+		beyond := math.Pow(last/goal, 1.0/tailExponent)
+		return int(math.Ceil(tokensAt(bucketCount-1) * beyond))
+	}
 	low, high := 0, bucketCount-1
 	for low < high {
 		middle := (low + high) / 2
