--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -4,11 +4,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
-	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
@@ -20,8 +18,6 @@
 	promptBytesPerToken = 4
 	// prefixBytes is the part of a prompt that prefix affinity looks at.
 	prefixBytes = 256
-	// retryLeavingMillis is when another backend server is worth a try.
-	retryLeavingMillis = 500
 )
 
 // PrefixHash returns the hash that names the prefix of a prompt.
@@ -38,7 +34,7 @@
 	if _, held := k.Logbook.Find(in.GetRequestId()); held {
 		return nil
 	}
-	forgetAt, refusal := k.forgetAt(in.GetRequestId())
+	forgetAt, refusal := k.Warden.ForgetAt(in.GetRequestId())
 	if refusal != nil {
 		return refusal
 	}
@@ -49,49 +45,22 @@
 	if refusal == nil || in.GetRepeatable() {
 		return refusal
 	}
-	return k.refuseForGood(in.GetRequestId(), refusal, forgetAt)
-}
-
-// forgetAt returns the time from which the request identity is rejected, which
-// is a function of the identity alone.
-func (k *Keeper) forgetAt(requestID string) (time.Time, *receipt.Result) {
-	id, err := uuid.Parse(requestID)
-	if err != nil || id.Version() != 7 {
-		return time.Time{}, receipt.New(receipt.InvalidRequest, "request identity %q is not a UUID of version 7", requestID)
-	}
-	seconds, nanos := id.Time().UnixTime()
-	remembered := time.Duration(k.Settings.RememberSeconds) * time.Second
-	return time.Unix(seconds, nanos).Add(remembered), nil
-}
-
-// refuseForGood records that the request will never run here, before the
-// refusal is told.
-func (k *Keeper) refuseForGood(id string, refusal *receipt.Result, forgetAt time.Time) *receipt.Result {
-	_, held, err := k.Logbook.Refuse(id, uint32(refusal.Code), refusal.Reason, forgetAt)
-	if errors.Is(err, logbook.ErrExpired) {
-		return receipt.New(receipt.KeyExpired, "the request identity is too old")
-	}
-	if err != nil || held {
-		return receipt.New(receipt.OwnerSilent, "the refusal could not be recorded: %v", err)
-	}
-	return refusal
+	return k.Warden.RefuseForGood(in.GetRequestId(), refusal, forgetAt)
 }
 
 // check refuses what no queue can help.
 func (k *Keeper) check(in *message.GenerateRequest, now time.Time) (agreement.Class, *receipt.Result) {
 	var none agreement.Class
 	if k.leaving.Load() {
-		return none, receipt.New(receipt.Leaving, "%s is leaving", k.Settings.Name).
-			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+		return none, k.Warden.Leaving(now)
 	}
-	if !in.GetRepeatable() && !k.permits(in) {
-		return none, receipt.New(receipt.NotOwner, "the permit names another request or incarnation").
-			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+	if !in.GetRepeatable() && !k.Warden.Permits(in.GetRequestId(), in.GetPermit()) {
+		return none, k.Warden.NotOwner(now)
 	}
 	k.adoptConfiguration()
 	if k.applied == nil {
 		return none, receipt.New(receipt.NotConfigured, "no configuration is in force yet").
-			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+			WithRetryAt(warden.RetryAt(now))
 	}
 	class, found := k.applied.Class(in.GetClass())
 	if !found {
@@ -99,19 +68,11 @@
 	}
 	if in.GetModel() != k.Settings.Model {
 		return none, receipt.New(receipt.EngineRefused, "the engine serves model %s, not %s", k.Settings.Model, in.GetModel()).
-			WithRetryAt(now.Add(retryLeavingMillis * time.Millisecond))
+			WithRetryAt(warden.RetryAt(now))
 	}
 	return class, nil
 }
 
-// permits tells whether the permit is for this request and this incarnation.
-func (k *Keeper) permits(in *message.GenerateRequest) bool {
-	permit := in.GetPermit()
-	return permit.GetRequestId() == in.GetRequestId() &&
-		permit.GetBackend() == k.Settings.Name &&
-		permit.GetIncarnation() == k.Incarnation
-}
-
 // offer asks the book and opens the request where it has a place. The caller
 // holds the mutex.
 func (k *Keeper) offer(
@@ -127,7 +88,7 @@
 		Repeatable:   in.GetRepeatable(),
 		PromptTokens: len(in.GetPrompt())/promptBytesPerToken + 1,
 		MaxTokens:    int(in.GetMaxTokens()),
-		Deadline:     timeFromNanos(in.GetDeadlineUnixNanos()),
+		Deadline:     warden.TimeFromNanos(in.GetDeadlineUnixNanos()),
 	}
 	switch d := k.Book.Offer(request, now).(type) {
 	case booking.Refuse:
@@ -149,7 +110,7 @@
 	entry, _, err := k.Logbook.Start(id, forgetAt)
 	if err != nil {
 		k.Book.Release(id)
-		return startRefusal(err)
+		return warden.StartRefusal(err, time.Now())
 	}
 	j := &job{
 		request: engine.Request{
@@ -163,7 +124,7 @@
 		account:     in.GetAccount(),
 		class:       class.Name,
 		repeatable:  in.GetRepeatable(),
-		deadline:    timeFromNanos(in.GetDeadlineUnixNanos()),
+		deadline:    warden.TimeFromNanos(in.GetDeadlineUnixNanos()),
 		sequence:    entry.Sequence,
 		abandonedAt: time.Now(),
 	}
@@ -174,15 +135,6 @@
 	return nil
 }
 
-// startRefusal maps an identity that can't be held.
-func startRefusal(err error) *receipt.Result {
-	if errors.Is(err, logbook.ErrExpired) {
-		return receipt.New(receipt.KeyExpired, "the request identity is too old")
-	}
-	return receipt.New(receipt.QueueFull, "%v", err).
-		WithRetryAt(time.Now().Add(retryLeavingMillis * time.Millisecond))
-}
-
 // refusalOf maps the book's refusal to a result code.
 func refusalOf(d booking.Refuse) *receipt.Result {
 	code := receipt.QueueFull
@@ -195,11 +147,3 @@
 	}
 	return receipt.New(code, "%s", d.Reason).WithRetryAt(d.RetryAt)
 }
-
-// timeFromNanos converts a time from the wire; zero stays zero.
-func timeFromNanos(nanos int64) time.Time {
-	if nanos == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, nanos)
-}
--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -17,6 +17,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
@@ -62,6 +63,7 @@
 	Settings process.Backend
 	// Incarnation is drawn at random for each start of the process; not zero.
 	Incarnation uint64
+	Warden      *warden.Warden
 	Engine      Engine
 	Logbook     *logbook.Logbook
 	Book        *booking.Book
--- a/internal/backend/keeper/serve.go
+++ b/internal/backend/keeper/serve.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -62,7 +63,7 @@
 	switch s := entry.State.(type) {
 	case logbook.Refused:
 		return entry, receipt.New(receipt.Code(s.Code), "%s", s.Reason).
-			WithRetryAt(time.Now().Add(retryLeavingMillis * time.Millisecond))
+			WithRetryAt(warden.RetryAt(time.Now()))
 	case logbook.Evicted:
 		return entry, receipt.New(receipt.NotHeld, "the answer is no longer held")
 	default:
@@ -96,17 +97,13 @@
 }
 
 func (k *Keeper) refusalFrame(id string, refusal *receipt.Result) *message.Frame {
-	var retryAt int64
-	if !refusal.RetryAt.IsZero() {
-		retryAt = refusal.RetryAt.UnixNano()
-	}
 	return &message.Frame{
 		RequestId:  id,
 		Generation: &message.Generation{Backend: k.Settings.Name, Incarnation: k.Incarnation},
 		Body: &message.Frame_Refusal{Refusal: &message.Refusal{
 			Code:             uint32(refusal.Code),
 			Reason:           refusal.Reason,
-			RetryAtUnixNanos: retryAt,
+			RetryAtUnixNanos: warden.NanosOf(refusal.RetryAt),
 		}},
 		Load: k.Load(),
 	}
--- /dev/null
+++ b/internal/backend/porter/load.go
@@ -0,0 +1,50 @@
+package porter
+
+import (
+	"context"
+
+	"storj.io/drpc/drpcerr"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// permille is the number of parts of a whole.
+const permille = 1000
+
+// Load returns the current load.
+func (p *Porter) Load() *message.Load {
+	running := p.running.Load()
+	share := uint32(running * permille / int64(p.Settings.MaxRunning))
+	return &message.Load{
+		Backend:          p.Settings.Name,
+		Incarnation:      p.Warden.Incarnation,
+		Running:          uint32(running),
+		MemoryPermille:   share,
+		ForecastPermille: share,
+		Leaving:          p.leaving.Load(),
+		ConfigVersion:    p.ConfigVersion(),
+	}
+}
+
+// Probe answers with the current load.
+func (p *Porter) Probe(context.Context, *message.ProbeRequest) (*message.Load, error) {
+	return p.Load(), nil
+}
+
+// Generate is not served by a plain service.
+func (p *Porter) Generate(*message.GenerateRequest, message.DRPCBackend_GenerateStream) error {
+	return drpcerr.WithCode(errors.New("a plain service runs no generation"), drpcerr.Unimplemented)
+}
+
+// Cancel does nothing: a call of a plain service can't be stopped.
+func (p *Porter) Cancel(context.Context, *message.CancelRequest) (*message.CancelReply, error) {
+	return &message.CancelReply{}, nil
+}
+
+// Open returns the count of calls that run.
+func (p *Porter) Open() int { return int(p.running.Load()) }
+
+// Leave stops the admission of new work.
+func (p *Porter) Leave() { p.leaving.Store(true) }
--- /dev/null
+++ b/internal/backend/porter/porter.go
@@ -0,0 +1,287 @@
+// Package porter owns one plain service: it runs each call that may not be
+// repeated at most once and holds its reply for those who ask again.
+package porter
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/desk"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// Desk is the plain service that the porter owns.
+type Desk interface {
+	Call(context.Context, desk.Request) (desk.Reply, error)
+}
+
+// Journalist keeps the decision records of requests. It is safe for
+// concurrent use.
+type Journalist interface {
+	Decided(requestID, kind, reason string)
+}
+
+const (
+	// evictMillis is the period of housekeeping.
+	evictMillis = 1000
+	// runMillis bounds a call that has no deadline of its own.
+	runMillis = 30000
+)
+
+// Porter owns one plain service. Its exported fields must be set before Run.
+type Porter struct {
+	Settings process.Backend
+	Warden   *warden.Warden
+	Logbook  *logbook.Logbook
+	Desk     Desk
+	// ConfigVersion returns the version in force.
+	ConfigVersion func() uint64
+	Journalist    Journalist
+	Log           *slog.Logger
+
+	leaving atomic.Bool
+	running atomic.Int64
+	// work passes calls that may not be repeated to Run, which outlives the
+	// connection that brought them.
+	work chan work
+}
+
+// work is one call that may not be repeated.
+type work struct {
+	in *message.CallRequest
+}
+
+// Prepare sets up the state that calls need. It is called once, before Run and
+// before the first call is served.
+func (p *Porter) Prepare() {
+	p.work = make(chan work, p.Settings.MaxRunning)
+}
+
+// Run works until ctx ends.
+func (p *Porter) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.evict(ctx) })
+	group.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case w := <-p.work:
+				group.Go(func() error {
+					p.runOnce(ctx, w.in)
+					return nil
+				})
+			}
+		}
+	})
+	return errors.Wrap(group.Wait(), "run porter")
+}
+
+func (p *Porter) evict(ctx context.Context) error {
+	ticker := time.NewTicker(evictMillis * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			p.Logbook.Evict(now)
+		}
+	}
+}
+
+// Call runs one call, or returns the reply of the run that this incarnation
+// holds for the same request.
+func (p *Porter) Call(ctx context.Context, in *message.CallRequest) (*message.CallReply, error) {
+	reply, refusal := p.call(ctx, in)
+	if refusal != nil {
+		p.Journalist.Decided(in.GetRequestId(), "Refused", refusal.Error())
+		reply = &message.CallReply{
+			Code:             uint32(refusal.Code),
+			Reason:           refusal.Reason,
+			RetryAtUnixNanos: warden.NanosOf(refusal.RetryAt),
+		}
+	}
+	reply.Load = p.Load()
+	return reply, nil
+}
+
+func (p *Porter) call(ctx context.Context, in *message.CallRequest) (*message.CallReply, *receipt.Result) {
+	if in.GetRepeatable() {
+		return p.callRepeatable(ctx, in)
+	}
+	if _, held := p.Logbook.Find(in.GetRequestId()); !held {
+		if refusal := p.admit(in, time.Now()); refusal != nil {
+			return nil, refusal
+		}
+	}
+	return p.heldReply(ctx, in.GetRequestId())
+}
+
+// callRepeatable runs a call that needs no record.
+func (p *Porter) callRepeatable(ctx context.Context, in *message.CallRequest) (*message.CallReply, *receipt.Result) {
+	now := time.Now()
+	if p.leaving.Load() {
+		return nil, p.Warden.Leaving(now)
+	}
+	if !p.enter() {
+		return nil, receipt.New(receipt.QueueFull, "%d calls run", p.Settings.MaxRunning).WithRetryAt(warden.RetryAt(now))
+	}
+	defer p.running.Add(-1)
+	reply, err := p.Desk.Call(ctx, requestOf(in))
+	if err != nil {
+		return nil, failure(err)
+	}
+	return replyOf(reply), nil
+}
+
+// enter takes a place among the running calls.
+func (p *Porter) enter() bool {
+	if p.running.Add(1) > int64(p.Settings.MaxRunning) {
+		p.running.Add(-1)
+		return false
+	}
+	return true
+}
+
+// admit opens a call that may not be repeated. Every refusal is recorded, so
+// that the call never runs here afterwards.
+func (p *Porter) admit(in *message.CallRequest, now time.Time) *receipt.Result {
+	id := in.GetRequestId()
+	forgetAt, refusal := p.Warden.ForgetAt(id)
+	if refusal != nil {
+		return refusal
+	}
+	if refusal := p.check(in, now); refusal != nil {
+		return p.Warden.RefuseForGood(id, refusal, forgetAt)
+	}
+	_, held, err := p.Logbook.Start(id, forgetAt)
+	if err != nil || held {
+		p.running.Add(-1)
+	}
+	if err != nil {
+		return warden.StartRefusal(err, now)
+	}
+	if !held {
+		p.work <- work{in: in}
+	}
+	return nil
+}
+
+// check takes a place for the call, or refuses it.
+func (p *Porter) check(in *message.CallRequest, now time.Time) *receipt.Result {
+	if p.leaving.Load() {
+		return p.Warden.Leaving(now)
+	}
+	if !p.Warden.Permits(in.GetRequestId(), in.GetPermit()) {
+		return p.Warden.NotOwner(now)
+	}
+	if !p.enter() {
+		return receipt.New(receipt.QueueFull, "%d calls run", p.Settings.MaxRunning).WithRetryAt(warden.RetryAt(now))
+	}
+	return nil
+}
+
+// runOnce runs one call and holds its reply.
+func (p *Porter) runOnce(ctx context.Context, in *message.CallRequest) {
+	defer p.running.Add(-1)
+	id := in.GetRequestId()
+	ctx, stop := context.WithDeadline(ctx, runDeadline(in))
+	defer stop()
+	code, reason := receipt.OK, ""
+	reply, err := p.Desk.Call(ctx, requestOf(in))
+	if err == nil {
+		err = p.hold(id, reply)
+	}
+	if err != nil {
+		result := failure(err)
+		code, reason = result.Code, result.Reason
+	}
+	evictAt := time.Now().Add(time.Duration(p.Settings.HoldSeconds) * time.Second)
+	if err := p.Logbook.Finish(id, uint32(code), reason, evictAt); err != nil {
+		p.Log.Error("call could not be ended", "request", id, "cause", err)
+	}
+	p.Journalist.Decided(id, "Ended", code.String())
+}
+
+func runDeadline(in *message.CallRequest) time.Time {
+	deadline := warden.TimeFromNanos(in.GetDeadlineUnixNanos())
+	if deadline.IsZero() {
+		return time.Now().Add(runMillis * time.Millisecond)
+	}
+	return deadline
+}
+
+// hold keeps the encoded reply in the logbook.
+func (p *Porter) hold(id string, reply desk.Reply) error {
+	encoded, err := proto.Marshal(replyOf(reply))
+	if err != nil {
+		return errors.Wrap(err, "encode reply")
+	}
+	return p.Logbook.Append(id, 0, []string{string(encoded)})
+}
+
+// heldReply waits for the end of the call and returns its reply.
+func (p *Porter) heldReply(ctx context.Context, id string) (*message.CallReply, *receipt.Result) {
+	chunk, err := p.Logbook.Wait(ctx, id, 0)
+	if err != nil {
+		return nil, receipt.New(receipt.NotHeld, "%v", err)
+	}
+	if len(chunk.Texts) == 0 {
+		return nil, endOf(chunk.Entry)
+	}
+	reply := &message.CallReply{}
+	if err := proto.Unmarshal([]byte(chunk.Texts[0]), reply); err != nil {
+		return nil, receipt.New(receipt.ReplyLost, "decode reply: %v", err)
+	}
+	return reply, nil
+}
+
+// endOf maps a call that ended without a reply.
+func endOf(entry logbook.Entry) *receipt.Result {
+	switch s := entry.State.(type) {
+	case logbook.Refused:
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRetryAt(warden.RetryAt(time.Now()))
+	case logbook.Ended:
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason)
+	default:
+		return receipt.New(receipt.NotHeld, "the reply is no longer held")
+	}
+}
+
+// failure maps an error of the plain service: before anything was sent, the
+// call certainly did not run.
+func failure(err error) *receipt.Result {
+	if errors.Is(err, desk.ErrRefused) {
+		return receipt.New(receipt.EngineRefused, "%v", err).WithRetryAt(warden.RetryAt(time.Now()))
+	}
+	return receipt.New(receipt.ReplyLost, "%v", err)
+}
+
+func requestOf(in *message.CallRequest) desk.Request {
+	return desk.Request{
+		RequestID:   in.GetRequestId(),
+		Method:      in.GetMethod(),
+		Path:        in.GetPath(),
+		Body:        in.GetBody(),
+		ContentType: "application/json",
+	}
+}
+
+func replyOf(reply desk.Reply) *message.CallReply {
+	return &message.CallReply{
+		HttpStatus:  uint32(reply.Status),
+		ContentType: reply.ContentType,
+		Body:        reply.Body,
+	}
+}
--- a/internal/routing/visit/journey.go
+++ b/internal/routing/visit/journey.go
@@ -131,7 +131,7 @@
 		return false
 	}
 	switch code {
-	case receipt.GenerationLost, receipt.OwnerSilent, receipt.EngineFailed, receipt.NotHeld, receipt.DrainCut:
+	case receipt.GenerationLost, receipt.OwnerSilent, receipt.EngineFailed, receipt.NotHeld, receipt.DrainCut, receipt.ReplyLost:
 	default:
 		return false
 	}
--- a/internal/settings/process/backend.go
+++ b/internal/settings/process/backend.go
@@ -18,6 +18,8 @@
 	DefaultQueueLimit = 64
 	// DefaultHoldSeconds is how long a finished answer is kept for replay.
 	DefaultHoldSeconds = 120
+	// DefaultRememberSeconds is how long a request identity is remembered.
+	DefaultRememberSeconds = 7200
 )
 
 // Backend is the settings of the process beside one backend server.
@@ -62,6 +64,10 @@
 	MemoryTokens int `validate:"required_if=Kind Engine,excluded_if=Kind Plain,min=0,max=1000000000"`
 	// HoldSeconds is how long a finished answer is kept for replay.
 	HoldSeconds int `validate:"min=1,max=86400"`
+	// RememberSeconds is how long the identity of a request is remembered, so
+	// that it never runs a second time. It is greater than the entry hosts'
+	// KeyWindowSeconds.
+	RememberSeconds int `validate:"min=1,max=5184000"`
 	// DrainSeconds limits a graceful shutdown. Zero waits for all requests.
 	DrainSeconds int `validate:"min=0,max=604800"`
 	// HeartbeatMillis is the pause between heartbeats on a quiet path.
@@ -76,6 +82,7 @@
 		MaxRunning:      DefaultMaxRunning,
 		QueueLimit:      DefaultQueueLimit,
 		HoldSeconds:     DefaultHoldSeconds,
+		RememberSeconds: DefaultRememberSeconds,
 		HeartbeatMillis: DefaultHeartbeatMillis,
 	}
 }
