--- /dev/null
+++ b/cmd/check.go
@@ -0,0 +1,126 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/inspection"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+// Kinds of file that can be checked.
+const (
+	checkKindEntry    = "Entry"
+	checkKindBackend  = "Backend"
+	checkKindServices = "Services"
+)
+
+func newCheckCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "report every fault of settings files and operator files",
+		ArgsUsage: "FILE...",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:      "kind",
+				Usage:     "kind of all files: Entry, Backend or Services; by default each file's fields decide",
+				Validator: validateCheckKind,
+			},
+		},
+		Action: runCheck,
+	}
+}
+
+func validateCheckKind(kind string) error {
+	switch kind {
+	case checkKindEntry, checkKindBackend, checkKindServices:
+		return nil
+	default:
+		return errors.Newf("no such kind of file: %q", kind)
+	}
+}
+
+func runCheck(_ context.Context, c *cli.Command) error {
+	if !c.Args().Present() {
+		return withCode(ExitUsage, errors.New("check: name at least one file"))
+	}
+	total := 0
+	for _, path := range c.Args().Slice() {
+		count, err := checkFile(c.Root().Writer, c.String("kind"), path)
+		if err != nil {
+			return withCode(ExitFailure, err)
+		}
+		total += count
+	}
+	if total > 0 {
+		return withCode(ExitInvalid, errors.Newf("check: %d faults", total))
+	}
+	return nil
+}
+
+// checkFile prints the faults of one file and returns their number.
+func checkFile(w io.Writer, kind, path string) (int, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return 0, errors.Wrap(err, "read file")
+	}
+	if kind == "" {
+		kind = detectCheckKind(data)
+	}
+	err = parseAs(kind, data)
+	if err == nil {
+		_, err = fmt.Fprintf(w, "%s: valid %s file\n", path, kind)
+		return 0, errors.Wrap(err, "write result")
+	}
+	var faults *inspection.Faults
+	if !errors.As(err, &faults) {
+		return 0, errors.Wrapf(err, "check %s", path)
+	}
+	for _, fault := range faults.List {
+		if _, err := fmt.Fprintf(w, "%s: %s\n", path, fault); err != nil {
+			return 0, errors.Wrap(err, "write result")
+		}
+	}
+	return len(faults.List), nil
+}
+
+func parseAs(kind string, data []byte) error {
+	var err error
+	switch kind {
+	case checkKindEntry:
+		_, err = process.ParseEntry(data)
+	case checkKindBackend:
+		_, err = process.ParseBackend(data)
+	default:
+		_, err = agreement.Parse(data)
+	}
+	return err
+}
+
+// detectCheckKind returns the kind that the fields of a file speak for. A file
+// that speaks for none counts as an operator file.
+func detectCheckKind(data []byte) string {
+	var marks struct {
+		CallerAddress json.RawMessage
+		Kind          json.RawMessage
+		PeerAddress   json.RawMessage
+	}
+	if err := json.Unmarshal(data, &marks); err != nil {
+		return checkKindServices
+	}
+	switch {
+	case marks.CallerAddress != nil:
+		return checkKindEntry
+	case marks.Kind != nil, marks.PeerAddress != nil:
+		return checkKindBackend
+	default:
+		return checkKindServices
+	}
+}
--- a/internal/settings/inspection/validation.go
+++ b/internal/settings/inspection/validation.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strings"
 	"sync"
 
@@ -58,9 +59,9 @@
 	case "ipport":
 		return fmt.Sprintf("expected an IP number and a port, found %q", violation.Value())
 	case "min":
-		return fmt.Sprintf("must be at least %s, found %v", param, violation.Value())
+		return limitText("at least", violation)
 	case "max":
-		return fmt.Sprintf("must be at most %s, found %v", param, violation.Value())
+		return limitText("at most", violation)
 	case "gt":
 		return fmt.Sprintf("must be greater than %s, found %v", param, violation.Value())
 	case "gtfield":
@@ -76,3 +77,15 @@
 func conditionText(param string) string {
 	return strings.Replace(param, " ", " = ", 1)
 }
+
+// limitText describes a limit on a number, or on the size of a list or string.
+func limitText(relation string, violation validator.FieldError) string {
+	switch violation.Kind() {
+	case reflect.Slice:
+		return fmt.Sprintf("must have %s %s items", relation, violation.Param())
+	case reflect.String:
+		return fmt.Sprintf("must have %s %s characters", relation, violation.Param())
+	default:
+		return fmt.Sprintf("must be %s %s, found %v", relation, violation.Param(), violation.Value())
+	}
+}
