--- /dev/null
+++ b/internal/records/diary/part.go
@@ -0,0 +1,26 @@
+package diary
+
+// Part is a part of a process that writes log messages.
+type Part string
+
+// Parts of a process; docs/LOGS.md lists them.
+const (
+	Process  Part = "process"
+	Intake   Part = "intake"
+	Visit    Part = "visit"
+	Roster   Part = "roster"
+	Keeper   Part = "keeper"
+	Engine   Part = "engine"
+	Desk     Part = "desk"
+	Holder   Part = "holder"
+	Journal  Part = "journal"
+	HostList Part = "hostlist"
+	Weights  Part = "weights"
+	Edition  Part = "edition"
+	Peer     Part = "peer"
+)
+
+// Prefix returns the text that starts every message of the part.
+func (p Part) Prefix() string {
+	return string(p) + ": "
+}
