--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,72 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+)
+
+func newExplainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "print why a request went where it did, waited, was preempted or refused",
+		ArgsUsage: "REQUEST-ID",
+		Flags: []cli.Flag{
+			peerFlag(),
+			&cli.BoolFlag{Name: "json", Usage: "print the records as JSON, one line each"},
+		},
+		Action: runExplain,
+	}
+}
+
+func runExplain(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return withCode(ExitUsage, errors.New("explain: name one request identity"))
+	}
+	ctx, stop := withAskDeadline(ctx)
+	defer stop()
+	records, err := collectRecords(ctx, c.StringSlice("peer"), c.Args().First())
+	if len(records) == 0 && err != nil {
+		return withCode(ExitUnavailable, err)
+	}
+	if len(records) == 0 {
+		return withCode(ExitFailure, errors.Newf("explain: no process holds records of %s", c.Args().First()))
+	}
+	return printRecords(c, records)
+}
+
+// collectRecords asks every process. What one holds is kept though another
+// does not answer.
+func collectRecords(ctx context.Context, addresses []string, requestID string) ([]explanation.Record, error) {
+	var records []explanation.Record
+	var failed error
+	for _, address := range addresses {
+		held, err := peer.AskRecords(ctx, address, requestID)
+		if err != nil {
+			failed = errors.CombineErrors(failed, err)
+			continue
+		}
+		records = append(records, held...)
+	}
+	return records, failed
+}
+
+func printRecords(c *cli.Command, records []explanation.Record) error {
+	if !c.Bool("json") {
+		_, err := fmt.Fprint(c.Root().Writer, explanation.Render(records))
+		return err
+	}
+	encoder := json.NewEncoder(c.Root().Writer)
+	for _, record := range records {
+		if err := encoder.Encode(record); err != nil {
+			return errors.Wrap(err, "print record")
+		}
+	}
+	return nil
+}
--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -8,6 +8,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
@@ -16,6 +17,8 @@
 const (
 	// promptBytesPerToken converts the length of a prompt to tokens.
 	promptBytesPerToken = 4
+	// permille is the number of parts of a whole.
+	permille = 1000
 	// prefixBytes is the part of a prompt that prefix affinity looks at.
 	prefixBytes = 256
 )
@@ -94,16 +97,28 @@
 	case booking.Refuse:
 		return refusalOf(d)
 	case booking.Admit:
-		k.Journalist.Decided(id, "Admitted", "memory and batch have room")
+		k.Records.Record(id, explanation.Admitted{Reason: "memory and batch have room"})
 		return k.open(in, class, forgetAt, true)
 	case booking.Wait:
-		k.Journalist.Decided(id, "Waiting", d.Reason.String())
+		k.Records.Record(id, k.waited(d, request))
 		return k.open(in, class, forgetAt, false)
 	default:
 		return receipt.New(receipt.EngineRefused, "no decision")
 	}
 }
 
+// waited describes a wait in the queue. The caller holds the mutex.
+func (k *Keeper) waited(d booking.Wait, request booking.Request) explanation.Waited {
+	load := k.Book.Load()
+	return explanation.Waited{
+		Reason:           d.Reason.String(),
+		QueueLength:      uint32(d.Position - 1),
+		ForecastPermille: uint32(load.ForecastPermille),
+		LimitPermille:    permille,
+		GiveUpAt:         request.Deadline,
+	}
+}
+
 // open holds the request from now on and starts it where it is admitted.
 func (k *Keeper) open(in *message.GenerateRequest, class agreement.Class, forgetAt time.Time, admitted bool) *receipt.Result {
 	id := in.GetRequestId()
--- a/internal/backend/keeper/drive.go
+++ b/internal/backend/keeper/drive.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -177,7 +178,10 @@
 	switch e := event.(type) {
 	case engine.Token:
 		if e.RequestID != id {
-			r.keeper.Journalist.Decided(id, "Rejected", "engine sent a token of request "+e.RequestID)
+			r.keeper.Records.Record(id, explanation.Disturbed{
+				Backend: r.keeper.Settings.Name,
+				Reason:  "the engine sent a token of request " + e.RequestID,
+			})
 			return nil, nil
 		}
 		return nil, r.token(e)
@@ -224,7 +228,7 @@
 	r.stalledAt = time.Now()
 	r.lastToken = time.Time{}
 	k.Gauge.Preempted(r.job.account, r.job.class)
-	k.Journalist.Decided(r.job.request.ID, "Preempted", "the engine freed memory")
+	k.Records.Record(r.job.request.ID, explanation.Preempted{Reason: "the engine freed memory", Position: uint64(r.position)})
 	_ = k.Logbook.Progress(r.job.request.ID, message.GenerationState_GENERATION_STATE_PREEMPTED)
 }
 
@@ -234,7 +238,13 @@
 		k.Gauge.Stalled(r.job.account, r.job.class, r.stalledAt, time.Now())
 	}
 	r.stalledAt = time.Time{}
-	k.Journalist.Decided(r.job.request.ID, "Resumed", "the engine has memory again")
+	k.Records.Record(r.job.request.ID, explanation.Resumed{
+		Backend:     k.Settings.Name,
+		Incarnation: k.Incarnation,
+		Sequence:    r.job.sequence,
+		From:        uint64(r.position),
+		Reason:      "the engine has memory again",
+	})
 	_ = k.Logbook.Progress(r.job.request.ID, message.GenerationState_GENERATION_STATE_RUNNING)
 }
 
--- a/internal/backend/keeper/finish.go
+++ b/internal/backend/keeper/finish.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -20,7 +21,12 @@
 	if err := k.Logbook.Finish(id, uint32(code), reason, evictAt); err != nil {
 		k.Log.Error("generation could not be ended", "request", id, "cause", err)
 	}
-	k.Journalist.Decided(id, "Ended", code.String())
+	k.Records.Record(id, explanation.Ended{
+		Code:    uint32(code),
+		Outcome: string(code.Info().Outcome),
+		Reason:  reason,
+		Tokens:  entry.Position,
+	})
 	k.mu.Lock()
 	delete(k.jobs, id)
 	k.Book.Release(id)
--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 )
@@ -45,12 +46,6 @@
 	Close() error
 }
 
-// Journalist keeps the decision records of requests. It is safe for
-// concurrent use.
-type Journalist interface {
-	Decided(requestID, kind, reason string)
-}
-
 // Gauge measures the engine's work. It is safe for concurrent use.
 type Gauge interface {
 	Stalled(account, class string, since, until time.Time)
@@ -71,7 +66,7 @@
 	Configuration func() *agreement.Document
 	// ConfigVersion returns the version in force.
 	ConfigVersion func() uint64
-	Journalist    Journalist
+	Records       explanation.Writer
 	Gauge         Gauge
 	Log           *slog.Logger
 
@@ -174,7 +169,7 @@
 			continue
 		}
 		k.Gauge.Stalled(j.account, j.class, admit.QueuedAt, now)
-		k.Journalist.Decided(admit.RequestID, "Started", "memory and batch have room")
+		k.Records.Record(admit.RequestID, explanation.Admitted{Reason: "memory and batch have room after a wait"})
 		k.launch(j)
 	}
 }
--- a/internal/backend/keeper/serve.go
+++ b/internal/backend/keeper/serve.go
@@ -30,7 +30,7 @@
 func (k *Keeper) deliver(in *message.GenerateRequest, out Sender) error {
 	if in.GetAttach() == nil {
 		if refusal := k.admit(in, time.Now()); refusal != nil {
-			k.Journalist.Decided(in.GetRequestId(), "Refused", refusal.Error())
+			k.Records.Record(in.GetRequestId(), refusal.Record())
 			return out.Send(k.refusalFrame(in.GetRequestId(), refusal))
 		}
 	}
--- a/internal/backend/porter/load.go
+++ b/internal/backend/porter/load.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 
-	"storj.io/drpc/drpcerr"
-
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/desk"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
@@ -25,12 +26,6 @@
 	Call(context.Context, desk.Request) (desk.Reply, error)
 }
 
-// Journalist keeps the decision records of requests. It is safe for
-// concurrent use.
-type Journalist interface {
-	Decided(requestID, kind, reason string)
-}
-
 const (
 	// evictMillis is the period of housekeeping.
 	evictMillis = 1000
@@ -46,7 +41,7 @@
 	Desk     Desk
 	// ConfigVersion returns the version in force.
 	ConfigVersion func() uint64
-	Journalist    Journalist
+	Records       explanation.Writer
 	Log           *slog.Logger
 
 	leaving atomic.Bool
@@ -105,7 +100,7 @@
 func (p *Porter) Call(ctx context.Context, in *message.CallRequest) (*message.CallReply, error) {
 	reply, refusal := p.call(ctx, in)
 	if refusal != nil {
-		p.Journalist.Decided(in.GetRequestId(), "Refused", refusal.Error())
+		p.Records.Record(in.GetRequestId(), refusal.Record())
 		reply = &message.CallReply{
 			Code:             uint32(refusal.Code),
 			Reason:           refusal.Reason,
@@ -211,7 +206,7 @@
 	if err := p.Logbook.Finish(id, uint32(code), reason, evictAt); err != nil {
 		p.Log.Error("call could not be ended", "request", id, "cause", err)
 	}
-	p.Journalist.Decided(id, "Ended", code.String())
+	p.Records.Record(id, explanation.Ended{Code: uint32(code), Outcome: string(code.Info().Outcome), Reason: reason})
 }
 
 func runDeadline(in *message.CallRequest) time.Time {
--- a/internal/records/explanation/decision.go
+++ b/internal/records/explanation/decision.go
@@ -48,6 +48,17 @@
 	GiveUpAt time.Time
 }
 
+// Admitted says that a request was given its place on the engine.
+type Admitted struct {
+	Reason string
+}
+
+// Disturbed says that a path broke, a reply was refused or a frame was rejected.
+type Disturbed struct {
+	Backend string
+	Reason  string
+}
+
 // Refused says that a request was not run.
 type Refused struct {
 	// Code is a result code, see docs/RESULT-CODES.md.
@@ -113,6 +124,12 @@
 // Kind returns "Waited".
 func (Waited) Kind() string { return "Waited" }
 
+// Kind returns "Admitted".
+func (Admitted) Kind() string { return "Admitted" }
+
+// Kind returns "Disturbed".
+func (Disturbed) Kind() string { return "Disturbed" }
+
 // Kind returns "Refused".
 func (Refused) Kind() string { return "Refused" }
 
--- a/internal/records/explanation/explanation.go
+++ b/internal/records/explanation/explanation.go
@@ -79,6 +79,10 @@
 		return decodeAs[Routed](text)
 	case Waited{}.Kind():
 		return decodeAs[Waited](text)
+	case Admitted{}.Kind():
+		return decodeAs[Admitted](text)
+	case Disturbed{}.Kind():
+		return decodeAs[Disturbed](text)
 	case Refused{}.Kind():
 		return decodeAs[Refused](text)
 	case Retried{}.Kind():
--- a/internal/records/explanation/render.go
+++ b/internal/records/explanation/render.go
@@ -38,6 +38,10 @@
 	case Waited:
 		return fmt.Sprintf("waited behind %d: %s (forecast %s, limit %s, refused at %s)", d.QueueLength, d.Reason,
 			percent(d.ForecastPermille), percent(d.LimitPermille), formatTime(d.GiveUpAt))
+	case Admitted:
+		return "admitted: " + d.Reason
+	case Disturbed:
+		return fmt.Sprintf("disturbed at %s: %s", d.Backend, d.Reason)
 	case Refused:
 		return fmt.Sprintf("refused with code %d: %s%s", d.Code, d.Reason, comeBack(d.RetryAt))
 	case Retried:
--- /dev/null
+++ b/internal/records/explanation/writer.go
@@ -0,0 +1,27 @@
+package explanation
+
+import "time"
+
+// Writer records the decisions of one part of a process. Its fields are set
+// before use; a writer without a ring records nothing.
+type Writer struct {
+	Ring *Ring
+	// Process is the name of the host.
+	Process string
+	// Part of the process that decides.
+	Part string
+}
+
+// Record adds one decision with the current time.
+func (w Writer) Record(requestID string, decision Decision) {
+	if w.Ring == nil {
+		return
+	}
+	w.Ring.Add(Record{
+		Time:      time.Now(),
+		Process:   w.Process,
+		Part:      w.Part,
+		RequestID: requestID,
+		Decision:  decision,
+	})
+}
--- /dev/null
+++ b/internal/role/peer/client.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// AskStatus returns the state of the process at address.
+func AskStatus(ctx context.Context, address string) (Status, error) {
+	var status Status
+	reply, err := line.Call(ctx, address,
+		func(ctx context.Context, conn drpc.Conn) (*message.StatusReply, error) {
+			return message.NewDRPCPeerClient(conn).Status(ctx, &message.StatusRequest{})
+		})
+	if err != nil {
+		return status, err
+	}
+	err = json.Unmarshal([]byte(reply.GetJson()), &status)
+	return status, errors.Wrap(err, "decode status")
+}
+
+// AskRecords returns the decision records that the process at address holds.
+func AskRecords(ctx context.Context, address, requestID string) ([]explanation.Record, error) {
+	reply, err := line.Call(ctx, address,
+		func(ctx context.Context, conn drpc.Conn) (*message.ExplainReply, error) {
+			return message.NewDRPCPeerClient(conn).Explain(ctx, &message.ExplainRequest{RequestId: requestID})
+		})
+	if err != nil {
+		return nil, err
+	}
+	return explanation.Decode(reply.GetRecords())
+}
+
+// AskDrain stops the admission of new work at the process at address.
+func AskDrain(ctx context.Context, address string) (int, error) {
+	reply, err := line.Call(ctx, address,
+		func(ctx context.Context, conn drpc.Conn) (*message.DrainReply, error) {
+			return message.NewDRPCPeerClient(conn).Drain(ctx, &message.DrainRequest{})
+		})
+	if err != nil {
+		return 0, err
+	}
+	return int(reply.GetOpenRequests()), nil
+}
--- /dev/null
+++ b/internal/role/peer/peer.go
@@ -0,0 +1,90 @@
+// Package peer answers what every process of the project answers: version
+// exchange, decision records, status and drain.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// Exchanger compares configuration versions with other processes.
+type Exchanger interface {
+	HandleExchange(context.Context, *message.ExchangeRequest) (*message.ExchangeReply, error)
+}
+
+// Status is the state of a process as an operator sees it.
+type Status struct {
+	Name    string
+	Role    string
+	Region  string
+	Zone    string
+	Version string
+	// Incarnation is zero for entry hosts.
+	Incarnation   uint64 `json:",omitempty"`
+	ConfigVersion uint64
+	Leaving       bool
+	// OpenRequests counts the requests that have not ended.
+	OpenRequests int
+	// Hosts lists what the process knows of others; entry hosts only.
+	Hosts []HostStatus `json:",omitempty"`
+}
+
+// HostStatus is what one process knows of another.
+type HostStatus struct {
+	Name        string
+	Role        string
+	Zone        string
+	PeerAddress string
+	State       string
+	Running     uint32
+	Waiting     uint32
+	// MemoryPermille is the share of memory in use, in thousandths.
+	MemoryPermille uint32
+	// AgeMillis is the age of the load figures; negative when there are none.
+	AgeMillis int64
+}
+
+// Peer serves message.Peer. Its fields must be set before the first call.
+type Peer struct {
+	Exchanger Exchanger
+	// Records returns the decision records of a request, oldest first.
+	Records func(ctx context.Context, requestID string) []explanation.Record
+	// State returns the state of the process.
+	State func() Status
+	// Leave stops the admission of new work.
+	Leave func()
+}
+
+// Exchange compares configuration versions.
+func (p *Peer) Exchange(ctx context.Context, in *message.ExchangeRequest) (*message.ExchangeReply, error) {
+	return p.Exchanger.HandleExchange(ctx, in)
+}
+
+// Explain returns the decision records of one request.
+func (p *Peer) Explain(ctx context.Context, in *message.ExplainRequest) (*message.ExplainReply, error) {
+	lines, err := explanation.Encode(p.Records(ctx, in.GetRequestId()))
+	if err != nil {
+		return nil, err
+	}
+	return &message.ExplainReply{Records: lines}, nil
+}
+
+// Status returns the state of the process as JSON.
+func (p *Peer) Status(context.Context, *message.StatusRequest) (*message.StatusReply, error) {
+	text, err := json.Marshal(p.State())
+	if err != nil {
+		return nil, errors.Wrap(err, "encode status")
+	}
+	return &message.StatusReply{Json: string(text)}, nil
+}
+
+// Drain stops the admission of new work and returns how many requests are open.
+func (p *Peer) Drain(context.Context, *message.DrainRequest) (*message.DrainReply, error) {
+	p.Leave()
+	return &message.DrainReply{OpenRequests: uint32(p.State().OpenRequests)}, nil
+}
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -36,7 +36,7 @@
 		refused:  make(map[string]bool),
 	}
 	reply, result := journey.call(ctx, call)
-	r.finish(call.ID, result)
+	journey.finish(result)
 	return reply, result
 }
 
@@ -73,7 +73,7 @@
 			return Reply{}, j.callCut(ctx, sent)
 		}
 		sent = sent || !errors.Is(err, line.ErrDial)
-		j.Journalist.Disturbed(j.request.ID, j.target, err.Error())
+		j.disturbed(err.Error())
 		now := time.Now()
 		j.Picker.Unreachable(j.target, now)
 		if !sent {
@@ -128,7 +128,7 @@
 	if reply.GetCode() != 0 {
 		result := receipt.New(receipt.Code(reply.GetCode()), "%s", reply.GetReason()).
 			WithRetryAt(timeFromNanos(reply.GetRetryAtUnixNanos()))
-		j.Journalist.Disturbed(j.request.ID, j.target, "refused: "+result.Error())
+		j.disturbed("refused: " + result.Error())
 		j.Picker.Refused(j.target, result, time.Now())
 		return Reply{}, result
 	}
--- a/internal/routing/visit/claim.go
+++ b/internal/routing/visit/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -37,7 +38,13 @@
 // owner than this entry host asked for.
 func (j *journey) adopt(permit *message.Permit) *receipt.Result {
 	j.permit = permit
-	j.Journalist.Claimed(j.request.ID, permit)
+	j.record(explanation.Claimed{
+		Partition: permit.GetPartition(),
+		Offset:    permit.GetOffset(),
+		BoundTo:   permit.GetRequestId(),
+		Backend:   permit.GetBackend(),
+		Reason:    "the binding in force",
+	})
 	if permit.GetBackend() == j.target.Backend && permit.GetIncarnation() == j.target.Incarnation {
 		j.follows(permit.GetRequestId())
 		return nil
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -39,7 +39,7 @@
 		if ctx.Err() != nil || errors.Is(err, errSink) {
 			return j.abandon(ctx)
 		}
-		j.Journalist.Disturbed(j.request.ID, j.target, err.Error())
+		j.disturbed(err.Error())
 		if !errors.Is(err, line.ErrDial) {
 			sent = true
 		}
@@ -104,7 +104,7 @@
 			return message.NewDRPCBackendClient(conn).Cancel(ctx, request)
 		})
 	if err != nil {
-		j.Journalist.Disturbed(j.request.ID, j.target, "not cancelled: "+err.Error())
+		j.disturbed("not cancelled: " + err.Error())
 	}
 }
 
@@ -182,7 +182,7 @@
 	case delivery.Gap:
 		return nil, errors.Wrapf(errGap, "position %d", s.From)
 	case delivery.Foreign:
-		j.Journalist.Disturbed(j.request.ID, j.target, "frame rejected: "+s.Reason.String())
+		j.disturbed("frame rejected: " + s.Reason.String())
 		return nil, nil
 	case delivery.Refused:
 		return j.takeRefusal(s), nil
@@ -196,7 +196,7 @@
 func (j *journey) takeRefusal(refusal delivery.Refused) *receipt.Result {
 	result := receipt.New(receipt.Code(refusal.Code), "%s", refusal.Reason).
 		WithRetryAt(timeFromNanos(refusal.RetryAtUnixNanos))
-	j.Journalist.Disturbed(j.request.ID, j.target, "refused: "+result.Error())
+	j.disturbed("refused: " + result.Error())
 	j.Picker.Refused(j.target, result, time.Now())
 	if result.Code == receipt.NotHeld && j.delivery.Next() > 0 {
 		return receipt.New(receipt.GenerationLost, "%s", refusal.Reason)
--- a/internal/routing/visit/journey.go
+++ b/internal/routing/visit/journey.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -81,8 +82,8 @@
 	if result != nil {
 		return j.explainNoOwner(result)
 	}
+	j.recordAttempt(target)
 	j.target = target
-	j.Journalist.Attempted(j.request.ID, target, j.attempt)
 	if j.request.Key == "" {
 		return nil
 	}
@@ -141,3 +142,37 @@
 	j.delivery = &delivery.Delivery{RequestID: j.request.ID}
 	return true
 }
+
+// recordAttempt records the choice of the target.
+func (j *journey) recordAttempt(target Target) {
+	if j.attempt > 1 && j.lastRefusal != nil {
+		j.record(explanation.Retried{
+			Attempt: uint32(j.attempt),
+			Backend: j.target.Backend,
+			Reason:  j.lastRefusal.Error(),
+		})
+	}
+	j.record(explanation.Routed{
+		Backend:    target.Backend,
+		Reason:     target.Reason,
+		Candidates: target.Candidates,
+	})
+}
+
+// record adds a decision about the request.
+func (j *journey) record(decision explanation.Decision) {
+	j.Records.Record(j.request.ID, decision)
+}
+
+// disturbed records a refusal, a dead path or a rejected frame.
+func (j *journey) disturbed(reason string) {
+	j.record(explanation.Disturbed{Backend: j.target.Backend, Reason: reason})
+}
+
+// finish records the final result. A complete answer earns retry budget.
+func (j *journey) finish(result *receipt.Result) {
+	j.record(result.RecordEnd(j.delivery.Next(), j.attempt))
+	if result.Code.Info().Outcome == receipt.Complete {
+		j.Picker.Succeeded(time.Now())
+	}
+}
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -30,6 +31,9 @@
 	PeerAddress string
 	// Incarnation is zero while no reply of the process is known.
 	Incarnation uint64
+	// Reason tells why it was chosen, and Candidates what it was chosen from.
+	Reason     string
+	Candidates []explanation.Candidate
 }
 
 // Presence tells what is known of one incarnation.
@@ -81,24 +85,12 @@
 	Claim(context.Context, *message.ClaimRequest) (*message.ClaimReply, error)
 }
 
-// Journalist keeps the decision records of requests.
-type Journalist interface {
-	// Attempted records a choice and its reason.
-	Attempted(requestID string, target Target, attempt int)
-	// Claimed records the binding of a key.
-	Claimed(requestID string, permit *message.Permit)
-	// Disturbed records a refusal, a dead path or a rejected frame.
-	Disturbed(requestID string, target Target, reason string)
-	// Ended records the final result.
-	Ended(requestID string, result *receipt.Result)
-}
-
 // Runner runs requests. It is safe for concurrent use.
 type Runner struct {
-	// Picker, Claimer and Journalist must be set before use.
-	Picker     Picker
-	Claimer    Claimer
-	Journalist Journalist
+	// Picker and Claimer must be set before use.
+	Picker  Picker
+	Claimer Claimer
+	Records explanation.Writer
 	// ProgressMillis is the silence after which a path counts as dead; zero
 	// means the default.
 	ProgressMillis int
@@ -119,16 +111,14 @@
 		refused:  make(map[string]bool),
 	}
 	result := journey.run(ctx)
-	r.finish(request.ID, result)
+	journey.finish(result)
 	return result
 }
 
 // Resume continues the delivery of the generation that the ticket names, from
 // the given position.
 func (r *Runner) Resume(ctx context.Context, t ticket.Ticket, from uint64, sink Sink) *receipt.Result {
-	result := r.resume(ctx, t, from, sink)
-	r.finish(t.RequestID, result)
-	return result
+	return r.resume(ctx, t, from, sink)
 }
 
 func (r *Runner) resume(ctx context.Context, t ticket.Ticket, from uint64, sink Sink) *receipt.Result {
@@ -154,7 +144,9 @@
 		refused:  make(map[string]bool),
 		target:   target,
 	}
-	return journey.follow(ctx)
+	result := journey.follow(ctx)
+	journey.finish(result)
+	return result
 }
 
 // locate finds the owner of a generation. Only addresses that this entry host
@@ -173,13 +165,6 @@
 	}
 }
 
-func (r *Runner) finish(requestID string, result *receipt.Result) {
-	r.Journalist.Ended(requestID, result)
-	if result.Code.Info().Outcome == receipt.Complete {
-		r.Picker.Succeeded(time.Now())
-	}
-}
-
 func (r *Runner) progressDeadline() time.Time {
 	millis := r.ProgressMillis
 	if millis == 0 {
