feat: faults of the stand-in log and engine, bounded calls

An append that its caller gave up may still take effect later, after a read-back has not seen it; an answer may say that the log is down after the append took effect. Open streams can go silent for good while new ones work, and the Finished of another request can cross a stream, which must not end it.

The clients follow no redirect, since that would be a second request. GetBody stays set after all: for POST the transport then repeats only what it has not begun to write, and without it a connection closed while idle would make the outcome unknown. A call that can't be built or whose context has ended counts as never sent.

--- a/internal/platform/engine/client.go
+++ b/internal/platform/engine/client.go
@@ -45,7 +45,7 @@
 		defer resp.Body.Close()
 		return nil, errors.Wrapf(statusError(resp.StatusCode), "generate %s", req.ID)
 	}
-	return newStream(resp.Body), nil
+	return newStream(req.ID, resp.Body), nil
 }
 
 // Cancel stops the generation of id. To cancel one that the engine does not
--- a/internal/platform/engine/stream.go
+++ b/internal/platform/engine/stream.go
@@ -18,20 +18,23 @@
 // Stream reads the events of one generation. It is used by one goroutine at a
 // time, but for Close.
 type Stream struct {
+	// id is the request whose Finished ends the stream.
+	id      string
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	// finished is set once Finished was returned.
 	finished bool
 }
 
-func newStream(body io.ReadCloser) *Stream {
+func newStream(id string, body io.ReadCloser) *Stream {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxEventBytes)
-	return &Stream{body: body, scanner: scanner}
+	return &Stream{id: id, body: body, scanner: scanner}
 }
 
 // Next waits for the next event. It fails with io.EOF after Finished, and with
-// ErrBroken when the stream ends or can't be read before.
+// ErrBroken when the stream ends or can't be read before. Events of other
+// requests are returned too; a Finished of another request ends nothing.
 func (s *Stream) Next() (Event, error) {
 	if s.finished {
 		return nil, io.EOF
@@ -45,7 +48,9 @@
 		if err != nil {
 			return nil, exchange.Fail(ErrBroken, err)
 		}
-		_, s.finished = event.(Finished)
+		if end, ok := event.(Finished); ok {
+			s.finished = end.RequestID == s.id
+		}
 		return event, nil
 	}
 	if err := s.scanner.Err(); err != nil {
--- a/internal/platform/exchange/exchange.go
+++ b/internal/platform/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -45,10 +46,28 @@
 }
 
 // Open sends the call and returns the answer with its body still to be read.
+// It follows no redirect. The transport repeats a call by itself only when
+// nothing of it was sent, or when its method is safe, such as GET.
 func Open(ctx context.Context, client *http.Client, c Call) (*http.Response, error) {
+	req, err := build(ctx, c)
+	if err != nil {
+		return nil, Fail(errNotSent, err)
+	}
 	if client == nil {
 		client = http.DefaultClient
 	}
+	direct := *client
+	direct.CheckRedirect = keepRedirect
+	return direct.Do(req)
+}
+
+func build(ctx context.Context, c Call) (*http.Request, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(err, "before the call")
+	}
+	if !strings.HasPrefix(c.Path, "/") {
+		return nil, errors.Newf("path %q has no leading slash", c.Path)
+	}
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
@@ -56,10 +75,12 @@
 	for name, values := range c.Header {
 		req.Header[name] = values
 	}
-	// Without GetBody the transport can't send a request a second time by
-	// itself, so that one call is at most one execution.
-	req.GetBody = nil
-	return client.Do(req)
+	return req, nil
+}
+
+// keepRedirect hands a redirect to the caller as an answer.
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
 }
 
 // Do sends the call and reads the whole answer.
@@ -84,8 +105,14 @@
 	return errors.Wrap(json.Unmarshal(a.Body, value), "decode answer")
 }
 
+// errNotSent marks a call that was given up before it was sent.
+var errNotSent = errors.New("call was not sent")
+
 // NeverSent reports whether err certainly came before anything was sent.
 func NeverSent(err error) bool {
+	if errors.Is(err, errNotSent) {
+		return true
+	}
 	var oe *net.OpError
 	return errors.As(err, &oe) && oe.Op == "dial"
 }
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -136,16 +136,3 @@
 	b.changes, b.spare = b.spare[:0], done
 	return done
 }
-
-// Running counts the jobs that hold memory.
-func (b *Batch) Running() int { return len(b.running) }
-
-// Waiting counts the jobs that hold none.
-func (b *Batch) Waiting() int { return len(b.waiting) }
-
-// MemoryUsed is the memory in use, in tokens, with cached prefixes.
-func (b *Batch) MemoryUsed() int { return b.used }
-
-// CachedTokens is the memory of prefixes that no running job uses, which
-// running jobs may take at once.
-func (b *Batch) CachedTokens() int { return b.cache.idleTokens }
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -25,41 +25,57 @@
 		http.Error(w, "request needs an ID, a stream and a position", http.StatusBadRequest)
 		return
 	}
-	g, crashed := s.open(c.Request)
-	if g == nil {
+	feed, ok := s.open(c.Request)
+	if !ok {
 		http.Error(w, "no such generation", http.StatusNotFound)
 		return
 	}
-	if c.ResumeFrom == 0 && takeOne(&s.Faults.LoseAnswers) {
+	if c.ResumeFrom == 0 && serving.TakeOne(&s.Faults.LoseAnswers) {
 		panic(http.ErrAbortHandler)
 	}
-	s.send(w, r, g, crashed, max(c.ResumeFrom, 0))
+	s.send(w, r, feed)
 }
 
-// open starts a generation or finds the one to attach to; nil when there is
-// none.
-func (s *Server) open(req engine.Request) (*generation, <-chan struct{}) {
+// feed is what one connection sends of a generation.
+type feed struct {
+	generation *generation
+	// from is the first position to send.
+	from int
+	// crashed is closed when the engine that runs the generation crashes.
+	crashed <-chan struct{}
+	// silences is the count of SilenceStreams when the feed was opened.
+	silences int64
+}
+
+// open starts a generation or finds the one to attach to.
+func (s *Server) open(req engine.Request) (feed, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	if req.ResumeFrom != 0 {
-		return s.latest[req.ID], s.crashed
+	f := feed{from: max(req.ResumeFrom, 0), crashed: s.crashed, silences: s.silences.Load()}
+	if req.ResumeFrom == 0 {
+		f.generation = s.begin(req)
+		return f, true
 	}
-	return s.begin(req), s.crashed
+	g, ok := s.latest[req.ID]
+	f.generation = g
+	return f, ok
 }
 
-// send streams the events of g, without tokens below position from.
-func (s *Server) send(w http.ResponseWriter, r *http.Request, g *generation, crashed <-chan struct{}, from int) {
+// send streams the events of a feed's generation.
+func (s *Server) send(w http.ResponseWriter, r *http.Request, f feed) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
 	for sent := 0; ; {
-		events, ended, changed := g.after(sent)
+		events, ended, changed := f.generation.after(sent)
 		sent += len(events)
-		s.waitWhileSilent(r, crashed)
 		for _, event := range events {
-			if token, ok := event.(engine.Token); ok && token.Position < from {
+			if s.silenced(f) {
+				stall(r, f)
+			}
+			if token, ok := event.(engine.Token); ok && token.Position < f.from {
 				continue
 			}
 			s.write(w, event)
@@ -70,7 +86,7 @@
 		}
 		select {
 		case <-changed:
-		case <-crashed:
+		case <-f.crashed:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
@@ -78,13 +94,14 @@
 	}
 }
 
-// waitWhileSilent holds a stream for good once it has met a silence.
-func (s *Server) waitWhileSilent(r *http.Request, crashed <-chan struct{}) {
-	if !s.Faults.Silent.Load() {
-		return
-	}
+func (s *Server) silenced(f feed) bool {
+	return s.Faults.Silent.Load() || s.silences.Load() != f.silences
+}
+
+// stall holds the connection open without a byte until it ends.
+func stall(r *http.Request, f feed) {
 	select {
-	case <-crashed:
+	case <-f.crashed:
 	case <-r.Context().Done():
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
 // Faults are switched while the engine runs.
@@ -13,12 +14,15 @@
 	Down atomic.Bool
 	// Frozen halts the steps; streams stay open.
 	Frozen atomic.Bool
-	// Silent keeps open streams from carrying anything more, and new ones
-	// accept without a byte of an event. What they missed they never send.
+	// Silent accepts streams that never carry an event, and silences the open
+	// ones for good at their next event. See SilenceStreams for open ones alone.
 	Silent atomic.Bool
 	// CrossEvents is how many coming tokens of streams are followed by an event
 	// of another request.
 	CrossEvents atomic.Int64
+	// CrossEnds is how many coming tokens of streams are followed by the
+	// Finished of another request.
+	CrossEnds atomic.Int64
 	// RepeatTokens is how many coming tokens of streams are sent twice.
 	RepeatTokens atomic.Int64
 	// OmitTokens is how many coming tokens of streams are left out.
@@ -43,19 +47,23 @@
 	if !ok {
 		return []engine.Event{event}
 	}
-	if takeOne(&s.Faults.OmitTokens) {
+	if serving.TakeOne(&s.Faults.OmitTokens) {
 		return nil
 	}
 	sent := []engine.Event{token}
-	if takeOne(&s.Faults.RepeatTokens) {
+	if serving.TakeOne(&s.Faults.RepeatTokens) {
 		sent = append(sent, token)
 	}
-	if takeOne(&s.Faults.CrossEvents) {
+	if serving.TakeOne(&s.Faults.CrossEvents) {
 		crossed := token
 		crossed.RequestID = s.otherRequest(token.RequestID)
 		crossed.Position++
 		sent = append(sent, crossed)
 	}
+	if serving.TakeOne(&s.Faults.CrossEnds) {
+		end := engine.Finished{RequestID: s.otherRequest(token.RequestID), Reason: engine.ReasonStop, Tokens: 1}
+		sent = append(sent, end)
+	}
 	return sent
 }
 
@@ -71,6 +79,12 @@
 	return crossedRequestID
 }
 
+// SilenceStreams keeps the streams that are open now from carrying anything
+// more, for good; new ones work.
+func (s *Server) SilenceStreams() {
+	s.silences.Add(1)
+}
+
 // failWhenDown drops the connection of each request while the engine is down.
 func (s *Server) failWhenDown(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -80,16 +94,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// takeOne counts n down and reports whether it was above zero.
-func takeOne(n *atomic.Int64) bool {
-	for {
-		left := n.Load()
-		if left <= 0 {
-			return false
-		}
-		if n.CompareAndSwap(left, left-1) {
-			return true
-		}
-	}
-}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
 // orderBook holds what orders have changed.
@@ -29,7 +30,7 @@
 		return
 	}
 	status := s.execute(order)
-	if status == http.StatusNoContent && takeOne(&s.Faults.LoseOrders) {
+	if status == http.StatusNoContent && serving.TakeOne(&s.Faults.LoseOrders) {
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(status)
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -16,6 +17,8 @@
 const (
 	defaultMemoryTokens = 4096
 	defaultStepMillis   = 5
+	// keptGenerations bounds the ended generations that streams can attach to.
+	keptGenerations = 1024
 )
 
 // Server is a model engine. Its exported fields are set before Run, Loop or
@@ -68,6 +71,10 @@
 	lastLoad  engine.Load
 	cacheFeed cacheFeed
 	orders    orderBook
+	// finished names the ended generations that are kept, oldest first.
+	finished []*generation
+	// silences counts the calls of SilenceStreams.
+	silences atomic.Int64
 	// crashed is closed and replaced by Crash.
 	crashed chan struct{}
 }
@@ -129,8 +136,9 @@
 	return s.executions[id]
 }
 
-// Crash drops all connections and forgets all generations. The counts of
-// executions stay, since they are the tests' record and not the engine's.
+// Crash drops all streams and forgets all generations and the highest fencing
+// number; the engine is up again at once, unless Faults.Down is set. Executions
+// and Orders stay, since they are the tests' record and not the engine's.
 func (s *Server) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -138,6 +146,8 @@
 	s.batch = s.newBatch()
 	clear(s.live)
 	clear(s.latest)
+	s.finished = nil
+	s.orders.highest = 0
 	close(s.crashed)
 	s.crashed = make(chan struct{})
 }
--- a/internal/standin/engine/step.go
+++ b/internal/standin/engine/step.go
@@ -62,6 +62,15 @@
 func (s *Server) finish(g *generation, reason string) {
 	delete(s.live, g.key)
 	g.add(engine.Finished{RequestID: g.request.ID, Reason: reason, Tokens: g.tokens()})
+	s.finished = append(s.finished, g)
+	if len(s.finished) <= keptGenerations {
+		return
+	}
+	oldest := s.finished[0]
+	s.finished = s.finished[1:]
+	if s.latest[oldest.request.ID] == oldest {
+		delete(s.latest, oldest.request.ID)
+	}
 }
 
 func (s *Server) endReason(req engine.Request) string {
--- a/internal/standin/journal/store.go
+++ b/internal/standin/journal/store.go
@@ -2,9 +2,10 @@
 package journal
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/exchange"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
 // MaxRecordBytes bounds one record.
@@ -20,15 +22,8 @@
 // MaxPageRecords bounds the records of one page.
 const MaxPageRecords = 1000
 
-// Faults are switched while the store is in use.
-type Faults struct {
-	// Down refuses every call with journal.ErrUnavailable.
-	Down atomic.Bool
-	// SlowMillis delays every call, in milliseconds.
-	SlowMillis atomic.Int64
-	// LoseAnswers is how many coming appends take effect and lose their answer.
-	LoseAnswers atomic.Int64
-}
+// maxPageBytes bounds the data of a page with more than one record.
+const maxPageBytes = 4 << 20
 
 // Store is a log in memory. It implements journal.Log, for use in process.
 type Store struct {
@@ -46,6 +41,8 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	limiter *rate.Limiter
+	// deferred holds the appends that take effect late, in order of arrival.
+	deferred []deferredAppend
 }
 
 // stream holds the retained records of one stream.
@@ -73,26 +70,39 @@
 	if len(data) > MaxRecordBytes {
 		return 0, errors.Wrapf(journal.ErrRefused, "record of %d bytes", len(data))
 	}
-	if err := s.enter(ctx); err != nil {
-		return 0, err
+	if s.Faults.Down.Load() {
+		return 0, journal.ErrUnavailable
+	}
+	millis := s.Faults.SlowMillis.Load()
+	due := s.now().Add(time.Duration(millis) * time.Millisecond)
+	if err := serving.Delay(ctx, millis); err != nil {
+		s.deferAppend(name, data, due)
+		return 0, exchange.Fail(journal.ErrUnknown, err)
 	}
 	offset, err := s.append(name, data)
-	if err != nil {
+	switch {
+	case err != nil:
 		return 0, err
-	}
-	if takeOne(&s.Faults.LoseAnswers) {
+	case serving.TakeOne(&s.Faults.LoseAnswers):
 		return 0, journal.ErrUnknown
+	case serving.TakeOne(&s.Faults.FailAfterEffect):
+		return 0, journal.ErrUnavailable
+	default:
+		return offset, nil
 	}
-	return offset, nil
 }
 
 // Read returns at most limit records from offset from on.
 func (s *Store) Read(ctx context.Context, name string, from uint64, limit int) (journal.Page, error) {
-	if err := s.enter(ctx); err != nil {
-		return journal.Page{}, err
+	if s.Faults.Down.Load() {
+		return journal.Page{}, journal.ErrUnavailable
+	}
+	if err := serving.Delay(ctx, s.Faults.SlowMillis.Load()); err != nil {
+		return journal.Page{}, exchange.Fail(journal.ErrUnavailable, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyDeferred()
 	t := s.stream(name)
 	s.expire(t)
 	p := journal.Page{First: t.first, Next: t.next()}
@@ -102,41 +112,40 @@
 	}
 	count := min(max(limit, 0), MaxPageRecords, int(p.Next-from))
 	begin := int(from - t.first)
-	p.Records = append(p.Records, t.records[begin:begin+count]...)
+	p.Records = slices.Clone(fitting(t.records[begin : begin+count]))
 	return p, nil
 }
 
-// enter applies the faults that hold for every call.
-func (s *Store) enter(ctx context.Context) error {
-	if millis := s.Faults.SlowMillis.Load(); millis > 0 {
-		timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-	}
-	if err := ctx.Err(); err != nil {
-		return exchange.Fail(journal.ErrUnavailable, err)
-	}
-	if s.Faults.Down.Load() {
-		return journal.ErrUnavailable
-	}
-	return nil
-}
-
 func (s *Store) append(name string, data []byte) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyDeferred()
 	now := s.now()
 	if !s.allow(now) {
 		return 0, journal.ErrThrottled
 	}
+	return s.add(name, data, now), nil
+}
+
+// add appends a record; the caller holds mu.
+func (s *Store) add(name string, data []byte, now time.Time) uint64 {
 	t := s.stream(name)
 	offset := t.next()
-	t.records = append(t.records, journal.Record{Offset: offset, AppendedAt: now, Data: append([]byte(nil), data...)})
+	t.records = append(t.records, journal.Record{Offset: offset, AppendedAt: now, Data: bytes.Clone(data)})
 	s.expire(t)
-	return offset, nil
+	return offset
+}
+
+// fitting returns the first records, as many as a page may carry.
+func fitting(records []journal.Record) []journal.Record {
+	size := 0
+	for i, record := range records {
+		size += len(record.Data)
+		if i > 0 && size > maxPageBytes {
+			return records[:i]
+		}
+	}
+	return records
 }
 
 func (s *Store) allow(now time.Time) bool {
@@ -181,16 +190,3 @@
 	}
 	return s.Now()
 }
-
-// takeOne counts n down and reports whether it was above zero.
-func takeOne(n *atomic.Int64) bool {
-	for {
-		left := n.Load()
-		if left <= 0 {
-			return false
-		}
-		if n.CompareAndSwap(left, left-1) {
-			return true
-		}
-	}
-}
