feat: histograms for each client account and class

Cause: stall time, preemptions and the tail latency between tokens must be seen for each client account and class, in bounded memory.

Ruled out: sharded histograms. A mutex on each one costs little at the rates of an entry host, and shards multiply its 20 KB.

Change: measure records into HdrHistograms of two windows with a stored deadline, bounds the series and writes them under /debug/vars. Counters by result code, retries and rejected frames stand beside them.

--- /dev/null
+++ b/internal/records/measure/measure_test.go
@@ -0,0 +1,136 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+func TestFigures(t *testing.T) {
+	is := is.New(t)
+	var m Measure
+	s := m.Series("club", "programme")
+	for i := range 100 {
+		s.Stall(time.Duration(i+1) * time.Millisecond)
+	}
+	s.FirstToken(-time.Second)
+	s.BetweenTokens(2 * maxTime)
+	s.Preempted()
+	m.CountResult(1)
+	m.CountResult(1)
+	m.CountRetry()
+	m.CountRejectedFrame("OtherGeneration")
+	figures := m.Figures()
+	is.Equal(len(figures.Series), 2) // and Other
+	got := figures.Series[1]
+	is.Equal(got.Stall.Count, int64(100))
+	is.True(got.Stall.P50 >= 49.5 && got.Stall.P50 <= 50.5) // two digits are kept
+	is.True(got.Stall.P99 >= 98 && got.Stall.P99 <= 100)
+	is.Equal(got.FirstToken.Max, 0.0)
+	is.True(got.BetweenTokens.Max >= float64(maxTime.Milliseconds()))
+	is.Equal(got.Preemptions, int64(1))
+	is.Equal(figures.Results, map[string]int64{"1": 2})
+	is.Equal(figures.Retries, int64(1))
+	is.Equal(figures.RejectedFrames, map[string]int64{"OtherGeneration": 1})
+}
+
+func TestSeriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := Measure{MaxSeries: 2}
+	for i := range 5 {
+		m.Series(strconv.Itoa(i), "call").Preempted()
+	}
+	figures := m.Figures()
+	is.Equal(len(figures.Series), 3)
+	is.Equal(figures.Series[2].Account, Other)
+	is.Equal(figures.Series[2].Preemptions, int64(3))
+	is.Equal(figures.Overflowed, int64(3))
+	first := m.Series("0", "call")
+	is.True(m.Series("0", "call") == first)
+}
+
+func TestRunRotatesWindows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var m Measure
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return m.Run(ctx) })
+		synctest.Wait()
+		m.Series("club", "call").Stall(time.Second)
+		for _, want := range []int64{1, 1, 0} {
+			is.Equal(m.Figures().Series[1].Stall.Count, want)
+			time.Sleep(WindowLength)
+			synctest.Wait()
+		}
+		is.Equal(m.Figures().Series[1].Stall.Total, int64(1))
+		cancel()
+		is.NoErr(group.Wait())
+	})
+}
+
+func TestRotateAfterPauseEmptiesBothWindows(t *testing.T) {
+	is := is.New(t)
+	var m Measure
+	start := time.Now()
+	m.begin(start)
+	m.Series("club", "call").Stall(time.Second)
+	m.Rotate(start)
+	is.Equal(m.Figures().Series[1].Stall.Count, int64(1))
+	m.Rotate(start.Add(2 * WindowLength))
+	is.Equal(m.Figures().Series[1].Stall.Count, int64(0))
+}
+
+func TestHandlerWritesJSON(t *testing.T) {
+	is := is.New(t)
+	var m Measure
+	m.Series("club", "call").FirstToken(time.Millisecond)
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/debug/vars", nil))
+	var got struct {
+		Fulmarvalve Figures
+		Memstats    json.RawMessage `json:"memstats"`
+	}
+	is.NoErr(json.Unmarshal(recorder.Body.Bytes(), &got))
+	is.Equal(got.Fulmarvalve.Series[1].FirstToken.Count, int64(1))
+	is.True(len(got.Memstats) > 0)
+}
+
+func BenchmarkRecord(b *testing.B) {
+	var m Measure
+	s := m.Series("club", "call")
+	b.ReportAllocs()
+	for b.Loop() {
+		s.BetweenTokens(20 * time.Millisecond)
+	}
+}
+
+func BenchmarkRecordParallel(b *testing.B) {
+	var m Measure
+	s := m.Series("club", "call")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			s.BetweenTokens(20 * time.Millisecond)
+		}
+	})
+}
+
+func BenchmarkFigures(b *testing.B) {
+	var m Measure
+	for i := range DefaultMaxSeries {
+		m.Series(strconv.Itoa(i), "call").Stall(time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Figures()
+	}
+}
--- /dev/null
+++ b/internal/records/measure/query.go
@@ -0,0 +1,110 @@
+package measure
+
+import (
+	"cmp"
+	"expvar"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// VarName is the name under which the figures stand among the expvar ones.
+const VarName = "Fulmarvalve"
+
+// Figures are all figures of a process at one moment.
+type Figures struct {
+	// WindowEndsAt is the time of the next rotation.
+	WindowEndsAt time.Time
+	// Series in order of account and class.
+	Series []SeriesFigures
+	// Overflowed counts the requests that fell into the series Other.
+	Overflowed int64
+	// Results counts finished requests by result code.
+	Results map[string]int64
+	Retries int64
+	// RejectedFrames counts frames by the reason for which they were rejected.
+	RejectedFrames map[string]int64
+}
+
+// SeriesFigures are the figures of one client account and class.
+type SeriesFigures struct {
+	Account string
+	Class   string
+	// Stall, FirstToken and BetweenTokens are times in milliseconds.
+	Stall         Quantiles
+	FirstToken    Quantiles
+	BetweenTokens Quantiles
+	// Preemptions since the process started.
+	Preemptions int64
+}
+
+// WindowEndsAt returns the time of the next rotation.
+func (m *Measure) WindowEndsAt() time.Time {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.windowEndsAt
+}
+
+// Figures returns all figures.
+func (m *Measure) Figures() Figures {
+	return Figures{
+		WindowEndsAt:   m.WindowEndsAt(),
+		Series:         m.seriesFigures(),
+		Overflowed:     m.overflowed.Load(),
+		Results:        counts(&m.results),
+		Retries:        m.retries.Value(),
+		RejectedFrames: counts(&m.rejectedFrames),
+	}
+}
+
+// Var returns the figures as an expvar variable, unpublished.
+func (m *Measure) Var() expvar.Var {
+	return expvar.Func(func() any { return m.Figures() })
+}
+
+// Handler writes the published variables of the process and the figures as one
+// JSON object. Several Measures may stand in one process, so the figures are
+// not published under a global name.
+func (m *Measure) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = fmt.Fprintf(w, "{\n%q: %s", VarName, m.Var())
+		expvar.Do(func(v expvar.KeyValue) {
+			if v.Key != VarName {
+				_, _ = fmt.Fprintf(w, ",\n%q: %s", v.Key, v.Value)
+			}
+		})
+		_, _ = fmt.Fprint(w, "\n}\n")
+	})
+}
+
+func (m *Measure) seriesFigures() []SeriesFigures {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make([]SeriesFigures, 0, len(m.series))
+	for key, s := range m.series {
+		all = append(all, SeriesFigures{
+			Account:       key.Account,
+			Class:         key.Class,
+			Stall:         s.stall.quantiles(),
+			FirstToken:    s.firstToken.quantiles(),
+			BetweenTokens: s.betweenTokens.quantiles(),
+			Preemptions:   s.preemptions.Load(),
+		})
+	}
+	slices.SortFunc(all, func(a, b SeriesFigures) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Class, b.Class))
+	})
+	return all
+}
+
+func counts(m *expvar.Map) map[string]int64 {
+	all := make(map[string]int64)
+	m.Do(func(v expvar.KeyValue) {
+		if count, ok := v.Value.(*expvar.Int); ok {
+			all[v.Key] = count.Value()
+		}
+	})
+	return all
+}
