feat: at-most-once state machine over the log

Two entry hosts may get the same idempotency key at once, and each may be paused between a check and its use, so no holder's own view can decide who runs the request. Verdicts therefore depend on log order and on the log's times alone: a batch counts when the lease record before it is its own and young enough, and the first valid claim of a key wins.

A rebind travels in the batch rather than as a record of its own, since the loss of an availability zone brings many at once. The time of a key is part of its identity, so that the owner can bound its register too.

--- /dev/null
+++ b/internal/permit/claim/claim.go
@@ -0,0 +1,111 @@
+// Package claim decides which request an idempotency key is bound to. It folds
+// the records of a partition's log stream into bindings. It has no I/O, no
+// clock and no goroutines: every verdict is a function of the records, their
+// offsets and the times at which the log took them, so that every reader of
+// the stream reaches the same one.
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+const (
+	// DefaultPartitions is the number of partitions that keys hash to.
+	DefaultPartitions = 64
+	// FutureSeconds is how far a key's time may lie ahead of the log's.
+	FutureSeconds = 60
+	// LeaseSeconds is how long, by the log's times, a lease record counts.
+	LeaseSeconds = 600
+	// ClockMarginSeconds bounds how far the log's times may step back.
+	ClockMarginSeconds = 60
+)
+
+const (
+	timeDigits = 12
+	hashBytes  = 16
+	keyLength  = timeDigits + 2*hashBytes
+)
+
+var (
+	// ErrKeyMalformed says that a key is no UUID of version 7.
+	ErrKeyMalformed = errors.New("idempotency key is not a UUID of version 7")
+	// ErrKeyExpired says that a key is older than the key window.
+	ErrKeyExpired = errors.New("idempotency key is older than the key window")
+	// ErrKeyFuture says that a key's time is too far in the future.
+	ErrKeyFuture = errors.New("idempotency key is from the future")
+)
+
+// KeyOf returns the identity of a client account's idempotency key: the key's
+// time in milliseconds, then a hash of account and key. All spellings of a
+// UUID have one identity. It fails with ErrKeyMalformed.
+func KeyOf(account, key string) (string, error) {
+	id, err := uuid.Parse(key)
+	if err != nil {
+		return "", errors.Wrapf(ErrKeyMalformed, "parse: %v", err)
+	}
+	if id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return "", errors.Wrapf(ErrKeyMalformed, "version %d", int(id.Version()))
+	}
+	sum := sha256.Sum256(append([]byte(account), id[:]...))
+	return hex.EncodeToString(id[:timeDigits/2]) + hex.EncodeToString(sum[:hashBytes]), nil
+}
+
+// TimeOf returns the time that a key identity carries. It fails with
+// ErrKeyMalformed.
+func TimeOf(key string) (time.Time, error) {
+	if len(key) != keyLength {
+		return time.Time{}, errors.Wrapf(ErrKeyMalformed, "identity of %d characters", len(key))
+	}
+	millis, err := strconv.ParseUint(key[:timeDigits], 16, 48)
+	if err != nil {
+		return time.Time{}, errors.Wrapf(ErrKeyMalformed, "time of identity: %v", err)
+	}
+	return time.UnixMilli(int64(millis)), nil
+}
+
+// CheckKey tells whether a key identity may be used at the time now, when keys
+// made before oldest are refused. It fails with ErrKeyMalformed, ErrKeyExpired
+// or ErrKeyFuture.
+func CheckKey(key string, now, oldest time.Time) error {
+	made, err := TimeOf(key)
+	if err != nil {
+		return err
+	}
+	if made.Before(oldest) {
+		return ErrKeyExpired
+	}
+	if made.After(now.Add(FutureSeconds * time.Second)) {
+		return ErrKeyFuture
+	}
+	return nil
+}
+
+// Oldest returns the time of the oldest key that may be used at the time now.
+func Oldest(now time.Time, keyWindowSeconds int) time.Time {
+	return now.Add(-time.Duration(keyWindowSeconds) * time.Second)
+}
+
+// Horizon returns the append time before which no record matters to keys that
+// may be used at the time now. The log must retain records for longer.
+func Horizon(now time.Time, keyWindowSeconds int) time.Time {
+	const margin = (FutureSeconds + LeaseSeconds + ClockMarginSeconds) * time.Second
+	return Oldest(now, keyWindowSeconds).Add(-margin)
+}
+
+// PartitionOf returns the partition of a key identity. All entry hosts must
+// use the same number of partitions.
+func PartitionOf(key string, partitions int) uint32 {
+	return uint32(xxhash.Sum64String(key) % uint64(max(partitions, 1)))
+}
+
+// StreamOf returns the name of a partition's log stream.
+func StreamOf(partition uint32) string {
+	return "claims-" + strconv.FormatUint(uint64(partition), 10)
+}
--- /dev/null
+++ b/internal/permit/claim/property_test.go
@@ -0,0 +1,254 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// variant is how the model's holders decide that a batch counts.
+type variant int
+
+const (
+	// readBack follows the protocol.
+	readBack variant = iota
+	// onAppend issues permits when the append is answered.
+	onAppend
+	// ownLease trusts a lease until the holder itself sees another.
+	ownLease
+	// rebindBlind replaces a binding without naming the one in force.
+	rebindBlind
+)
+
+const (
+	testWindowSeconds = 600
+	testHolders       = 2
+	testKeys          = 1
+)
+
+// step is one move of the model.
+type step struct {
+	Kind, Holder, Key, Seconds int
+	// Permit counts back from the newest one of the key.
+	Permit int
+}
+
+const (
+	stepLease = iota
+	stepPrepare
+	stepAppend
+	stepRead
+	stepRun
+	stepRefuse
+	stepRebind
+	stepKinds
+)
+
+func stepGenerator() *rapid.Generator[[]step] {
+	one := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind:    rapid.IntRange(0, stepKinds-1).Draw(t, "kind"),
+			Permit:  rapid.IntRange(0, 3).Draw(t, "permit"),
+			Holder:  rapid.IntRange(0, testHolders-1).Draw(t, "holder"),
+			Key:     rapid.IntRange(0, testKeys-1).Draw(t, "key"),
+			Seconds: secondsOf(rapid.IntRange(0, 39).Draw(t, "pause")),
+		}
+	})
+	return rapid.SliceOfN(one, 60, 160)
+}
+
+// secondsOf makes most moves immediate, and a few of them late.
+func secondsOf(pause int) int {
+	late := map[int]int{37: 1, 38: 30, 39: 400}
+	return late[pause]
+}
+
+type entry struct {
+	at     time.Time
+	record Record
+}
+
+type modelHolder struct {
+	state    *State
+	epoch    string
+	prepared *Batch
+}
+
+// model runs holders that are paused between any two moves over one stream,
+// and owners that run or refuse what they hold permits for.
+type model struct {
+	variant variant
+	now     time.Time
+	log     []entry
+	holders [testHolders]modelHolder
+	keys    [testKeys]string
+	// permits holds, for each key, every binding handed out.
+	permits [testKeys][]Binding
+	// refused and ran are the owners' registers by request.
+	refused, ran map[string]bool
+	runs         [testKeys]int
+}
+
+func newModel(v variant) *model {
+	m := &model{variant: v, now: testTime, refused: map[string]bool{}, ran: map[string]bool{}}
+	for i := range m.holders {
+		m.holders[i].state = NewState(0, testWindowSeconds, 1)
+	}
+	for i := range m.keys {
+		m.keys[i] = testKey(testTime, byte(i))
+	}
+	return m
+}
+
+func (m *model) append(r Record) {
+	m.log = append(m.log, entry{at: m.now, record: r})
+}
+
+func (m *model) fold(s *State) {
+	for offset := s.Next(); offset <= uint64(len(m.log)); offset++ {
+		e := m.log[offset-1]
+		s.Apply(offset, e.at, e.record)
+	}
+}
+
+func (m *model) move(i int, c step) {
+	m.now = m.now.Add(time.Duration(c.Seconds) * time.Second)
+	h := &m.holders[c.Holder]
+	switch c.Kind {
+	case stepLease:
+		h.epoch = fmt.Sprintf("e%d", i)
+		m.append(Lease{Epoch: h.epoch})
+	case stepPrepare:
+		h.prepared = &Batch{Epoch: h.epoch, Claims: []Claim{{Key: m.keys[c.Key], RequestID: fmt.Sprintf("r%d", i)}}}
+	case stepRebind:
+		m.prepareRebind(i, h, c.Key)
+	case stepAppend:
+		m.appendPrepared(h, c.Key)
+	case stepRead:
+		m.fold(h.state)
+		m.issue(h.state, c.Key)
+	case stepRun, stepRefuse:
+		m.own(c)
+	}
+}
+
+func (m *model) prepareRebind(i int, h *modelHolder, key int) {
+	b, ok := h.state.Lookup(m.keys[key])
+	if !ok || !m.refused[b.RequestID] {
+		return
+	}
+	claim := Claim{Key: b.Key, RequestID: fmt.Sprintf("r%d", i)}
+	h.prepared = &Batch{Epoch: h.epoch, Rebinds: []Rebind{{Claim: claim, Refused: b.Offset}}}
+}
+
+func (m *model) appendPrepared(h *modelHolder, key int) {
+	if h.prepared == nil {
+		return
+	}
+	b := *h.prepared
+	if m.variant == ownLease {
+		// The log's order of leases is ignored: the batch always counts.
+		if l, _ := h.state.Lease(); l.Epoch == h.epoch {
+			m.grant(b, key)
+		}
+	}
+	if m.variant == rebindBlind {
+		for i, c := range b.Rebinds {
+			if now, ok := m.reader().Lookup(c.Key); ok {
+				b.Rebinds[i].Refused = now.Offset
+			}
+		}
+	}
+	m.append(b)
+	if m.variant == onAppend {
+		m.grant(b, key)
+	}
+}
+
+// grant hands out permits for all claims of a batch without reading it back.
+func (m *model) grant(b Batch, key int) {
+	for _, c := range b.Claims {
+		if c.Key == m.keys[key] {
+			m.permits[key] = append(m.permits[key], Binding{Key: c.Key, RequestID: c.RequestID})
+		}
+	}
+}
+
+func (m *model) issue(s *State, key int) {
+	if b, ok := s.Lookup(m.keys[key]); ok {
+		m.permits[key] = append(m.permits[key], b)
+	}
+}
+
+// own lets the owner of a permit run the request once, or refuse it for good.
+func (m *model) own(c step) {
+	permits := m.permits[c.Key]
+	if len(permits) == 0 {
+		return
+	}
+	b := permits[max(len(permits)-1-c.Permit, 0)]
+	if m.refused[b.RequestID] || m.ran[b.RequestID] {
+		return
+	}
+	if c.Kind == stepRefuse {
+		m.refused[b.RequestID] = true
+		return
+	}
+	m.ran[b.RequestID] = true
+	m.runs[c.Key]++
+}
+
+func (m *model) reader() *State {
+	s := NewState(0, testWindowSeconds, 1)
+	m.fold(s)
+	return s
+}
+
+// check returns an error when a key ran twice.
+func (m *model) check() error {
+	for i, runs := range m.runs {
+		if runs > 1 {
+			return errors.Newf("key %d ran %d times", i, runs)
+		}
+	}
+	return nil
+}
+
+func runModel(v variant, steps []step) error {
+	m := newModel(v)
+	for i, c := range steps {
+		m.move(i, c)
+	}
+	return m.check()
+}
+
+func TestAtMostOneRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := runModel(readBack, stepGenerator().Draw(t, "steps")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestBrokenVariantsAreFound shows that the property can fail.
+func TestBrokenVariantsAreFound(t *testing.T) {
+	const seeds = 20000
+	for name, v := range map[string]variant{"on append": onAppend, "own lease": ownLease, "blind rebind": rebindBlind} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range seeds {
+				steps := stepGenerator().Example(seed)
+				is.NoErr(runModel(readBack, steps))
+				if err := runModel(v, steps); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatalf("no violation in %d seeds", seeds)
+		})
+	}
+}
