--- a/internal/standin/serving/fault.go
+++ b/internal/standin/serving/fault.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/gorilla/mux"
 )
 
 // TakeOne counts n down and reports whether it was above zero.
@@ -34,3 +37,19 @@
 		return nil
 	}
 }
+
+// Outage answers 503 while down is set, and else delays each request.
+func Outage(down *atomic.Bool, slowMillis *atomic.Int64) mux.MiddlewareFunc {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if down.Load() {
+				http.Error(w, "service is down", http.StatusServiceUnavailable)
+				return
+			}
+			if err := Delay(r.Context(), slowMillis.Load()); err != nil {
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
