--- /dev/null
+++ b/cmd/backend.go
@@ -0,0 +1,32 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/role/backendhost"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+func newBackendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "backend",
+		Usage: "run the process beside a backend server; the first signal drains it, the second cuts it",
+		Flags: hostFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			log, err := newHostLog(c)
+			if err != nil {
+				return err
+			}
+			settings, err := process.LoadBackend(c.String("settings"))
+			if err != nil {
+				return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
+			}
+			host := &backendhost.Host{Settings: settings, Log: log, Version: Version}
+			return withCode(ExitFailure, lifetime.WithSignals(ctx, host.Run))
+		},
+	}
+}
--- /dev/null
+++ b/cmd/entry.go
@@ -0,0 +1,52 @@
+package cmd
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/entryhost"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+// hostFlags are the flags of the two long-running roles.
+func hostFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "settings", Usage: "settings file of the process", Required: true},
+		&cli.StringFlag{Name: "log-level", Usage: "Debug, Info, Warn or Error", Value: "Info"},
+		&cli.StringFlag{Name: "log-format", Usage: "Text or JSON", Value: diary.FormatText},
+	}
+}
+
+// newHostLog returns the log that the flags ask for.
+func newHostLog(c *cli.Command) (*slog.Logger, error) {
+	log, err := diary.New(c.Root().ErrWriter, diary.Settings{
+		Level:  c.String("log-level"),
+		Format: c.String("log-format"),
+	})
+	return log, withCode(ExitUsage, err)
+}
+
+func newEntryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run the process of an entry host; the first signal drains it, the second cuts it",
+		Flags: hostFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			log, err := newHostLog(c)
+			if err != nil {
+				return err
+			}
+			settings, err := process.LoadEntry(c.String("settings"))
+			if err != nil {
+				return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
+			}
+			host := &entryhost.Host{Settings: settings, Log: log, Version: Version}
+			return withCode(ExitFailure, lifetime.WithSignals(ctx, host.Run))
+		},
+	}
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -52,9 +50,7 @@
 
 // Execute runs the program with the given arguments and returns its exit code.
 func Execute(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return run(ctx, args, os.Stdout, os.Stderr)
+	return run(context.Background(), args, os.Stdout, os.Stderr)
 }
 
 // run executes the command tree and maps its error to an exit code.
@@ -81,6 +77,11 @@
 		Action:         rejectUnknownCommand,
 		Commands: []*cli.Command{
 			newCheckCommand(),
+			newEntryCommand(),
+			newBackendCommand(),
+			newStatusCommand(),
+			newExplainCommand(),
+			newDrainCommand(),
 			newVersionCommand(),
 		},
 	}
--- /dev/null
+++ b/internal/role/backendhost/engine.go
@@ -0,0 +1,27 @@
+package backendhost
+
+import (
+	"context"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/keeper"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+)
+
+// engineAdapter lets the keeper use the client of the engine.
+type engineAdapter struct {
+	client *engine.Client
+}
+
+// Generate opens a stream of the engine.
+func (a engineAdapter) Generate(ctx context.Context, request engine.Request) (keeper.Stream, error) {
+	stream, err := a.client.Generate(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
+// Cancel stops a generation at the engine.
+func (a engineAdapter) Cancel(ctx context.Context, id string) error {
+	return a.client.Cancel(ctx, id)
+}
--- /dev/null
+++ b/internal/wire/line/http.go
@@ -0,0 +1,70 @@
+package line
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// headerMillis bounds the head of a request.
+	headerMillis = 5000
+	// shutdownMillis bounds the end of answers when a server stops.
+	shutdownMillis = 2000
+	// idleConnections bounds the idle connections to one engine.
+	idleConnections = 64
+)
+
+// ServeHTTP serves handler until ctx ends, then lets open answers end within a
+// bounded time.
+func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerMillis * time.Millisecond,
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		bounded, stop := context.WithDeadline(context.WithoutCancel(ctx), time.Now().Add(shutdownMillis*time.Millisecond))
+		defer stop()
+		if err := server.Shutdown(bounded); err != nil {
+			return server.Close()
+		}
+		return nil
+	})
+	group.Go(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrap(err, "serve HTTP")
+	})
+	return group.Wait()
+}
+
+// NewTransport returns a transport for the engine or plain service beside the
+// process.
+func NewTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = idleConnections
+	return transport
+}
+
+// Must panics on an error that only a programming fault can cause.
+func Must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Listen opens a TCP listener at address, a host and port.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	return listener, errors.Wrapf(err, "listen at %s", address)
+}
