feat: fold, reader and version exchange of the operator file

Operators race each other, log records expire, and most processes cannot read the log at the size that the project aims for. A lock in the log or a lease for the writer was ruled out, because both need a clock or a holder that can be paused.

An entry of a newer format stops the fold, because a guess could differ from the verdict of newer readers.

The register never goes back.

--- /dev/null
+++ b/internal/settings/edition/exchanger.go
@@ -0,0 +1,185 @@
+package edition
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// ExchangePeriodMillis is the mean pause between exchanges with random
+	// peers.
+	ExchangePeriodMillis = 1000
+	// SpreadPeers is the number of random peers that hear of a new version at
+	// once.
+	SpreadPeers = 2
+
+	// exchangeTimeoutMillis limits one exchange.
+	exchangeTimeoutMillis = 2000
+	// recordsPerSecond limits the documents that one process sends.
+	recordsPerSecond = 4
+	// hintCapacity bounds the hints that wait; further ones are dropped, because
+	// the exchange with random peers makes up for them.
+	hintCapacity = 8
+)
+
+// Peers reaches the other processes.
+type Peers interface {
+	// Pick returns the address of a random peer. It reports false when none is
+	// known.
+	Pick() (string, bool)
+	// Exchange sends a request to a peer.
+	Exchange(ctx context.Context, peer string, request *message.ExchangeRequest) (*message.ExchangeReply, error)
+}
+
+// Exchanger compares versions with peers and fetches what this process lacks.
+type Exchanger struct {
+	// Name is the address at which peers reach this process.
+	Name string
+	// Register holds the edition in force.
+	Register *Register
+	// Peers reaches the other processes.
+	Peers Peers
+	// Random returns a number from [0, 1). Nil means math/rand.
+	Random func() float64
+
+	once sync.Once
+	// hints are peers that are known to hold a newer version.
+	hints chan hint
+	// records limits the documents that are sent.
+	records *rate.Limiter
+	// encoded caches the document in force, compressed.
+	encoded atomic.Pointer[encodedState]
+}
+
+// hint says that a peer held a version.
+type hint struct {
+	version uint64
+	peer    string
+}
+
+// encodedState is a snapshot ready to be sent.
+type encodedState struct {
+	version uint64
+	through uint64
+	data    []byte
+}
+
+// Run exchanges versions until ctx ends.
+func (e *Exchanger) Run(ctx context.Context) error {
+	e.init()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.runPeriodic(ctx) })
+	g.Go(func() error { return e.runHints(ctx) })
+	g.Go(func() error { return e.runSpread(ctx) })
+	return g.Wait()
+}
+
+// runPeriodic exchanges versions with random peers, so that a version reaches
+// every process whatever messages were lost.
+func (e *Exchanger) runPeriodic(ctx context.Context) error {
+	nextAt := time.Now().Add(time.Duration(e.random() * ExchangePeriodMillis * float64(time.Millisecond)))
+	for sleepUntil(ctx, nextAt) {
+		nextAt = time.Now().Add(jittered(ExchangePeriodMillis*time.Millisecond, e.random()))
+		e.exchangeWithRandom(ctx)
+	}
+	return nil
+}
+
+// runHints fetches newer versions from peers that are known to hold one.
+func (e *Exchanger) runHints(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case h := <-e.hints:
+			if h.version > e.Register.Version() {
+				e.exchange(ctx, h.peer)
+			}
+		}
+	}
+}
+
+// runSpread tells random peers of each new version at once.
+func (e *Exchanger) runSpread(ctx context.Context) error {
+	for {
+		changed := e.Register.Changed()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			for range SpreadPeers {
+				e.exchangeWithRandom(ctx)
+			}
+		}
+	}
+}
+
+func (e *Exchanger) exchangeWithRandom(ctx context.Context) {
+	if peer, ok := e.Peers.Pick(); ok {
+		e.exchange(ctx, peer)
+	}
+}
+
+// exchange compares versions with one peer. Failures are not reported, because
+// the next exchange makes up for them.
+func (e *Exchanger) exchange(ctx context.Context, peer string) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(exchangeTimeoutMillis*time.Millisecond))
+	defer cancel()
+	request := &message.ExchangeRequest{Name: e.Name, Version: e.Register.Version()}
+	reply, err := e.Peers.Exchange(ctx, peer, request)
+	if err != nil {
+		slog.Debug("config: peer gave no answer", "peer", peer, "error", err)
+		return
+	}
+	if reply.GetVersion() <= e.Register.Version() || len(reply.GetRecord()) == 0 {
+		return
+	}
+	if err := e.adopt(reply.GetRecord()); err != nil {
+		slog.Warn("config: record of a peer is not taken", "peer", peer, "error", err)
+	}
+}
+
+// adopt puts a snapshot that a peer sent in force.
+func (e *Exchanger) adopt(data []byte) error {
+	entry, err := Decode(data)
+	if err != nil {
+		return err
+	}
+	snapshot, ok := entry.(Snapshot)
+	if !ok {
+		return errors.Newf("expected a snapshot, found %T", entry)
+	}
+	state, err := StateOf(snapshot)
+	if err != nil {
+		return err
+	}
+	changed, err := e.Register.Offer(state)
+	if changed {
+		slog.Info("config: version is taken from a peer", "version", state.Edition.Version)
+	}
+	return err
+}
+
+func (e *Exchanger) init() {
+	e.once.Do(func() {
+		e.hints = make(chan hint, hintCapacity)
+		e.records = rate.NewLimiter(recordsPerSecond, recordsPerSecond)
+	})
+}
+
+func (e *Exchanger) random() float64 {
+	if e.Random == nil {
+		return rand.Float64()
+	}
+	return e.Random()
+}
--- /dev/null
+++ b/internal/settings/edition/fold.go
@@ -0,0 +1,135 @@
+package edition
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+)
+
+// State is what the fold knows after a prefix of the stream. It is immutable;
+// the zero value is the state before the first record.
+type State struct {
+	// Edition is in force after the prefix.
+	Edition Edition
+	// Through is the offset of the last record of the prefix.
+	Through uint64
+	// AnchoredAt is when the log took the latest snapshot of the prefix, by the
+	// log's clock. It is zero when the prefix holds none.
+	AnchoredAt time.Time
+}
+
+// WithThrough returns the state with a longer prefix that changed nothing.
+func (s State) WithThrough(through uint64) State {
+	s.Through = through
+	return s
+}
+
+// WithAnchoredAt returns the state with a snapshot taken by the log at the given
+// time.
+func (s State) WithAnchoredAt(at time.Time) State {
+	s.AnchoredAt = at
+	return s
+}
+
+// WithEdition returns the state with another edition in force.
+func (s State) WithEdition(e Edition) State {
+	s.Edition = e
+	return s
+}
+
+// Snapshot returns the entry that states s.
+func (s State) Snapshot() Snapshot {
+	return Snapshot{
+		ID:       s.Edition.ID,
+		Author:   s.Edition.Author,
+		Version:  s.Edition.Version,
+		Document: s.Edition.text,
+		Through:  s.Through,
+
+		AnchoredAt: s.AnchoredAt,
+	}
+}
+
+// StateOf returns the state that a snapshot states. It fails when the document
+// is invalid.
+func StateOf(snapshot Snapshot) (State, error) {
+	e, err := newEdition(snapshot.Version, snapshot.ID, snapshot.Author, snapshot.Document)
+	if err != nil {
+		return State{}, errors.Wrap(err, "parse the document of a snapshot")
+	}
+	return State{Edition: e, Through: snapshot.Through, AnchoredAt: snapshot.AnchoredAt}, nil
+}
+
+// Apply folds the next record of the stream into the state. A record that the
+// state covers already changes nothing. The record's offset must not leave a
+// gap. Apply depends on its arguments alone.
+func (s State) Apply(record journal.Record) (State, Verdict) {
+	if record.Offset <= s.Through {
+		return s, Repeated{}
+	}
+	if record.Offset != s.Through+1 {
+		panic(errors.AssertionFailedf("record %d does not follow %d", record.Offset, s.Through))
+	}
+	entry, err := Decode(record.Data)
+	if errors.Is(err, ErrNewerFormat) {
+		return s, Undecided{Reason: err}
+	}
+	next := s.WithThrough(record.Offset)
+	if err != nil {
+		return next, Void{Reason: err}
+	}
+	switch e := entry.(type) {
+	case Proposal:
+		return next.propose(e)
+	case Snapshot:
+		return next.restate(e, record.AppendedAt)
+	default:
+		panic(errors.AssertionFailedf("unknown kind of entry: %T", e))
+	}
+}
+
+// propose decides a proposal.
+func (s State) propose(p Proposal) (State, Verdict) {
+	current := s.Edition
+	if p.ID == current.ID {
+		return s, Repeated{}
+	}
+	if p.Replaces != current.Version {
+		return s, Conflicting{
+			Replaces: p.Replaces,
+			InForce:  current.Version,
+			Winner:   current.ID,
+			Author:   current.Author,
+		}
+	}
+	if p.Version != p.Replaces+1 {
+		return s, Void{Reason: errors.Newf("version %d cannot replace %d", p.Version, p.Replaces)}
+	}
+	e, err := newEdition(p.Version, p.ID, p.Author, p.Document)
+	if err != nil {
+		return s, Void{Reason: err}
+	}
+	return s.WithEdition(e), Accepted{Version: e.Version}
+}
+
+// restate decides a snapshot. A snapshot that a holder took never exceeds the
+// fold's version. One that does was published to restart the stream, and all
+// readers take it.
+func (s State) restate(snapshot Snapshot, appendedAt time.Time) (State, Verdict) {
+	if snapshot.Through >= s.Through {
+		return s, Void{Reason: errors.New("snapshot states more than its own past")}
+	}
+	if snapshot.Version < s.Edition.Version {
+		return s, Repeated{}
+	}
+	if snapshot.Version == s.Edition.Version {
+		return s.WithAnchoredAt(appendedAt), Repeated{}
+	}
+	e, err := newEdition(snapshot.Version, snapshot.ID, snapshot.Author, snapshot.Document)
+	if err != nil {
+		return s, Void{Reason: err}
+	}
+	return s.WithEdition(e).WithAnchoredAt(appendedAt), Accepted{Version: e.Version}
+}
--- /dev/null
+++ b/internal/settings/edition/register.go
@@ -0,0 +1,59 @@
+package edition
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrDiverged says that two proposals hold the same version, which the fold
+// rules out.
+var ErrDiverged = errors.New("another proposal holds the same version")
+
+// Register holds the edition in force in this process. It never goes back to
+// an earlier version. The zero value is ready and empty.
+type Register struct {
+	// state is nil until the first edition or position is known. Its version
+	// never goes down.
+	state atomic.Pointer[State]
+
+	// mu serialises writers.
+	mu sync.Mutex
+	// changed is closed at the next change of the edition.
+	changed chan struct{}
+}
+
+// Offer puts the state in force when it has a newer version. A state of the
+// same version only lengthens the prefix that is known. It reports whether the
+// edition changed.
+func (r *Register) Offer(offered State) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.State()
+	if offered.Edition.Version < current.Edition.Version {
+		return false, nil
+	}
+	if offered.Edition.Version == current.Edition.Version {
+		return false, r.lengthen(current, offered)
+	}
+	r.state.Store(&offered)
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+	return true, nil
+}
+
+// lengthen takes over a longer prefix of the same version.
+func (r *Register) lengthen(current, offered State) error {
+	if offered.Edition.ID != current.Edition.ID {
+		return errors.Wrapf(ErrDiverged, "version %d: %s is in force, %s was offered",
+			current.Edition.Version, current.Edition.ID, offered.Edition.ID)
+	}
+	if offered.Through > current.Through {
+		longer := current.WithThrough(offered.Through)
+		r.state.Store(&longer)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/edition/register_query.go
@@ -0,0 +1,33 @@
+package edition
+
+// State returns the edition in force and the prefix of the stream that it was
+// decided by.
+func (r *Register) State() State {
+	state := r.state.Load()
+	if state == nil {
+		return State{}
+	}
+	return *state
+}
+
+// Current returns the edition in force. It reports false when there is none.
+func (r *Register) Current() (Edition, bool) {
+	e := r.State().Edition
+	return e, e.Version > 0
+}
+
+// Version returns the version in force, or zero when there is none.
+func (r *Register) Version() uint64 {
+	return r.State().Edition.Version
+}
+
+// Changed returns a channel that is closed at the next change of the edition.
+// Ask for it before reading the edition, so that no change is missed.
+func (r *Register) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.changed
+}
--- /dev/null
+++ b/internal/settings/edition/republication.go
@@ -0,0 +1,47 @@
+package edition
+
+import (
+	"context"
+	"time"
+)
+
+// republication plans the next snapshot.
+type republication struct {
+	// dueAt is when a snapshot is to be published. It is drawn anew whenever
+	// the latest snapshot changes.
+	dueAt time.Time
+	// anchoredAt is the time of the snapshot that dueAt was drawn for.
+	anchoredAt time.Time
+}
+
+// due reports whether a snapshot of the state is to be published now. Each
+// holder draws its own time, so that usually one publishes and the others see
+// its snapshot before their time comes.
+func (p *republication) due(state State, now time.Time, period time.Duration, random float64) bool {
+	delay := time.Duration(random * float64(period))
+	switch {
+	case state.Edition.Version == 0:
+		return false
+	case state.AnchoredAt.IsZero() && p.dueAt.IsZero():
+		p.dueAt = now.Add(delay)
+	case !state.AnchoredAt.Equal(p.anchoredAt):
+		p.anchoredAt = state.AnchoredAt
+		p.dueAt = state.AnchoredAt.Add(period + delay)
+	}
+	return !now.Before(p.dueAt)
+}
+
+// keepSnapshot publishes a snapshot when one is due. The state must reach to
+// the end of the stream.
+func (r *Reader) keepSnapshot(ctx context.Context, state State) error {
+	seconds := r.RepublishSeconds
+	if seconds == 0 {
+		seconds = DefaultRepublishSeconds
+	}
+	period := time.Duration(seconds) * time.Second
+	if !r.republish.due(state, time.Now(), period, r.random()) {
+		return nil
+	}
+	r.republish.dueAt = time.Now().Add(period)
+	return publishSnapshot(ctx, r.Log, state)
+}
