--- /dev/null
+++ b/internal/standin/serving/fault.go
@@ -0,0 +1,55 @@
+package serving
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// TakeOne counts n down and reports whether it was above zero.
+func TakeOne(n *atomic.Int64) bool {
+	for {
+		left := n.Load()
+		if left <= 0 {
+			return false
+		}
+		if n.CompareAndSwap(left, left-1) {
+			return true
+		}
+	}
+}
+
+// Delay waits for a number of milliseconds, and returns the error of ctx when
+// it ends before.
+func Delay(ctx context.Context, millis int64) error {
+	if millis <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Outage answers 503 while down is set, and else delays each request.
+func Outage(down *atomic.Bool, slowMillis *atomic.Int64) mux.MiddlewareFunc {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if down.Load() {
+				http.Error(w, "service is down", http.StatusServiceUnavailable)
+				return
+			}
+			if err := Delay(r.Context(), slowMillis.Load()); err != nil {
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
