feat: choice of the generation to preempt

Tiers keep once-only drafts and urgent answers to the last; within a tier the cheapest goes, by the context computed again, the part already done and earlier preemptions, weighed by the policy.

--- /dev/null
+++ b/internal/backend/precedence/choose.go
@@ -0,0 +1,122 @@
+package precedence
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// tokensPerCost is the unit of StallWeight.
+	tokensPerCost = 1000
+	// restartBelow is the number of produced tokens below which a restart
+	// wastes less than keeping the place on the engine.
+	restartBelow = 8
+)
+
+// tier orders generations by what a preemption puts at risk. A lower tier is
+// exhausted before the next one is touched.
+type tier int
+
+const (
+	tierRepeatable tier = iota
+	tierOnce
+	tierUrgent
+)
+
+// Choose returns the generations to preempt so that the needed memory comes
+// free at the least cost.
+func Choose(need Need, running []Generation, rules Rules) Decision {
+	if need.Tokens <= 0 {
+		return Keep{Reason: ReasonNoNeed}
+	}
+	ranked := rank(need, running, rules)
+	if i := single(need, ranked); i >= 0 {
+		return Preempt{Victims: []Victim{ranked[i].victim()}, FreedTokens: ranked[i].frees()}
+	}
+	freed := 0
+	var victims []Victim
+	for _, r := range ranked {
+		victims = append(victims, r.victim())
+		freed += r.frees()
+		if freed >= need.Tokens {
+			return Preempt{Victims: victims, FreedTokens: freed}
+		}
+	}
+	return Keep{Reason: ReasonTooFew}
+}
+
+// Cost returns the weighted cost of preempting a generation: the preemption,
+// the context computed again, and the memory it would soon have freed itself.
+func Cost(g Generation, rules Rules) float64 {
+	rebuild := float64(g.PromptTokens-g.CachedTokens+g.Produced) / tokensPerCost
+	done := float64(g.Produced) / float64(max(g.Produced+g.Remaining, 1))
+	return rules.StallWeight*rebuild + rules.PreemptionWeight*(done+float64(g.Preemptions))
+}
+
+// candidate is a generation with its place in the order of preemption.
+type candidate struct {
+	Generation
+	tier tier
+	cost float64
+}
+
+// rank returns the generations that may be preempted, the first to go first.
+func rank(need Need, running []Generation, rules Rules) []candidate {
+	ranked := make([]candidate, 0, len(running))
+	for _, g := range running {
+		if g.Urgent && need.Urgent {
+			continue
+		}
+		ranked = append(ranked, candidate{Generation: g, tier: tierOf(g), cost: Cost(g, rules)})
+	}
+	slices.SortFunc(ranked, func(first, second candidate) int {
+		return cmp.Or(
+			cmp.Compare(first.tier, second.tier),
+			cmp.Compare(first.Priority, second.Priority),
+			cmp.Compare(first.cost, second.cost),
+			cmp.Compare(first.RequestID, second.RequestID),
+		)
+	})
+	return ranked
+}
+
+// single returns the index of the cheapest generation that frees enough alone,
+// within the tier and priority that go first, or -1.
+func single(need Need, ranked []candidate) int {
+	for i, r := range ranked {
+		if r.tier != ranked[0].tier || r.Priority != ranked[0].Priority {
+			return -1
+		}
+		if r.frees() >= need.Tokens {
+			return i
+		}
+	}
+	return -1
+}
+
+func tierOf(g Generation) tier {
+	switch {
+	case g.Urgent:
+		return tierUrgent
+	case !g.Repeatable:
+		return tierOnce
+	default:
+		return tierRepeatable
+	}
+}
+
+// frees returns the memory that the preemption frees, in tokens.
+func (c candidate) frees() int {
+	return c.PromptTokens - c.CachedTokens + c.Produced
+}
+
+func (c candidate) victim() Victim {
+	return Victim{RequestID: c.RequestID, Cost: c.cost, Resume: c.resumption()}
+}
+
+func (c candidate) resumption() Resume {
+	if c.Repeatable && c.Delivered == 0 && c.Produced < restartBelow {
+		return Restart{}
+	}
+	return Recompute{Tokens: c.frees()}
+}
--- /dev/null
+++ b/internal/backend/precedence/precedence_test.go
@@ -0,0 +1,132 @@
+package precedence
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var even = Rules{StallWeight: 1, PreemptionWeight: 1}
+
+func TestChoose(t *testing.T) {
+	old := Generation{RequestID: "old", Repeatable: true, PromptTokens: 100, Produced: 900, Delivered: 900, Remaining: 900}
+	young := Generation{RequestID: "young", Repeatable: true, PromptTokens: 100, Produced: 90, Delivered: 90, Remaining: 900}
+	fresh := Generation{RequestID: "fresh", Repeatable: true, PromptTokens: 100, Remaining: 900}
+	once := Generation{RequestID: "once", PromptTokens: 100, Produced: 5, Remaining: 900}
+	urgent := Generation{RequestID: "urgent", Urgent: true, Repeatable: true, PromptTokens: 100, Remaining: 20}
+	low := Generation{RequestID: "low", Repeatable: true, Priority: -1, PromptTokens: 100, Produced: 500, Delivered: 500}
+	again := young
+	again.RequestID, again.Preemptions = "again", 1
+
+	cases := []struct {
+		name    string
+		need    Need
+		running []Generation
+		want    []string
+	}{
+		{"the younger goes", Need{Tokens: 50}, []Generation{old, young}, []string{"young"}},
+		{"a once-only draft goes last", Need{Tokens: 50}, []Generation{once, old}, []string{"old"}},
+		{"an urgent one goes after a once-only draft", Need{Tokens: 50}, []Generation{urgent, once}, []string{"once"}},
+		{"a lower priority goes first", Need{Tokens: 50}, []Generation{young, low}, []string{"low"}},
+		{"one that was preempted before is spared", Need{Tokens: 50}, []Generation{again, young}, []string{"young"}},
+		{"one that frees enough alone", Need{Tokens: 500}, []Generation{young, fresh, old}, []string{"old"}},
+		{"several when none is enough", Need{Tokens: 1100}, []Generation{young, old}, []string{"young", "old"}},
+		{"nothing needed", Need{}, []Generation{young}, nil},
+		{"not enough to free", Need{Tokens: 5000}, []Generation{young}, nil},
+		{"urgent spares urgent", Need{Tokens: 50, Urgent: true}, []Generation{urgent}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var got []string
+			if p, ok := Choose(c.need, c.running, even).(Preempt); ok {
+				for _, v := range p.Victims {
+					got = append(got, v.RequestID)
+				}
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+func TestResume(t *testing.T) {
+	cases := []struct {
+		name string
+		g    Generation
+		want Resume
+	}{
+		{"nothing delivered", Generation{Repeatable: true, PromptTokens: 10}, Restart{}},
+		{"delivered", Generation{Repeatable: true, PromptTokens: 10, Produced: 2, Delivered: 2}, Recompute{Tokens: 12}},
+		{"far on", Generation{Repeatable: true, PromptTokens: 10, Produced: 500}, Recompute{Tokens: 510}},
+		{"once only", Generation{PromptTokens: 10}, Recompute{Tokens: 10}},
+		{"cached prefix", Generation{PromptTokens: 10, CachedTokens: 4, Produced: 1}, Recompute{Tokens: 7}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p, ok := Choose(Need{Tokens: 1}, []Generation{c.g}, even).(Preempt)
+			is.True(ok)
+			is.Equal(p.Victims[0].Resume, c.want)
+		})
+	}
+}
+
+func TestChooseProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		running := rapid.SliceOfN(rapid.Custom(drawGeneration), 0, 20).Draw(t, "running")
+		for i := range running {
+			running[i].RequestID = fmt.Sprint(i)
+		}
+		need := Need{Tokens: rapid.IntRange(1, 5000).Draw(t, "need")}
+		p, ok := Choose(need, running, even).(Preempt)
+		if !ok {
+			return
+		}
+		if p.FreedTokens < need.Tokens {
+			t.Fatalf("freed %d of %d", p.FreedTokens, need.Tokens)
+		}
+		checkTiers(t, running, p)
+	})
+}
+
+// checkTiers fails when a once-only generation is preempted and a repeatable
+// one, not urgent, is kept that would have been enough without it.
+func checkTiers(t *rapid.T, running []Generation, p Preempt) {
+	chosen := map[string]bool{}
+	for _, v := range p.Victims {
+		chosen[v.RequestID] = true
+	}
+	risky, kept := false, false
+	for _, g := range running {
+		risky = risky || (chosen[g.RequestID] && tierOf(g) > tierRepeatable)
+		kept = kept || (!chosen[g.RequestID] && tierOf(g) == tierRepeatable)
+	}
+	if risky && kept {
+		t.Fatalf("a once-only or urgent generation goes before a repeatable one")
+	}
+}
+
+func drawGeneration(t *rapid.T) Generation {
+	g := Generation{
+		Priority:     rapid.IntRange(-1, 1).Draw(t, "priority"),
+		Urgent:       rapid.Bool().Draw(t, "urgent"),
+		Repeatable:   rapid.Bool().Draw(t, "repeatable"),
+		PromptTokens: rapid.IntRange(1, 500).Draw(t, "prompt"),
+		Produced:     rapid.IntRange(0, 500).Draw(t, "produced"),
+	}
+	g.Delivered = rapid.IntRange(0, g.Produced).Draw(t, "delivered")
+	return g
+}
+
+func BenchmarkChoose(b *testing.B) {
+	running := make([]Generation, 64)
+	for i := range running {
+		running[i] = Generation{RequestID: fmt.Sprint(i), Repeatable: i%2 == 0, PromptTokens: 100, Produced: i * 10}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Choose(Need{Tokens: 64}, running, even)
+	}
+}
