--- /dev/null
+++ b/internal/routing/allowance/budget.go
@@ -0,0 +1,86 @@
+package allowance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// permille is one retry in the unit of the balance.
+	permille = 1000
+	// backoffMultiplier is the growth of the interval between attempts.
+	backoffMultiplier = 2
+)
+
+// Succeed records a request that ended well, which pays for a part of a retry.
+func (b *Budget) Succeed() {
+	b.saved = min(b.saved+b.Rules.SuccessPermille, b.Rules.BurstRetries*permille)
+}
+
+// Decide tells whether and when a failed attempt is repeated, and takes the
+// repeat from the budget.
+func (b *Budget) Decide(a Attempt, random *rand.Rand, now time.Time) Decision {
+	at := b.retryAt(a, random, now)
+	switch {
+	case a.Outcome == OutcomeUnknown && !a.Repeatable:
+		return GiveUp{Reason: ReasonNotRepeatable}
+	case a.Count >= b.Rules.AttemptLimit:
+		return GiveUp{Reason: ReasonAttempts, RetryAt: at}
+	case !a.Deadline.IsZero() && !at.Before(a.Deadline):
+		return GiveUp{Reason: ReasonDeadline, RetryAt: at}
+	case !b.take(now):
+		return GiveUp{Reason: ReasonBudget, RetryAt: at}
+	default:
+		return Retry{At: at}
+	}
+}
+
+// Left returns the retries that have been saved up.
+func (b *Budget) Left() int {
+	return b.saved / permille
+}
+
+// take spends one retry, first from the balance, then from the floor rate.
+func (b *Budget) take(now time.Time) bool {
+	if b.saved >= permille {
+		b.saved -= permille
+		return true
+	}
+	if b.floor == nil {
+		b.floor = rate.NewLimiter(rate.Limit(b.Rules.FloorPerSecond), max(b.Rules.FloorPerSecond, 1))
+	}
+	return b.floor.AllowN(now, 1)
+}
+
+// retryAt returns the time of the next attempt. The first repeat after a refusal
+// goes to another backend server at once.
+func (b *Budget) retryAt(a Attempt, random *rand.Rand, now time.Time) time.Time {
+	if a.Outcome == OutcomeNotRun && a.Count == 1 && a.OthersLeft {
+		return now
+	}
+	at := now.Add(b.interval(a.Count, random))
+	if !a.OthersLeft && at.Before(a.RetryAt) {
+		return a.RetryAt.Add(b.interval(1, random))
+	}
+	return at
+}
+
+// interval returns the backoff after the given number of attempts, drawn evenly
+// from its upper half.
+func (b *Budget) interval(count int, random *rand.Rand) time.Duration {
+	policy := backoff.ExponentialBackOff{
+		InitialInterval: time.Duration(b.Rules.FirstMillis) * time.Millisecond,
+		Multiplier:      backoffMultiplier,
+		MaxInterval:     time.Duration(b.Rules.MostMillis) * time.Millisecond,
+	}
+	policy.Reset()
+	interval := policy.InitialInterval
+	for range min(count, b.Rules.AttemptLimit) {
+		interval = policy.NextBackOff()
+	}
+	half := interval / 2
+	return half + time.Duration(random.Float64()*float64(half))
+}
