--- /dev/null
+++ b/internal/routing/referral/rules.go
@@ -0,0 +1,29 @@
+package referral
+
+import (
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/choice"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+// rulesOf scales the default rules by the configured routing intent, in which
+// a preference of the default value stands for the default rule.
+func rulesOf(routing agreement.Routing) choice.Rules {
+	rules := choice.DefaultRules()
+	rules.Choices = routing.Choices
+	rules.ZonePermille = scale(rules.ZonePermille, routing.ZonePreference, agreement.DefaultZonePreference)
+	rules.PrefixPermille = scale(rules.PrefixPermille, routing.PrefixAffinity, agreement.DefaultPrefixAffinity)
+	return rules
+}
+
+func scale(value int, configured, usual float64) int {
+	return int(float64(value) * configured / usual)
+}
+
+// allowanceOf maps the configured retries.
+func allowanceOf(routing agreement.Routing) allowance.Rules {
+	rules := allowance.DefaultRules()
+	rules.SuccessPermille = int(routing.RetryRatio * permille)
+	rules.AttemptLimit = routing.MaxAttempts
+	return rules
+}
--- /dev/null
+++ b/internal/routing/rounds/rounds.go
@@ -0,0 +1,175 @@
+// Package rounds keeps the roster of one entry host fresh: it registers the
+// host, reads the platform's lagging list, and probes a bounded subset of the
+// backend servers whose load no reply has told lately.
+package rounds
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/choice"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// listMillis is the period at which the list is read.
+	listMillis = 2000
+	// registerMillis is the period at which the host registers.
+	registerMillis = 5000
+	// probeMillis is the period of probes, and the age at which a load is old.
+	probeMillis = 1000
+	// askMillis bounds one question to the platform or a backend server.
+	askMillis = 1000
+	// spread is the random part of a period, so that hosts do not act in step.
+	spread = 0.2
+)
+
+// Rounds runs beside one entry host. Its fields must be set before Run.
+type Rounds struct {
+	// Self returns the host as it registers itself.
+	Self func() hostlist.Host
+	// Candidates bounds the backend servers that are probed, per model or
+	// service.
+	Candidates int
+	Hosts      *hostlist.Client
+	Roster     *roster.Roster
+	// Observe takes the load that a probe brought.
+	Observe func(load *message.Load, askedAt, now time.Time)
+	// Asker fills the fields of a probe that name this process.
+	Asker func(*message.ProbeRequest)
+	Log   *slog.Logger
+}
+
+// Run works until ctx ends.
+func (r *Rounds) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return every(ctx, listMillis, r.readList) })
+	group.Go(func() error { return every(ctx, registerMillis, r.Announce) })
+	group.Go(func() error { return every(ctx, probeMillis, r.probeAll) })
+	return group.Wait()
+}
+
+// every calls work now and then with a jittered period, until ctx ends.
+func every(ctx context.Context, millis int, work func(context.Context)) error {
+	for {
+		work(ctx)
+		jitter := 1 - spread/2 + spread*rand.Float64()
+		next := time.Now().Add(time.Duration(float64(millis)*jitter) * time.Millisecond)
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// Announce registers the host in the platform's list, as best it can.
+func (r *Rounds) Announce(ctx context.Context) {
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(askMillis*time.Millisecond))
+	defer stop()
+	if err := r.Hosts.Register(ctx, r.Self()); err != nil && ctx.Err() == nil {
+		r.Log.Warn("not registered", "cause", err)
+	}
+}
+
+// readList merges the platform's list into the roster. Without an answer the
+// roster stays as it is.
+func (r *Rounds) readList(ctx context.Context) {
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(askMillis*time.Millisecond))
+	defer stop()
+	listed, err := r.Hosts.Hosts(ctx)
+	if err != nil {
+		r.Log.Warn("list not read", "cause", err)
+		return
+	}
+	hosts := make([]roster.Host, 0, len(listed))
+	for _, h := range listed {
+		hosts = append(hosts, hostOf(h))
+	}
+	if err := r.Roster.ApplyList(hosts, time.Now()); err != nil {
+		r.Log.Warn("list not applied", "cause", err)
+	}
+}
+
+func hostOf(h hostlist.Host) roster.Host {
+	return roster.Host{
+		Name:             h.Name,
+		Role:             roster.Role(h.Role),
+		Region:           h.Region,
+		AvailabilityZone: h.Zone,
+		PeerAddress:      h.PeerAddress,
+		Model:            h.Model,
+		Service:          h.Service,
+		State:            roster.HostState(h.State),
+	}
+}
+
+// probeAll asks the watched backend servers whose load is old.
+func (r *Rounds) probeAll(ctx context.Context) {
+	now := time.Now()
+	var group errgroup.Group
+	group.SetLimit(r.Candidates)
+	for _, m := range r.watched() {
+		age, seen := m.Age(now)
+		if m.Suspect(now) || (seen && age < probeMillis*time.Millisecond) {
+			continue
+		}
+		group.Go(func() error {
+			r.probe(ctx, m)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// watched returns the subset of backend servers that this host routes to.
+func (r *Rounds) watched() []roster.Member {
+	self := r.Self()
+	snapshot := r.Roster.Snapshot()
+	kinds := make(map[string][]choice.Candidate)
+	for m := range snapshot.All() {
+		if m.Host.Role != roster.RoleBackend {
+			continue
+		}
+		kind := m.Host.Model + "/" + m.Host.Service
+		kinds[kind] = append(kinds[kind], choice.Candidate{Name: m.Host.Name, Zone: m.Host.AvailabilityZone})
+	}
+	var watched []roster.Member
+	for _, all := range kinds {
+		for _, c := range choice.Subset(self.Name, self.Zone, all, r.Candidates) {
+			if m, found := snapshot.Find(c.Name); found {
+				watched = append(watched, m)
+			}
+		}
+	}
+	return watched
+}
+
+func (r *Rounds) probe(ctx context.Context, m roster.Member) {
+	askedAt := time.Now()
+	ctx, stop := context.WithDeadline(ctx, askedAt.Add(askMillis*time.Millisecond))
+	defer stop()
+	request := &message.ProbeRequest{}
+	r.Asker(request)
+	load, err := line.Call(ctx, m.Host.PeerAddress,
+		func(ctx context.Context, conn drpc.Conn) (*message.Load, error) {
+			return message.NewDRPCBackendClient(conn).Probe(ctx, request)
+		})
+	now := time.Now()
+	if err != nil {
+		// A host that the list has dropped meanwhile needs no mark.
+		_ = r.Roster.DialFailed(m.Host.Name, now)
+		return
+	}
+	r.Observe(load, askedAt, now)
+}
