feat: partition holder over the log

The process that holds a partition may lose its lease while paused, and an append whose answer was lost may have taken effect. The holder hence issues a permit only for what it has read back from the stream, looks for a batch before it appends it again, and leaves a lost partition where it is for a while, so that two entry hosts that cannot reach each other do not take it from each other in a loop.

--- /dev/null
+++ b/internal/permit/holder/ask.go
@@ -0,0 +1,125 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// maxAsked bounds the entry hosts that one claim asks.
+	maxAsked = 4
+	// askAgain is when to come back after no entry host answered.
+	askAgain = time.Second
+)
+
+// Claim binds the key of r, here or at the entry host that holds the key's
+// partition. The request's partition is filled in. It fails only when ctx
+// ends; every other outcome is a reply with a Code.
+func (h *Holder) Claim(ctx context.Context, r *message.ClaimRequest) (*message.ClaimReply, error) {
+	h.once.Do(h.prepare)
+	r = proto.CloneOf(r)
+	r.Partition = claim.PartitionOf(r.GetKey(), h.partitionCount())
+	if refusal := h.check(r); refusal != nil {
+		return refusal, nil
+	}
+	asked := make(map[string]bool)
+	address := h.target(r.GetPartition(), asked)
+	for len(asked) < maxAsked && address != "" {
+		asked[address] = true
+		reply, err := h.ask(ctx, address, r)
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(ctx.Err(), "claim key")
+		}
+		switch {
+		case err != nil:
+			h.logger().Warn("permit: entry host gave no answer", "address", address, "error", err)
+			h.directory.lost(r.GetPartition(), address, time.Now())
+			address = h.target(r.GetPartition(), asked)
+		case codeOf(reply) == CodeStopping:
+			h.directory.lost(r.GetPartition(), address, time.Now())
+			address = h.target(r.GetPartition(), asked)
+		case codeOf(reply) != CodeNotHolder:
+			h.directory.found(r.GetPartition(), address)
+			return reply, nil
+		case asked[reply.GetHolder()]:
+			return refuse(CodeHolderUnreachable, "holder gave no answer", time.Unix(0, reply.GetRetryAtUnixNanos())), nil
+		default:
+			address = reply.GetHolder()
+		}
+	}
+	return refuse(CodeHolderUnreachable, "no entry host took the claim", time.Now().Add(askAgain)), nil
+}
+
+// ask sends the claim to one entry host.
+func (h *Holder) ask(ctx context.Context, address string, r *message.ClaimRequest) (*message.ClaimReply, error) {
+	if address == h.Address {
+		return h.HandleClaim(ctx, r)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	client, err := h.Dial(ctx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	reply, err := client.Claim(ctx, r)
+	return reply, errors.Wrapf(err, "claim at %s", address)
+}
+
+// check refuses a request that no holder could bind.
+func (h *Holder) check(r *message.ClaimRequest) *message.ClaimReply {
+	now := time.Now()
+	if err := claim.CheckKey(r.GetKey(), now, claim.Oldest(now, h.keyWindowSeconds())); err != nil {
+		return refuseKey(err)
+	}
+	return nil
+}
+
+// HandleClaim binds the key of r at this entry host, which takes the partition
+// when it may. It fails only when ctx ends.
+func (h *Holder) HandleClaim(ctx context.Context, r *message.ClaimRequest) (*message.ClaimReply, error) {
+	h.once.Do(h.prepare)
+	if refusal := h.check(r); refusal != nil {
+		return refusal, nil
+	}
+	if want := claim.PartitionOf(r.GetKey(), h.partitionCount()); want != r.GetPartition() {
+		return refuse(CodePartitionMismatch, "entry hosts have different numbers of partitions", time.Time{}), nil
+	}
+	p := h.partitions[r.GetPartition()]
+	if reply := p.answer(r); reply != nil {
+		return reply, nil
+	}
+	wait, cancel := withDeadline(ctx, r.GetDeadlineUnixNanos())
+	defer cancel()
+	w := &waiter{ctx: wait, request: r, reply: make(chan *message.ClaimReply, 1)}
+	if refusal := p.enqueue(w); refusal != nil {
+		return refusal, nil
+	}
+	timer := time.NewTimer(claimTimeout)
+	defer timer.Stop()
+	select {
+	case reply := <-w.reply:
+		return reply, nil
+	case <-timer.C:
+		return refuse(CodeClaimUnknown, "log gave no answer in time", time.Now().Add(askAgain)), nil
+	case <-wait.Done():
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(ctx.Err(), "wait for batch")
+		}
+		return refuse(CodeClaimUnknown, "deadline of the request passed", time.Time{}), nil
+	}
+}
+
+// withDeadline bounds ctx by a time in nanoseconds since the Unix epoch; zero
+// means none.
+func withDeadline(ctx context.Context, nanos int64) (context.Context, context.CancelFunc) {
+	if nanos == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, time.Unix(0, nanos))
+}
--- /dev/null
+++ b/internal/permit/holder/directory.go
@@ -0,0 +1,89 @@
+package holder
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// lostFor is how long an entry host that gave no answer is passed over.
+const lostFor = 2 * time.Second
+
+// directory remembers where partitions were found and who gave no answer.
+type directory struct {
+	mu sync.Mutex
+	// holders has the address of a partition's last known holder.
+	holders map[uint32]string
+	// lostUntil has the time until which an address is passed over.
+	lostUntil map[string]time.Time
+}
+
+func (d *directory) found(partition uint32, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.holders == nil {
+		d.holders = make(map[uint32]string)
+	}
+	d.holders[partition] = address
+}
+
+func (d *directory) lost(partition uint32, address string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.holders[partition] == address {
+		delete(d.holders, partition)
+	}
+	if d.lostUntil == nil {
+		d.lostUntil = make(map[string]time.Time)
+	}
+	d.lostUntil[address] = now.Add(lostFor)
+}
+
+// known returns the last known holder of a partition.
+func (d *directory) known(partition uint32) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holders[partition]
+}
+
+// reachable tells whether an address is not passed over.
+func (d *directory) reachable(address string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !now.Before(d.lostUntil[address])
+}
+
+// target returns the entry host to ask next: the last known holder, else the
+// first live one in rendezvous order that was not asked and is not passed over.
+// It returns no address when none is left.
+func (h *Holder) target(partition uint32, asked map[string]bool) string {
+	if known := h.directory.known(partition); known != "" && !asked[known] {
+		return known
+	}
+	now := time.Now()
+	for _, host := range rendezvous(partition, h.Hosts()) {
+		if !asked[host.Address] && h.directory.reachable(host.Address, now) {
+			return host.Address
+		}
+	}
+	return ""
+}
+
+// rendezvous returns the entry hosts in the order in which they should hold the
+// partition.
+func rendezvous(partition uint32, hosts []Host) []Host {
+	suffix := "/" + strconv.FormatUint(uint64(partition), 10)
+	weight := make(map[string]uint64, len(hosts))
+	for _, host := range hosts {
+		weight[host.Name] = xxhash.Sum64String(host.Name + suffix)
+	}
+	order := slices.Clone(hosts)
+	slices.SortFunc(order, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(weight[b.Name], weight[a.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	return order
+}
--- /dev/null
+++ b/internal/permit/holder/lease.go
@@ -0,0 +1,144 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// renewAfter is when a lease record is appended again.
+	renewAfter = claim.LeaseSeconds * time.Second / 2
+	// steadyAfter is how long after a takeover may begin the next one is
+	// treated as the first.
+	steadyAfter = 2 * time.Minute
+)
+
+// hold makes this entry host the holder, as far as it has read the stream, or
+// returns the refusal to give. What it finds is no proof: a batch counts only
+// by its place in the stream.
+func (p *partition) hold(ctx context.Context) *message.ClaimReply {
+	if p.leased() && time.Now().Before(p.renewAt) {
+		return nil
+	}
+	if other := p.tooEarly(); other != "" {
+		return notHolder(other, p.takeoverAt)
+	}
+	if err := p.readOn(ctx, 0, nil); err != nil {
+		return refuse(CodeLogUnavailable, "partition could not be read", p.logDown(ctx, err))
+	}
+	p.noticeLoss()
+	if other := p.tooEarly(); other != "" {
+		return notHolder(other, p.takeoverAt)
+	}
+	now, renewal := time.Now(), p.leased()
+	if !renewal {
+		p.epoch = uuid.NewString()
+	}
+	if err := p.lease(ctx); err != nil {
+		if !renewal {
+			p.epoch = ""
+		}
+		return refuse(CodeLogUnavailable, "lease could not be recorded", p.logDown(ctx, err))
+	}
+	p.renewAt = now.Add(renewAfter)
+	if !renewal {
+		p.limitTakeover(now)
+		p.holder.logger().Info("permit: took partition", "partition", p.number)
+	}
+	if p.noticeLoss() {
+		return notHolder(p.otherHolder(), p.takeoverAt)
+	}
+	return nil
+}
+
+// lease appends a lease record of the present epoch and reads it back.
+func (p *partition) lease(ctx context.Context) error {
+	l := claim.Lease{Holder: p.holder.Name, HolderAddress: p.holder.Address, Epoch: p.epoch}
+	data, err := claim.Encode(l)
+	if err != nil {
+		return err
+	}
+	p.count(func(c *Counts) { c.Leases++ })
+	return p.record(ctx, data, func(r claim.Record) bool {
+		read, ok := r.(claim.Lease)
+		return ok && read.Epoch == l.Epoch
+	})
+}
+
+// tooEarly returns the address of the holder when it is another entry host
+// and this one may not take the partition yet.
+func (p *partition) tooEarly() string {
+	if p.leased() || !time.Now().Before(p.takeoverAt) {
+		return ""
+	}
+	return p.otherHolder()
+}
+
+// noticeLoss reports whether another entry host took the partition from this
+// one, which then leaves it there for a while.
+func (p *partition) noticeLoss() bool {
+	if p.epoch == "" || p.leased() {
+		return false
+	}
+	p.epoch = ""
+	p.limitTakeover(time.Now())
+	p.holder.logger().Info("permit: lost partition", "partition", p.number, "holder", p.otherHolder())
+	return true
+}
+
+// leased tells whether the lease in force, as far as read, is this process's.
+func (p *partition) leased() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state == nil || p.epoch == "" {
+		return false
+	}
+	l, _ := p.state.Lease()
+	return l.Epoch == p.epoch
+}
+
+// otherHolder returns the address of the entry host whose lease is in force;
+// empty when it is this one's or there is none.
+func (p *partition) otherHolder() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state == nil {
+		return ""
+	}
+	l, _ := p.state.Lease()
+	if l.HolderAddress == p.holder.Address {
+		return ""
+	}
+	return l.HolderAddress
+}
+
+// limitTakeover sets the earliest next takeover, so that two entry hosts that
+// cannot reach each other do not take a partition from each other in a loop.
+func (p *partition) limitTakeover(now time.Time) {
+	if now.After(p.takeoverAt.Add(steadyAfter)) {
+		p.takeoverBackoff.Reset()
+	}
+	p.takeoverAt = now.Add(p.takeoverBackoff.NextBackOff())
+}
+
+// refuseUnbound returns the reply for a key that a batch left unbound.
+func (p *partition) refuseUnbound(key string) *message.ClaimReply {
+	if p.noticeLoss() || !p.leased() {
+		return notHolder(p.otherHolder(), p.takeoverAt)
+	}
+	p.mu.Lock()
+	latest := p.state.Latest()
+	p.mu.Unlock()
+	oldest := claim.Oldest(latest, p.holder.keyWindowSeconds())
+	if err := claim.CheckKey(key, latest, oldest); err != nil {
+		return refuseKey(err)
+	}
+	// The lease record may be too old: the next batch renews it first.
+	p.renewAt = time.Time{}
+	return refuse(CodeClaimUnknown, "claim took no effect", time.Now())
+}
--- /dev/null
+++ b/internal/permit/holder/log.go
@@ -0,0 +1,231 @@
+package holder
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+)
+
+const (
+	// maxAppends bounds the appends of one record.
+	maxAppends = 3
+	// appendPause is the wait before a record is appended again, times the
+	// number of tries.
+	appendPause = 50 * time.Millisecond
+	// pageRecords bounds the records of one read.
+	pageRecords = 1000
+	// maxReads bounds the reads that wait for an answered append to show.
+	maxReads = 10
+	// readPause is the wait between these reads.
+	readPause = 10 * time.Millisecond
+)
+
+// errNotShown says that an answered append does not show in reads.
+var errNotShown = errors.New("appended record does not show")
+
+// errNotRead marks failures to read back what may have been appended.
+var errNotRead = errors.New("append was not read back")
+
+// record appends data and reads the stream until the record that match knows
+// was folded. An append whose answer was lost is looked for before it is
+// appended again. Appended twice, lease and batch have no further effect.
+func (p *partition) record(ctx context.Context, data []byte, match func(claim.Record) bool) error {
+	var last error
+	for try := range maxAppends {
+		if !sleepUntil(ctx, time.Now().Add(time.Duration(try)*appendPause)) {
+			return errors.Wrap(ctx.Err(), "append")
+		}
+		offset, err := p.append(ctx, data)
+		if err == nil {
+			return markNotRead(p.readOn(ctx, offset+1, nil))
+		}
+		if errors.Is(err, journal.ErrRefused) {
+			return err
+		}
+		last = worse(last, err)
+		if certainlyNotAppended(err) {
+			continue
+		}
+		found := false
+		err = p.readOn(ctx, 0, func(r claim.Record) { found = found || match(r) })
+		if err != nil {
+			return markNotRead(err)
+		}
+		if found {
+			return nil
+		}
+	}
+	return last
+}
+
+// markNotRead marks an error of reading back, if any.
+func markNotRead(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(errors.Wrap(err, "read back"), errNotRead)
+}
+
+// worse returns the error that says less about the outcome of the appends.
+func worse(last, err error) error {
+	if last != nil && certainlyNotAppended(err) {
+		return last
+	}
+	return err
+}
+
+func (p *partition) append(ctx context.Context, data []byte) (uint64, error) {
+	p.count(func(c *Counts) {
+		c.Appends++
+		c.AppendedBytes += uint64(len(data))
+	})
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	return p.holder.Log.Append(ctx, p.stream, data)
+}
+
+func (p *partition) read(ctx context.Context, from uint64, limit int) (journal.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	page, err := p.holder.Log.Read(ctx, p.stream, from, limit)
+	p.count(func(c *Counts) {
+		c.Reads++
+		for _, r := range page.Records {
+			c.ReadBytes += uint64(len(r.Data))
+		}
+	})
+	return page, err
+}
+
+// readOn folds the stream to its end, and at least to the offset until. It
+// shows every record to see, which may be nil.
+func (p *partition) readOn(ctx context.Context, until uint64, see func(claim.Record)) error {
+	for waits := 0; ; {
+		if err := p.open(ctx); err != nil {
+			return err
+		}
+		page, err := p.read(ctx, p.next(), pageRecords)
+		if err != nil {
+			return err
+		}
+		if page.First > p.next() {
+			p.setState(nil) // retention passed the reader
+			continue
+		}
+		p.apply(page.Records, see)
+		if p.next() < page.Next {
+			continue
+		}
+		if p.next() >= until {
+			return nil
+		}
+		waits++
+		if waits > maxReads {
+			return errNotShown
+		}
+		if !sleepUntil(ctx, time.Now().Add(readPause)) {
+			return errors.Wrap(ctx.Err(), "read on")
+		}
+	}
+}
+
+func (p *partition) apply(records []journal.Record, see func(claim.Record)) {
+	for _, r := range records {
+		decoded := claim.Decode(r.Data)
+		if see != nil {
+			see(decoded)
+		}
+		p.mu.Lock()
+		p.state.Apply(r.Offset, r.AppendedAt, decoded)
+		p.mu.Unlock()
+	}
+}
+
+// open makes the state when there is none. It starts at the oldest record that
+// matters to keys within the key window.
+func (p *partition) open(ctx context.Context) error {
+	if p.state != nil {
+		return nil
+	}
+	tail, err := p.read(ctx, math.MaxInt64, 1)
+	if err != nil {
+		return err
+	}
+	if tail.First >= tail.Next {
+		p.setState(p.holder.fold(p.number, tail.Next))
+		return nil
+	}
+	last, err := p.read(ctx, tail.Next-1, 1)
+	if err != nil {
+		return err
+	}
+	if len(last.Records) == 0 {
+		p.setState(p.holder.fold(p.number, last.Next))
+		return nil
+	}
+	horizon := claim.Horizon(last.Records[0].AppendedAt, p.holder.keyWindowSeconds())
+	from, err := p.search(ctx, tail.First, tail.Next, horizon)
+	if err != nil {
+		return err
+	}
+	p.setState(p.holder.fold(p.number, from))
+	return nil
+}
+
+// search returns the first offset in [low, high) that was appended at the
+// horizon or later.
+func (p *partition) search(ctx context.Context, low, high uint64, horizon time.Time) (uint64, error) {
+	for low < high {
+		middle := low + (high-low)/2
+		page, err := p.read(ctx, middle, 1)
+		if err != nil {
+			return 0, err
+		}
+		if len(page.Records) > 0 && page.Records[0].AppendedAt.Before(horizon) {
+			low = max(middle, page.Records[0].Offset) + 1
+			continue
+		}
+		high = middle
+	}
+	return low, nil
+}
+
+// next returns the next offset to fold; zero before the stream was read.
+func (p *partition) next() uint64 {
+	if p.state == nil {
+		return 0
+	}
+	return p.state.Next()
+}
+
+func (p *partition) setState(s state) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+}
+
+// logDown keeps claims from the log for a while after a failure. It returns
+// when the log is tried again.
+func (p *partition) logDown(ctx context.Context, err error) time.Time {
+	if ctx.Err() != nil {
+		return time.Now()
+	}
+	p.holder.logger().Warn("permit: log gave no answer", "partition", p.number, "error", err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.logDownUntil = time.Now().Add(p.logBackoff.NextBackOff())
+	return p.logDownUntil
+}
+
+// logUp ends the wait that logDown began.
+func (p *partition) logUp() {
+	p.logBackoff.Reset()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.logDownUntil = time.Time{}
+}
--- /dev/null
+++ b/internal/permit/holder/partition.go
@@ -0,0 +1,186 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// maxWaiting bounds the claims that wait in one partition.
+const maxWaiting = 4096
+
+// slowAfter is how long a batch may be under way before new claims are refused.
+const slowAfter = time.Second
+
+// waiter is a claim that waits for a batch.
+type waiter struct {
+	// ctx ends when nobody waits any longer.
+	ctx     context.Context
+	request *message.ClaimRequest
+	// reply has room for the one reply.
+	reply chan *message.ClaimReply
+}
+
+// partition serves one partition. One goroutine appends and reads; others
+// queue claims and look bindings up.
+type partition struct {
+	holder *Holder
+	number uint32
+	stream string
+	// wake holds one token while claims may wait.
+	wake chan struct{}
+
+	mu      sync.Mutex
+	waiting []*waiter
+	stopped bool
+	// state is nil until the stream was read. Only the serving goroutine
+	// changes it, with mu held.
+	state state
+	// logDownUntil is when the log is tried again; zero while it answers.
+	logDownUntil time.Time
+	// busySince is when the batch under way was begun; zero while idle.
+	busySince time.Time
+	counts    Counts
+
+	// The rest is used by the serving goroutine alone.
+
+	// epoch is that of the last own lease; empty before the first one.
+	epoch string
+	// renewAt is when the lease record is appended again.
+	renewAt time.Time
+	// takeoverAt is the earliest next takeover.
+	takeoverAt      time.Time
+	takeoverBackoff *backoff.ExponentialBackOff
+	logBackoff      *backoff.ExponentialBackOff
+	// appendAt is the earliest next batch.
+	appendAt time.Time
+}
+
+func newPartition(h *Holder, number uint32) *partition {
+	return &partition{
+		holder:          h,
+		number:          number,
+		stream:          claim.StreamOf(number),
+		wake:            make(chan struct{}, 1),
+		takeoverBackoff: newBackoff(time.Second, 30*time.Second),
+		logBackoff:      newBackoff(250*time.Millisecond, 5*time.Second),
+	}
+}
+
+func newBackoff(first, longest time.Duration) *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = first
+	b.MaxInterval = longest
+	b.Multiplier = 2
+	b.Reset()
+	return b
+}
+
+// answer returns the reply that needs no append, or nil. A binding that was
+// read once may be given out at any time, by any reader: it is the one in
+// force, or its owner has promised never to run it.
+func (p *partition) answer(r *message.ClaimRequest) *message.ClaimReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b, ok := p.lookup(r); ok {
+		return bound(b)
+	}
+	return p.refuseEarly(time.Now())
+}
+
+// refuseEarly returns a refusal while the log gives no answers, or nil. The
+// caller holds mu.
+func (p *partition) refuseEarly(now time.Time) *message.ClaimReply {
+	if now.Before(p.logDownUntil) {
+		return refuse(CodeLogUnavailable, "log is unavailable", p.logDownUntil)
+	}
+	if !p.busySince.IsZero() && now.After(p.busySince.Add(slowAfter)) {
+		return refuse(CodeLogUnavailable, "log is slow", now.Add(askAgain))
+	}
+	return nil
+}
+
+// begin marks a batch as under way, or returns a refusal for its claims.
+func (p *partition) begin(now time.Time) *message.ClaimReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busySince = time.Time{}
+	if refusal := p.refuseEarly(now); refusal != nil {
+		return refusal
+	}
+	p.busySince = now
+	return nil
+}
+
+func (p *partition) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busySince = time.Time{}
+}
+
+// lookup returns the binding that answers r. A binding up to the one that r
+// names as refused does not. The caller holds mu.
+func (p *partition) lookup(r *message.ClaimRequest) (claim.Binding, bool) {
+	if p.state == nil {
+		return claim.Binding{}, false
+	}
+	b, ok := p.state.Lookup(r.GetKey())
+	return b, ok && b.Offset > r.GetRefused().GetOffset()
+}
+
+// enqueue adds a claim to the next batch, or returns a refusal.
+func (p *partition) enqueue(w *waiter) *message.ClaimReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return refuse(CodeStopping, "entry host is stopping", time.Now())
+	}
+	if len(p.waiting) >= maxWaiting {
+		return refuse(CodeBusy, "too many claims wait", time.Now().Add(askAgain))
+	}
+	p.waiting = append(p.waiting, w)
+	p.signal()
+	return nil
+}
+
+// signal wakes the serving goroutine.
+func (p *partition) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take removes the claims of the next batch from the queue.
+func (p *partition) take() []*waiter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(len(p.waiting), maxBatchClaims)
+	queue := p.waiting[:n:n]
+	p.waiting = p.waiting[n:]
+	if len(p.waiting) > 0 {
+		p.signal()
+	}
+	return queue
+}
+
+// stop refuses the claims that wait and those that come.
+func (p *partition) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	answerAll(p.waiting, refuse(CodeStopping, "entry host is stopping", time.Now()))
+	p.waiting = nil
+}
+
+// answerAll gives the same reply to all claims.
+func answerAll(queue []*waiter, reply *message.ClaimReply) {
+	for _, w := range queue {
+		w.reply <- reply
+	}
+}
--- /dev/null
+++ b/internal/permit/holder/serve.go
@@ -0,0 +1,148 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+)
+
+// maxBatchClaims bounds the claims of one batch.
+const maxBatchClaims = 1024
+
+// run serves batches until ctx ends. A batch starts at once when the partition
+// is idle; claims that come while one is under way make up the next.
+func (p *partition) run(ctx context.Context) error {
+	defer p.stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.wake:
+		}
+		if !sleepUntil(ctx, p.appendAt) {
+			return nil
+		}
+		p.serve(ctx, p.take())
+	}
+}
+
+// serve answers every claim of the queue.
+func (p *partition) serve(ctx context.Context, queue []*waiter) {
+	if len(queue) == 0 {
+		return
+	}
+	if refusal := p.begin(time.Now()); refusal != nil {
+		answerAll(queue, refusal)
+		return
+	}
+	defer p.end()
+	if refusal := p.hold(ctx); refusal != nil {
+		answerAll(queue, refusal)
+		return
+	}
+	queue = p.answerBound(queue)
+	batch := p.compose(queue)
+	if len(batch.Claims)+len(batch.Rebinds) == 0 {
+		return
+	}
+	p.appendAt = time.Now().Add(p.holder.batchDelay())
+	if err := p.commit(ctx, batch); err != nil {
+		p.refuseAfter(ctx, queue, err)
+		return
+	}
+	p.logUp()
+	for _, w := range p.answerBound(queue) {
+		w.reply <- p.refuseUnbound(w.request.GetKey())
+	}
+}
+
+// answerBound answers the claims whose keys are bound and returns the others.
+func (p *partition) answerBound(queue []*waiter) []*waiter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var left []*waiter
+	for _, w := range queue {
+		if b, ok := p.lookup(w.request); ok {
+			w.reply <- bound(b)
+			continue
+		}
+		left = append(left, w)
+	}
+	return left
+}
+
+// compose makes a batch with one record for each key that somebody waits for.
+func (p *partition) compose(queue []*waiter) claim.Batch {
+	b := claim.Batch{Epoch: p.epoch, ID: uuid.NewString()}
+	seen := make(map[string]bool, len(queue))
+	for _, w := range queue {
+		r := w.request
+		if seen[r.GetKey()] || w.ctx.Err() != nil {
+			continue
+		}
+		seen[r.GetKey()] = true
+		c := claim.Claim{
+			Key:         r.GetKey(),
+			RequestID:   r.GetRequestId(),
+			Backend:     r.GetBackend(),
+			Incarnation: r.GetIncarnation(),
+		}
+		if refused := r.GetRefused(); refused != nil {
+			b.Rebinds = append(b.Rebinds, claim.Rebind{Claim: c, Refused: refused.GetOffset()})
+			continue
+		}
+		b.Claims = append(b.Claims, c)
+	}
+	return b
+}
+
+// commit appends the batch and reads it back. It returns no error when the
+// batch was read back, whether it counts or not.
+func (p *partition) commit(ctx context.Context, b claim.Batch) error {
+	data, err := claim.Encode(b)
+	if err != nil {
+		return err
+	}
+	return p.record(ctx, data, func(r claim.Record) bool {
+		read, ok := r.(claim.Batch)
+		return ok && read.ID == b.ID
+	})
+}
+
+// refuseAfter answers the claims of a batch that failed with err.
+func (p *partition) refuseAfter(ctx context.Context, queue []*waiter, err error) {
+	code := CodeClaimUnknown
+	if certainlyNotAppended(err) {
+		code = CodeLogUnavailable
+	}
+	until := p.logDown(ctx, err)
+	answerAll(queue, refuse(code, "log did not take the claim", until))
+}
+
+func certainlyNotAppended(err error) bool {
+	if errors.Is(err, errNotRead) {
+		return false
+	}
+	return errors.Is(err, journal.ErrThrottled) || errors.Is(err, journal.ErrRefused)
+}
+
+// sleepUntil waits until t and reports whether ctx is still live.
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	wait := time.Until(t)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
