--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -66,6 +66,8 @@
 	Configuration func() *agreement.Document
 	// ConfigVersion returns the version in force.
 	ConfigVersion func() uint64
+	// VersionSeen takes the version that an asker holds and its peer address.
+	VersionSeen func(version uint64, address string)
 	Records       explanation.Writer
 	Gauge         Gauge
 	Log           *slog.Logger
--- a/internal/backend/keeper/load.go
+++ b/internal/backend/keeper/load.go
@@ -25,7 +25,8 @@
 }
 
 // Probe answers with the current load.
-func (k *Keeper) Probe(context.Context, *message.ProbeRequest) (*message.Load, error) {
+func (k *Keeper) Probe(_ context.Context, in *message.ProbeRequest) (*message.Load, error) {
+	k.VersionSeen(in.GetConfigVersion(), in.GetAsker())
 	return k.Load(), nil
 }
 
--- a/internal/backend/keeper/serve.go
+++ b/internal/backend/keeper/serve.go
@@ -28,6 +28,7 @@
 }
 
 func (k *Keeper) deliver(in *message.GenerateRequest, out Sender) error {
+	k.VersionSeen(in.GetConfigVersion(), in.GetAsker())
 	if in.GetAttach() == nil {
 		if refusal := k.admit(in, time.Now()); refusal != nil {
 			k.Records.Record(in.GetRequestId(), refusal.Record())
--- a/internal/backend/porter/load.go
+++ b/internal/backend/porter/load.go
@@ -28,7 +28,8 @@
 }
 
 // Probe answers with the current load.
-func (p *Porter) Probe(context.Context, *message.ProbeRequest) (*message.Load, error) {
+func (p *Porter) Probe(_ context.Context, in *message.ProbeRequest) (*message.Load, error) {
+	p.VersionSeen(in.GetConfigVersion(), in.GetAsker())
 	return p.Load(), nil
 }
 
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -41,6 +41,8 @@
 	Desk     Desk
 	// ConfigVersion returns the version in force.
 	ConfigVersion func() uint64
+	// VersionSeen takes the version that an asker holds and its peer address.
+	VersionSeen func(version uint64, address string)
 	Records       explanation.Writer
 	Log           *slog.Logger
 
@@ -98,6 +100,7 @@
 // Call runs one call, or returns the reply of the run that this incarnation
 // holds for the same request.
 func (p *Porter) Call(ctx context.Context, in *message.CallRequest) (*message.CallReply, error) {
+	p.VersionSeen(in.GetConfigVersion(), in.GetAsker())
 	reply, refusal := p.call(ctx, in)
 	if refusal != nil {
 		p.Records.Record(in.GetRequestId(), refusal.Record())
--- a/internal/caller/intake/completion.go
+++ b/internal/caller/intake/completion.go
@@ -175,6 +175,7 @@
 		Key:        key,
 		Repeatable: class.Repeatable,
 		Whole:      class.Whole,
+		Urgent:     class.Urgent,
 	}, nil
 }
 
--- a/internal/caller/intake/plain.go
+++ b/internal/caller/intake/plain.go
@@ -99,6 +99,7 @@
 		Deadline:   deadline,
 		Key:        key,
 		Repeatable: repeatable,
+		Urgent:     class.Urgent,
 	}, class, nil
 }
 
--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -67,6 +67,7 @@
 	bulletin    *bulletin.Bulletin
 	owner       owner
 	hosts       *hostlist.Client
+	peers       entryHosts
 }
 
 // Run serves until the lifetime's drain has ended.
@@ -90,6 +91,7 @@
 	group.Go(func() error { return h.measure.Run(ctx) })
 	group.Go(func() error { return h.bulletin.Run(ctx) })
 	group.Go(func() error { return h.register(ctx) })
+	group.Go(func() error { return h.peers.run(ctx, h.hosts) })
 	group.Go(func() error {
 		defer stop()
 		return h.drain(ctx, life)
@@ -106,7 +108,12 @@
 	h.ring = &explanation.Ring{}
 	h.measure = &measure.Measure{}
 	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: &http.Client{}}
-	h.bulletin = h.newBulletin()
+	h.peers.seeds = h.Settings.Peers
+	h.bulletin = &bulletin.Bulletin{
+		Address: h.Settings.PeerAddress,
+		Peers:   h.peers.addresses,
+	}
+	h.bulletin.Prepare()
 	book := &logbook.Logbook{
 		Backend:     h.Settings.Name,
 		Incarnation: h.incarnation,
@@ -145,6 +152,7 @@
 		},
 		Configuration: h.bulletin.Document,
 		ConfigVersion: h.bulletin.Version,
+		VersionSeen:   h.bulletin.Observe,
 		Records:       explanation.Writer{Ring: h.ring, Process: h.Settings.Name, Part: string(diary.Keeper)},
 		Gauge:         gauge{measure: h.measure},
 		Log:           diary.For(h.Log, diary.Keeper),
@@ -161,6 +169,7 @@
 			HTTP:    &http.Client{Transport: line.NewTransport()},
 		},
 		ConfigVersion: h.bulletin.Version,
+		VersionSeen:   h.bulletin.Observe,
 		Records:       explanation.Writer{Ring: h.ring, Process: h.Settings.Name, Part: string(diary.Desk)},
 		Log:           diary.For(h.Log, diary.Desk),
 	}
--- /dev/null
+++ b/internal/role/backendhost/entryhosts.go
@@ -0,0 +1,70 @@
+package backendhost
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+)
+
+const (
+	// listMillis is the period at which the list is read for entry hosts. A
+	// process beside a backend server needs them only to compare versions.
+	listMillis = 30000
+	// knownLimit bounds the entry hosts that are kept.
+	knownLimit = 16
+)
+
+// entryHosts holds some entry hosts to compare configuration versions with. It
+// is safe for concurrent use.
+type entryHosts struct {
+	// seeds come from the settings and are always kept.
+	seeds []string
+
+	mu    sync.Mutex
+	known []string
+}
+
+// addresses returns the peer addresses known now.
+func (e *entryHosts) addresses() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.known) == 0 {
+		return e.seeds
+	}
+	return e.known
+}
+
+// run reads the list now and then until ctx ends. Without an answer the known
+// ones stay.
+func (e *entryHosts) run(ctx context.Context, hosts *hostlist.Client) error {
+	for {
+		if listed, err := hosts.Hosts(ctx); err == nil {
+			e.take(listed)
+		}
+		next := time.Now().Add(time.Duration(listMillis/2+rand.IntN(listMillis)) * time.Millisecond)
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// take keeps a random part of the listed entry hosts.
+func (e *entryHosts) take(listed []hostlist.Host) {
+	var found []string
+	for _, h := range listed {
+		if h.Role == hostlist.RoleEntry && h.State == hostlist.StateLive {
+			found = append(found, h.PeerAddress)
+		}
+	}
+	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.known = found[:min(len(found), knownLimit)]
+}
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -24,7 +24,9 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/role/bulletin"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/referral"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/rounds"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/visit"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
@@ -46,7 +48,8 @@
 	hosts    *hostlist.Client
 	gate     *turnstile.Turnstile
 	holder   *holder.Holder
-	scout    *scout
+	rounds   *rounds.Rounds
+	referral *referral.Referral
 	runner   *visit.Runner
 }
 
@@ -66,7 +69,7 @@
 	group.Go(func() error { return line.ServeHTTP(ctx, listeners.callers, h.intake().Routes()) })
 	group.Go(func() error { return h.measure.Run(ctx) })
 	group.Go(func() error { return h.bulletin.Run(ctx) })
-	group.Go(func() error { return h.scout.run(ctx) })
+	group.Go(func() error { return h.rounds.Run(ctx) })
 	group.Go(func() error { return h.holder.Run(ctx) })
 	group.Go(func() error {
 		defer stop()
@@ -87,18 +90,21 @@
 	h.roster = &roster.Roster{}
 	log := &journal.Client{Address: h.Settings.LogServiceAddress, HTTP: &http.Client{}}
 	h.bulletin = h.newBulletin(log)
-	h.scout = h.newScout()
+	h.referral = h.newReferral()
+	h.rounds = h.newRounds()
 	h.holder = h.newHolder(log)
 	h.gate = &turnstile.Turnstile{
 		MaxOpen:    h.Settings.MaxOpenRequests,
-		EntryHosts: h.scout.entryHostCount,
+		EntryHosts: h.entryHostCount,
 	}
 	h.runner = &visit.Runner{
-		Picker:         h.newReferral(),
+		Picker:         h.referral,
 		Claimer:        h.holder,
 		Records:        h.writer(diary.Visit),
 		ProgressMillis: h.Settings.ProgressMillis,
 		Partitions:     h.Settings.Partitions,
+		Address:        h.Settings.PeerAddress,
+		ConfigVersion:  h.bulletin.Version,
 	}
 }
 
@@ -180,7 +186,7 @@
 		ConfigVersion: h.bulletin.Version(),
 		Leaving:       h.leaving.isSet(),
 		OpenRequests:  h.gate.Open(),
-		Hosts:         h.scout.hostStatus(),
+		Hosts:         h.hostStatus(time.Now()),
 	}
 }
 
@@ -205,13 +211,13 @@
 const explainMillis = 1000
 
 func (h *Host) backendRecords(ctx context.Context, backend, id string) []explanation.Record {
-	address, known := h.scout.addressOf(backend)
+	member, known := h.roster.Snapshot().Find(backend)
 	if !known {
 		return nil
 	}
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(explainMillis*time.Millisecond))
 	defer stop()
-	held, err := peer.AskRecords(ctx, address, id)
+	held, err := peer.AskRecords(ctx, member.Host.PeerAddress, id)
 	if err != nil {
 		diary.For(h.Log, diary.Peer).Warn("records not read", "backend", backend, "cause", err)
 	}
@@ -238,7 +244,7 @@
 	case <-life.Drain.Done():
 	}
 	h.leaving.set()
-	h.scout.announce(ctx)
+	h.rounds.Announce(ctx)
 	log.Info("draining", "open", h.gate.Open())
 	cut := life.Finish(h.gate.Open, lifetime.DrainDeadline(h.Settings.DrainSeconds))
 	if cut > 0 {
--- /dev/null
+++ b/internal/role/entryhost/parts.go
@@ -0,0 +1,155 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/holder"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/bulletin"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/referral"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/rounds"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+func (h *Host) newBulletin(log journal.Log) *bulletin.Bulletin {
+	b := &bulletin.Bulletin{
+		Address: h.Settings.PeerAddress,
+		Log:     log,
+		Readers: h.entryHostCount,
+		Peers:   h.peerAddresses,
+	}
+	b.Prepare()
+	return b
+}
+
+func (h *Host) newReferral() *referral.Referral {
+	return &referral.Referral{
+		Name:          h.Settings.Name,
+		Zone:          h.Settings.Zone,
+		Region:        h.Settings.Region,
+		Candidates:    h.Settings.ProbeCandidates,
+		Roster:        h.roster,
+		Configuration: h.bulletin.Document,
+		VersionSeen:   h.bulletin.Observe,
+	}
+}
+
+func (h *Host) newRounds() *rounds.Rounds {
+	return &rounds.Rounds{
+		Self:       h.self,
+		Candidates: h.Settings.ProbeCandidates,
+		Hosts:      h.hosts,
+		Roster:     h.roster,
+		Observe:    h.referral.Observe,
+		Asker: func(in *message.ProbeRequest) {
+			in.ConfigVersion = h.bulletin.Version()
+			in.Asker = h.Settings.PeerAddress
+		},
+		Log: diary.For(h.Log, diary.Roster),
+	}
+}
+
+func (h *Host) newHolder(log journal.Log) *holder.Holder {
+	return &holder.Holder{
+		Log:              log,
+		Name:             h.Settings.Name,
+		Address:          h.Settings.PeerAddress,
+		Partitions:       h.Settings.Partitions,
+		KeyWindowSeconds: h.Settings.KeyWindowSeconds,
+		Hosts:            h.entryHosts,
+		Dial: func(_ context.Context, address string) (holder.Client, error) {
+			return claimClient{address: address}, nil
+		},
+		Logger: diary.For(h.Log, diary.Holder),
+	}
+}
+
+// claimClient asks another entry host to bind a key.
+type claimClient struct {
+	address string
+}
+
+// Claim asks that host to bind a key.
+func (c claimClient) Claim(ctx context.Context, in *message.ClaimRequest) (*message.ClaimReply, error) {
+	return line.Call(ctx, c.address,
+		func(ctx context.Context, conn drpc.Conn) (*message.ClaimReply, error) {
+			return message.NewDRPCEntryClient(conn).Claim(ctx, in)
+		})
+}
+
+// self is the host as it registers itself.
+func (h *Host) self() hostlist.Host {
+	state := hostlist.StateLive
+	if h.leaving.isSet() {
+		state = hostlist.StateLeaving
+	}
+	return hostlist.Host{
+		Name:        h.Settings.Name,
+		Role:        hostlist.RoleEntry,
+		Region:      h.Settings.Region,
+		Zone:        h.Settings.Zone,
+		PeerAddress: h.Settings.PeerAddress,
+		State:       state,
+	}
+}
+
+// entryHosts returns the live entry hosts, this one among them.
+func (h *Host) entryHosts() []holder.Host {
+	hosts := []holder.Host{{Name: h.Settings.Name, Address: h.Settings.PeerAddress}}
+	for m := range h.roster.Snapshot().EntryHosts() {
+		if m.Host.Name != h.Settings.Name && !m.Leaving() {
+			hosts = append(hosts, holder.Host{Name: m.Host.Name, Address: m.Host.PeerAddress})
+		}
+	}
+	return hosts
+}
+
+// entryHostCount counts the live entry hosts, this one included.
+func (h *Host) entryHostCount() int { return len(h.entryHosts()) }
+
+// peerAddresses returns the processes to compare versions with.
+func (h *Host) peerAddresses() []string {
+	var addresses []string
+	for m := range h.roster.Snapshot().All() {
+		if m.Host.Name != h.Settings.Name {
+			addresses = append(addresses, m.Host.PeerAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		return h.Settings.Peers
+	}
+	return addresses
+}
+
+// hostStatus lists what this host knows of others.
+func (h *Host) hostStatus(now time.Time) []peer.HostStatus {
+	var all []peer.HostStatus
+	for m := range h.roster.Snapshot().All() {
+		status := peer.HostStatus{
+			Name:           m.Host.Name,
+			Role:           string(m.Host.Role),
+			Zone:           m.Host.AvailabilityZone,
+			PeerAddress:    m.Host.PeerAddress,
+			State:          string(m.Host.State),
+			Running:        m.Load.Running,
+			Waiting:        m.Load.Waiting,
+			MemoryPermille: m.Load.MemoryPermille,
+			AgeMillis:      -1,
+		}
+		if age, seen := m.Age(now); seen {
+			status.AgeMillis = age.Milliseconds()
+		}
+		if m.Leaving() {
+			status.State = hostlist.StateLeaving
+		}
+		all = append(all, status)
+	}
+	return all
+}
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -31,6 +31,7 @@
 			Deadline:   call.Deadline,
 			Key:        call.Key,
 			Repeatable: call.Repeatable,
+			Urgent:     call.Urgent,
 		},
 		delivery: &delivery.Delivery{RequestID: call.ID},
 		refused:  make(map[string]bool),
@@ -50,10 +51,9 @@
 			return Reply{}, result
 		}
 		reply, result := j.askOwner(ctx, call)
-		if !j.mayMoveOn(result) {
-			return reply, result
+		if final := j.moveOn(ctx, result); final != nil {
+			return reply, final
 		}
-		j.lastRefusal = result
 	}
 }
 
@@ -65,9 +65,10 @@
 	silentUntil := j.silentDeadline()
 	sent := false
 	for {
+		askedAt := time.Now()
 		reply, err := j.send(ctx, call)
 		if err == nil {
-			return j.takeReply(reply)
+			return j.takeReply(reply, askedAt)
 		}
 		if ctx.Err() != nil {
 			return Reply{}, j.callCut(ctx, sent)
@@ -114,6 +115,8 @@
 		DeadlineUnixNanos: deadlineNanos(call.Deadline),
 		Permit:            j.permit,
 		Repeatable:        call.Repeatable,
+		ConfigVersion:     j.ConfigVersion(),
+		Asker:             j.Address,
 	}
 	return line.Call(ctx, j.target.PeerAddress,
 		func(ctx context.Context, conn drpc.Conn) (*message.CallReply, error) {
@@ -121,9 +124,9 @@
 		})
 }
 
-func (j *journey) takeReply(reply *message.CallReply) (Reply, *receipt.Result) {
+func (j *journey) takeReply(reply *message.CallReply, askedAt time.Time) (Reply, *receipt.Result) {
 	if load := reply.GetLoad(); load != nil {
-		j.Picker.Observe(load, time.Now())
+		j.Picker.Observe(load, askedAt, time.Now())
 	}
 	if reply.GetCode() != 0 {
 		result := receipt.New(receipt.Code(reply.GetCode()), "%s", reply.GetReason()).
--- a/internal/routing/visit/claim.go
+++ b/internal/routing/visit/claim.go
@@ -4,15 +4,21 @@
 	"context"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
 // claim binds the request's key to the target, or takes over the binding that
 // is in force. A binding that the owner refused is replaced.
 func (j *journey) claim(ctx context.Context) *receipt.Result {
+	if refusal := j.learnIncarnation(ctx); refusal != nil {
+		return refusal
+	}
 	request := &message.ClaimRequest{
 		Key:               j.request.Key,
 		Partition:         claim.PartitionOf(j.request.Key, j.Partitions),
@@ -66,3 +72,26 @@
 	j.request.ID = requestID
 	j.delivery.RequestID = requestID
 }
+
+// learnIncarnation asks the target who it is, where no reply has told yet.
+func (j *journey) learnIncarnation(ctx context.Context) *receipt.Result {
+	if j.target.Incarnation != 0 {
+		return nil
+	}
+	askedAt := time.Now()
+	ctx, stop := context.WithDeadline(ctx, j.progressDeadline())
+	defer stop()
+	load, err := line.Call(ctx, j.target.PeerAddress,
+		func(ctx context.Context, conn drpc.Conn) (*message.Load, error) {
+			return message.NewDRPCBackendClient(conn).Probe(ctx, &message.ProbeRequest{})
+		})
+	now := time.Now()
+	if err != nil {
+		j.Picker.Unreachable(j.target, now)
+		return receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, err).
+			WithRetryAt(now.Add(time.Second))
+	}
+	j.Picker.Observe(load, askedAt, now)
+	j.target.Incarnation = load.GetIncarnation()
+	return nil
+}
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -120,6 +120,7 @@
 	defer func() { _ = conn.Close() }()
 	watchdog := time.AfterFunc(time.Until(j.progressDeadline()), func() { cut(errNoProgress) })
 	defer watchdog.Stop()
+	j.askedAt = time.Now()
 	stream, err := message.NewDRPCBackendClient(conn).Generate(ctx, j.generateRequest())
 	if err != nil {
 		return nil, errors.CombineErrors(context.Cause(ctx), err)
@@ -161,13 +162,15 @@
 		Repeatable:        j.request.Repeatable,
 		Permit:            j.permit,
 		Whole:             j.request.Whole,
+		ConfigVersion:     j.ConfigVersion(),
+		Asker:             j.Address,
 	}
 }
 
 // take handles one frame. A result ends the request, an error breaks the path.
 func (j *journey) take(frame *message.Frame) (*receipt.Result, error) {
 	if load := frame.GetLoad(); load != nil {
-		j.Picker.Observe(load, time.Now())
+		j.Picker.Observe(load, j.askedAt, time.Now())
 	}
 	bound := !j.delivery.Generation().IsZero()
 	step := j.delivery.Accept(frame)
--- a/internal/routing/visit/journey.go
+++ b/internal/routing/visit/journey.go
@@ -7,6 +7,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -27,6 +28,8 @@
 	attempt int
 	// lastRefusal is the newest refusal of an owner.
 	lastRefusal *receipt.Result
+	// askedAt is when the newest connection to the owner was opened.
+	askedAt time.Time
 	// resumed tells that the caller holds tokens that another entry host delivered.
 	resumed bool
 }
@@ -41,10 +44,9 @@
 			return result
 		}
 		result := j.follow(ctx)
-		if !j.mayMoveOn(result) {
-			return result
+		if final := j.moveOn(ctx, result); final != nil {
+			return final
 		}
-		j.lastRefusal = result
 	}
 }
 
@@ -75,8 +77,7 @@
 		Class:     j.request.Class,
 		Account:   j.request.Account,
 		Prompt:    j.request.Prompt,
-		Attempt:   j.attempt,
-		Deadline:  j.request.Deadline,
+		Urgent:    j.request.Urgent,
 		Refused:   j.refused,
 	}, now)
 	if result != nil {
@@ -108,14 +109,54 @@
 	return combined.WithRetryAt(retryAt)
 }
 
-// mayMoveOn tells whether another owner may be asked after the result, and
-// prepares for it.
+// moveOn prepares for another attempt after the result, or returns the final
+// result. A request that is given up on gets its final result at once.
+func (j *journey) moveOn(ctx context.Context, result *receipt.Result) *receipt.Result {
+	j.refused[j.target.Backend] = true
+	if !j.mayMoveOn(result) {
+		return result
+	}
+	decision := j.Picker.Retry(allowance.Attempt{
+		Count:      j.attempt,
+		Outcome:    outcomeOf(result),
+		Repeatable: j.request.Repeatable,
+		OthersLeft: true,
+		RetryAt:    result.RetryAt,
+		Deadline:   j.request.Deadline,
+	}, time.Now())
+	switch d := decision.(type) {
+	case allowance.Retry:
+		j.lastRefusal = result
+		pause(ctx, d.At)
+		return nil
+	case allowance.GiveUp:
+		return j.givenUp(result, d)
+	default:
+		return result
+	}
+}
+
+// givenUp adds to the result why no other attempt is made.
+func (j *journey) givenUp(result *receipt.Result, decision allowance.GiveUp) *receipt.Result {
+	final := receipt.New(result.Code, "%s; given up after %d attempts: %s", result.Reason, j.attempt, decision.Reason)
+	retryAt := result.RetryAt
+	if retryAt.Before(decision.RetryAt) {
+		retryAt = decision.RetryAt
+	}
+	return final.WithRetryAt(retryAt)
+}
+
+func outcomeOf(result *receipt.Result) allowance.Outcome {
+	if result.Code.Info().Outcome == receipt.NotRun {
+		return allowance.OutcomeNotRun
+	}
+	return allowance.OutcomeUnknown
+}
+
+// mayMoveOn tells whether another owner may be asked after the result.
 func (j *journey) mayMoveOn(result *receipt.Result) bool {
 	info := result.Code.Info()
-	j.refused[j.target.Backend] = true
 	switch info.Outcome {
-	case receipt.Complete:
-		return false
 	case receipt.NotRun:
 		return info.Repeat == receipt.RepeatSafe && result.Code != receipt.DeadlinePassed
 	case receipt.Unknown:
--- a/internal/routing/visit/request.go
+++ b/internal/routing/visit/request.go
@@ -26,6 +26,8 @@
 	Repeatable bool
 	// Whole tells that nothing leaves the entry host before the answer is whole.
 	Whole bool
+	// Urgent tells whether the class must be answered at once.
+	Urgent bool
 }
 
 // Call is one request to a plain service.
@@ -41,6 +43,8 @@
 	// Key is empty when the call is repeatable.
 	Key        string
 	Repeatable bool
+	// Urgent tells whether the class must be answered at once.
+	Urgent bool
 }
 
 // Reply is the answer of a plain service.
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -57,9 +58,7 @@
 	Class     string
 	Account   string
 	Prompt    string
-	// Attempt counts from one; from two on it spends the retry budget.
-	Attempt  int
-	Deadline time.Time
+	Urgent    bool
 	// Refused holds the backend servers that refused the request.
 	Refused map[string]bool
 }
@@ -71,11 +70,13 @@
 	// Locate finds the process of one incarnation of a backend server.
 	Locate(backend string, incarnation uint64) (Target, Presence)
 	// Observe takes the load that a reply carried.
-	Observe(*message.Load, time.Time)
+	Observe(load *message.Load, askedAt, now time.Time)
 	// Refused takes a refusal by the owner.
 	Refused(Target, *receipt.Result, time.Time)
 	// Unreachable takes a failure to reach the owner.
 	Unreachable(Target, time.Time)
+	// Retry decides whether and when a failed attempt is followed by another.
+	Retry(allowance.Attempt, time.Time) allowance.Decision
 	// Succeeded takes a request that ended well; it earns retry budget.
 	Succeeded(time.Time)
 }
@@ -99,6 +100,10 @@
 	SilentMillis int
 	// Partitions is the number of claim partitions.
 	Partitions int
+	// Address is the peer address of this entry host.
+	Address string
+	// ConfigVersion returns the version in force.
+	ConfigVersion func() uint64
 }
 
 // Generate runs one generation to its final result.
