feat: membership and load of backend servers and entry hosts

Cause: the platform's list lags and may be silent for long, replies say more and sooner, and a backend server that is leaving must get no new work.

Ruled out: an order of incarnations by number, as they are random. Another incarnation is newer only if it was asked after the current one answered last and is no former one. Ruled out as well: drops by time alone, since a silent list would empty the roster. A member is dropped only by a list that does not name it, 30 s after its last answer.

Change: Roster merges list, answers, refusals and failed dials into immutable members. Its own word of leaving stays until a new incarnation; the list's word holds while the list says so. The incarnations of dropped members are kept for an hour, so a lagging list can't undo a refusal.

--- /dev/null
+++ b/internal/routing/roster/roster_test.go
@@ -0,0 +1,213 @@
+package roster
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func at(seconds int) time.Time {
+	return start.Add(time.Duration(seconds) * time.Second)
+}
+
+func backend(name string) Host {
+	return Host{Name: name, Role: RoleBackend, PeerAddress: "10.0.0.1:" + name, Model: "draft", State: StateLive}
+}
+
+func load(name string, incarnation uint64) *message.Load {
+	return &message.Load{Backend: name, Incarnation: incarnation, Running: 3}
+}
+
+func eligible(r *Roster, name string, now time.Time) bool {
+	m, ok := r.Snapshot().Find(name)
+	return ok && m.Eligible(now)
+}
+
+func TestRefusalBeatsList(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	is.NoErr(r.ApplyList([]Host{backend("1")}, at(0)))
+	is.NoErr(r.Observe(load("1", 7), at(0), at(1)))
+	is.NoErr(r.Answered(Answer{Host: "1", Incarnation: 7, AskedAt: at(1), SeenAt: at(2), Leaving: true}))
+	is.NoErr(r.ApplyList([]Host{backend("1")}, at(3)))
+	is.NoErr(r.Observe(load("1", 7), at(3), at(4)))
+	is.True(!eligible(&r, "1", at(5))) // the same incarnation never returns
+	is.True(errors.Is(r.Observe(load("1", 8), at(3), at(5)), ErrStale))
+	is.NoErr(r.Observe(load("1", 8), at(5), at(6)))
+	is.True(eligible(&r, "1", at(6)))
+	is.True(errors.Is(r.Observe(load("1", 7), at(7), at(8)), ErrStale)) // never goes back
+}
+
+func TestListLeavingHoldsWhileListed(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	leaving := backend("1")
+	leaving.State = StateLeaving
+	is.NoErr(r.ApplyList([]Host{leaving}, at(0)))
+	is.NoErr(r.Observe(load("1", 7), at(0), at(1)))
+	is.True(!eligible(&r, "1", at(1)))
+	is.NoErr(r.ApplyList([]Host{backend("1")}, at(2)))
+	is.True(eligible(&r, "1", at(2)))
+}
+
+func TestUnlistedMembers(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	is.NoErr(r.ApplyList([]Host{backend("1"), backend("2"), backend("3")}, at(0)))
+	is.NoErr(r.Answered(Answer{Host: "2", Incarnation: 7, AskedAt: at(0), SeenAt: at(1), Leaving: true}))
+	others := []Host{backend("3")}
+	is.NoErr(r.ApplyList(others, at(10)))
+	is.NoErr(r.Observe(load("1", 7), at(34), at(35)))
+	is.Equal(r.Snapshot().Len(), 3) // within the deadline
+	is.NoErr(r.ApplyList(others, at(41)))
+	_, ok := r.Snapshot().Find("2")
+	is.True(!ok) // silent
+	_, ok = r.Snapshot().Find("1")
+	is.True(ok) // answers
+	is.True(errors.Is(r.Observe(load("2", 7), at(42), at(43)), ErrUnknownHost))
+	// A lagging list brings it back, but not as eligible.
+	is.NoErr(r.ApplyList([]Host{backend("2"), backend("3")}, at(44)))
+	is.True(!eligible(&r, "2", at(44)))
+}
+
+func TestSilentListDropsNobody(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	is.NoErr(r.ApplyList([]Host{backend("1"), backend("2")}, at(0)))
+	is.NoErr(r.ApplyList([]Host{backend("1")}, at(1)))
+	is.True(errors.Is(r.ApplyList(nil, at(9000)), ErrEmptyList))
+	is.True(errors.Is(r.ApplyList([]Host{{Name: "x"}}, at(9000)), ErrEmptyList))
+	is.True(eligible(&r, "1", at(9000)))
+	is.True(eligible(&r, "2", at(9000)))
+}
+
+func TestSuspectAfterFailedDials(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	is.NoErr(r.ApplyList([]Host{backend("1")}, at(0)))
+	now := at(0)
+	for _, want := range []time.Duration{suspectFirst, 2 * suspectFirst, 4 * suspectFirst} {
+		is.NoErr(r.DialFailed("1", now))
+		is.NoErr(r.DialFailed("1", now)) // counts once
+		is.True(!eligible(&r, "1", now.Add(want-1)))
+		now = now.Add(want)
+		is.True(eligible(&r, "1", now))
+	}
+	for range 10 {
+		is.NoErr(r.DialFailed("1", now))
+		m, _ := r.Snapshot().Find("1")
+		is.True(m.SuspectUntil.Sub(now) <= suspectMax)
+		now = m.SuspectUntil
+	}
+	is.NoErr(r.DialFailed("1", now))
+	is.NoErr(r.Observe(load("1", 7), now, now))
+	is.True(eligible(&r, "1", now))
+	is.True(errors.Is(r.DialFailed("9", now), ErrUnknownHost))
+}
+
+func TestSnapshotIsImmutable(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	is.Equal(r.Snapshot().Len(), 0)
+	service := Host{Name: "2", Role: RoleBackend, PeerAddress: "a:2", Service: "booking"}
+	entry := Host{Name: "3", Role: RoleEntry, PeerAddress: "a:3"}
+	is.NoErr(r.ApplyList([]Host{entry, service, backend("1")}, at(0)))
+	before := r.Snapshot()
+	is.True(before == r.Snapshot()) // nothing changed
+	is.NoErr(r.Observe(load("1", 7), at(0), at(1)))
+	m, _ := before.Find("1")
+	is.Equal(m.Incarnation, uint64(0))
+	after := r.Snapshot()
+	m, _ = after.Find("1")
+	is.Equal(m.Load.Running, uint32(3))
+	is.Equal(len(slices.Collect(after.Model("draft"))), 1)
+	is.Equal(slices.Collect(after.Service("booking"))[0].Host, service)
+	is.Equal(slices.Collect(after.EntryHosts())[0].Host, entry)
+	age, seen := m.Age(at(3))
+	is.True(seen)
+	is.Equal(age, 2*time.Second)
+}
+
+func TestReadersSeeCompletedWrites(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	is.NoErr(r.ApplyList([]Host{backend("1"), backend("2")}, at(0)))
+	var group errgroup.Group
+	for _, name := range []string{"1", "2"} {
+		group.Go(func() error {
+			for i := range 1000 {
+				if err := r.Observe(load(name, 7), at(0), at(i)); err != nil {
+					return err
+				}
+				if m, _ := r.Snapshot().Find(name); !m.SeenAt.Equal(at(i)) {
+					return errors.Newf("host %s: seen at %s after a write at %s", name, m.SeenAt, at(i))
+				}
+			}
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+}
+
+const benchBackends = 900
+
+func fullRoster(b *testing.B) *Roster {
+	var r Roster
+	if err := r.ApplyList(fullList(), start); err != nil {
+		b.Fatal(err)
+	}
+	return &r
+}
+
+func fullList() []Host {
+	var hosts []Host
+	for i := range benchBackends {
+		hosts = append(hosts, backend(strconv.Itoa(i)))
+	}
+	return hosts
+}
+
+func BenchmarkObserve(b *testing.B) {
+	r := fullRoster(b)
+	l := load("450", 7)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = r.Observe(l, start, start)
+	}
+}
+
+func BenchmarkSnapshotUnchanged(b *testing.B) {
+	r := fullRoster(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Snapshot()
+	}
+}
+
+func BenchmarkObserveAndSnapshot(b *testing.B) {
+	r := fullRoster(b)
+	l := load("450", 7)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = r.Observe(l, start, start)
+		r.Snapshot()
+	}
+}
+
+func BenchmarkApplyList(b *testing.B) {
+	r := fullRoster(b)
+	hosts := fullList()
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = r.ApplyList(hosts, start)
+	}
+}
--- /dev/null
+++ b/internal/routing/roster/snapshot.go
@@ -0,0 +1,110 @@
+package roster
+
+import (
+	"iter"
+	"slices"
+)
+
+// Snapshot is the roster at one moment. It is immutable.
+type Snapshot struct {
+	// members in order of name.
+	members []*Member
+	index   *index
+}
+
+// index holds places of members in a snapshot. It is immutable.
+type index struct {
+	byName    map[string]int
+	byModel   map[string][]int
+	byService map[string][]int
+	entries   []int
+}
+
+// Snapshot returns the roster as it is now. It costs one atomic read while
+// nothing has changed, else a copy of the member pointers.
+func (r *Roster) Snapshot() *Snapshot {
+	if s := r.snapshot.Load(); s != nil {
+		return s
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &Snapshot{members: slices.Clone(r.members), index: r.index}
+	if s.index == nil {
+		s.index = &index{}
+	}
+	r.snapshot.Store(s)
+	return s
+}
+
+// Find returns a member by the name of its host.
+func (s *Snapshot) Find(name string) (Member, bool) {
+	i, ok := s.index.byName[name]
+	if !ok {
+		return Member{}, false
+	}
+	return *s.members[i], true
+}
+
+// Len returns the count of members.
+func (s *Snapshot) Len() int {
+	return len(s.members)
+}
+
+// All yields every member in order of name.
+func (s *Snapshot) All() iter.Seq[*Member] {
+	return slices.Values(s.members)
+}
+
+// Model yields the backend servers whose engine serves a model. The members
+// must not be changed.
+func (s *Snapshot) Model(model string) iter.Seq[*Member] {
+	return s.at(s.index.byModel[model])
+}
+
+// Service yields the backend servers whose plain service serves a service. The
+// members must not be changed.
+func (s *Snapshot) Service(service string) iter.Seq[*Member] {
+	return s.at(s.index.byService[service])
+}
+
+// EntryHosts yields the entry hosts. The members must not be changed.
+func (s *Snapshot) EntryHosts() iter.Seq[*Member] {
+	return s.at(s.index.entries)
+}
+
+func (s *Snapshot) at(places []int) iter.Seq[*Member] {
+	return func(yield func(*Member) bool) {
+		for _, i := range places {
+			if !yield(s.members[i]) {
+				return
+			}
+		}
+	}
+}
+
+func newIndex(members []*Member) *index {
+	x := &index{
+		byName:    make(map[string]int, len(members)),
+		byModel:   make(map[string][]int),
+		byService: make(map[string][]int),
+	}
+	for i, m := range members {
+		x.add(i, m.Host)
+	}
+	return x
+}
+
+func (x *index) add(i int, h Host) {
+	x.byName[h.Name] = i
+	switch h.Role {
+	case RoleEntry:
+		x.entries = append(x.entries, i)
+	case RoleBackend:
+		if h.Model != "" {
+			x.byModel[h.Model] = append(x.byModel[h.Model], i)
+		}
+		if h.Service != "" {
+			x.byService[h.Service] = append(x.byService[h.Service], i)
+		}
+	}
+}
