fix: reject resume tokens in any form but the written one

Cause: the JSON decoder matches field names in any case and takes repeated fields, so several texts stood for one ticket.

Change: Decode compares the text with the form that Encode writes.

--- a/internal/caller/ticket/ticket.go
+++ b/internal/caller/ticket/ticket.go
@@ -42,8 +42,9 @@
 	return base64.RawURLEncoding.EncodeToString(text)
 }
 
-// Decode returns the ticket that Encode wrote. Unknown fields, trailing data,
-// missing identities and oversized texts are errors.
+// Decode returns the ticket that Encode wrote. Any other text is an error:
+// unknown, repeated or misspelt fields, trailing data, missing identities and
+// oversized texts.
 func Decode(text string) (Ticket, error) {
 	if len(text) > MaxEncodedBytes {
 		return Ticket{}, errors.Wrapf(ErrInvalid, "%d bytes are over the bound of %d", len(text), MaxEncodedBytes)
@@ -59,6 +60,9 @@
 	if err := ticket.validate(); err != nil {
 		return Ticket{}, err
 	}
+	if ticket.Encode() != text {
+		return Ticket{}, errors.Wrap(ErrInvalid, "not in the form that Encode writes")
+	}
 	return ticket, nil
 }
 
--- a/internal/caller/ticket/ticket_test.go
+++ b/internal/caller/ticket/ticket_test.go
@@ -40,6 +40,8 @@
 		{"not an object", encode(`7`)},
 		{"unknown field", encode(`{"Extra":1,` + whole[1:])},
 		{"trailing data", encode(whole + `{}`)},
+		{"misspelt field", encode(strings.Replace(whole, "Account", "account", 1))},
+		{"repeated field", encode(`{"Account":"b",` + whole[1:])},
 		{"no request", encode(strings.Replace(whole, `"r"`, `""`, 1))},
 		{"no account", encode(strings.Replace(whole, `"a"`, `""`, 1))},
 		{"no backend", encode(strings.Replace(whole, `"b"`, `""`, 1))},
