--- a/internal/backend/keeper/drive.go
+++ b/internal/backend/keeper/drive.go
@@ -97,10 +97,10 @@
 
 // resultOf maps the engine's reason for the end.
 func resultOf(finished engine.Finished) (receipt.Code, string) {
-	switch {
-	case finished.Reason == engine.ReasonStop:
+	switch finished.Reason {
+	case engine.ReasonStop:
 		return receipt.OK, ""
-	case finished.Reason == engine.ReasonLength:
+	case engine.ReasonLength:
 		return receipt.OKLength, ""
 	default:
 		return receipt.EngineFailed, strings.TrimPrefix(finished.Reason, engine.ReasonErrorPrefix)
--- a/internal/backend/keeper/finish.go
+++ b/internal/backend/keeper/finish.go
@@ -40,7 +40,7 @@
 
 // expire ends the waiting requests that can't make their deadline and the
 // generations that nobody waits for.
-func (k *Keeper) expire(now time.Time) {
+func (k *Keeper) expire(ctx context.Context, now time.Time) {
 	k.mu.Lock()
 	var late []*job
 	for _, refusal := range k.Book.Expire(now) {
@@ -63,7 +63,7 @@
 		if j.overdue(now) {
 			code = receipt.DeadlineCut
 		}
-		k.stopJob(context.Background(), j.request.ID, code)
+		k.stopJob(ctx, j.request.ID, code)
 	}
 }
 
--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -68,9 +68,9 @@
 	ConfigVersion func() uint64
 	// VersionSeen takes the version that an asker holds and its peer address.
 	VersionSeen func(version uint64, address string)
-	Records       explanation.Writer
-	Gauge         Gauge
-	Log           *slog.Logger
+	Records     explanation.Writer
+	Gauge       Gauge
+	Log         *slog.Logger
 
 	leaving atomic.Bool
 	// readers counts the open streams to entry hosts.
@@ -146,7 +146,7 @@
 			return nil
 		case now := <-ticker.C:
 			k.Logbook.Evict(now)
-			k.expire(now)
+			k.expire(ctx, now)
 			k.startNext(now)
 		}
 	}
--- a/internal/backend/keeper/load.go
+++ b/internal/backend/keeper/load.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
+
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -40,3 +43,8 @@
 func (k *Keeper) Leave() {
 	k.leaving.Store(true)
 }
+
+// Call is not served by an engine.
+func (k *Keeper) Call(context.Context, *message.CallRequest) (*message.CallReply, error) {
+	return nil, drpcerr.WithCode(errors.New("an engine runs no plain call"), drpcerr.Unimplemented)
+}
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -43,8 +43,8 @@
 	ConfigVersion func() uint64
 	// VersionSeen takes the version that an asker holds and its peer address.
 	VersionSeen func(version uint64, address string)
-	Records       explanation.Writer
-	Log           *slog.Logger
+	Records     explanation.Writer
+	Log         *slog.Logger
 
 	leaving atomic.Bool
 	running atomic.Int64
--- a/internal/result/receipt/receipt.go
+++ b/internal/result/receipt/receipt.go
@@ -79,7 +79,7 @@
 }
 
 // Result is the final result of a request. It is an error unless complete.
-type Result struct {
+type Result struct { //nolint:errname // a result may be complete as well
 	Code   Code
 	Reason string
 	// RetryAt is the earliest useful time to come back; zero means none is known.
--- a/internal/routing/referral/referral.go
+++ b/internal/routing/referral/referral.go
@@ -17,7 +17,6 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/visit"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
-	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
 const (
--- a/internal/routing/visit/claim.go
+++ b/internal/routing/visit/claim.go
@@ -7,6 +7,7 @@
 	"storj.io/drpc"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/holder"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
@@ -34,7 +35,7 @@
 			WithRetryAt(time.Now().Add(time.Second))
 	}
 	if reply.GetCode() != 0 {
-		return receipt.New(receipt.Code(reply.GetCode()), "%s", reply.GetReason()).
+		return receipt.New(claimCode(holder.Code(reply.GetCode())), "%s", reply.GetReason()).
 			WithRetryAt(timeFromNanos(reply.GetRetryAtUnixNanos()))
 	}
 	return j.adopt(reply.GetPermit())
@@ -95,3 +96,16 @@
 	j.target.Incarnation = load.GetIncarnation()
 	return nil
 }
+
+// claimCode maps the code of a claim that brought no permit. Nothing was sent
+// to an owner, so the request has not run.
+func claimCode(code holder.Code) receipt.Code {
+	switch code {
+	case holder.CodeKeyExpired:
+		return receipt.KeyExpired
+	case holder.CodeKeyFuture, holder.CodeKeyMalformed:
+		return receipt.KeyRequired
+	default:
+		return receipt.LogUnavailable
+	}
+}
--- a/internal/standin/site/files.go
+++ b/internal/standin/site/files.go
@@ -64,7 +64,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "find a free address")
 		}
-		defer listener.Close()
+		defer func() { _ = listener.Close() }()
 		addresses = append(addresses, listener.Addr().String())
 	}
 	return addresses, nil
