--- a/cmd/root.go
+++ b/cmd/root.go
@@ -82,6 +82,7 @@
 			newStatusCommand(),
 			newExplainCommand(),
 			newDrainCommand(),
+			newDemoCommand(),
 			newStandinsCommand(),
 			newVersionCommand(),
 		},
--- a/internal/caller/intake/answer.go
+++ b/internal/caller/intake/answer.go
@@ -132,6 +132,7 @@
 
 // whole collects an answer that is written at once.
 type whole struct {
+	writer    http.ResponseWriter
 	requestID string
 	model     string
 	span      Span
@@ -161,8 +162,9 @@
 // Alive does nothing, since nothing leaves before the end.
 func (s *whole) Alive(message.GenerationState) error { return nil }
 
-// write writes the whole answer, or why there is none.
-func (s *whole) write(w http.ResponseWriter, result *receipt.Result) {
+// end writes the whole answer, or why there is none.
+func (s *whole) end(result *receipt.Result) {
+	w := s.writer
 	if result.Code.Info().Outcome != receipt.Complete {
 		writeRefusal(w, s.requestID, result)
 		return
--- a/internal/caller/intake/completion.go
+++ b/internal/caller/intake/completion.go
@@ -74,18 +74,29 @@
 
 // generate runs the request and writes its answer.
 func (in *Intake) generate(w http.ResponseWriter, r *http.Request, request visit.Request, stream bool, span Span) {
-	if stream {
-		sink := newStream(w, request.ID, request.Model, span)
-		result := in.Runner.Generate(r.Context(), request, sink)
-		span.Ended(result, time.Now())
-		sink.end(result)
-		return
-	}
-	request.Whole = true
-	sink := &whole{requestID: request.ID, model: request.Model, span: span}
-	result := in.Runner.Generate(r.Context(), request, sink)
+	answer := newAnswer(w, &request, stream, span)
+	result := in.Runner.Generate(r.Context(), request, answer)
 	span.Ended(result, time.Now())
-	sink.write(w, result)
+	answer.end(result)
+}
+
+// answerSink receives an answer and writes its end.
+type answerSink interface {
+	visit.Sink
+	end(*receipt.Result)
+}
+
+// newAnswer returns the sink that the caller and the class ask for.
+func newAnswer(w http.ResponseWriter, request *visit.Request, streamed bool, span Span) answerSink {
+	if !streamed {
+		request.Whole = true
+		return &whole{writer: w, requestID: request.ID, model: request.Model, span: span}
+	}
+	stream := newStream(w, request.ID, request.Model, span)
+	if request.Whole {
+		return &held{stream: stream}
+	}
+	return stream
 }
 
 func (in *Intake) readCompletion(w http.ResponseWriter, r *http.Request) (completionRequest, *receipt.Result) {
--- /dev/null
+++ b/internal/caller/intake/held.go
@@ -0,0 +1,41 @@
+package intake
+
+import (
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// held is a stream whose tokens leave only when the answer is whole, so that a
+// lost generation of a repeatable request can be replaced unseen.
+type held struct {
+	stream *stream
+	texts  []string
+}
+
+// Begin sends the ticket and drops the tokens of a generation that was lost.
+func (h *held) Begin(t ticket.Ticket) {
+	h.texts = nil
+	h.stream.Begin(t)
+}
+
+// Tokens keeps the tokens.
+func (h *held) Tokens(_ uint64, text []string) error {
+	h.texts = append(h.texts, text...)
+	return nil
+}
+
+// Alive tells the caller that the answer is on its way.
+func (h *held) Alive(state message.GenerationState) error {
+	return h.stream.Alive(state)
+}
+
+// end sends the whole answer, or why there is none.
+func (h *held) end(result *receipt.Result) {
+	if result.Code.Info().Outcome == receipt.Complete && len(h.texts) > 0 {
+		if h.stream.Tokens(0, h.texts) != nil {
+			return
+		}
+	}
+	h.stream.end(result)
+}
--- /dev/null
+++ b/internal/role/rehearsal/caller.go
@@ -0,0 +1,89 @@
+package rehearsal
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
+)
+
+// caller asks an entry host as a client would.
+type caller struct {
+	address string
+	client  *http.Client
+}
+
+// completion is the part of an answer that the rehearsal prints.
+type completion struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Fulmarvalve struct {
+		RequestID string
+		Backend   string
+		Result    string
+		Reason    string
+	} `json:"fulmarvalve"`
+}
+
+func (c completion) text() string {
+	if len(c.Choices) == 0 {
+		return ""
+	}
+	return c.Choices[0].Text
+}
+
+// complete asks for one whole answer.
+func (c *caller) complete(ctx context.Context, prompt string) (completion, error) {
+	var answer completion
+	body, err := json.Marshal(map[string]any{"prompt": prompt})
+	if err != nil {
+		return answer, errors.Wrap(err, "encode request")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+c.address+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return answer, errors.Wrap(err, "build request")
+	}
+	request.Header.Set(intake.HeaderAccount, "maksimir-hall")
+	request.Header.Set(intake.HeaderClass, "session-check")
+	status, err := c.do(request, &answer)
+	if err != nil {
+		return answer, err
+	}
+	if status != http.StatusOK {
+		return answer, errors.Newf("%s: %s", answer.Fulmarvalve.Result, answer.Fulmarvalve.Reason)
+	}
+	return answer, nil
+}
+
+// explanation asks why the request went where it did.
+func (c *caller) explanation(ctx context.Context, requestID string) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet,
+		"http://"+c.address+"/v1/requests/"+requestID+"/explanation", http.NoBody)
+	if err != nil {
+		return "", errors.Wrap(err, "build request")
+	}
+	var records []explanation.Record
+	if _, err := c.do(request, &records); err != nil {
+		return "", err
+	}
+	return explanation.Render(records), nil
+}
+
+func (c *caller) do(request *http.Request, into any) (int, error) {
+	reply, err := c.client.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "ask")
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if err := json.NewDecoder(reply.Body).Decode(into); err != nil {
+		return reply.StatusCode, errors.Wrap(err, "decode answer")
+	}
+	return reply.StatusCode, nil
+}
--- /dev/null
+++ b/internal/role/rehearsal/deployment.go
@@ -0,0 +1,100 @@
+package rehearsal
+
+import (
+	"fmt"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/site"
+)
+
+// Sizes and names of the deployment, which is a small part of a gym's.
+const (
+	entryCount    = 2
+	engineCount   = 2
+	region        = "zagreb"
+	memoryTokens  = 20000
+	model         = "coach"
+	generationOf  = "coaching"
+	plainOf       = "front-desk"
+	engineMaximum = 16
+)
+
+// addresses hands out free addresses in order.
+type addresses struct {
+	free []string
+}
+
+func (a *addresses) next() string {
+	first := a.free[0]
+	a.free = a.free[1:]
+	return first
+}
+
+// prepare makes the settings and the stand-ins.
+func (r *Rehearsal) prepare() error {
+	const perHost = 3
+	free, err := site.FreeAddresses(perHost*(entryCount+engineCount+1) + perHost)
+	if err != nil {
+		return err
+	}
+	pool := &addresses{free: free}
+	log, list := pool.next(), pool.next()
+	for n := range entryCount {
+		r.entries = append(r.entries, entrySettings(n, pool, log, list))
+	}
+	for n := range engineCount {
+		r.backends = append(r.backends, engineSettings(n, pool, log, list))
+	}
+	r.backends = append(r.backends, plainSettings(pool, log, list))
+	for i := range r.backends {
+		r.backends[i].Peers = []string{r.entries[0].PeerAddress, r.entries[1].PeerAddress}
+	}
+	r.site = &site.Site{Backends: r.backends, StepMillis: stepMillis}
+	return r.site.Prepare()
+}
+
+func zone(n int) string { return fmt.Sprintf("zagreb-%c", 'a'+n) }
+
+func entrySettings(n int, pool *addresses, log, list string) process.Entry {
+	settings := process.DefaultEntry()
+	settings.Name = fmt.Sprintf("entry-%d", n+1)
+	settings.Region = region
+	settings.Zone = zone(n)
+	settings.CallerAddress = pool.next()
+	settings.PeerAddress = pool.next()
+	settings.MetricsAddress = pool.next()
+	settings.LogServiceAddress = log
+	settings.HostListAddress = list
+	return settings
+}
+
+func backendSettings(name string, n int, pool *addresses, log, list string) process.Backend {
+	settings := process.DefaultBackend()
+	settings.Name = name
+	settings.Region = region
+	settings.Zone = zone(n)
+	settings.PeerAddress = pool.next()
+	settings.MetricsAddress = pool.next()
+	settings.LogServiceAddress = log
+	settings.HostListAddress = list
+	return settings
+}
+
+func engineSettings(n int, pool *addresses, log, list string) process.Backend {
+	settings := backendSettings(fmt.Sprintf("coaching-%d", n+1), n, pool, log, list)
+	settings.Kind = process.KindEngine
+	settings.EngineAddress = pool.next()
+	settings.Service = generationOf
+	settings.Model = model
+	settings.MemoryTokens = memoryTokens
+	settings.MaxRunning = engineMaximum
+	return settings
+}
+
+func plainSettings(pool *addresses, log, list string) process.Backend {
+	settings := backendSettings("front-desk-1", 0, pool, log, list)
+	settings.Kind = process.KindPlain
+	settings.ServiceAddress = pool.next()
+	settings.Service = plainOf
+	return settings
+}
