fix: logs write errors as one sentence

Cause: the text handler formats an error value with its stack, so one warning filled a screen. Ruled out: the errors library, whose Error method gives one sentence. Change: error attributes are replaced by their text, and attribute keys of the roles are in Pascal case. Shown by TestErrorsAreOneSentence.

--- a/internal/backend/keeper/drive.go
+++ b/internal/backend/keeper/drive.go
@@ -71,7 +71,7 @@
 		if errors.Is(err, engine.ErrRefused) {
 			return run.refused(err)
 		}
-		k.Log.Warn("engine stream opened again", "request", j.request.ID, "position", run.position, "cause", err)
+		k.Log.Warn("engine stream opened again", "Request", j.request.ID, "Position", run.position, "Cause", err)
 		now := time.Now()
 		if run.position > before || errors.Is(err, errSilent) {
 			lostAt = now.Add(engineLostMillis * time.Millisecond)
--- a/internal/backend/keeper/finish.go
+++ b/internal/backend/keeper/finish.go
@@ -19,7 +19,7 @@
 	evictAt := now.Add(time.Duration(k.Settings.HoldSeconds) * time.Second)
 	entry, _ := k.Logbook.Find(id)
 	if err := k.Logbook.Finish(id, uint32(code), reason, evictAt); err != nil {
-		k.Log.Error("generation could not be ended", "request", id, "cause", err)
+		k.Log.Error("generation could not be ended", "Request", id, "Cause", err)
 	}
 	k.Records.Record(id, explanation.Ended{
 		Code:    uint32(code),
@@ -112,6 +112,6 @@
 	ctx, done := context.WithDeadline(context.WithoutCancel(ctx), time.Now().Add(engineCancelMillis*time.Millisecond))
 	defer done()
 	if err := k.Engine.Cancel(ctx, id); err != nil {
-		k.Log.Warn("generation not cancelled at the engine", "request", id, "cause", err)
+		k.Log.Warn("generation not cancelled at the engine", "Request", id, "Cause", err)
 	}
 }
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -207,7 +207,7 @@
 	}
 	evictAt := time.Now().Add(time.Duration(p.Settings.HoldSeconds) * time.Second)
 	if err := p.Logbook.Finish(id, uint32(code), reason, evictAt); err != nil {
-		p.Log.Error("call could not be ended", "request", id, "cause", err)
+		p.Log.Error("call could not be ended", "Request", id, "Cause", err)
 	}
 	p.Records.Record(id, explanation.Ended{Code: uint32(code), Outcome: string(code.Info().Outcome), Reason: reason})
 }
--- a/internal/records/diary/diary.go
+++ b/internal/records/diary/diary.go
@@ -68,7 +68,11 @@
 }
 
 // renameKeys writes the built-in keys in Pascal case, as all own formats do.
+// Errors are written as one sentence, without their stack.
 func renameKeys(groups []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
 	if len(groups) > 0 {
 		return a
 	}
--- a/internal/records/diary/diary_test.go
+++ b/internal/records/diary/diary_test.go
@@ -61,3 +61,12 @@
 	is.True(errors.Is(err, ErrFormat))
 	For(nil, Peer).Info("goes nowhere")
 }
+
+func TestErrorsAreOneSentence(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger, err := New(&out, Settings{})
+	is.NoErr(err)
+	For(logger, Keeper).Warn("not cancelled", "Cause", errors.Wrap(errors.New("engine is gone"), "cancel"))
+	is.True(strings.HasSuffix(out.String(), "Message=\"keeper: not cancelled\" Cause=\"cancel: engine is gone\"\n"))
+}
--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -214,7 +214,7 @@
 // drain waits for the end of the lifetime, then for the open requests.
 func (h *Host) drain(ctx context.Context, life lifetime.Lifetime) error {
 	log := diary.For(h.Log, diary.Process)
-	log.Info("serving", "name", h.Settings.Name, "peer", h.Settings.PeerAddress, "incarnation", h.incarnation)
+	log.Info("serving", "Name", h.Settings.Name, "Peer", h.Settings.PeerAddress, "Incarnation", h.incarnation)
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -222,10 +222,10 @@
 	}
 	h.owner.Leave()
 	h.announce(ctx, hostlist.StateLeaving)
-	log.Info("draining", "open", h.owner.Open())
+	log.Info("draining", "Open", h.owner.Open())
 	cut := life.Finish(h.owner.Open, lifetime.DrainDeadline(h.Settings.DrainSeconds))
 	if cut > 0 {
-		log.Warn("cut by the drain deadline or a second signal", "open", cut)
+		log.Warn("cut by the drain deadline or a second signal", "Open", cut)
 		return nil
 	}
 	log.Info("drained")
@@ -265,6 +265,6 @@
 		State:       state,
 	})
 	if err != nil && ctx.Err() == nil {
-		diary.For(h.Log, diary.HostList).Warn("not registered", "cause", err)
+		diary.For(h.Log, diary.HostList).Warn("not registered", "Cause", err)
 	}
 }
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -219,7 +219,7 @@
 	defer stop()
 	held, err := peer.AskRecords(ctx, member.Host.PeerAddress, id)
 	if err != nil {
-		diary.For(h.Log, diary.Peer).Warn("records not read", "backend", backend, "cause", err)
+		diary.For(h.Log, diary.Peer).Warn("records not read", "Backend", backend, "Cause", err)
 	}
 	return held
 }
@@ -237,7 +237,7 @@
 // drain waits for the end of the lifetime, then for the open requests.
 func (h *Host) drain(ctx context.Context, life lifetime.Lifetime) error {
 	log := diary.For(h.Log, diary.Process)
-	log.Info("serving", "name", h.Settings.Name, "callers", h.Settings.CallerAddress, "peer", h.Settings.PeerAddress)
+	log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress, "Peer", h.Settings.PeerAddress)
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -245,10 +245,10 @@
 	}
 	h.leaving.set()
 	h.rounds.Announce(ctx)
-	log.Info("draining", "open", h.gate.Open())
+	log.Info("draining", "Open", h.gate.Open())
 	cut := life.Finish(h.gate.Open, lifetime.DrainDeadline(h.Settings.DrainSeconds))
 	if cut > 0 {
-		log.Warn("cut by the drain deadline or a second signal", "open", cut)
+		log.Warn("cut by the drain deadline or a second signal", "Open", cut)
 		return nil
 	}
 	log.Info("drained")
--- a/internal/routing/rounds/rounds.go
+++ b/internal/routing/rounds/rounds.go
@@ -78,7 +78,7 @@
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(askMillis*time.Millisecond))
 	defer stop()
 	if err := r.Hosts.Register(ctx, r.Self()); err != nil && ctx.Err() == nil {
-		r.Log.Warn("not registered", "cause", err)
+		r.Log.Warn("not registered", "Cause", err)
 	}
 }
 
@@ -89,7 +89,7 @@
 	defer stop()
 	listed, err := r.Hosts.Hosts(ctx)
 	if err != nil {
-		r.Log.Warn("list not read", "cause", err)
+		r.Log.Warn("list not read", "Cause", err)
 		return
 	}
 	hosts := make([]roster.Host, 0, len(listed))
@@ -97,7 +97,7 @@
 		hosts = append(hosts, hostOf(h))
 	}
 	if err := r.Roster.ApplyList(hosts, time.Now()); err != nil {
-		r.Log.Warn("list not applied", "cause", err)
+		r.Log.Warn("list not applied", "Cause", err)
 	}
 }
 
