fix: a refusal unbinds a key only when its owner has recorded it

Cause: after any refusal or failed dial the entry host asked for another owner in place of the bound one. Another entry host with the same key may have reached the bound owner meanwhile, and a new incarnation refuses what the former one may have run; either way the request could run twice. Ruled out: trusting the refusal code alone, since a full logbook refuses without a record. Change: refusals say whether they are recorded, and only a recorded refusal of the bound incarnation lets the key be bound anew; anything else is unknown. A drain also waits a short time for answers that nobody has read, and a generation that two callers read is not cancelled by one of them.

--- a/internal/backend/keeper/finish.go
+++ b/internal/backend/keeper/finish.go
@@ -12,9 +12,12 @@
 // engineCancelMillis bounds a cancellation at the engine.
 const engineCancelMillis = 1000
 
-// finish ends an open generation and frees its place.
+// finish ends an open generation and frees its place. The first end counts.
 func (k *Keeper) finish(j *job, code receipt.Code, reason string) {
 	id := j.request.ID
+	if !k.close(j) {
+		return
+	}
 	now := time.Now()
 	evictAt := now.Add(time.Duration(k.Settings.HoldSeconds) * time.Second)
 	entry, _ := k.Logbook.Find(id)
@@ -28,7 +31,6 @@
 		Tokens:  entry.Position,
 	})
 	k.mu.Lock()
-	delete(k.jobs, id)
 	k.Book.Release(id)
 	if code == receipt.OK {
 		k.Book.Lengths.Observe(j.class, j.account, int(entry.Position))
@@ -38,6 +40,18 @@
 	k.startNext(now)
 }
 
+// close takes the job off the open ones. It returns false when it was ended
+// already.
+func (k *Keeper) close(j *job) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.jobs[j.request.ID] != j {
+		return false
+	}
+	delete(k.jobs, j.request.ID)
+	return true
+}
+
 // expire ends the waiting requests that can't make their deadline and the
 // generations that nobody waits for.
 func (k *Keeper) expire(ctx context.Context, now time.Time) {
@@ -85,10 +99,22 @@
 	if g := in.GetGeneration(); g != nil && g.GetIncarnation() != k.Incarnation {
 		return &message.CancelReply{}, nil
 	}
+	if k.shared(in.GetRequestId()) {
+		return &message.CancelReply{}, nil
+	}
 	k.stopJob(ctx, in.GetRequestId(), receipt.Cancelled)
 	return &message.CancelReply{}, nil
 }
 
+// shared tells whether another caller reads the generation: two may have come
+// with the same idempotency key.
+func (k *Keeper) shared(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j, open := k.jobs[id]
+	return open && j.readers > 1
+}
+
 // stopJob stops a job, waiting or running, and frees it at the engine.
 func (k *Keeper) stopJob(ctx context.Context, id string, code receipt.Code) {
 	k.mu.Lock()
--- a/internal/backend/keeper/load.go
+++ b/internal/backend/keeper/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcerr"
@@ -9,6 +10,9 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
+// unreadGraceSeconds is how long after its end an unread answer counts as open.
+const unreadGraceSeconds = 15
+
 // Load returns the current load.
 func (k *Keeper) Load() *message.Load {
 	k.mu.Lock()
@@ -33,10 +37,13 @@
 	return k.Load(), nil
 }
 
-// Open returns the count of generations that have not ended and of streams
-// that still deliver.
+// Open returns the count of generations that have not ended, of streams that
+// still deliver, and of answers that ended a moment ago and were not read yet:
+// a caller whose path broke may be on its way back for them.
 func (k *Keeper) Open() int {
-	return max(k.Logbook.OpenRequests(), int(k.readers.Load()))
+	hold := time.Duration(k.Settings.HoldSeconds-unreadGraceSeconds) * time.Second
+	unread := k.Logbook.Unread(time.Now().Add(max(0, hold)))
+	return max(k.Logbook.OpenRequests()+unread, int(k.readers.Load()))
 }
 
 // Leave stops the admission of new work. Open generations run to their end.
--- a/internal/backend/keeper/serve.go
+++ b/internal/backend/keeper/serve.go
@@ -64,7 +64,7 @@
 	switch s := entry.State.(type) {
 	case logbook.Refused:
 		return entry, receipt.New(receipt.Code(s.Code), "%s", s.Reason).
-			WithRetryAt(warden.RetryAt(time.Now()))
+			WithRetryAt(warden.RetryAt(time.Now())).WithRecorded()
 	case logbook.Evicted:
 		return entry, receipt.New(receipt.NotHeld, "the answer is no longer held")
 	default:
@@ -105,6 +105,7 @@
 			Code:             uint32(refusal.Code),
 			Reason:           refusal.Reason,
 			RetryAtUnixNanos: warden.NanosOf(refusal.RetryAt),
+			Recorded:         refusal.Recorded,
 		}},
 		Load: k.Load(),
 	}
--- a/internal/backend/logbook/query.go
+++ b/internal/backend/logbook/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -85,3 +86,18 @@
 		r.replayed = l.replayed.PushBack(r)
 	}
 }
+
+// Unread counts the ended answers that nobody has read to their end and whose
+// texts are held until after the given time.
+func (l *Logbook) Unread(evictAfter time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, r := range l.deadlines {
+		ended, ok := r.state.(Ended)
+		if ok && r.replayed == nil && ended.EvictAt.After(evictAfter) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -108,6 +108,7 @@
 			Code:             uint32(refusal.Code),
 			Reason:           refusal.Reason,
 			RetryAtUnixNanos: warden.NanosOf(refusal.RetryAt),
+			Recorded:         refusal.Recorded,
 		}
 	}
 	reply.Load = p.Load()
@@ -249,9 +250,9 @@
 func endOf(entry logbook.Entry) *receipt.Result {
 	switch s := entry.State.(type) {
 	case logbook.Refused:
-		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRetryAt(warden.RetryAt(time.Now()))
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRetryAt(warden.RetryAt(time.Now())).WithRecorded()
 	case logbook.Ended:
-		return receipt.New(receipt.Code(s.Code), "%s", s.Reason)
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRecorded()
 	default:
 		return receipt.New(receipt.NotHeld, "the reply is no longer held")
 	}
--- a/internal/backend/warden/warden.go
+++ b/internal/backend/warden/warden.go
@@ -58,8 +58,9 @@
 	return receipt.New(receipt.Leaving, "%s is leaving", w.Backend).WithRetryAt(RetryAt(now))
 }
 
-// RefuseForGood records that the request will never run here, and only then
-// returns the refusal.
+// RefuseForGood records that the request will never run here, and returns the
+// refusal as recorded. Where it can't be recorded, the refusal says so little
+// that the key stays bound to this incarnation.
 func (w *Warden) RefuseForGood(id string, refusal *receipt.Result, forgetAt time.Time) *receipt.Result {
 	_, held, err := w.Logbook.Refuse(id, uint32(refusal.Code), refusal.Reason, forgetAt)
 	if err != nil {
@@ -68,7 +69,7 @@
 	if held {
 		return receipt.New(receipt.OwnerSilent, "the request is held already")
 	}
-	return refusal
+	return refusal.WithRecorded()
 }
 
 // StartRefusal maps an identity that can't be held.
--- a/internal/caller/intake/stream.go
+++ b/internal/caller/intake/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -21,6 +22,8 @@
 	callerWriteMillis = 10000
 	// headerLastEvent carries the last position that a returning caller has.
 	headerLastEvent = "Last-Event-ID"
+	// resumeClass stands for the class in the measurement of a resumed answer.
+	resumeClass = "Resume"
 )
 
 // stream writes an answer as server-sent events. The id of each event is the
@@ -151,7 +154,13 @@
 		writeRefusal(w, t.RequestID, receipt.New(receipt.AccountRefused, "the ticket is of another client account"))
 		return
 	}
-	span := in.Observer.Began(t.Account, "Resume", now)
+	leave, refusal := in.enterAgain(t.Account, now)
+	if refusal != nil {
+		writeRefusal(w, t.RequestID, refusal)
+		return
+	}
+	defer leave()
+	span := in.Observer.Began(t.Account, resumeClass, now)
 	sink := newStream(w, t.RequestID, "", span)
 	sink.position = from
 	sink.open()
@@ -160,6 +169,21 @@
 	sink.end(result)
 }
 
+// enterAgain admits a caller that comes back for an answer. It takes a place
+// of the entry host, and none of the account's rate.
+func (in *Intake) enterAgain(accountName string, now time.Time) (func(), *receipt.Result) {
+	document, refusal := in.document(now)
+	if refusal != nil {
+		return nil, refusal
+	}
+	account, found := document.Account(accountName)
+	if !found {
+		return nil, receipt.New(receipt.AccountRefused, "client account %q is not configured", accountName)
+	}
+	account.RequestsPerSecond = 0
+	return in.enter(account, agreement.Class{Urgent: true}, now)
+}
+
 // lastPosition reads the count of tokens that the caller holds.
 func lastPosition(r *http.Request) (uint64, error) {
 	text := r.Header.Get(headerLastEvent)
--- a/internal/result/receipt/receipt.go
+++ b/internal/result/receipt/receipt.go
@@ -84,6 +84,9 @@
 	Reason string
 	// RetryAt is the earliest useful time to come back; zero means none is known.
 	RetryAt time.Time
+	// Recorded tells that the owner has recorded that it will never run the
+	// request, so that its idempotency key may be bound to another owner.
+	Recorded bool
 }
 
 // New returns a result with a formatted reason.
@@ -98,6 +101,13 @@
 	return &c
 }
 
+// WithRecorded returns a copy of a refusal that its owner has recorded.
+func (r *Result) WithRecorded() *Result {
+	c := *r
+	c.Recorded = true
+	return &c
+}
+
 // Error returns the name of the code and the reason.
 func (r *Result) Error() string {
 	return fmt.Sprintf("%s (%d): %s", r.Code, uint32(r.Code), r.Reason)
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -77,7 +77,7 @@
 		j.disturbed(err.Error())
 		now := time.Now()
 		j.Picker.Unreachable(j.target, now)
-		if !sent {
+		if !sent && j.permit == nil {
 			return Reply{}, receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, err).
 				WithRetryAt(now.Add(time.Second))
 		}
@@ -133,7 +133,7 @@
 			WithRetryAt(timeFromNanos(reply.GetRetryAtUnixNanos()))
 		j.disturbed("refused: " + result.Error())
 		j.Picker.Refused(j.target, result, time.Now())
-		return Reply{}, result
+		return Reply{}, j.bindingAfter(result, reply.GetLoad().GetIncarnation(), reply.GetRecorded())
 	}
 	return Reply{
 		Status:      int(reply.GetHttpStatus()),
--- a/internal/routing/visit/claim.go
+++ b/internal/routing/visit/claim.go
@@ -68,6 +68,25 @@
 	return nil
 }
 
+// bindingAfter returns what a refusal means for a request whose key is bound.
+// "Not run" holds only when the incarnation that the key is bound to has
+// recorded it: another entry host may have sent the same request there, and
+// another incarnation does not know what the bound one did.
+func (j *journey) bindingAfter(result *receipt.Result, incarnation uint64, recorded bool) *receipt.Result {
+	if j.permit == nil || result.Code.Info().Outcome != receipt.NotRun {
+		return result
+	}
+	if incarnation != j.permit.GetIncarnation() {
+		return receipt.New(receipt.KeySpent,
+			"the key is bound to incarnation %d of %s, which is gone", j.permit.GetIncarnation(), j.target.Backend)
+	}
+	if !recorded {
+		return receipt.New(receipt.OwnerSilent, "%s refused without a record: %s", j.target.Backend, result.Reason).
+			WithRetryAt(result.RetryAt)
+	}
+	return result
+}
+
 // follows makes the journey deliver the request that the key was bound to.
 func (j *journey) follows(requestID string) {
 	j.request.ID = requestID
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -57,7 +57,7 @@
 func (j *journey) giveUp(sent bool, silentUntil time.Time, cause error) *receipt.Result {
 	now := time.Now()
 	j.Picker.Unreachable(j.target, now)
-	if !sent {
+	if !sent && j.permit == nil {
 		return receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, cause).
 			WithRetryAt(now.Add(time.Second))
 	}
@@ -188,7 +188,7 @@
 		j.disturbed("frame rejected: " + s.Reason.String())
 		return nil, nil
 	case delivery.Refused:
-		return j.takeRefusal(s), nil
+		return j.takeRefusal(s, frame), nil
 	case delivery.Ended:
 		return receipt.New(receipt.Code(s.Code), "%s", s.Reason), nil
 	default:
@@ -196,7 +196,7 @@
 	}
 }
 
-func (j *journey) takeRefusal(refusal delivery.Refused) *receipt.Result {
+func (j *journey) takeRefusal(refusal delivery.Refused, frame *message.Frame) *receipt.Result {
 	result := receipt.New(receipt.Code(refusal.Code), "%s", refusal.Reason).
 		WithRetryAt(timeFromNanos(refusal.RetryAtUnixNanos))
 	j.disturbed("refused: " + result.Error())
@@ -204,7 +204,7 @@
 	if result.Code == receipt.NotHeld && j.delivery.Next() > 0 {
 		return receipt.New(receipt.GenerationLost, "%s", refusal.Reason)
 	}
-	return result
+	return j.bindingAfter(result, frame.GetGeneration().GetIncarnation(), frame.GetRefusal().GetRecorded())
 }
 
 func (j *journey) ticket() ticket.Ticket {
