test: attempts, resume and binding of one request

Shown to fail: with bindingAfter returning every refusal as it is, the cases "without a record" and "by another incarnation" of TestKeyIsBoundAnewOnlyAfterRecordedRefusal fail (two claims in place of one).

--- /dev/null
+++ b/internal/routing/visit/fixture_test.go
@@ -0,0 +1,216 @@
+package visit
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// owner is a process beside a backend server that follows a script.
+type owner struct {
+	name        string
+	incarnation uint64
+	address     string
+	// script serves the calls in their order; the last one serves the rest.
+	script []func(*message.GenerateRequest, message.DRPCBackend_GenerateStream) error
+
+	mu    sync.Mutex
+	asked []*message.GenerateRequest
+}
+
+func (o *owner) Generate(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
+	o.mu.Lock()
+	step := o.script[min(len(o.asked), len(o.script)-1)]
+	o.asked = append(o.asked, in)
+	o.mu.Unlock()
+	return step(in, out)
+}
+
+func (o *owner) Call(context.Context, *message.CallRequest) (*message.CallReply, error) {
+	return &message.CallReply{HttpStatus: 200, Load: o.load()}, nil
+}
+
+func (o *owner) Cancel(context.Context, *message.CancelRequest) (*message.CancelReply, error) {
+	return &message.CancelReply{}, nil
+}
+
+func (o *owner) Probe(context.Context, *message.ProbeRequest) (*message.Load, error) {
+	return o.load(), nil
+}
+
+func (o *owner) load() *message.Load {
+	return &message.Load{Backend: o.name, Incarnation: o.incarnation}
+}
+
+// calls counts the calls so far.
+func (o *owner) calls() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.asked)
+}
+
+// serve starts the owner on loopback until the test ends.
+func (o *owner) serve(t *testing.T) *owner {
+	t.Helper()
+	is := is.New(t)
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	o.address = listener.Addr().String()
+	mux := drpcmux.New()
+	is.NoErr(message.DRPCRegisterBackend(mux, o))
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return (&line.Server{Listener: listener, Handler: mux}).Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+	return o
+}
+
+// frame returns a frame of the owner's only generation.
+func (o *owner) frame(in *message.GenerateRequest, position uint64) *message.Frame {
+	return &message.Frame{
+		RequestId:  in.GetRequestId(),
+		Generation: &message.Generation{Backend: o.name, Incarnation: o.incarnation, Sequence: 1},
+		Position:   position,
+	}
+}
+
+func (o *owner) tokens(in *message.GenerateRequest, position uint64, text ...string) *message.Frame {
+	f := o.frame(in, position)
+	f.Body = &message.Frame_Tokens{Tokens: &message.Tokens{Text: text}}
+	return f
+}
+
+func (o *owner) end(in *message.GenerateRequest, position uint64) *message.Frame {
+	f := o.frame(in, position)
+	f.Body = &message.Frame_End{End: &message.End{Code: uint32(receipt.OK)}}
+	return f
+}
+
+// send returns a script step that sends the answer from the asked position on
+// and breaks the path before the given position; zero sends it all.
+func (o *owner) send(breakAt uint64, words ...string) func(*message.GenerateRequest, message.DRPCBackend_GenerateStream) error {
+	return func(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
+		for n := in.GetFromPosition(); n < uint64(len(words)); n++ {
+			if breakAt != 0 && n == breakAt {
+				return context.Canceled
+			}
+			if err := out.Send(o.tokens(in, n, words[n])); err != nil {
+				return err
+			}
+		}
+		return out.Send(o.end(in, uint64(len(words))))
+	}
+}
+
+// refuse returns a script step that refuses.
+func (o *owner) refuse(code receipt.Code, recorded bool) func(*message.GenerateRequest, message.DRPCBackend_GenerateStream) error {
+	return func(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
+		f := o.frame(in, 0)
+		f.Generation.Sequence = 0
+		f.Body = &message.Frame_Refusal{Refusal: &message.Refusal{Code: uint32(code), Reason: "script", Recorded: recorded}}
+		return out.Send(f)
+	}
+}
+
+// picker offers owners in order.
+type picker struct {
+	owners []*owner
+}
+
+func (p *picker) Pick(s Selection, now time.Time) (Target, *receipt.Result) {
+	for _, o := range p.owners {
+		if !s.Refused[o.name] {
+			return Target{Backend: o.name, PeerAddress: o.address, Incarnation: o.incarnation}, nil
+		}
+	}
+	return Target{}, receipt.New(receipt.NoBackend, "no owner left").WithRetryAt(now.Add(time.Second))
+}
+
+func (p *picker) Locate(backend string, incarnation uint64) (Target, Presence) {
+	for _, o := range p.owners {
+		if o.name == backend {
+			return Target{Backend: o.name, PeerAddress: o.address, Incarnation: incarnation}, Present
+		}
+	}
+	return Target{}, Unlisted
+}
+
+func (p *picker) Observe(*message.Load, time.Time, time.Time) {}
+func (p *picker) Refused(Target, *receipt.Result, time.Time)  {}
+func (p *picker) Unreachable(Target, time.Time)               {}
+func (p *picker) Succeeded(time.Time)                         {}
+func (p *picker) Retry(a allowance.Attempt, now time.Time) allowance.Decision {
+	if a.Count >= 4 {
+		return allowance.GiveUp{Reason: allowance.ReasonAttempts}
+	}
+	return allowance.Retry{At: now}
+}
+
+// claimer binds each key to the first claim, and anew after a recorded refusal.
+type claimer struct {
+	claims []*message.ClaimRequest
+	permit *message.Permit
+}
+
+func (c *claimer) Claim(_ context.Context, in *message.ClaimRequest) (*message.ClaimReply, error) {
+	c.claims = append(c.claims, in)
+	if c.permit == nil || (in.GetRefused() != nil && in.GetRefused().GetOffset() == c.permit.GetOffset()) {
+		c.permit = &message.Permit{
+			Key:         in.GetKey(),
+			Offset:      uint64(len(c.claims)),
+			Incarnation: in.GetIncarnation(),
+			Backend:     in.GetBackend(),
+			RequestId:   in.GetRequestId(),
+		}
+	}
+	return &message.ClaimReply{Permit: c.permit}, nil
+}
+
+// answer collects what reaches the caller.
+type answer struct {
+	begun int
+	texts []string
+}
+
+func (a *answer) Begin(ticket.Ticket) {
+	a.begun++
+	a.texts = nil
+}
+
+func (a *answer) Tokens(_ uint64, text []string) error {
+	a.texts = append(a.texts, text...)
+	return nil
+}
+
+func (a *answer) Alive(message.GenerationState) error { return nil }
+
+func (a *answer) text() string { return strings.Join(a.texts, " ") }
+
+// runner returns a runner with short waits for the owners.
+func runner(p *picker, c *claimer) *Runner {
+	return &Runner{
+		Picker:         p,
+		Claimer:        c,
+		ProgressMillis: 200,
+		SilentMillis:   400,
+		Partitions:     1,
+		ConfigVersion:  func() uint64 { return 1 },
+	}
+}
--- /dev/null
+++ b/internal/routing/visit/visit_test.go
@@ -0,0 +1,190 @@
+package visit
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const key = "0199-key"
+
+func TestBrokenPathResumesByPosition(t *testing.T) {
+	is := is.New(t)
+	o := &owner{name: "a", incarnation: 7}
+	o.script = append(o.script, o.send(2, "one", "two", "three"), o.send(0, "one", "two", "three"))
+	o.serve(t)
+	sink := &answer{}
+	result := runner(&picker{owners: []*owner{o}}, nil).
+		Generate(context.Background(), Request{ID: "r1", Repeatable: true}, sink)
+	is.Equal(result.Code, receipt.OK)
+	is.Equal(sink.text(), "one two three")
+	is.Equal(sink.begun, 1)
+	is.Equal(o.calls(), 2)
+	is.Equal(o.asked[1].GetFromPosition(), uint64(2))
+	is.Equal(o.asked[1].GetAttach().GetIncarnation(), uint64(7))
+}
+
+func TestSilentPathIsReplaced(t *testing.T) {
+	is := is.New(t)
+	o := &owner{name: "a", incarnation: 7}
+	silent := func(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
+		if err := out.Send(o.tokens(in, 0, "one")); err != nil {
+			return err
+		}
+		<-out.Context().Done()
+		return out.Context().Err()
+	}
+	o.script = append(o.script, silent, o.send(0, "one", "two"))
+	o.serve(t)
+	sink := &answer{}
+	result := runner(&picker{owners: []*owner{o}}, nil).
+		Generate(context.Background(), Request{ID: "r1", Repeatable: true}, sink)
+	is.Equal(result.Code, receipt.OK)
+	is.Equal(sink.text(), "one two")
+}
+
+func TestLostGeneration(t *testing.T) {
+	tests := []struct {
+		name      string
+		give      Request
+		wantCode  receipt.Code
+		wantText  string
+		wantBegun int
+	}{
+		{
+			name:      "a stream is never joined with another generation",
+			give:      Request{ID: "r1", Repeatable: true},
+			wantCode:  receipt.GenerationLost,
+			wantText:  "one",
+			wantBegun: 1,
+		},
+		{
+			name:      "a whole repeatable answer is generated anew",
+			give:      Request{ID: "r1", Repeatable: true, Whole: true},
+			wantCode:  receipt.OK,
+			wantText:  "other answer",
+			wantBegun: 2,
+		},
+		{
+			name:      "a whole answer that may not be repeated is unknown",
+			give:      Request{ID: "r1", Whole: true, Key: key},
+			wantCode:  receipt.GenerationLost,
+			wantText:  "one",
+			wantBegun: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			lost := &owner{name: "a", incarnation: 7}
+			lost.script = append(lost.script, lost.send(1, "one", "two"), lost.refuse(receipt.NotHeld, false))
+			lost.serve(t)
+			other := &owner{name: "b", incarnation: 8}
+			other.script = append(other.script, other.send(0, "other", "answer"))
+			other.serve(t)
+			sink := &answer{}
+			result := runner(&picker{owners: []*owner{lost, other}}, &claimer{}).
+				Generate(context.Background(), tt.give, sink)
+			is.Equal(result.Code, tt.wantCode)
+			is.Equal(sink.text(), tt.wantText)
+			is.Equal(sink.begun, tt.wantBegun)
+		})
+	}
+}
+
+// TestKeyIsBoundAnewOnlyAfterRecordedRefusal proves that a refusal moves a
+// request that may not be repeated only when its owner will never run it.
+func TestKeyIsBoundAnewOnlyAfterRecordedRefusal(t *testing.T) {
+	tests := []struct {
+		name string
+		// script prepares the first owner; the second one always answers.
+		script   func(*owner)
+		wantCode receipt.Code
+		// wantClaims counts the claims; two mean that the key was bound anew.
+		wantClaims int
+	}{
+		{
+			name:       "recorded",
+			script:     func(o *owner) { o.script = append(o.script, o.refuse(receipt.QueueFull, true)) },
+			wantCode:   receipt.OK,
+			wantClaims: 2,
+		},
+		{
+			name:       "without a record",
+			script:     func(o *owner) { o.script = append(o.script, o.refuse(receipt.QueueFull, false)) },
+			wantCode:   receipt.OwnerSilent,
+			wantClaims: 1,
+		},
+		{
+			name: "by another incarnation",
+			script: func(o *owner) {
+				successor := &owner{name: o.name, incarnation: o.incarnation + 1}
+				o.script = append(o.script, successor.refuse(receipt.NotOwner, true))
+			},
+			wantCode:   receipt.KeySpent,
+			wantClaims: 1,
+		},
+		{
+			name: "not reached",
+			script: func(o *owner) {
+				o.script = append(o.script, o.send(0, "unused"))
+				o.address = "127.0.0.1:1"
+			},
+			wantCode:   receipt.OwnerSilent,
+			wantClaims: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			first := &owner{name: "a", incarnation: 7}
+			first.serve(t)
+			tt.script(first)
+			second := &owner{name: "b", incarnation: 8}
+			second.script = append(second.script, second.send(0, "answer"))
+			second.serve(t)
+			claims := &claimer{}
+			result := runner(&picker{owners: []*owner{first, second}}, claims).
+				Generate(context.Background(), Request{ID: "r1", Key: key}, &answer{})
+			is.Equal(result.Code, tt.wantCode)
+			is.Equal(len(claims.claims), tt.wantClaims)
+			if tt.wantClaims == 1 {
+				is.Equal(second.calls(), 0)
+			}
+		})
+	}
+}
+
+func TestSecondCallerFollowsTheBinding(t *testing.T) {
+	is := is.New(t)
+	bound := &owner{name: "b", incarnation: 8}
+	bound.script = append(bound.script, bound.send(0, "the", "answer"))
+	bound.serve(t)
+	other := &owner{name: "a", incarnation: 7}
+	other.script = append(other.script, other.send(0, "double"))
+	other.serve(t)
+	claims := &claimer{permit: &message.Permit{Backend: "b", Incarnation: 8, RequestId: "first"}}
+	sink := &answer{}
+	result := runner(&picker{owners: []*owner{other, bound}}, claims).
+		Generate(context.Background(), Request{ID: "second", Key: key}, sink)
+	is.Equal(result.Code, receipt.OK)
+	is.Equal(sink.text(), "the answer")
+	is.Equal(bound.asked[0].GetRequestId(), "first")
+	is.Equal(other.calls(), 0)
+}
+
+func TestGivenUpAtOnceWithTimeToComeBack(t *testing.T) {
+	is := is.New(t)
+	full := &owner{name: "a", incarnation: 7}
+	full.script = append(full.script, full.refuse(receipt.QueueFull, false))
+	full.serve(t)
+	result := runner(&picker{owners: []*owner{full}}, nil).
+		Generate(context.Background(), Request{ID: "r1", Repeatable: true}, &answer{})
+	is.Equal(result.Code, receipt.QueueFull)
+	is.True(!result.RetryAt.IsZero())
+	is.Equal(full.calls(), 1)
+}
