test: faults of the platform's clients and stand-ins

Each fault that a stand-in can show is switched on in a test and seen through the client: what it says of the outcome, and how often the request ran.

The tests found that the weight store let a load through a fraction of a millisecond before its place under the rate limit; the wait is rounded up now. A pipe in place of the network lets HTTP run in virtual time.

--- a/internal/standin/serving/serving.go
+++ b/internal/standin/serving/serving.go
@@ -46,19 +46,7 @@
 	}
 	l.bound = ln.Addr().String()
 	l.markReady()
-	server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: headerTimeoutSeconds * time.Second}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	g.Go(func() error {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve")
-		}
-		return nil
-	})
-	return g.Wait()
+	return serve(ctx, ln, l.Handler)
 }
 
 func (l *Listener) init() {
@@ -72,3 +60,20 @@
 		close(l.ready)
 	}
 }
+
+// serve serves handler on ln until ctx ends, then drops all connections.
+func serve(ctx context.Context, ln net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeoutSeconds * time.Second}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	g.Go(func() error {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve")
+		}
+		return nil
+	})
+	return g.Wait()
+}
--- a/internal/standin/weights/server.go
+++ b/internal/standin/weights/server.go
@@ -17,7 +17,10 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
-const secondsPerMinute = 60
+const (
+	secondsPerMinute = 60
+	millisPerSecond  = 1000
+)
 
 // Faults are switched while the store is in use.
 type Faults struct {
@@ -104,7 +107,8 @@
 		http.Error(w, "rate limit", http.StatusTooManyRequests)
 		return
 	}
-	millis := wait.Milliseconds() + int64(s.LoadMillis)
+	// Rounded up, so that no load comes before its place.
+	millis := int64(math.Ceil(wait.Seconds()*millisPerSecond)) + int64(s.LoadMillis)
 	if err := serving.Delay(r.Context(), millis); err != nil {
 		return
 	}
