test: a stopped engine refuses over a fresh connection

TestRunServesUntilContextEnds was flaky: 4 of 20 runs failed, and on one processor nearly all. It expected ErrRefused from a client whose kept connection the engine had just closed; the transport writes the request and reads EOF, so the outcome is unknown to it and ErrBroken is right. The test now expects the same error from a client that dials anew, which is what a certain answer needs. Ruled out: to take EOF on a kept connection for never sent, since an engine that dies after it has read the request looks the same.

--- a/internal/platform/desk/desk.go
+++ b/internal/platform/desk/desk.go
@@ -52,7 +52,10 @@
 type Client struct {
 	// Address is host and port of the service.
 	Address string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means http.DefaultClient. With kept
+	// connections, a request that meets one which the service has just closed
+	// fails with ErrBroken; a transport with DisableKeepAlives dials anew, so that
+	// a service that is gone shows as ErrRefused.
 	HTTP *http.Client
 }
 
--- a/internal/platform/engine/client.go
+++ b/internal/platform/engine/client.go
@@ -23,7 +23,10 @@
 	// Address is host and port of the engine.
 	Address string
 	// HTTP sends the requests; nil means http.DefaultClient. It must set no
-	// timeout for whole exchanges, since streams last long.
+	// timeout for whole exchanges, since streams last long. With kept
+	// connections, a request that meets one which the engine has just closed
+	// fails with ErrBroken; a transport with DisableKeepAlives dials anew, so that
+	// an engine that is gone shows as ErrRefused.
 	HTTP *http.Client
 }
 
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -140,7 +141,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
 	g.Go(func() error { return s.Run(ctx) })
-	client := &engine.Client{Address: s.Addr()}
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &engine.Client{Address: s.Addr(), HTTP: fresh}
 	stream, err := client.Generate(ctx, engine.Request{ID: "a", Prompt: "tokens=20"})
 	is.NoErr(err)
 	events, err := readAll(stream)
