--- a/internal/settings/edition/cursor.go
+++ b/internal/settings/edition/cursor.go
@@ -18,12 +18,19 @@
 // observer sees each record that a cursor folds, with its verdict.
 type observer func(journal.Record, Verdict)
 
+// decider folds one record into a state.
+type decider func(State, journal.Record) (State, Verdict)
+
 // cursor folds the stream from a known state on.
 type cursor struct {
 	log   journal.Log
 	state State
+	// apply decides one record. Nil means State.Apply.
+	apply decider
 	// observe may be nil.
 	observe observer
+	// skipped is set when records were passed over, because they had expired.
+	skipped bool
 }
 
 // advance folds all records up to the end of the stream. It returns
@@ -62,6 +69,7 @@
 			c.state.Edition.Version, anchor.Edition.Version)
 	}
 	c.state = anchor
+	c.skipped = true
 	return c.fold(records)
 }
 
@@ -89,8 +97,15 @@
 }
 
 func (c *cursor) fold(records []journal.Record) error {
+	apply := c.apply
+	if apply == nil {
+		apply = State.Apply
+	}
 	for _, record := range records {
-		next, verdict := c.state.Apply(record)
+		if record.Offset <= c.state.Through {
+			continue
+		}
+		next, verdict := apply(c.state, record)
 		if undecided, ok := verdict.(Undecided); ok {
 			return errors.Wrapf(undecided.Reason, "record %d", record.Offset)
 		}
--- a/internal/settings/edition/exchanger.go
+++ b/internal/settings/edition/exchanger.go
@@ -8,17 +8,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
 const (
-	// ExchangePeriodMillis is the mean pause between exchanges with random
-	// peers.
-	ExchangePeriodMillis = 1000
+	// DefaultExchangePeriodMillis is the mean pause between exchanges with
+	// random peers.
+	DefaultExchangePeriodMillis = 1000
 	// SpreadPeers is the number of random peers that hear of a new version at
 	// once.
 	SpreadPeers = 2
@@ -49,8 +49,13 @@
 	Register *Register
 	// Peers reaches the other processes.
 	Peers Peers
+	// PeriodMillis is the mean pause between exchanges with random peers. Zero
+	// means DefaultExchangePeriodMillis.
+	PeriodMillis int
 	// Random returns a number from [0, 1). Nil means math/rand.
 	Random func() float64
+	// Log writes what operators need to see. Nil writes nothing.
+	Log *slog.Logger
 
 	once sync.Once
 	// hints are peers that are known to hold a newer version.
@@ -87,9 +92,9 @@
 // runPeriodic exchanges versions with random peers, so that a version reaches
 // every process whatever messages were lost.
 func (e *Exchanger) runPeriodic(ctx context.Context) error {
-	nextAt := time.Now().Add(time.Duration(e.random() * ExchangePeriodMillis * float64(time.Millisecond)))
+	nextAt := time.Now().Add(time.Duration(e.random() * float64(e.period())))
 	for sleepUntil(ctx, nextAt) {
-		nextAt = time.Now().Add(jittered(ExchangePeriodMillis*time.Millisecond, e.random()))
+		nextAt = time.Now().Add(jittered(e.period(), e.random()))
 		e.exchangeWithRandom(ctx)
 	}
 	return nil
@@ -138,34 +143,26 @@
 	request := &message.ExchangeRequest{Name: e.Name, Version: e.Register.Version()}
 	reply, err := e.Peers.Exchange(ctx, peer, request)
 	if err != nil {
-		slog.Debug("config: peer gave no answer", "peer", peer, "error", err)
+		e.logger().Debug("peer gave no answer", "Peer", peer, "Error", err)
 		return
 	}
 	if reply.GetVersion() <= e.Register.Version() || len(reply.GetRecord()) == 0 {
 		return
 	}
 	if err := e.adopt(reply.GetRecord()); err != nil {
-		slog.Warn("config: record of a peer is not taken", "peer", peer, "error", err)
+		e.logger().Warn("record of a peer is not taken", "Peer", peer, "Error", err)
 	}
 }
 
 // adopt puts a snapshot that a peer sent in force.
 func (e *Exchanger) adopt(data []byte) error {
-	entry, err := Decode(data)
-	if err != nil {
-		return err
-	}
-	snapshot, ok := entry.(Snapshot)
-	if !ok {
-		return errors.Newf("expected a snapshot, found %T", entry)
-	}
-	state, err := StateOf(snapshot)
+	state, err := decodeState(data)
 	if err != nil {
 		return err
 	}
 	changed, err := e.Register.Offer(state)
 	if changed {
-		slog.Info("config: version is taken from a peer", "version", state.Edition.Version)
+		e.logger().Info("version is taken from a peer", "Version", state.Edition.Version)
 	}
 	return err
 }
@@ -177,6 +174,17 @@
 	})
 }
 
+func (e *Exchanger) logger() *slog.Logger {
+	return diary.For(e.Log, diary.Edition)
+}
+
+func (e *Exchanger) period() time.Duration {
+	if e.PeriodMillis == 0 {
+		return DefaultExchangePeriodMillis * time.Millisecond
+	}
+	return time.Duration(e.PeriodMillis) * time.Millisecond
+}
+
 func (e *Exchanger) random() float64 {
 	if e.Random == nil {
 		return rand.Float64()
--- /dev/null
+++ b/internal/settings/edition/fold_test.go
@@ -0,0 +1,219 @@
+package edition
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+)
+
+func TestFoldVerdicts(t *testing.T) {
+	a, b := smallDocument(1), smallDocument(2)
+	snapshotOf := func(id string, version, through uint64) Snapshot {
+		return Snapshot{ID: id, Version: version, Document: b, Through: through}
+	}
+	tests := map[string]struct {
+		entries []Entry
+		want    []Verdict
+	}{
+		"first wins": {
+			[]Entry{proposal("a", 0, a), proposal("b", 0, b)},
+			[]Verdict{Accepted{1}, Conflicting{Replaces: 0, InForce: 1, Winner: "a", Author: "operator of a"}},
+		},
+		"appended twice": {
+			[]Entry{proposal("a", 0, a), proposal("a", 0, a), proposal("b", 1, b), proposal("a", 0, a)},
+			[]Verdict{Accepted{1}, Repeated{}, Accepted{2}, Conflicting{Replaces: 0, InForce: 2, Winner: "b", Author: "operator of b"}},
+		},
+		"version ahead": {
+			[]Entry{proposal("a", 4, a)},
+			[]Verdict{Conflicting{Replaces: 4}},
+		},
+		"late snapshot": {
+			[]Entry{proposal("a", 0, a), proposal("b", 1, b), Snapshot{ID: "a", Version: 1, Document: a, Through: 1}},
+			[]Verdict{Accepted{1}, Accepted{2}, Repeated{}},
+		},
+		"snapshot restarts the stream": {
+			[]Entry{proposal("a", 0, a), snapshotOf("r", 9, 1), proposal("b", 9, b)},
+			[]Verdict{Accepted{1}, Accepted{9}, Accepted{10}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var records []journal.Record
+			for i, e := range tt.entries {
+				records = append(records, journal.Record{Offset: uint64(i + 1), Data: mustEncode(t, e)})
+			}
+			_, verdicts := foldAll(State{}, records)
+			is.Equal(verdicts, tt.want)
+		})
+	}
+}
+
+func TestFoldVoidsInvalidRecords(t *testing.T) {
+	skipping := proposal("a", 0, smallDocument(1))
+	skipping.Version = 2
+	tests := map[string][]byte{
+		"no gzip":          []byte("text"),
+		"cut off":          mustEncode(t, proposal("a", 0, smallDocument(1)))[:40],
+		"unknown kind":     compress(t, `{"Format":1,"Kind":"Order","ID":"a","Version":1,"Document":{}}`),
+		"no ID":            compress(t, `{"Format":1,"Kind":"Proposal","Version":1,"Document":{}}`),
+		"no format":        compress(t, `{"Kind":"Proposal","ID":"a","Version":1,"Document":{}}`),
+		"invalid document": compress(t, `{"Format":1,"Kind":"Proposal","ID":"a","Version":1,"Document":{"Services":[]}}`),
+		"skips a version":  mustEncode(t, skipping),
+		"future snapshot":  mustEncode(t, Snapshot{ID: "a", Version: 3, Through: 1, Document: smallDocument(1)}),
+		"too large":        compress(t, strings.Repeat(" ", maxDecodedBytes+1)),
+	}
+	for name, data := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			state, v := State{}.Apply(journal.Record{Offset: 1, Data: data})
+			_, void := v.(Void)
+			is.True(void)
+			is.Equal(state, State{Through: 1})
+		})
+	}
+}
+
+func TestFoldStopsAtNewerFormat(t *testing.T) {
+	is := is.New(t)
+	data := compress(t, `{"Format":2,"Kind":"Proposal","ID":"a","Version":1,"Document":{}}`)
+	state, v := State{}.Apply(journal.Record{Offset: 1, Data: data})
+	undecided, ok := v.(Undecided)
+	is.True(ok)
+	is.True(errors.Is(undecided.Reason, ErrNewerFormat))
+	is.Equal(state, State{})
+}
+
+func compress(t *testing.T, text string) []byte {
+	t.Helper()
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, err := w.Write([]byte(text))
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(w.Close())
+	return b.Bytes()
+}
+
+// stream is a generated log with the state after each prefix.
+type stream struct {
+	records []journal.Record
+	// states[i] is the state after the first i records.
+	states []State
+}
+
+// drawStream draws racing proposals, repeated ones, garbage, and snapshots
+// that holders took at any earlier prefix.
+func drawStream(t *rapid.T) stream {
+	s := stream{states: []State{{}}}
+	var sent []Proposal
+	start := time.Unix(1_700_000_000, 0)
+	for i := range rapid.IntRange(1, 30).Draw(t, "records") {
+		current := s.states[i]
+		var data []byte
+		switch kind := rapid.SampledFrom([]string{"proposal", "stale", "repeat", "snapshot", "garbage"}).Draw(t, "kind"); {
+		case kind == "snapshot" && current.Edition.Version > 0:
+			past := s.states[rapid.IntRange(1, i).Draw(t, "prefix")]
+			if past.Edition.Version == 0 {
+				past = current
+			}
+			data = mustEncodeRapid(t, past.Snapshot())
+		case kind == "repeat" && len(sent) > 0:
+			data = mustEncodeRapid(t, rapid.SampledFrom(sent).Draw(t, "sent"))
+		case kind == "garbage":
+			data = rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "garbage")
+		default:
+			replaces := current.Edition.Version
+			if kind == "stale" {
+				replaces = rapid.Uint64Range(0, replaces+1).Draw(t, "replaces")
+			}
+			p := proposal(fmt.Sprintf("p%d", i), replaces, smallDocument(i))
+			sent = append(sent, p)
+			data = mustEncodeRapid(t, p)
+		}
+		record := journal.Record{Offset: uint64(i + 1), AppendedAt: start.Add(time.Duration(i) * time.Second), Data: data}
+		next, _ := current.Apply(record)
+		s.records = append(s.records, record)
+		s.states = append(s.states, next)
+	}
+	return s
+}
+
+func mustEncodeRapid(t *rapid.T, e Entry) []byte {
+	data, err := Encode(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func sameVerdict(a, b State) bool {
+	return a.Edition.Version == b.Edition.Version && a.Edition.ID == b.Edition.ID && a.Through == b.Through
+}
+
+func TestFoldProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawStream(t)
+		for i := range s.records {
+			before, after := s.states[i].Edition, s.states[i+1].Edition
+			if after.Version < before.Version || after.Version > before.Version+1 {
+				t.Fatalf("record %d took version %d to %d", i+1, before.Version, after.Version)
+			}
+			if after.Version == before.Version && after.ID != before.ID {
+				t.Fatalf("record %d replaced %s by %s within version %d", i+1, before.ID, after.ID, after.Version)
+			}
+		}
+	})
+}
+
+// TestAnchoredFoldAgrees drops any prefix of any stream: a reader that finds an
+// anchor in the rest ends in the state of a reader of the whole.
+func TestAnchoredFoldAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawStream(t)
+		dropped := rapid.IntRange(0, len(s.records)).Draw(t, "dropped")
+		rest := s.records[dropped:]
+		anchor, ok := Anchor(rest, uint64(dropped+1))
+		if !ok {
+			return
+		}
+		c := cursor{state: anchor}
+		if err := c.fold(rest); err != nil {
+			t.Fatal(err)
+		}
+		if want := s.states[len(s.records)]; !sameVerdict(c.state, want) {
+			t.Fatalf("dropped %d: version %d of %s through %d, want %d of %s through %d", dropped,
+				c.state.Edition.Version, c.state.Edition.ID, c.state.Through, want.Edition.Version, want.Edition.ID, want.Through)
+		}
+	})
+}
+
+// TestSnapshotRoundTrip starts readers from the snapshot of any prefix.
+func TestSnapshotRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawStream(t)
+		at := rapid.IntRange(0, len(s.records)).Draw(t, "prefix")
+		if s.states[at].Edition.Version == 0 {
+			return
+		}
+		state, err := decodeState(mustEncodeRapid(t, s.states[at].Snapshot()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !state.AnchoredAt.Equal(s.states[at].AnchoredAt) {
+			t.Fatalf("anchored at %v, want %v", state.AnchoredAt, s.states[at].AnchoredAt)
+		}
+		end, _ := foldAll(state, s.records[at:])
+		if !sameVerdict(end, s.states[len(s.records)]) {
+			t.Fatalf("readers differ after prefix %d", at)
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/edition/propagation_test.go
@@ -0,0 +1,102 @@
+package edition
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	standin "github.com/fulmarvalve/fulmarvalve/internal/standin/journal"
+)
+
+const (
+	// changePeriodSeconds is the pause between changes at 3,200 a day.
+	changePeriodSeconds = 27
+	// inForceLimitSeconds is the longest time until a version is in force
+	// everywhere.
+	inForceLimitSeconds = 13
+	// bytesLimit is the most that one node may send and receive, in bytes a
+	// second.
+	bytesLimit = 4096
+)
+
+// propagationCase is one run in virtual time.
+type propagationCase struct {
+	name         string
+	nodes        int
+	changes      int
+	periodMillis int
+	// lossPermille is the share of exchanges lost, and logLossPermille of reads.
+	lossPermille    int
+	logLossPermille int
+}
+
+// propagation is what one run measured.
+type propagation struct {
+	// inForce are the times from acceptance until in force everywhere.
+	inForce []time.Duration
+	// bytesMean and bytesMax are of all nodes, in bytes a second.
+	bytesMean, bytesMax float64
+	// messages is the mean of all nodes, in messages a second.
+	messages float64
+}
+
+func measurePropagation(t *testing.T, c propagationCase, seed uint64) propagation {
+	var result propagation
+	synctest.Test(t, func(t *testing.T) {
+		store := &standin.Store{}
+		f := newFleet(store, c.nodes, seed)
+		f.lossPermille = c.lossPermille
+		for i, n := range f.nodes {
+			n.exchanger.PeriodMillis = c.periodMillis
+			n.journal.Log = &faultyReads{Store: store, fleet: f, lossPermille: c.logLossPermille}
+			n.journal.down.Store(i%100 == 99) // a few never reach the log
+		}
+		stop := f.start(t)
+		begin := time.Now()
+		for i := range c.changes {
+			changedAt := time.Now()
+			e := mustPublish(t, store, largeDocument(i))
+			took, _ := f.awaitAll(e.Version, changePeriodSeconds*time.Second)
+			result.inForce = append(result.inForce, took)
+			time.Sleep(time.Until(changedAt.Add(changePeriodSeconds * time.Second)))
+		}
+		seconds := time.Since(begin).Seconds()
+		stop()
+		for _, n := range f.nodes {
+			perSecond := float64(n.bytes.Load()) / seconds
+			result.bytesMean += perSecond / float64(c.nodes)
+			result.bytesMax = max(result.bytesMax, perSecond)
+			result.messages += float64(n.messages.Load()) / seconds / float64(c.nodes)
+		}
+	})
+	return result
+}
+
+func TestPropagation(t *testing.T) {
+	const seed = 7
+	cases := []propagationCase{
+		{name: "60 nodes", nodes: 60, changes: 10},
+		{name: "60 nodes, losses", nodes: 60, changes: 10, lossPermille: 200, logLossPermille: 500},
+		{name: "250 nodes", nodes: 250, changes: 4},
+		{name: "1260 nodes", nodes: 1260, changes: 3},
+		{name: "1260 nodes, losses", nodes: 1260, changes: 3, lossPermille: 200, logLossPermille: 500},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if testing.Short() && c.nodes > 60 {
+				t.Skip("large fleets are not run in short mode")
+			}
+			is := is.New(t)
+			p := measurePropagation(t, c, seed)
+			slices.Sort(p.inForce)
+			worst := p.inForce[len(p.inForce)-1]
+			t.Logf("seed %d: in force after %v median, %v worst; %.0f bytes/s mean, %.0f worst node; %.2f messages/s",
+				seed, p.inForce[len(p.inForce)/2], worst, p.bytesMean, p.bytesMax, p.messages)
+			is.True(worst <= inForceLimitSeconds*time.Second)
+			is.True(p.bytesMax <= bytesLimit)
+		})
+	}
+}
--- a/internal/settings/edition/reader.go
+++ b/internal/settings/edition/reader.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
 )
 
 const (
@@ -28,8 +29,8 @@
 // Reader polls the log now and then and puts what it accepts in force. It also
 // publishes the snapshots that keep the version in force from expiring.
 type Reader struct {
-	// Log holds the stream.
-	Log journal.Log
+	// Journal holds the stream.
+	Journal journal.Log
 	// Register takes the accepted editions.
 	Register *Register
 	// FleetSize returns the number of processes that read the log, this one
@@ -40,6 +41,8 @@
 	RepublishSeconds int
 	// Random returns a number from [0, 1). Nil means math/rand.
 	Random func() float64
+	// Log writes what operators need to see. Nil writes nothing.
+	Log *slog.Logger
 
 	// failing is set while polls fail, so that only changes are logged.
 	failing bool
@@ -62,7 +65,7 @@
 func (r *Reader) Poll(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(readTimeoutMillis*time.Millisecond))
 	defer cancel()
-	c := cursor{log: r.Log, state: r.Register.State(), observe: logVerdict}
+	c := cursor{log: r.Journal, state: r.Register.State(), observe: r.logVerdict}
 	err := c.advance(ctx)
 	if _, offerErr := r.Register.Offer(c.state); offerErr != nil {
 		return offerErr
@@ -86,23 +89,27 @@
 	return r.Random()
 }
 
+func (r *Reader) logger() *slog.Logger {
+	return diary.For(r.Log, diary.Edition)
+}
+
 func (r *Reader) logOutcome(err error) {
 	switch {
 	case err == nil && r.failing:
-		slog.Info("config: log is read again")
+		r.logger().Info("log is read again")
 	case err != nil && !r.failing:
-		slog.Warn("config: log is not read", "error", err)
+		r.logger().Warn("log is not read", "Error", err)
 	}
 	r.failing = err != nil
 }
 
 // logVerdict logs what operators need to see.
-func logVerdict(record journal.Record, v Verdict) {
+func (r *Reader) logVerdict(record journal.Record, v Verdict) {
 	switch v := v.(type) {
 	case Accepted:
-		slog.Info("config: record is accepted", "offset", record.Offset, "version", v.Version)
+		r.logger().Info("record is accepted", "Offset", record.Offset, "Version", v.Version)
 	case Conflicting, Void:
-		slog.Warn("config: record has no effect", "offset", record.Offset, "verdict", v.String())
+		r.logger().Warn("record has no effect", "Offset", record.Offset, "Verdict", v.String())
 	case Repeated, Undecided:
 	}
 }
--- a/internal/settings/edition/republication.go
+++ b/internal/settings/edition/republication.go
@@ -43,5 +43,5 @@
 		return nil
 	}
 	r.republish.dueAt = time.Now().Add(period)
-	return publishSnapshot(ctx, r.Log, state)
+	return publishSnapshot(ctx, r.Journal, state)
 }
