test: end-to-end harness of deployments in separate processes

Cause: promises about hosts that die, freeze or leave can only be shown with processes of their own. A transcript checks each event against the engine's own tokens for the prompt. Ruled out: the deployment in one process, as a freeze or kill would take the stand-ins along.

--- /dev/null
+++ b/internal/trial/openday/client_test.go
@@ -0,0 +1,235 @@
+package openday
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
+)
+
+// Client accounts of the operator file.
+const (
+	account        = "maksimir-hall"
+	limitedAccount = "jarun-hall"
+)
+
+// question is one generation to ask for.
+type question struct {
+	account   string
+	class     string
+	key       string
+	prompt    string
+	maxTokens int
+}
+
+// ask returns a question of the usual account.
+func ask(class, prompt string) question {
+	return question{account: account, class: class, prompt: prompt}
+}
+
+// part holds the fields of an answer that the tests look at.
+type part struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Fulmarvalve struct {
+		RequestID string
+		Ticket    string
+		Backend   string
+		Position  uint64
+		State     string
+		Code      uint32
+		Result    string
+		Outcome   string
+		Repeat    string
+		Reason    string
+		RetryAt   string
+	} `json:"fulmarvalve"`
+}
+
+func (p part) text() string {
+	if len(p.Choices) == 0 {
+		return ""
+	}
+	return p.Choices[0].Text
+}
+
+// reply is a whole HTTP answer.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// part decodes the body.
+func (r reply) part() (part, error) {
+	var p part
+	err := json.Unmarshal(r.body, &p)
+	return p, errors.Wrapf(err, "decode %q", r.body)
+}
+
+// caller asks one entry host. Every request takes a connection of its own.
+type caller struct {
+	address string
+	client  *http.Client
+}
+
+func newCaller(e *entryHost) *caller {
+	return &caller{
+		address: e.settings.CallerAddress,
+		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// send sends one request and returns its open answer.
+func (c *caller) send(ctx context.Context, method, path string, header map[string]string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	for name, value := range header {
+		if value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	response, err := c.client.Do(request)
+	return response, errors.Wrap(err, "ask")
+}
+
+// exchange sends one request and reads its whole answer.
+func (c *caller) exchange(method, path string, header map[string]string, body []byte) (reply, error) {
+	ctx, stop := context.WithDeadline(context.Background(), patience())
+	defer stop()
+	response, err := c.send(ctx, method, path, header, body)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}, errors.Wrap(err, "read answer")
+	}
+	return reply{status: response.StatusCode, header: response.Header, body: text}, nil
+}
+
+func (q question) header() map[string]string {
+	return map[string]string{
+		intake.HeaderAccount: q.account,
+		intake.HeaderClass:   q.class,
+		intake.HeaderKey:     q.key,
+	}
+}
+
+func (q question) body(streamed bool) []byte {
+	body := map[string]any{"prompt": q.prompt, "stream": streamed}
+	if q.maxTokens > 0 {
+		body["max_tokens"] = q.maxTokens
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// whole asks for an answer that comes at once.
+func (c *caller) whole(q question) (reply, error) {
+	return c.exchange(http.MethodPost, "/v1/completions", q.header(), q.body(false))
+}
+
+// call asks a plain service.
+func (c *caller) call(method, path, key string) (reply, error) {
+	header := map[string]string{
+		intake.HeaderAccount: account,
+		intake.HeaderClass:   "booking",
+		intake.HeaderKey:     key,
+	}
+	return c.exchange(method, "/v1/services/front-desk"+path, header, nil)
+}
+
+// explanation asks why a request went where it did.
+func (c *caller) explanation(requestID string) (reply, error) {
+	return c.exchange(http.MethodGet, "/v1/requests/"+requestID+"/explanation", nil, nil)
+}
+
+// stream is one open stream of events.
+type stream struct {
+	response *http.Response
+	reader   *bufio.Reader
+	stop     context.CancelFunc
+	// raw holds every byte that was read.
+	raw bytes.Buffer
+}
+
+// stream asks for an answer as events.
+func (c *caller) stream(q question) (*stream, error) {
+	return c.open(http.MethodPost, "/v1/completions", q.header(), q.body(true))
+}
+
+// resume continues the answer of a ticket after the tokens that the caller has.
+func (c *caller) resume(of, ticket string, position uint64) (*stream, error) {
+	header := map[string]string{
+		intake.HeaderAccount: of,
+		"Last-Event-ID":      strconv.FormatUint(position, 10),
+	}
+	return c.open(http.MethodGet, "/v1/completions/"+ticket, header, nil)
+}
+
+func (c *caller) open(method, path string, header map[string]string, body []byte) (*stream, error) {
+	ctx, stop := context.WithDeadline(context.Background(), patience())
+	response, err := c.send(ctx, method, path, header, body)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	return &stream{response: response, reader: bufio.NewReader(response.Body), stop: stop}, nil
+}
+
+func (s *stream) close() {
+	_ = s.response.Body.Close()
+	s.stop()
+}
+
+// event is one event of a stream.
+type event struct {
+	id string
+	part
+}
+
+// endMark is the data of the event that closes every stream.
+const endMark = "[DONE]"
+
+// next reads one event. It fails with io.EOF after the mark of the end, and
+// with io.ErrUnexpectedEOF on a stream that breaks off.
+func (s *stream) next() (event, error) {
+	var e event
+	for {
+		text, err := s.reader.ReadString('\n')
+		s.raw.WriteString(text)
+		if err != nil {
+			return e, errors.CombineErrors(io.ErrUnexpectedEOF, err)
+		}
+		line := strings.TrimSuffix(text, "\n")
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			e.id = id
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == endMark {
+			return e, io.EOF
+		}
+		return e, errors.Wrapf(json.Unmarshal([]byte(data), &e.part), "decode event %q", data)
+	}
+}
--- /dev/null
+++ b/internal/trial/openday/main_test.go
@@ -0,0 +1,43 @@
+package openday
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// binary is the path of the program under test, set by TestMain.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+// runAll builds the program once and runs the tests.
+func runAll(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "openday")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "make a directory:", err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binary = filepath.Join(directory, "fulmarvalve")
+	if err := build(binary); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// build compiles the program with the race detector.
+func build(path string) error {
+	command := exec.CommandContext(context.Background(),
+		"go", "build", "-race", "-o", path, "github.com/fulmarvalve/fulmarvalve")
+	output, err := command.CombinedOutput()
+	return errors.Wrapf(err, "build the program: %s", output)
+}
--- /dev/null
+++ b/internal/trial/openday/relay_test.go
@@ -0,0 +1,186 @@
+package openday
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// direction of the bytes on a relayed connection.
+type direction int
+
+const (
+	toBackend direction = iota
+	toEntry
+	directions
+)
+
+// gate lets bytes pass while it is open. The zero value is open.
+type gate struct {
+	mu sync.Mutex
+	// opened is closed when the gate opens again; nil while it is open.
+	opened chan struct{}
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		g.opened = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		close(g.opened)
+		g.opened = nil
+	}
+}
+
+// pass waits until the gate is open.
+func (g *gate) pass() {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	if opened != nil {
+		<-opened
+	}
+}
+
+// link is one relayed connection.
+type link struct {
+	gates [directions]gate
+}
+
+// relay forwards connections to target. Open connections can go silent for
+// good, so that neither bytes nor their end pass, while new ones work.
+type relay struct {
+	target   string
+	listener net.Listener
+	group    errgroup.Group
+
+	mu sync.Mutex
+	// links holds every connection that was ever made.
+	links []*link
+	conns []net.Conn
+}
+
+// newRelay listens at address and forwards to target.
+func newRelay(t *testing.T, address, target string) *relay {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{target: target, listener: listener}
+	r.group.Go(r.accept)
+	t.Cleanup(r.stop)
+	return r
+}
+
+func (r *relay) accept() error {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return nil //nolint:nilerr // the relay was stopped
+		}
+		r.group.Go(func() error {
+			r.forward(near)
+			return nil
+		})
+	}
+}
+
+// forward relays one connection until both directions have ended.
+func (r *relay) forward(near net.Conn) {
+	var dialer net.Dialer
+	far, err := dialer.DialContext(context.Background(), "tcp", r.target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	l := r.add(near, far)
+	var group errgroup.Group
+	group.Go(func() error { return pump(far, near, &l.gates[toBackend]) })
+	group.Go(func() error { return pump(near, far, &l.gates[toEntry]) })
+	_ = group.Wait()
+	_ = near.Close()
+	_ = far.Close()
+}
+
+func (r *relay) add(near, far net.Conn) *link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := &link{}
+	r.links = append(r.links, l)
+	r.conns = append(r.conns, near, far)
+	return l
+}
+
+// pump copies bytes, and their end, whenever the gate is open.
+func pump(to, from net.Conn, g *gate) error {
+	buffer := make([]byte, 32<<10)
+	for {
+		count, err := from.Read(buffer)
+		g.pass()
+		if count > 0 {
+			if _, err := to.Write(buffer[:count]); err != nil {
+				return err
+			}
+		}
+		if err != nil {
+			_ = to.(*net.TCPConn).CloseWrite()
+			if err == io.EOF {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
+// silence stops the connections that are open now, in the given directions.
+func (r *relay) silence(ways ...direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.links {
+		for _, way := range ways {
+			l.gates[way].shut()
+		}
+	}
+}
+
+// wake lets every silent connection go on.
+func (r *relay) wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.links {
+		for way := range l.gates {
+			l.gates[way].open()
+		}
+	}
+}
+
+// count returns how many connections were made.
+func (r *relay) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.links)
+}
+
+func (r *relay) stop() {
+	_ = r.listener.Close()
+	r.wake()
+	r.mu.Lock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+	r.mu.Unlock()
+	_ = r.group.Wait()
+}
--- /dev/null
+++ b/internal/trial/openday/session_test.go
@@ -0,0 +1,46 @@
+package openday
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// output returns the tokens that every engine of the deployment produces for a
+// prompt.
+func (d *deployment) output(prompt string) []string {
+	return d.backends[0].engine.Output(prompt)
+}
+
+// executions counts how often the request of id was started, at all engines.
+func (d *deployment) executions(id string) int {
+	count := 0
+	for _, b := range d.backends {
+		if b.engine != nil {
+			count += b.engine.Executions(id)
+		}
+	}
+	return count
+}
+
+func TestStreamAndWhole(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 2, engines: 2})
+	c := newCaller(d.entries[0])
+
+	const prompt = "tokens=40 draft a programme"
+	s, err := c.stream(ask("programme", prompt))
+	is.NoErr(err)
+	defer s.close()
+	answer := newTranscript(d.output(prompt))
+	is.NoErr(answer.readAll(s))
+	is.NoErr(answer.checkWhole())
+	is.Equal(d.executions(answer.request), 1)
+
+	r, err := c.whole(ask("programme", prompt))
+	is.NoErr(err)
+	p, err := checkWholeReply(r, d.output(prompt))
+	is.NoErr(err)
+	is.Equal(d.executions(p.Fulmarvalve.RequestID), 1)
+}
--- /dev/null
+++ b/internal/trial/openday/transcript_test.go
@@ -0,0 +1,142 @@
+package openday
+
+import (
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+)
+
+// transcript is what a caller holds of one answer. It checks each event against
+// the tokens that the engine produces for the caller's own prompt, so that a
+// token that is missing, repeated, out of order or foreign fails the test.
+type transcript struct {
+	// want holds every token of the answer.
+	want []string
+
+	// position counts the tokens that were received.
+	position uint64
+	// tickets holds every ticket that came, in order.
+	tickets []string
+	request string
+	// end is the last event, once ended.
+	end   part
+	ended bool
+}
+
+func newTranscript(want []string) *transcript {
+	return &transcript{want: want}
+}
+
+// take checks one event.
+func (t *transcript) take(e event) error {
+	if t.ended {
+		return errors.Newf("an event follows the end: %+v", e.part)
+	}
+	if ticket := e.Fulmarvalve.Ticket; ticket != "" {
+		t.tickets = append(t.tickets, ticket)
+	}
+	t.request = e.Fulmarvalve.RequestID
+	id, err := strconv.ParseUint(e.id, 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "identity of an event")
+	}
+	if err := t.takeText(id, e.text()); err != nil {
+		return err
+	}
+	if e.Fulmarvalve.Result != "" {
+		t.end, t.ended = e.part, true
+	}
+	return nil
+}
+
+// takeText checks the text of an event that ends at the position id.
+func (t *transcript) takeText(id uint64, text string) error {
+	if id < t.position || id > uint64(len(t.want)) {
+		return errors.Newf("an event ends at token %d after %d of %d tokens", id, t.position, len(t.want))
+	}
+	want := strings.Join(t.want[t.position:id], "")
+	if text != want {
+		return errors.Newf("tokens %d to %d are %q, the engine's are %q", t.position, id, text, want)
+	}
+	t.position = id
+	return nil
+}
+
+// ticket returns the newest ticket.
+func (t *transcript) ticket() string {
+	return t.tickets[len(t.tickets)-1]
+}
+
+// readUntil reads until at least count tokens were received.
+func (t *transcript) readUntil(s *stream, count uint64) error {
+	for t.position < count {
+		e, err := s.next()
+		if err != nil {
+			return errors.Wrapf(err, "after %d tokens", t.position)
+		}
+		if err := t.take(e); err != nil {
+			return err
+		}
+		if t.ended {
+			return errors.Newf("the answer ended after %d tokens: %s %s", t.position, t.end.Fulmarvalve.Result, t.end.Fulmarvalve.Reason)
+		}
+	}
+	return nil
+}
+
+// readAll reads to the end of the stream. It fails with io.ErrUnexpectedEOF
+// when the stream breaks off.
+func (t *transcript) readAll(s *stream) error {
+	for {
+		e, err := s.next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return t.checkEnded()
+		}
+		if err != nil {
+			return err
+		}
+		if err := t.take(e); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *transcript) checkEnded() error {
+	if !t.ended {
+		return errors.New("the stream closed without a result")
+	}
+	return nil
+}
+
+// checkWhole checks that the whole answer was received and says so.
+func (t *transcript) checkWhole() error {
+	if !t.ended {
+		return errors.Newf("no end after %d tokens", t.position)
+	}
+	if code := receipt.Code(t.end.Fulmarvalve.Code); code != receipt.OK {
+		return errors.Newf("ended with %s after %d tokens: %s", code, t.position, t.end.Fulmarvalve.Reason)
+	}
+	if t.position != uint64(len(t.want)) {
+		return errors.Newf("ended as whole after %d of %d tokens", t.position, len(t.want))
+	}
+	return nil
+}
+
+// checkWholeReply checks an answer that came at once.
+func checkWholeReply(r reply, want []string) (part, error) {
+	p, err := r.part()
+	if err != nil {
+		return p, err
+	}
+	if code := receipt.Code(p.Fulmarvalve.Code); code != receipt.OK {
+		return p, errors.Newf("status %d, %s: %s", r.status, code, p.Fulmarvalve.Reason)
+	}
+	if p.text() != strings.Join(want, "") {
+		return p, errors.Newf("the answer is %q, the engine's is %q", p.text(), strings.Join(want, ""))
+	}
+	return p, nil
+}
