--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/engine.go
@@ -1,3 +1,5 @@
+// Package engine stands in for a model engine: continuous batching in limited
+// memory, a prefix cache, priorities, preemption and resumption.
 package engine
 
 import (
