--- a/internal/role/bulletin/bulletin.go
+++ b/internal/role/bulletin/bulletin.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 
@@ -22,9 +23,11 @@
 type Bulletin struct {
 	// Address is the peer address of this process.
 	Address string
-	// Log is nil for a process that hears from peers alone.
-	Log journal.Log
-	// Readers returns how many processes read the log; used with Log only.
+	// Journal is nil for a process that hears from peers alone.
+	Journal journal.Log
+	// Log writes what operators need to see.
+	Log *slog.Logger
+	// Readers returns how many processes read the log; used with Journal only.
 	Readers func() int
 	// Peers returns the peer addresses known now.
 	Peers func() []string
@@ -47,6 +50,7 @@
 		Name:     b.Address,
 		Register: &b.register,
 		Peers:    peers{bulletin: b},
+		Log:      b.Log,
 	}
 }
 
@@ -54,8 +58,8 @@
 func (b *Bulletin) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return b.exchanger.Run(ctx) })
-	if b.Log != nil {
-		reader := &edition.Reader{Log: b.Log, Register: &b.register, FleetSize: b.Readers}
+	if b.Journal != nil {
+		reader := &edition.Reader{Journal: b.Journal, Register: &b.register, FleetSize: b.Readers, Log: b.Log}
 		group.Go(func() error { return reader.Run(ctx) })
 	}
 	return group.Wait()
--- a/internal/role/entryhost/parts.go
+++ b/internal/role/entryhost/parts.go
@@ -21,7 +21,8 @@
 func (h *Host) newBulletin(log journal.Log) *bulletin.Bulletin {
 	b := &bulletin.Bulletin{
 		Address: h.Settings.PeerAddress,
-		Log:     log,
+		Journal: log,
+		Log:     diary.For(h.Log, diary.Edition),
 		Readers: h.entryHostCount,
 		Peers:   h.peerAddresses,
 	}
--- a/internal/role/rehearsal/rehearsal.go
+++ b/internal/role/rehearsal/rehearsal.go
@@ -77,14 +77,16 @@
 
 // ask applies the operator file, waits until it serves, and asks once.
 func (r *Rehearsal) ask(ctx context.Context) error {
-	proposal := edition.Proposal{ID: "rehearsal", Author: "rehearsal", Version: 1, Document: services}
-	data, err := edition.Encode(proposal)
+	publisher := &edition.Publisher{Journal: r.site.Journal}
+	applied, err := publisher.Publish(ctx, edition.Change{
+		Author:          "rehearsal",
+		ReplacesCurrent: true,
+		Text:            services,
+	})
 	if err != nil {
-		return err
-	}
-	if _, err := r.site.Journal.Append(ctx, edition.Stream, data); err != nil {
 		return errors.Wrap(err, "apply the operator file")
 	}
+	r.printf("Applied the operator file as version %d.\n", applied.Version)
 	if err := r.waitReady(ctx); err != nil {
 		return err
 	}
--- a/internal/wire/line/http.go
+++ b/internal/wire/line/http.go
@@ -15,8 +15,6 @@
 	headerMillis = 5000
 	// shutdownMillis bounds the end of answers when a server stops.
 	shutdownMillis = 2000
-	// idleConnections bounds the idle connections to one engine.
-	idleConnections = 64
 )
 
 // ServeHTTP serves handler until ctx ends, then lets open answers end within a
@@ -47,11 +45,12 @@
 }
 
 // NewTransport returns a transport for the engine or plain service beside the
-// process.
+// process. Every call has a connection of its own: on a kept connection that
+// the other side just closed, nobody could tell whether a call arrived.
 func NewTransport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
-	transport.MaxIdleConnsPerHost = idleConnections
+	transport.DisableKeepAlives = true
 	return transport
 }
 
