test: histories of claims with faults, takeovers and measurements

Hosts that die, pause before a call to the log, lose answers and take partitions from each other run in virtual time; porcupine checks that the permits have an order, and the owners' registers that no key ran twice.

--- a/internal/permit/claim/claim.go
+++ b/internal/permit/claim/claim.go
@@ -7,7 +7,8 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
+	"encoding/binary"
 	"strconv"
 	"time"
 
@@ -28,9 +29,13 @@
 )
 
 const (
-	timeDigits = 12
-	hashBytes  = 16
-	keyLength  = timeDigits + 2*hashBytes
+	// timeBytes are the milliseconds at the start of a UUID of version 7.
+	timeBytes = 6
+	// hashBytes are of the hash of account and key.
+	hashBytes = 12
+	keyBytes  = timeBytes + hashBytes
+	// keyLength is that of an identity in base64.
+	keyLength = keyBytes / 3 * 4
 )
 
 var (
@@ -43,8 +48,8 @@
 )
 
 // KeyOf returns the identity of a client account's idempotency key: the key's
-// time in milliseconds, then a hash of account and key. All spellings of a
-// UUID have one identity. It fails with ErrKeyMalformed.
+// time in milliseconds, then a hash of account and key, in base64. All
+// spellings of a UUID have one identity. It fails with ErrKeyMalformed.
 func KeyOf(account, key string) (string, error) {
 	id, err := uuid.Parse(key)
 	if err != nil {
@@ -54,7 +59,10 @@
 		return "", errors.Wrapf(ErrKeyMalformed, "version %d", int(id.Version()))
 	}
 	sum := sha256.Sum256(append([]byte(account), id[:]...))
-	return hex.EncodeToString(id[:timeDigits/2]) + hex.EncodeToString(sum[:hashBytes]), nil
+	var identity [keyBytes]byte
+	copy(identity[:], id[:timeBytes])
+	copy(identity[timeBytes:], sum[:])
+	return base64.RawURLEncoding.EncodeToString(identity[:]), nil
 }
 
 // TimeOf returns the time that a key identity carries. It fails with
@@ -63,11 +71,13 @@
 	if len(key) != keyLength {
 		return time.Time{}, errors.Wrapf(ErrKeyMalformed, "identity of %d characters", len(key))
 	}
-	millis, err := strconv.ParseUint(key[:timeDigits], 16, 48)
-	if err != nil {
-		return time.Time{}, errors.Wrapf(ErrKeyMalformed, "time of identity: %v", err)
+	var identity [keyBytes]byte
+	if _, err := base64.RawURLEncoding.Decode(identity[:], []byte(key)); err != nil {
+		return time.Time{}, errors.Wrapf(ErrKeyMalformed, "decode identity: %v", err)
 	}
-	return time.UnixMilli(int64(millis)), nil
+	var millis [8]byte
+	copy(millis[8-timeBytes:], identity[:timeBytes])
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(millis[:]))), nil
 }
 
 // CheckKey tells whether a key identity may be used at the time now, when keys
--- a/internal/permit/claim/claim_test.go
+++ b/internal/permit/claim/claim_test.go
@@ -58,7 +58,7 @@
 		{"clock ahead", testKey(now.Add(FutureSeconds*time.Second), 1), nil},
 		{"future", testKey(now.Add((FutureSeconds+1)*time.Second), 1), ErrKeyFuture},
 		{"no identity", "xyz", ErrKeyMalformed},
-		{"no time", strings.Repeat("z", keyLength), ErrKeyMalformed},
+		{"no time", strings.Repeat("*", keyLength), ErrKeyMalformed},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/permit/holder/directory.go
+++ b/internal/permit/holder/directory.go
@@ -11,7 +11,7 @@
 )
 
 // lostFor is how long an entry host that gave no answer is passed over.
-const lostFor = 2 * time.Second
+const lostFor = 10 * time.Second
 
 // directory remembers where partitions were found and who gave no answer.
 type directory struct {
--- /dev/null
+++ b/internal/permit/holder/history_test.go
@@ -0,0 +1,339 @@
+package holder
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	historyHosts  = 3
+	historyKeys   = 3
+	historyCalls  = 8
+	historyCaller = 4
+)
+
+// historySeeds is how many seeded histories run.
+var historySeeds = flag.Uint64("seeds", 40, "number of seeded histories")
+
+// claimInput is one claim of a history.
+type claimInput struct{ Key, Request, Refused string }
+
+// history records claims and what the owners did with the permits.
+type history struct {
+	mu    sync.Mutex
+	clock int64
+	calls []porcupine.Operation
+	// refused and ran are the owners' registers by request; runs counts by key.
+	refused, ran map[string]bool
+	runs         map[string]int
+}
+
+func (h *history) tick() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock++
+	return h.clock
+}
+
+// add records a claim. One that did not return its own request may yet have
+// bound the key, or do so at any later time: it may have reached two holders.
+func (h *history) add(caller int, in claimInput, call int64, permit *message.Permit) {
+	back := h.tick()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := porcupine.Operation{ClientId: caller, Input: in, Call: call, Output: permit.GetRequestId(), Return: back}
+	if permit != nil {
+		h.calls = append(h.calls, o)
+	}
+	if o.Output != in.Request {
+		o.Output, o.Return = "", math.MaxInt64
+		h.calls = append(h.calls, o)
+	}
+}
+
+// own lets the owner run a request once or refuse it for good. It reports
+// whether the owner refuses.
+func (h *history) own(p *message.Permit, refuse bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id := p.GetRequestId()
+	switch {
+	case h.refused[id]:
+		return true
+	case h.ran[id]:
+		return false
+	case refuse:
+		h.refused[id] = true
+		return true
+	default:
+		h.ran[id] = true
+		h.runs[p.GetKey()]++
+		return false
+	}
+}
+
+// nextBindings returns the bindings of a key after a claim: each is the list
+// of the requests that it was bound to, the last one in force. A permit for an
+// earlier one is harmless, since its owner will never run it.
+func nextBindings(state, input, output any) []any {
+	list, in, out := state.(string), input.(claimInput), output.(string)
+	names := strings.Fields(list)
+	takes := len(names) == 0 && in.Refused == ""
+	if len(names) > 0 && in.Refused != "" {
+		takes = names[len(names)-1] == in.Refused
+	}
+	after := strings.TrimSpace(list + " " + in.Request)
+	switch {
+	case out == "" && takes:
+		return []any{list, after}
+	case out == "":
+		return []any{list}
+	case takes && out == in.Request:
+		return []any{after}
+	case strings.Contains(" "+list+" ", " "+out+" "):
+		return []any{list}
+	default:
+		return nil
+	}
+}
+
+func bindingModel() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+			byKey := make(map[string][]porcupine.Operation)
+			for _, o := range all {
+				key := o.Input.(claimInput).Key
+				byKey[key] = append(byKey[key], o)
+			}
+			var parts [][]porcupine.Operation
+			for _, part := range byKey {
+				parts = append(parts, part)
+			}
+			return parts
+		},
+		Init: func() []any { return []any{""} },
+		Step: nextBindings,
+	}
+	return m.ToModel()
+}
+
+// check returns an error when a key ran twice or the claims have no order.
+func (h *history) check() error {
+	for key, runs := range h.runs {
+		if runs > 1 {
+			return errors.Newf("key %s ran %d times", key, runs)
+		}
+	}
+	if porcupine.CheckOperationsTimeout(bindingModel(), h.calls, 30*time.Second) != porcupine.Ok {
+		return errors.New("claims are not linearizable")
+	}
+	return nil
+}
+
+// caller sends claims through changing hosts and takes permits to the owners.
+func (h *history) caller(w *world, number int, keys []string) {
+	dice := newDice(w.seed, uint64(number))
+	var refused *message.Permit
+	for i := range historyCalls {
+		time.Sleep(dice.pause(3 * time.Second))
+		host := w.host(dice.below(historyHosts))
+		if host == nil {
+			continue
+		}
+		in := claimInput{Key: keys[dice.below(len(keys))], Request: fmt.Sprintf("r%d-%d", number, i)}
+		r := request(in.Key, in.Request)
+		if refused != nil && dice.chance(80) {
+			in.Key, in.Refused = refused.GetKey(), refused.GetRequestId()
+			r.Key, r.Refused = refused.GetKey(), refused
+		}
+		call := h.tick()
+		reply, err := host.Claim(w.ctx, r)
+		if err != nil {
+			reply = &message.ClaimReply{}
+		}
+		h.add(number, in, call, reply.GetPermit())
+		if p := reply.GetPermit(); p != nil && h.own(p, dice.chance(40)) {
+			refused = p
+		}
+	}
+}
+
+// disturb kills and restarts hosts and takes the log down.
+func disturb(ctx context.Context, w *world) error {
+	dice := newDice(w.seed, 1000)
+	for ctx.Err() == nil {
+		time.Sleep(dice.pause(4 * time.Second))
+		i := dice.below(historyHosts)
+		switch dice.below(4) {
+		case 0:
+			w.kill(i)
+		case 1:
+			w.store.Faults.Down.Store(true)
+			time.Sleep(dice.pause(3 * time.Second))
+			w.store.Faults.Down.Store(false)
+		default:
+			if w.host(i) == nil {
+				w.start(i)
+			}
+		}
+	}
+	return nil
+}
+
+// tally counts what happened in histories.
+type tally struct{ Permits, Runs, Leases, Batches, Rebinds int }
+
+func (c *tally) count(w *world, h *history) {
+	c.Runs += len(h.ran)
+	for _, o := range h.calls {
+		if o.Output != "" {
+			c.Permits++
+		}
+	}
+	for n := range uint32(2) {
+		page, _ := w.store.Read(context.Background(), claim.StreamOf(n), 1, 1000)
+		for _, r := range page.Records {
+			switch r := claim.Decode(r.Data).(type) {
+			case claim.Lease:
+				c.Leases++
+			case claim.Batch:
+				c.Batches++
+				c.Rebinds += len(r.Rebinds)
+			}
+		}
+	}
+}
+
+// runHistory runs one seeded history in virtual time and adds to the tally.
+func runHistory(t *testing.T, seed uint64, change func(*Holder), c *tally) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t.Context(), seed, historyHosts, 6, change)
+		h := &history{refused: map[string]bool{}, ran: map[string]bool{}, runs: map[string]int{}}
+		var keys []string
+		for i := range historyKeys {
+			keys = append(keys, testKey(time.Now(), i))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var faults, callers errgroup.Group
+		faults.Go(func() error { return disturb(ctx, w) })
+		for i := range historyCaller {
+			callers.Go(func() error {
+				h.caller(w, i, keys)
+				return nil
+			})
+		}
+		_ = callers.Wait()
+		cancel()
+		_ = faults.Wait()
+		w.stop()
+		w.store.Faults.Down.Store(false)
+		c.count(w, h)
+		err = h.check()
+	})
+	return err
+}
+
+func TestHistories(t *testing.T) {
+	var c tally
+	for seed := range *historySeeds {
+		if err := runHistory(t, seed, nil, &c); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+	t.Logf("seeds 0 to %d: %+v", *historySeeds-1, c)
+	if c.Runs < int(*historySeeds) {
+		t.Error("too few runs to show anything")
+	}
+}
+
+// eagerLog takes an answered append for the next record of the stream, so that
+// permits are issued without reading back.
+type eagerLog struct {
+	journal.Log
+	mu      sync.Mutex
+	pending map[string][]byte
+}
+
+func (e *eagerLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	offset, err := e.Log.Append(ctx, stream, data)
+	if err != nil {
+		return 0, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pending[stream] = data
+	return min(offset, 1), nil
+}
+
+func (e *eagerLog) Read(ctx context.Context, stream string, from uint64, limit int) (journal.Page, error) {
+	e.mu.Lock()
+	data, ok := e.pending[stream]
+	delete(e.pending, stream)
+	e.mu.Unlock()
+	if !ok {
+		return e.Log.Read(ctx, stream, from, limit)
+	}
+	r := journal.Record{Offset: from, AppendedAt: time.Now(), Data: data}
+	return journal.Page{Records: []journal.Record{r}, First: 1, Next: from + 1}, nil
+}
+
+// timedState trusts its host's lease for a time, whatever others append.
+type timedState struct {
+	*claim.State
+	name  string
+	epoch string
+	until time.Time
+}
+
+func (s *timedState) Apply(offset uint64, at time.Time, r claim.Record) claim.Verdict {
+	if l, ok := r.(claim.Lease); ok && l.Holder == s.name {
+		s.epoch, s.until = l.Epoch, time.Now().Add(time.Minute)
+	}
+	if b, ok := r.(claim.Batch); ok && b.Epoch == s.epoch {
+		return s.State.Apply(offset, at, r)
+	}
+	if l, ok := r.(claim.Lease); (!ok || l.Epoch != s.epoch) && time.Now().Before(s.until) {
+		r = claim.Unknown{}
+	}
+	return s.State.Apply(offset, at, r)
+}
+
+// TestBrokenHoldersAreFound shows that the histories can fail.
+func TestBrokenHoldersAreFound(t *testing.T) {
+	variants := map[string]func(*Holder){
+		"permit before read-back": func(h *Holder) {
+			h.Log = &eagerLog{Log: h.Log, pending: map[string][]byte{}}
+		},
+		"lease by time": func(h *Holder) {
+			h.newState = func(partition uint32, from uint64) state {
+				return &timedState{State: claim.NewState(partition, h.keyWindowSeconds(), from), name: h.Name}
+			}
+		},
+	}
+	for name, change := range variants {
+		t.Run(name, func(t *testing.T) {
+			for seed := range *historySeeds {
+				if err := runHistory(t, seed, change, &tally{}); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatalf("no violation in %d seeds", *historySeeds)
+		})
+	}
+}
--- a/internal/permit/holder/holder.go
+++ b/internal/permit/holder/holder.go
@@ -19,10 +19,11 @@
 )
 
 const (
-	// DefaultBatchMillis is the least time between two batches of a partition.
-	DefaultBatchMillis = 25
+	// DefaultBatchMillis is the mean time between two batches of a busy
+	// partition.
+	DefaultBatchMillis = 200
 	// DefaultKeyWindowSeconds is how long a key may be used.
-	DefaultKeyWindowSeconds = 6 * 3600
+	DefaultKeyWindowSeconds = 3600
 
 	// claimTimeout bounds the wait for a batch.
 	claimTimeout = 3 * time.Second
@@ -58,8 +59,9 @@
 	// Partitions must be the same on all entry hosts; 0 means
 	// claim.DefaultPartitions.
 	Partitions int
-	// BatchMillis is the least time between two batches of a partition, in
-	// milliseconds; 0 means DefaultBatchMillis.
+	// BatchMillis is the mean time between two batches of a busy partition, in
+	// milliseconds; 0 means DefaultBatchMillis. A few batches may go ahead of
+	// it, so that an idle partition adds no delay.
 	BatchMillis int
 	// KeyWindowSeconds is how long a key may be used; 0 means
 	// DefaultKeyWindowSeconds. The log must retain records for longer, see
@@ -109,7 +111,7 @@
 	return DefaultKeyWindowSeconds
 }
 
-// batchDelay returns the least time between two batches of a partition.
+// batchDelay returns the mean time between two batches of a busy partition.
 func (h *Holder) batchDelay() time.Duration {
 	millis := h.BatchMillis
 	if millis <= 0 {
--- a/internal/permit/holder/lease.go
+++ b/internal/permit/holder/lease.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -37,7 +35,7 @@
 	}
 	now, renewal := time.Now(), p.leased()
 	if !renewal {
-		p.epoch = uuid.NewString()
+		p.epoch = newToken()
 	}
 	if err := p.lease(ctx); err != nil {
 		if !renewal {
--- /dev/null
+++ b/internal/permit/holder/measure_test.go
@@ -0,0 +1,170 @@
+package holder
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+var measure = flag.Bool("measure", false, "measure load and latency in virtual time")
+
+const (
+	measureHosts   = 8
+	measureSeconds = 60
+	logMillis      = 5
+	linkDelay      = 500 * time.Microsecond
+)
+
+// load is the setting of one measurement.
+type load struct{ Rate, Partitions, BatchMillis int }
+
+func (l load) change(w **world) func(*Holder) {
+	return func(h *Holder) {
+		h.Partitions, h.BatchMillis = l.Partitions, l.BatchMillis
+		h.Dial = func(ctx context.Context, address string) (Client, error) {
+			c, err := (*w).dial(ctx, address)
+			return slowLink{c}, err
+		}
+	}
+}
+
+// slowLink adds the way to another availability zone.
+type slowLink struct{ Client }
+
+func (s slowLink) Claim(ctx context.Context, r *message.ClaimRequest) (*message.ClaimReply, error) {
+	time.Sleep(linkDelay)
+	defer time.Sleep(linkDelay)
+	return s.Client.Claim(ctx, r)
+}
+
+func claimOf(n int, now time.Time) *message.ClaimRequest {
+	r := request(testKey(now, n), "0193b3f0-7c1e-7a8e-9f52-7d1d0a7d4c13")
+	r.Backend, r.Incarnation = "coach-7.zone-b", 1<<63
+	return r
+}
+
+// sample sends claims with exponential gaps and returns their latencies.
+func (w *world) sample(t *testing.T, l load) []time.Duration {
+	var mu sync.Mutex
+	var taken []time.Duration
+	var group errgroup.Group
+	dice := newDice(1, 1)
+	for n := range l.Rate * measureSeconds {
+		time.Sleep(time.Duration(dice.rnd.ExpFloat64() * float64(time.Second) / float64(l.Rate)))
+		host := w.host(dice.below(measureHosts))
+		group.Go(func() error {
+			begin := time.Now()
+			reply, err := host.Claim(t.Context(), claimOf(n, begin))
+			if err != nil || codeOf(reply) != CodeBound {
+				t.Errorf("claim %d: %v %v", n, reply, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			taken = append(taken, time.Since(begin))
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.Sort(taken)
+	return taken
+}
+
+// total adds up the counts of all hosts.
+func (w *world) total() (c Counts) {
+	for i := range w.hosts {
+		for _, s := range w.host(i).Status() {
+			c.Appends += s.Counts.Appends
+			c.AppendedBytes += s.Counts.AppendedBytes
+			c.Leases += s.Counts.Leases
+			c.Reads += s.Counts.Reads
+			c.ReadBytes += s.Counts.ReadBytes
+		}
+	}
+	return c
+}
+
+func TestMeasureLoad(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	for _, batch := range []int{25, 100, 200} {
+		for _, partitions := range []int{16, 64, 128} {
+			for _, rate := range []int{50, 250, 500} {
+				l := load{Rate: rate, Partitions: partitions, BatchMillis: batch}
+				synctest.Test(t, func(t *testing.T) {
+					var w *world
+					w = newWorld(t.Context(), 1, measureHosts, 0, l.change(&w))
+					w.store.Faults.SlowMillis.Store(logMillis)
+					taken := w.sample(t, l)
+					c := w.total()
+					at := func(percent int) time.Duration { return taken[len(taken)*percent/100].Round(100 * time.Microsecond) }
+					t.Logf("%+v: %d appends/s, %d reads/s, %d log B/claim, p50 %v, p95 %v, p99 %v, max %v",
+						l, c.Appends/measureSeconds, c.Reads/measureSeconds, c.AppendedBytes/uint64(len(taken)),
+						at(50), at(95), at(99), taken[len(taken)-1])
+					w.stop()
+				})
+			}
+		}
+	}
+}
+
+func TestMeasureTakeover(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	for _, claims := range []int{1000, 28_000} {
+		synctest.Test(t, func(t *testing.T) {
+			var w *world
+			w = newWorld(t.Context(), 1, 2, 0, load{Partitions: 1}.change(&w))
+			stream := claim.StreamOf(0)
+			lease, _ := claim.Encode(claim.Lease{Holder: "host-9", HolderAddress: "host-9", Epoch: "e"})
+			for n := range claims {
+				if n%(claims/20) == 0 {
+					_, _ = w.store.Append(t.Context(), stream, lease)
+				}
+				r := claimOf(n, time.Now())
+				c := claim.Claim{Key: r.GetKey(), RequestID: r.GetRequestId(), Backend: r.GetBackend(), Incarnation: r.GetIncarnation()}
+				b := claim.Batch{Epoch: "e", ID: "9f527d1d0a7d4c12", Claims: []claim.Claim{c}}
+				data, _ := claim.Encode(b)
+				_, _ = w.store.Append(t.Context(), stream, data)
+			}
+			w.store.Faults.SlowMillis.Store(logMillis)
+			begin := time.Now()
+			reply := mustClaim(t, w.host(0), claimOf(claims, begin))
+			c := w.total()
+			t.Logf("%d claims, a batch each: %v to the first permit (%v), %d reads, %d bytes read, %d appends",
+				claims, time.Since(begin), Code(reply.GetCode()), c.Reads, c.ReadBytes, c.Appends)
+			w.stop()
+		})
+	}
+}
+
+func TestMeasureControlBytes(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	// logBytes is the measured size of a claim in the log at this rate.
+	const hosts, rate, partitions, logBytes = 360, 500, 64, 195
+	r := claimOf(1, time.Now())
+	r.Partition = 40
+	reply := bound(claim.Binding{Key: r.GetKey(), RequestID: r.GetRequestId(), Backend: r.GetBackend(), Incarnation: r.GetIncarnation(), Offset: 1 << 20, Partition: 40})
+	wire := proto.Size(r) + proto.Size(reply)
+	var each []string
+	asked := float64(rate) / hosts * float64(wire)
+	held := float64(rate) / partitions * float64(wire+2*logBytes)
+	each = append(each, fmt.Sprintf("request %d, reply %d bytes", proto.Size(r), proto.Size(reply)))
+	each = append(each, fmt.Sprintf("asker %.0f B/s", asked), fmt.Sprintf("holder of one partition %.0f B/s more", held))
+	t.Log(strings.Join(each, "; "))
+}
--- a/internal/permit/holder/partition.go
+++ b/internal/permit/holder/partition.go
@@ -57,7 +57,7 @@
 	takeoverAt      time.Time
 	takeoverBackoff *backoff.ExponentialBackOff
 	logBackoff      *backoff.ExponentialBackOff
-	// appendAt is the earliest next batch.
+	// appendAt is when the next batch is due in the long run, see spendBatch.
 	appendAt time.Time
 }
 
--- a/internal/permit/holder/serve.go
+++ b/internal/permit/holder/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,23 +15,41 @@
 // maxBatchClaims bounds the claims of one batch.
 const maxBatchClaims = 1024
 
+// batchBurst is how many batches may go ahead of the batch delay.
+const batchBurst = 4
+
 // run serves batches until ctx ends. A batch starts at once when the partition
 // is idle; claims that come while one is under way make up the next.
 func (p *partition) run(ctx context.Context) error {
 	defer p.stop()
+	window := time.Duration(p.holder.keyWindowSeconds()) * time.Second
+	idle := time.NewTimer(window)
+	defer idle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-idle.C:
+			p.release()
+			continue
 		case <-p.wake:
+			idle.Reset(window)
 		}
-		if !sleepUntil(ctx, p.appendAt) {
+		delay := p.holder.batchDelay()
+		if !sleepUntil(ctx, p.appendAt.Add(-batchBurst*delay)) {
 			return nil
 		}
 		p.serve(ctx, p.take())
 	}
 }
 
+// release forgets a partition that nobody asked for during a key window. What
+// it has read is read again when it is needed.
+func (p *partition) release() {
+	p.epoch = ""
+	p.setState(nil)
+}
+
 // serve answers every claim of the queue.
 func (p *partition) serve(ctx context.Context, queue []*waiter) {
 	if len(queue) == 0 {
@@ -50,7 +69,7 @@
 	if len(batch.Claims)+len(batch.Rebinds) == 0 {
 		return
 	}
-	p.appendAt = time.Now().Add(p.holder.batchDelay())
+	p.spendBatch(time.Now())
 	if err := p.commit(ctx, batch); err != nil {
 		p.refuseAfter(ctx, queue, err)
 		return
@@ -61,6 +80,15 @@
 	}
 }
 
+// spendBatch counts a batch against the rate: one each batch delay in the long
+// run, and up to batchBurst ahead of that.
+func (p *partition) spendBatch(now time.Time) {
+	if p.appendAt.Before(now) {
+		p.appendAt = now
+	}
+	p.appendAt = p.appendAt.Add(p.holder.batchDelay())
+}
+
 // answerBound answers the claims whose keys are bound and returns the others.
 func (p *partition) answerBound(queue []*waiter) []*waiter {
 	p.mu.Lock()
@@ -78,7 +106,7 @@
 
 // compose makes a batch with one record for each key that somebody waits for.
 func (p *partition) compose(queue []*waiter) claim.Batch {
-	b := claim.Batch{Epoch: p.epoch, ID: uuid.NewString()}
+	b := claim.Batch{Epoch: p.epoch, ID: newToken()}
 	seen := make(map[string]bool, len(queue))
 	for _, w := range queue {
 		r := w.request
@@ -131,6 +159,12 @@
 	return errors.Is(err, journal.ErrThrottled) || errors.Is(err, journal.ErrRefused)
 }
 
+// newToken returns a random token that is unique in a stream.
+func newToken() string {
+	id := uuid.New()
+	return hex.EncodeToString(id[8:])
+}
+
 // sleepUntil waits until t and reports whether ctx is still live.
 func sleepUntil(ctx context.Context, t time.Time) bool {
 	wait := time.Until(t)
