--- a/internal/routing/visit/fixture_test.go
+++ b/internal/routing/visit/fixture_test.go
@@ -63,7 +63,7 @@
 }
 
 // serve starts the owner on loopback until the test ends.
-func (o *owner) serve(t *testing.T) *owner {
+func (o *owner) serve(t testing.TB) *owner {
 	t.Helper()
 	is := is.New(t)
 	var config net.ListenConfig
