--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -138,6 +138,17 @@
 	return s.executions[id]
 }
 
+// Starts counts how often any request was started.
+func (s *Server) Starts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, count := range s.executions {
+		total += count
+	}
+	return total
+}
+
 // Crash drops all streams and forgets all generations and the highest fencing
 // number; the engine is up again at once, unless Faults.Down is set. Executions
 // and Orders stay, since they are the tests' record and not the engine's.
