perf: control traffic of an entry host stays bounded as the fleet grows

Cause: every watched backend server whose load was older than a second was probed each second, and the list of hosts was read every 2 s (30 s beside a backend server). At the target size, 40 watched servers and a list of 1,260 hosts of about 160 bytes, that is more than 4 KB a second for either. Ruled out: longer fixed periods, which would slow small sites. Change: at most 4 probes a second, the oldest load first, and the list's period grows with its length. The figures are reckoned from sizes, not yet measured.

--- a/internal/role/backendhost/entryhosts.go
+++ b/internal/role/backendhost/entryhosts.go
@@ -7,12 +7,16 @@
 	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/rounds"
 )
 
 const (
-	// listMillis is the period at which the list is read for entry hosts. A
-	// process beside a backend server needs them only to compare versions.
+	// listMillis is the shortest period at which the list is read for entry
+	// hosts. A process beside a backend server needs them only to compare
+	// versions.
 	listMillis = 30000
+	// listBytesPerSecond bounds what reading the list costs on average.
+	listBytesPerSecond = 200
 	// knownLimit bounds the entry hosts that are kept.
 	knownLimit = 16
 )
@@ -40,11 +44,13 @@
 // run reads the list now and then until ctx ends. Without an answer the known
 // ones stay.
 func (e *entryHosts) run(ctx context.Context, hosts *hostlist.Client) error {
+	period := listMillis
 	for {
 		if listed, err := hosts.Hosts(ctx); err == nil {
 			e.take(listed)
+			period = max(listMillis, rounds.ListPeriodMillis(len(listed), listBytesPerSecond))
 		}
-		next := time.Now().Add(time.Duration(listMillis/2+rand.IntN(listMillis)) * time.Millisecond)
+		next := time.Now().Add(time.Duration(period/2+rand.IntN(period)) * time.Millisecond)
 		timer := time.NewTimer(time.Until(next))
 		select {
 		case <-ctx.Done():
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -101,6 +101,7 @@
 		Picker:         h.referral,
 		Claimer:        h.holder,
 		Records:        h.writer(diary.Visit),
+		Gauge:          h.measure,
 		ProgressMillis: h.Settings.ProgressMillis,
 		Partitions:     h.Settings.Partitions,
 		Address:        h.Settings.PeerAddress,
--- a/internal/routing/rounds/rounds.go
+++ b/internal/routing/rounds/rounds.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -20,12 +21,20 @@
 )
 
 const (
-	// listMillis is the period at which the list is read.
+	// listMillis is the shortest period at which the list is read.
 	listMillis = 2000
+	// listHostBytes is the usual size of one host in the list.
+	listHostBytes = 160
+	// listBytesPerSecond bounds what reading the list costs on average. What a
+	// long list tells late, refusals and replies tell at once.
+	listBytesPerSecond = 1000
 	// registerMillis is the period at which the host registers.
 	registerMillis = 5000
 	// probeMillis is the period of probes, and the age at which a load is old.
 	probeMillis = 1000
+	// probesPerPeriod bounds the probes of one period: the oldest loads go
+	// first, and replies that flow anyway refresh the rest.
+	probesPerPeriod = 4
 	// askMillis bounds one question to the platform or a backend server.
 	askMillis = 1000
 	// spread is the random part of a period, so that hosts do not act in step.
@@ -51,18 +60,33 @@
 // Run works until ctx ends.
 func (r *Rounds) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, listMillis, r.readList) })
-	group.Go(func() error { return every(ctx, registerMillis, r.Announce) })
-	group.Go(func() error { return every(ctx, probeMillis, r.probeAll) })
+	group.Go(func() error { return every(ctx, r.listPeriodMillis, r.readList) })
+	group.Go(func() error { return every(ctx, constant(registerMillis), r.Announce) })
+	group.Go(func() error { return every(ctx, constant(probeMillis), r.probeOldest) })
 	return group.Wait()
 }
 
+// ListPeriodMillis returns the period at which a list of so many hosts is read
+// when its reading may cost the given bytes a second.
+func ListPeriodMillis(hosts, bytesPerSecond int) int {
+	const millisPerSecond = 1000
+	return hosts * listHostBytes * millisPerSecond / bytesPerSecond
+}
+
+func (r *Rounds) listPeriodMillis() int {
+	return max(listMillis, ListPeriodMillis(r.Roster.Snapshot().Len(), listBytesPerSecond))
+}
+
+func constant(millis int) func() int {
+	return func() int { return millis }
+}
+
 // every calls work now and then with a jittered period, until ctx ends.
-func every(ctx context.Context, millis int, work func(context.Context)) error {
+func every(ctx context.Context, millis func() int, work func(context.Context)) error {
 	for {
 		work(ctx)
 		jitter := 1 - spread/2 + spread*rand.Float64()
-		next := time.Now().Add(time.Duration(float64(millis)*jitter) * time.Millisecond)
+		next := time.Now().Add(time.Duration(float64(millis())*jitter) * time.Millisecond)
 		timer := time.NewTimer(time.Until(next))
 		select {
 		case <-ctx.Done():
@@ -114,16 +138,11 @@
 	}
 }
 
-// probeAll asks the watched backend servers whose load is old.
-func (r *Rounds) probeAll(ctx context.Context) {
+// probeOldest asks the watched backend servers whose load is the oldest.
+func (r *Rounds) probeOldest(ctx context.Context) {
 	now := time.Now()
 	var group errgroup.Group
-	group.SetLimit(r.Candidates)
-	for _, m := range r.watched() {
-		age, seen := m.Age(now)
-		if m.Suspect(now) || (seen && age < probeMillis*time.Millisecond) {
-			continue
-		}
+	for _, m := range oldest(r.watched(), now, probesPerPeriod) {
 		group.Go(func() error {
 			r.probe(ctx, m)
 			return nil
@@ -132,6 +151,22 @@
 	_ = group.Wait()
 }
 
+// oldest returns at most limit members whose load is old, the oldest first.
+// Members that were never heard from come before all others.
+func oldest(watched []roster.Member, now time.Time, limit int) []roster.Member {
+	var old []roster.Member
+	for _, m := range watched {
+		age, seen := m.Age(now)
+		if !m.Suspect(now) && (!seen || age >= probeMillis*time.Millisecond) {
+			old = append(old, m)
+		}
+	}
+	slices.SortStableFunc(old, func(a, b roster.Member) int {
+		return a.SeenAt.Compare(b.SeenAt)
+	})
+	return old[:min(limit, len(old))]
+}
+
 // watched returns the subset of backend servers that this host routes to.
 func (r *Rounds) watched() []roster.Member {
 	self := r.Self()
--- a/internal/routing/visit/fixture_test.go
+++ b/internal/routing/visit/fixture_test.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
@@ -208,6 +209,7 @@
 	return &Runner{
 		Picker:         p,
 		Claimer:        c,
+		Gauge:          &measure.Measure{},
 		ProgressMillis: 200,
 		SilentMillis:   400,
 		Partitions:     1,
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -185,6 +185,7 @@
 	case delivery.Gap:
 		return nil, errors.Wrapf(errGap, "position %d", s.From)
 	case delivery.Foreign:
+		j.Gauge.CountRejectedFrame(s.Reason.String())
 		j.disturbed("frame rejected: " + s.Reason.String())
 		return nil, nil
 	case delivery.Refused:
--- a/internal/routing/visit/journey.go
+++ b/internal/routing/visit/journey.go
@@ -127,6 +127,7 @@
 	switch d := decision.(type) {
 	case allowance.Retry:
 		j.lastRefusal = result
+		j.Gauge.CountRetry()
 		pause(ctx, d.At)
 		return nil
 	case allowance.GiveUp:
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -86,12 +86,19 @@
 	Claim(context.Context, *message.ClaimRequest) (*message.ClaimReply, error)
 }
 
+// Gauge counts what callers do not see. It is safe for concurrent use.
+type Gauge interface {
+	CountRetry()
+	CountRejectedFrame(reason string)
+}
+
 // Runner runs requests. It is safe for concurrent use.
 type Runner struct {
 	// Picker and Claimer must be set before use.
 	Picker  Picker
 	Claimer Claimer
 	Records explanation.Writer
+	Gauge   Gauge
 	// ProgressMillis is the silence after which a path counts as dead; zero
 	// means the default.
 	ProgressMillis int
