test: golden files of whole sessions

Cause: what callers and operators read was fixed by no test. Change: recorded sessions of whole, streamed and plain answers, refusals, bad input, resume at another entry host, explanation, status, and an entry host without configuration. Found: resume.golden shows two faults as they are. A resume past the end of the answer waits for 15 s and ends as 'coaching-1 does not answer'; refusals of a resume that never ran anything itself say NotRun with the identity of a request that did run.

--- a/internal/trial/openday/deployment_test.go
+++ b/internal/trial/openday/deployment_test.go
@@ -4,23 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
-	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
-	"github.com/fulmarvalve/fulmarvalve/internal/settings/edition"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/desk"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
-	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/site"
 )
 
@@ -92,7 +84,7 @@
 	t.Cleanup(func() { places.Release(count) })
 	d := &deployment{t: t, directory: t.TempDir(), pool: newAddressPool(t)}
 	d.prepare(l)
-	d.serveSite(l)
+	d.serveSite()
 	for _, b := range d.backends {
 		b.start()
 	}
@@ -199,46 +191,6 @@
 	return path
 }
 
-// serveSite runs the stand-ins until the test ends.
-func (d *deployment) serveSite(l layout) {
-	ctx, stop := context.WithCancel(context.Background())
-	front := &serving.Listener{Handler: d.registrar()}
-	if len(d.backends) > 0 {
-		front.Address = d.backends[0].settings.HostListAddress
-	}
-	var group errgroup.Group
-	group.Go(func() error { return d.site.Run(ctx) })
-	group.Go(func() error { return front.Run(ctx) })
-	d.t.Cleanup(func() {
-		stop()
-		if err := group.Wait(); err != nil {
-			d.t.Errorf("stand-ins: %v", err)
-		}
-	})
-}
-
-// registrar serves the host list to the processes beside the backend servers.
-// It registers them under the addresses of their relays.
-func (d *deployment) registrar() http.Handler {
-	list := d.site.HostList.Handler()
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodPut {
-			list.ServeHTTP(w, r)
-			return
-		}
-		var host hostlist.Host
-		if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		if b := d.backend(host.Name); b != nil && b.relay != nil {
-			host.PeerAddress = b.relay.listener.Addr().String()
-		}
-		d.site.HostList.Put(host)
-		w.WriteHeader(http.StatusNoContent)
-	})
-}
-
 // backend finds a backend server by its name, or returns nil.
 func (d *deployment) backend(name string) *backendServer {
 	for _, b := range d.backends {
@@ -248,72 +200,3 @@
 	}
 	return nil
 }
-
-// apply publishes the operator file.
-func (d *deployment) apply() {
-	d.t.Helper()
-	services, err := os.ReadFile(filepath.Join("testdata", "services.json"))
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	data, err := edition.Encode(edition.Proposal{ID: "first", Author: "operator", Version: 1, Document: services})
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	if _, err := d.site.Journal.Append(context.Background(), edition.Stream, data); err != nil {
-		d.t.Fatal(err)
-	}
-}
-
-// waitReady waits until every process has the operator file and every entry
-// host has heard from every backend server.
-func (d *deployment) waitReady() {
-	d.t.Helper()
-	d.waitListed()
-	for _, e := range d.entries {
-		eventually(d.t, e.name+" is configured", func() error { return configured(e.settings.PeerAddress) })
-	}
-	for _, b := range d.backends {
-		eventually(d.t, b.name+" is configured", func() error { return configured(b.settings.PeerAddress) })
-	}
-}
-
-// waitListed waits until every entry host has heard from every backend server.
-func (d *deployment) waitListed() {
-	d.t.Helper()
-	for _, e := range d.entries {
-		eventually(d.t, e.name+" knows the backend servers", func() error { return d.knowsAll(e) })
-	}
-}
-
-func (d *deployment) knowsAll(e *entryHost) error {
-	status, err := askStatus(e.settings.PeerAddress)
-	if err != nil {
-		return err
-	}
-	seen := make(map[string]bool)
-	for _, h := range status.Hosts {
-		seen[h.Name] = h.AgeMillis >= 0
-	}
-	for _, b := range d.backends {
-		if !seen[b.settings.Name] {
-			return errors.Newf("nothing heard from %s", b.settings.Name)
-		}
-	}
-	return nil
-}
-
-func configured(address string) error {
-	status, err := askStatus(address)
-	if err == nil && status.ConfigVersion == 0 {
-		return errors.New("no version is in force")
-	}
-	return err
-}
-
-// askStatus asks a process for its state.
-func askStatus(address string) (peer.Status, error) {
-	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
-	defer stop()
-	return peer.AskStatus(ctx, address)
-}
--- /dev/null
+++ b/internal/trial/openday/golden_test.go
@@ -0,0 +1,205 @@
+package openday
+
+import (
+	"bytes"
+	"net/http"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+// bodyLimitBytes is the limit of a body in the recorded sessions.
+const bodyLimitBytes = 2048
+
+// of returns the headers that name the usual account and a class.
+func of(class string) map[string]string {
+	return map[string]string{intake.HeaderAccount: account, intake.HeaderClass: class}
+}
+
+// withKey returns the headers with an idempotency key.
+func withKey(class, key string) map[string]string {
+	header := of(class)
+	header[intake.HeaderKey] = key
+	return header
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func TestGoldenSessions(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, layout{entries: 2, engines: 1, desks: 1, changeEntry: func(s *process.Entry) {
+		s.MaxBodyBytes = bodyLimitBytes
+	}})
+	d.waitClaims(t)
+	sessions := []struct {
+		name   string
+		record func(*recorder, *deployment)
+	}{
+		{"whole", recordWhole},
+		{"stream", recordStream},
+		{"plain", recordPlain},
+		{"refusals", recordRefusals},
+		{"bad-input", recordBadInput},
+		{"resume", recordResume},
+		{"explain", recordExplain},
+	}
+	for _, s := range sessions {
+		t.Run(s.name, func(t *testing.T) {
+			r := &recorder{t: t}
+			s.record(r, d)
+			r.assert(s.name)
+		})
+	}
+	t.Run("status", func(t *testing.T) { assertStatus(t, d) })
+}
+
+func recordWhole(r *recorder, d *deployment) {
+	c := newCaller(d.entries[0])
+	r.exchange(c, http.MethodPost, "/v1/completions", of("programme"), `{"prompt":"tokens=5 draft"}`)
+	r.exchange(c, http.MethodPost, "/v1/completions", of("programme"), `{"prompt":"tokens=9 draft","max_tokens":4}`)
+	r.exchange(c, http.MethodPost, "/v1/completions", nil,
+		`{"model":"coach","prompt":"tokens=3 draft","fulmarvalve":{"Account":"jarun-hall","Class":"session-check"}}`)
+}
+
+func recordStream(r *recorder, d *deployment) {
+	c := newCaller(d.entries[0])
+	r.exchange(c, http.MethodPost, "/v1/completions", of("programme"), `{"prompt":"tokens=6 draft","stream":true}`)
+	r.exchange(c, http.MethodPost, "/v1/completions", of("outline"), `{"prompt":"tokens=6 draft","stream":true}`)
+	r.exchange(c, http.MethodPost, "/v1/completions", withKey("agreement", newKey()), `{"prompt":"tokens=6 draft","stream":true}`)
+	r.exchange(c, http.MethodPost, "/v1/completions", of("programme"), `{"prompt":"tokens=6 draft","stream":true,"max_tokens":2}`)
+}
+
+func recordPlain(r *recorder, d *deployment) {
+	c := newCaller(d.entries[0])
+	r.exchange(c, http.MethodGet, "/v1/services/front-desk/tides", of("booking"), "")
+	key := newKey()
+	r.exchange(c, http.MethodPost, "/v1/services/front-desk/bookings", withKey("booking", key), `{"Hut":7}`)
+	r.exchange(c, http.MethodPost, "/v1/services/front-desk/bookings", withKey("booking", key), `{"Hut":7}`)
+	r.exchange(newCaller(d.entries[1]), http.MethodPost, "/v1/services/front-desk/bookings", withKey("booking", key), `{"Hut":7}`)
+}
+
+func recordRefusals(r *recorder, d *deployment) {
+	c := newCaller(d.entries[0])
+	const body = `{"prompt":"tokens=5 draft"}`
+	post := func(header map[string]string, body string) {
+		r.exchange(c, http.MethodPost, "/v1/completions", header, body)
+	}
+	post(nil, body)
+	post(map[string]string{intake.HeaderAccount: "unknown-hall", intake.HeaderClass: "programme"}, body)
+	post(map[string]string{intake.HeaderAccount: limitedAccount, intake.HeaderClass: "programme"}, body)
+	post(of("unknown"), body)
+	post(of("booking"), body)
+	post(of("agreement"), body)
+	post(withKey("agreement", "not-a-key"), body)
+	post(withKey("agreement", "01890a5d-ac96-774b-bcce-b302099a8057"), body)
+	post(of("programme"), `{"prompt":"`+strings.Repeat("x", bodyLimitBytes)+`"}`)
+	post(of("draft"), body)
+	passed := of("programme")
+	passed[intake.HeaderDeadline] = "2020-01-01T00:00:00Z"
+	post(passed, body)
+	r.exchange(c, http.MethodGet, "/v1/services/unknown/tides", of("booking"), "")
+	r.exchange(c, http.MethodGet, "/v1/services/front-desk/unknown", of("booking"), "")
+	r.exchange(c, http.MethodPost, "/v1/services/front-desk/bookings", of("booking"), "")
+	r.exchange(c, http.MethodGet, "/v1/services/front-desk/tides", of("programme"), "")
+	r.exchange(c, http.MethodPost, "/v1/services/front-desk/bookings", withKey("booking", newKey()), strings.Repeat("x", bodyLimitBytes+1))
+}
+
+func recordBadInput(r *recorder, d *deployment) {
+	c := newCaller(d.entries[0])
+	for _, body := range []string{
+		``,
+		`{`,
+		`{"prompt":"tokens=5 draft"}{}`,
+		`{"prompt":5}`,
+		`{"prompt":""}`,
+		`{"prompt":"tokens=5 draft","max_tokens":-1}`,
+		`{"prompt":"tokens=5 draft","model":"other"}`,
+	} {
+		r.exchange(c, http.MethodPost, "/v1/completions", of("programme"), body)
+	}
+	malformed := of("programme")
+	malformed[intake.HeaderDeadline] = "tomorrow"
+	r.exchange(c, http.MethodPost, "/v1/completions", malformed, `{"prompt":"tokens=5 draft"}`)
+	r.exchange(c, http.MethodGet, "/v1/completions", of("programme"), "")
+	r.exchange(c, http.MethodGet, "/v1/unknown", nil, "")
+	r.exchange(c, http.MethodGet, "/v1/completions/not-a-ticket", of("programme"), "")
+	r.exchange(c, http.MethodGet, "/v1/requests/unknown/explanation", nil, "")
+}
+
+func recordResume(r *recorder, d *deployment) {
+	first, second := newCaller(d.entries[0]), newCaller(d.entries[1])
+	answer := r.exchange(first, http.MethodPost, "/v1/completions", of("programme"), `{"prompt":"tokens=8 draft","stream":true}`)
+	ticket := ticketIn(r.t, answer)
+	resume := func(account, position string) {
+		header := map[string]string{intake.HeaderAccount: account, "Last-Event-ID": position}
+		r.exchange(second, http.MethodGet, "/v1/completions/"+ticket, header, "")
+	}
+	resume(account, "3")
+	resume(account, "")
+	resume(account, "8")
+	resume(account, "9")
+	resume(account, "three")
+	resume(limitedAccount, "3")
+}
+
+// ticketIn returns the ticket of a recorded stream.
+func ticketIn(t *testing.T, answer reply) string {
+	t.Helper()
+	_, rest, _ := bytes.Cut(answer.body, []byte(`"Ticket":"`))
+	ticket, _, found := bytes.Cut(rest, []byte(`"`))
+	if !found {
+		t.Fatalf("no ticket in %q", answer.body)
+	}
+	return string(ticket)
+}
+
+func recordExplain(r *recorder, d *deployment) {
+	d.waitQuiet(r.t, d.entries[0])
+	c := newCaller(d.entries[0])
+	answer := r.exchange(c, http.MethodPost, "/v1/completions", withKey("agreement", newKey()), `{"prompt":"tokens=5 draft"}`)
+	id := answer.header.Get(intake.HeaderRequest)
+	r.exchange(c, http.MethodGet, "/v1/requests/"+id+"/explanation", nil, "")
+	r.text.WriteString(command(r.t, "explain", "--peer", d.entries[0].settings.PeerAddress, id))
+}
+
+// command runs an operator command and returns what it prints.
+func command(t *testing.T, arguments ...string) string {
+	t.Helper()
+	output, err := exec.CommandContext(t.Context(), binary, arguments...).CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %v\n%s", arguments, err, output)
+	}
+	return string(output)
+}
+
+func assertStatus(t *testing.T, d *deployment) {
+	d.waitQuiet(t, d.entries[0])
+	r := &recorder{t: t}
+	for _, address := range []string{
+		d.entries[0].settings.PeerAddress,
+		d.backends[0].settings.PeerAddress,
+		d.backends[1].settings.PeerAddress,
+	} {
+		r.text.WriteString(command(t, "status", "--peer", address))
+	}
+	r.assert("status")
+}
+
+func TestGoldenUnconfigured(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 1, engines: 1, unconfigured: true})
+	r := &recorder{t: t}
+	c := newCaller(d.entries[0])
+	r.exchange(c, http.MethodPost, "/v1/completions", of("programme"), `{"prompt":"tokens=5 draft"}`)
+	r.exchange(c, http.MethodGet, "/v1/services/front-desk/tides", of("booking"), "")
+	r.exchange(c, http.MethodGet, "/healthz", nil, "")
+	r.assert("unconfigured")
+	is.Equal(len(d.backends[0].engine.Orders()), 0)
+}
--- /dev/null
+++ b/internal/trial/openday/readiness_test.go
@@ -0,0 +1,93 @@
+package openday
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+)
+
+// waitReady waits until every process has the operator file and every entry
+// host has heard from every backend server.
+func (d *deployment) waitReady() {
+	d.t.Helper()
+	d.waitListed()
+	for _, e := range d.entries {
+		eventually(d.t, e.name+" is configured", func() error { return configured(e.settings.PeerAddress) })
+	}
+	for _, b := range d.backends {
+		eventually(d.t, b.name+" is configured", func() error { return configured(b.settings.PeerAddress) })
+	}
+}
+
+// waitListed waits until every entry host has heard from every backend server.
+func (d *deployment) waitListed() {
+	d.t.Helper()
+	for _, e := range d.entries {
+		eventually(d.t, e.name+" knows the backend servers", func() error { return d.knowsAll(e) })
+	}
+}
+
+func (d *deployment) knowsAll(e *entryHost) error {
+	status, err := askStatus(e.settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	seen := make(map[string]bool)
+	for _, h := range status.Hosts {
+		seen[h.Name] = h.AgeMillis >= 0
+	}
+	for _, b := range d.backends {
+		if !seen[b.settings.Name] {
+			return errors.Newf("nothing heard from %s", b.settings.Name)
+		}
+	}
+	return nil
+}
+
+func configured(address string) error {
+	status, err := askStatus(address)
+	if err == nil && status.ConfigVersion == 0 {
+		return errors.New("no version is in force")
+	}
+	return err
+}
+
+// askStatus asks a process for its state.
+func askStatus(address string) (peer.Status, error) {
+	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+	defer stop()
+	return peer.AskStatus(ctx, address)
+}
+
+// waitClaims waits until keys can be bound.
+func (d *deployment) waitClaims(t *testing.T) {
+	t.Helper()
+	for _, e := range d.entries {
+		eventually(t, "keys are bound at "+e.name, func() error {
+			r, err := newCaller(e).call(http.MethodPost, "/bookings", newKey())
+			if err == nil && r.status != http.StatusOK {
+				return errors.Newf("status %d: %s", r.status, r.body)
+			}
+			return err
+		})
+	}
+}
+
+// waitQuiet waits until an entry host has heard that nothing runs.
+func (d *deployment) waitQuiet(t *testing.T, e *entryHost) {
+	t.Helper()
+	eventually(t, "nothing runs as "+e.name+" sees it", func() error {
+		status, err := askStatus(e.settings.PeerAddress)
+		for _, h := range status.Hosts {
+			if h.Running+h.Waiting+h.MemoryPermille > 0 {
+				return errors.Newf("%s: %d run, %d wait", h.Name, h.Running, h.Waiting)
+			}
+		}
+		return err
+	})
+}
--- a/internal/trial/openday/relay_test.go
+++ b/internal/trial/openday/relay_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -137,7 +138,7 @@
 		}
 		if err != nil {
 			_ = to.(*net.TCPConn).CloseWrite()
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				return nil
 			}
 			return err
--- /dev/null
+++ b/internal/trial/openday/site_test.go
@@ -0,0 +1,71 @@
+package openday
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/edition"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
+)
+
+// serveSite runs the stand-ins until the test ends.
+func (d *deployment) serveSite() {
+	ctx, stop := context.WithCancel(context.Background())
+	front := &serving.Listener{Handler: d.registrar()}
+	if len(d.backends) > 0 {
+		front.Address = d.backends[0].settings.HostListAddress
+	}
+	var group errgroup.Group
+	group.Go(func() error { return d.site.Run(ctx) })
+	group.Go(func() error { return front.Run(ctx) })
+	d.t.Cleanup(func() {
+		stop()
+		if err := group.Wait(); err != nil {
+			d.t.Errorf("stand-ins: %v", err)
+		}
+	})
+}
+
+// registrar serves the host list to the processes beside the backend servers.
+// It registers them under the addresses of their relays.
+func (d *deployment) registrar() http.Handler {
+	list := d.site.HostList.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPut {
+			list.ServeHTTP(w, r)
+			return
+		}
+		var host hostlist.Host
+		if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if b := d.backend(host.Name); b != nil && b.relay != nil {
+			host.PeerAddress = b.relay.listener.Addr().String()
+		}
+		d.site.HostList.Put(host)
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// apply publishes the operator file.
+func (d *deployment) apply() {
+	d.t.Helper()
+	services, err := os.ReadFile(filepath.Join("testdata", "services.json"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	data, err := edition.Encode(edition.Proposal{ID: "first", Author: "operator", Version: 1, Document: services})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := d.site.Journal.Append(context.Background(), edition.Stream, data); err != nil {
+		d.t.Fatal(err)
+	}
+}
