--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -108,6 +108,7 @@
 			Code:             uint32(refusal.Code),
 			Reason:           refusal.Reason,
 			RetryAtUnixNanos: warden.NanosOf(refusal.RetryAt),
+			Recorded:         refusal.Recorded,
 		}
 	}
 	reply.Load = p.Load()
@@ -207,7 +208,7 @@
 	}
 	evictAt := time.Now().Add(time.Duration(p.Settings.HoldSeconds) * time.Second)
 	if err := p.Logbook.Finish(id, uint32(code), reason, evictAt); err != nil {
-		p.Log.Error("call could not be ended", "request", id, "cause", err)
+		p.Log.Error("call could not be ended", "Request", id, "Cause", err)
 	}
 	p.Records.Record(id, explanation.Ended{Code: uint32(code), Outcome: string(code.Info().Outcome), Reason: reason})
 }
@@ -249,9 +250,9 @@
 func endOf(entry logbook.Entry) *receipt.Result {
 	switch s := entry.State.(type) {
 	case logbook.Refused:
-		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRetryAt(warden.RetryAt(time.Now()))
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRetryAt(warden.RetryAt(time.Now())).WithRecorded()
 	case logbook.Ended:
-		return receipt.New(receipt.Code(s.Code), "%s", s.Reason)
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRecorded()
 	default:
 		return receipt.New(receipt.NotHeld, "the reply is no longer held")
 	}
