fix: refusals of a resume reach the entry host

Cause: the owner's refusal names the owner with sequence 0, which the delivery took for another generation than the bound one and dropped. A resume of what the owner no longer holds, also after the owner was replaced, went on asking until the silence deadline. A position past the answer was refused as InvalidRequest, whose outcome is NotRun although the request ran. Ruled out: leaving the generation out of refusals, as the incarnation that refuses decides what a bound key's refusal means. Change: a frame whose generation has sequence 0 names no generation; only a refusal may come with it. A position past the answer is NotHeld (Unknown). Three new cases of TestAccept failed before.

--- a/internal/backend/keeper/serve.go
+++ b/internal/backend/keeper/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
@@ -145,11 +143,9 @@
 	}
 }
 
-// readRefusal maps an answer that can't be read.
+// readRefusal maps an answer that can't be read. The request ran here, so the
+// refusal must not say that it did not.
 func readRefusal(err error) *receipt.Result {
-	if errors.Is(err, logbook.ErrBeyond) {
-		return receipt.New(receipt.InvalidRequest, "%v", err)
-	}
 	return receipt.New(receipt.NotHeld, "%v", err)
 }
 
--- a/internal/caller/delivery/delivery_test.go
+++ b/internal/caller/delivery/delivery_test.go
@@ -32,6 +32,12 @@
 	}
 }
 
+// owner names the process of a generation alone, as refusals do.
+func owner(g Generation) *message.Generation {
+	g.Sequence = 0
+	return g.Message()
+}
+
 func TestAccept(t *testing.T) {
 	refusal := &message.Frame_Refusal{Refusal: &message.Refusal{Code: 4, Reason: "full", RetryAtUnixNanos: 9}}
 	heartbeat := &message.Frame_Heartbeat{Heartbeat: &message.Heartbeat{
@@ -59,6 +65,18 @@
 			&message.Frame{RequestId: "r", Body: refusal},
 			Refused{Code: 4, Reason: "full", RetryAtUnixNanos: 9},
 		},
+		{
+			"refusal of the owner that names no sequence",
+			&message.Frame{RequestId: "r", Generation: owner(first), Body: refusal},
+			Refused{Code: 4, Reason: "full", RetryAtUnixNanos: 9},
+		},
+		{
+			"refusal of a later incarnation",
+			&message.Frame{RequestId: "r", Generation: owner(second), Body: refusal},
+			Refused{Code: 4, Reason: "full", RetryAtUnixNanos: 9},
+		},
+		{"refusal of another generation", &message.Frame{RequestId: "r", Generation: second.Message(), Body: refusal}, Foreign{Reason: OtherGeneration}},
+		{"tokens without sequence", tokens("r", Generation{Backend: "draft-1", Incarnation: 7}, 2, "c"), Foreign{Reason: Malformed}},
 		{
 			"heartbeat",
 			&message.Frame{RequestId: "r", Generation: first.Message(), Body: heartbeat},
--- a/internal/caller/delivery/identity.go
+++ b/internal/caller/delivery/identity.go
@@ -35,7 +35,7 @@
 		return 0
 	}
 	generation := GenerationOf(f.GetGeneration())
-	if generation.IsZero() {
+	if generation.Sequence == 0 {
 		return rejectUnidentified(f)
 	}
 	if d.bound.IsZero() {
@@ -47,8 +47,8 @@
 	return 0
 }
 
-// rejectUnidentified lets a refusal pass, as a refused request has no
-// generation. The stream that it arrived on tells which attempt it answers.
+// rejectUnidentified lets a refusal pass: a refused request has no generation,
+// so its frame names the owner at most, and no sequence. The stream that it arrived on tells which attempt it answers.
 func rejectUnidentified(f *message.Frame) ForeignReason {
 	if f.GetRefusal() != nil {
 		return 0
