fix: a refused resume says nothing about the request that ran

Cause: refusals of a resume (malformed position, another account's ticket, leaving entry host) carry outcome NotRun, and named the request of the ticket, which has run.

--- a/internal/caller/intake/stream.go
+++ b/internal/caller/intake/stream.go
@@ -137,7 +137,8 @@
 }
 
 // resume continues a generation that another connection or another entry host
-// began to deliver.
+// began to deliver. A refusal is about the resume, not about the request of the
+// ticket, which has run; so it names no request.
 func (in *Intake) resume(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	t, err := ticket.Decode(mux.Vars(r)["ticket"])
@@ -147,16 +148,16 @@
 	}
 	from, err := lastPosition(r)
 	if err != nil {
-		writeRefusal(w, t.RequestID, receipt.New(receipt.InvalidRequest, "%v", err))
+		writeRefusal(w, "", receipt.New(receipt.InvalidRequest, "%v", err))
 		return
 	}
 	if r.Header.Get(HeaderAccount) != t.Account {
-		writeRefusal(w, t.RequestID, receipt.New(receipt.AccountRefused, "the ticket is of another client account"))
+		writeRefusal(w, "", receipt.New(receipt.AccountRefused, "the ticket is of another client account"))
 		return
 	}
 	leave, refusal := in.enterAgain(t.Account, now)
 	if refusal != nil {
-		writeRefusal(w, t.RequestID, refusal)
+		writeRefusal(w, "", refusal)
 		return
 	}
 	defer leave()
