--- a/internal/permit/holder/ask.go
+++ b/internal/permit/holder/ask.go
@@ -14,8 +14,8 @@
 const (
 	// maxAsked bounds the entry hosts that one claim asks.
 	maxAsked = 4
-	// askAgain is when to come back after no entry host answered.
-	askAgain = time.Second
+	// askAgainMillis is when to come back after no entry host answered.
+	askAgainMillis = 1000
 )
 
 // Claim binds the key of r, here or at the entry host that holds the key's
@@ -38,7 +38,7 @@
 		}
 		switch {
 		case err != nil:
-			h.logger().Warn("permit: entry host gave no answer", "address", address, "error", err)
+			h.logger().Warn("entry host gave no answer", "Address", address, "Error", err)
 			h.directory.lost(r.GetPartition(), address, time.Now())
 			address = h.target(r.GetPartition(), asked)
 		case codeOf(reply) == CodeStopping:
@@ -53,7 +53,7 @@
 			address = reply.GetHolder()
 		}
 	}
-	return refuse(CodeHolderUnreachable, "no entry host took the claim", time.Now().Add(askAgain)), nil
+	return refuse(CodeHolderUnreachable, "no entry host took the claim", time.Now().Add(askAgainMillis*time.Millisecond)), nil
 }
 
 // ask sends the claim to one entry host.
@@ -61,7 +61,7 @@
 	if address == h.Address {
 		return h.HandleClaim(ctx, r)
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askTimeoutMillis*time.Millisecond)
 	defer cancel()
 	client, err := h.Dial(ctx, address)
 	if err != nil {
@@ -100,13 +100,13 @@
 	if refusal := p.enqueue(w); refusal != nil {
 		return refusal, nil
 	}
-	timer := time.NewTimer(claimTimeout)
+	timer := time.NewTimer(claimTimeoutMillis * time.Millisecond)
 	defer timer.Stop()
 	select {
 	case reply := <-w.reply:
 		return reply, nil
 	case <-timer.C:
-		return refuse(CodeClaimUnknown, "log gave no answer in time", time.Now().Add(askAgain)), nil
+		return refuse(CodeClaimUnknown, "log gave no answer in time", time.Now().Add(askAgainMillis*time.Millisecond)), nil
 	case <-wait.Done():
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(ctx.Err(), "wait for batch")
--- a/internal/permit/holder/directory.go
+++ b/internal/permit/holder/directory.go
@@ -10,8 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// lostFor is how long an entry host that gave no answer is passed over.
-const lostFor = 10 * time.Second
+// lostSeconds is how long an entry host that gave no answer is passed over.
+const lostSeconds = 10
 
 // directory remembers where partitions were found and who gave no answer.
 type directory struct {
@@ -40,7 +40,7 @@
 	if d.lostUntil == nil {
 		d.lostUntil = make(map[string]time.Time)
 	}
-	d.lostUntil[address] = now.Add(lostFor)
+	d.lostUntil[address] = now.Add(lostSeconds * time.Second)
 }
 
 // known returns the last known holder of a partition.
--- a/internal/permit/holder/history_test.go
+++ b/internal/permit/holder/history_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"math"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,9 +29,6 @@
 // historySeeds is how many seeded histories run.
 var historySeeds = flag.Uint64("seeds", 40, "number of seeded histories")
 
-// claimInput is one claim of a history.
-type claimInput struct{ Key, Request, Refused string }
-
 // history records claims and what the owners did with the permits.
 type history struct {
 	mu    sync.Mutex
@@ -87,51 +83,6 @@
 	}
 }
 
-// nextBindings returns the bindings of a key after a claim: each is the list
-// of the requests that it was bound to, the last one in force. A permit for an
-// earlier one is harmless, since its owner will never run it.
-func nextBindings(state, input, output any) []any {
-	list, in, out := state.(string), input.(claimInput), output.(string)
-	names := strings.Fields(list)
-	takes := len(names) == 0 && in.Refused == ""
-	if len(names) > 0 && in.Refused != "" {
-		takes = names[len(names)-1] == in.Refused
-	}
-	after := strings.TrimSpace(list + " " + in.Request)
-	switch {
-	case out == "" && takes:
-		return []any{list, after}
-	case out == "":
-		return []any{list}
-	case takes && out == in.Request:
-		return []any{after}
-	case strings.Contains(" "+list+" ", " "+out+" "):
-		return []any{list}
-	default:
-		return nil
-	}
-}
-
-func bindingModel() porcupine.Model {
-	m := porcupine.NondeterministicModel{
-		Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
-			byKey := make(map[string][]porcupine.Operation)
-			for _, o := range all {
-				key := o.Input.(claimInput).Key
-				byKey[key] = append(byKey[key], o)
-			}
-			var parts [][]porcupine.Operation
-			for _, part := range byKey {
-				parts = append(parts, part)
-			}
-			return parts
-		},
-		Init: func() []any { return []any{""} },
-		Step: nextBindings,
-	}
-	return m.ToModel()
-}
-
 // check returns an error when a key ran twice or the claims have no order.
 func (h *history) check() error {
 	for key, runs := range h.runs {
--- a/internal/permit/holder/holder.go
+++ b/internal/permit/holder/holder.go
@@ -25,12 +25,12 @@
 	// DefaultKeyWindowSeconds is how long a key may be used.
 	DefaultKeyWindowSeconds = 3600
 
-	// claimTimeout bounds the wait for a batch.
-	claimTimeout = 3 * time.Second
-	// askTimeout bounds one call to another entry host.
-	askTimeout = claimTimeout + 500*time.Millisecond
-	// logTimeout bounds one call to the log.
-	logTimeout = 2 * time.Second
+	// claimTimeoutMillis bounds the wait for a batch.
+	claimTimeoutMillis = 3000
+	// askTimeoutMillis bounds one call to another entry host.
+	askTimeoutMillis = claimTimeoutMillis + 500
+	// logTimeoutMillis bounds one call to the log.
+	logTimeoutMillis = 2000
 )
 
 // Host is a live entry host.
--- a/internal/permit/holder/holder_test.go
+++ b/internal/permit/holder/holder_test.go
@@ -108,7 +108,7 @@
 			_, err := w.host(0).Claim(t.Context(), request(testKey(time.Now(), 1), "a"))
 			return err
 		})
-		time.Sleep(slowAfter + time.Millisecond)
+		time.Sleep(slowAfterMillis*time.Millisecond + time.Millisecond)
 		begin := time.Now()
 		for n := range 8 {
 			reply := mustClaim(t, w.host(0), request(testKey(time.Now(), n), "b"))
--- a/internal/permit/holder/lease.go
+++ b/internal/permit/holder/lease.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// renewAfter is when a lease record is appended again.
-	renewAfter = claim.LeaseSeconds * time.Second / 2
-	// steadyAfter is how long after a takeover may begin the next one is
+	// renewSeconds is when a lease record is appended again.
+	renewSeconds = claim.LeaseSeconds / 2
+	// steadySeconds is how long after a takeover may begin the next one is
 	// treated as the first.
-	steadyAfter = 2 * time.Minute
+	steadySeconds = 120
 )
 
 // hold makes this entry host the holder, as far as it has read the stream, or
@@ -43,10 +43,10 @@
 		}
 		return refuse(CodeLogUnavailable, "lease could not be recorded", p.logDown(ctx, err))
 	}
-	p.renewAt = now.Add(renewAfter)
+	p.renewAt = now.Add(renewSeconds * time.Second)
 	if !renewal {
 		p.limitTakeover(now)
-		p.holder.logger().Info("permit: took partition", "partition", p.number)
+		p.holder.logger().Info("took partition", "Partition", p.number)
 	}
 	if p.noticeLoss() {
 		return notHolder(p.otherHolder(), p.takeoverAt)
@@ -85,7 +85,7 @@
 	}
 	p.epoch = ""
 	p.limitTakeover(time.Now())
-	p.holder.logger().Info("permit: lost partition", "partition", p.number, "holder", p.otherHolder())
+	p.holder.logger().Info("lost partition", "Partition", p.number, "Holder", p.otherHolder())
 	return true
 }
 
@@ -118,7 +118,7 @@
 // limitTakeover sets the earliest next takeover, so that two entry hosts that
 // cannot reach each other do not take a partition from each other in a loop.
 func (p *partition) limitTakeover(now time.Time) {
-	if now.After(p.takeoverAt.Add(steadyAfter)) {
+	if now.After(p.takeoverAt.Add(steadySeconds * time.Second)) {
 		p.takeoverBackoff.Reset()
 	}
 	p.takeoverAt = now.Add(p.takeoverBackoff.NextBackOff())
--- a/internal/permit/holder/log.go
+++ b/internal/permit/holder/log.go
@@ -14,15 +14,15 @@
 const (
 	// maxAppends bounds the appends of one record.
 	maxAppends = 3
-	// appendPause is the wait before a record is appended again, times the
+	// appendPauseMillis is the wait before a record is appended again, times the
 	// number of tries.
-	appendPause = 50 * time.Millisecond
+	appendPauseMillis = 50
 	// pageRecords bounds the records of one read.
 	pageRecords = 1000
 	// maxReads bounds the reads that wait for an answered append to show.
 	maxReads = 10
-	// readPause is the wait between these reads.
-	readPause = 10 * time.Millisecond
+	// readPauseMillis is the wait between these reads.
+	readPauseMillis = 10
 )
 
 // errNotShown says that an answered append does not show in reads.
@@ -37,7 +37,7 @@
 func (p *partition) record(ctx context.Context, data []byte, match func(claim.Record) bool) error {
 	var last error
 	for try := range maxAppends {
-		if !sleepUntil(ctx, time.Now().Add(time.Duration(try)*appendPause)) {
+		if !sleepUntil(ctx, time.Now().Add(time.Duration(try)*appendPauseMillis*time.Millisecond)) {
 			return errors.Wrap(ctx.Err(), "append")
 		}
 		offset, err := p.append(ctx, data)
@@ -84,13 +84,13 @@
 		c.Appends++
 		c.AppendedBytes += uint64(len(data))
 	})
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	ctx, cancel := context.WithTimeout(ctx, logTimeoutMillis*time.Millisecond)
 	defer cancel()
 	return p.holder.Log.Append(ctx, p.stream, data)
 }
 
 func (p *partition) read(ctx context.Context, from uint64, limit int) (journal.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	ctx, cancel := context.WithTimeout(ctx, logTimeoutMillis*time.Millisecond)
 	defer cancel()
 	page, err := p.holder.Log.Read(ctx, p.stream, from, limit)
 	p.count(func(c *Counts) {
@@ -128,7 +128,7 @@
 		if waits > maxReads {
 			return errNotShown
 		}
-		if !sleepUntil(ctx, time.Now().Add(readPause)) {
+		if !sleepUntil(ctx, time.Now().Add(readPauseMillis*time.Millisecond)) {
 			return errors.Wrap(ctx.Err(), "read on")
 		}
 	}
@@ -215,7 +215,7 @@
 	if ctx.Err() != nil {
 		return time.Now()
 	}
-	p.holder.logger().Warn("permit: log gave no answer", "partition", p.number, "error", err)
+	p.holder.logger().Warn("log gave no answer", "Partition", p.number, "Error", err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.logDownUntil = time.Now().Add(p.logBackoff.NextBackOff())
--- a/internal/permit/holder/measure_test.go
+++ b/internal/permit/holder/measure_test.go
@@ -120,6 +120,60 @@
 	}
 }
 
+// TestMeasureOutage takes the log down for a while, and later kills a host.
+func TestMeasureOutage(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	const outage, rate = 60 * time.Second, 250
+	synctest.Test(t, func(t *testing.T) {
+		var w *world
+		w = newWorld(t.Context(), 1, measureHosts, 0, load{Partitions: 64}.change(&w))
+		w.store.Faults.SlowMillis.Store(logMillis)
+		var mu sync.Mutex
+		codes := map[string]map[Code]int{}
+		last, slowest := map[string]time.Duration{}, map[string]time.Duration{}
+		phase, since := "before", time.Now()
+		var group errgroup.Group
+		send := func(n int) {
+			name, from, begin, host := phase, since, time.Now(), w.host(1+n%(measureHosts-1))
+			group.Go(func() error {
+				reply, err := host.Claim(t.Context(), claimOf(n, begin))
+				mu.Lock()
+				defer mu.Unlock()
+				if codes[name] == nil {
+					codes[name] = map[Code]int{}
+				}
+				codes[name][codeOf(reply)]++
+				slowest[name] = max(slowest[name], time.Since(begin))
+				if codeOf(reply) != CodeBound {
+					last[name] = time.Since(from)
+				}
+				return err
+			})
+		}
+		run := func(name string, long time.Duration) {
+			phase, since = name, time.Now()
+			for n := 0; time.Since(since) < long; n++ {
+				send(int(time.Now().UnixMilli() % 10_000_000))
+				time.Sleep(time.Second / rate)
+			}
+		}
+		run("before", 20*time.Second)
+		w.store.Faults.Down.Store(true)
+		run("outage", outage)
+		w.store.Faults.Down.Store(false)
+		run("after", 20*time.Second)
+		w.kill(0)
+		run("host dead", 20*time.Second)
+		_ = group.Wait()
+		for _, name := range []string{"before", "outage", "after", "host dead"} {
+			t.Logf("%s: %v, slowest answer %v, last refusal after %v", name, codes[name], slowest[name], last[name])
+		}
+		w.stop()
+	})
+}
+
 func TestMeasureTakeover(t *testing.T) {
 	if !*measure {
 		t.Skip("needs -measure")
--- a/internal/permit/holder/partition.go
+++ b/internal/permit/holder/partition.go
@@ -11,11 +11,21 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
-// maxWaiting bounds the claims that wait in one partition.
-const maxWaiting = 4096
-
-// slowAfter is how long a batch may be under way before new claims are refused.
-const slowAfter = time.Second
+const (
+	// maxWaiting bounds the claims that wait in one partition.
+	maxWaiting = 4096
+	// slowAfterMillis is how long a batch may be under way before new claims
+	// are refused.
+	slowAfterMillis = 1000
+	// takeoverMillis is the wait after a first takeover or loss.
+	takeoverMillis = 1000
+	// maxTakeoverMillis bounds the wait after repeated ones.
+	maxTakeoverMillis = 30_000
+	// logRetryMillis is the wait after a first failure of the log.
+	logRetryMillis = 250
+	// maxLogRetryMillis bounds the wait after repeated ones.
+	maxLogRetryMillis = 5000
+)
 
 // waiter is a claim that waits for a batch.
 type waiter struct {
@@ -67,15 +77,15 @@
 		number:          number,
 		stream:          claim.StreamOf(number),
 		wake:            make(chan struct{}, 1),
-		takeoverBackoff: newBackoff(time.Second, 30*time.Second),
-		logBackoff:      newBackoff(250*time.Millisecond, 5*time.Second),
+		takeoverBackoff: newBackoff(takeoverMillis, maxTakeoverMillis),
+		logBackoff:      newBackoff(logRetryMillis, maxLogRetryMillis),
 	}
 }
 
-func newBackoff(first, longest time.Duration) *backoff.ExponentialBackOff {
+func newBackoff(firstMillis, maxMillis int) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = first
-	b.MaxInterval = longest
+	b.InitialInterval = time.Duration(firstMillis) * time.Millisecond
+	b.MaxInterval = time.Duration(maxMillis) * time.Millisecond
 	b.Multiplier = 2
 	b.Reset()
 	return b
@@ -99,8 +109,8 @@
 	if now.Before(p.logDownUntil) {
 		return refuse(CodeLogUnavailable, "log is unavailable", p.logDownUntil)
 	}
-	if !p.busySince.IsZero() && now.After(p.busySince.Add(slowAfter)) {
-		return refuse(CodeLogUnavailable, "log is slow", now.Add(askAgain))
+	if !p.busySince.IsZero() && now.After(p.busySince.Add(slowAfterMillis*time.Millisecond)) {
+		return refuse(CodeLogUnavailable, "log is slow", now.Add(askAgainMillis*time.Millisecond))
 	}
 	return nil
 }
@@ -141,7 +151,7 @@
 		return refuse(CodeStopping, "entry host is stopping", time.Now())
 	}
 	if len(p.waiting) >= maxWaiting {
-		return refuse(CodeBusy, "too many claims wait", time.Now().Add(askAgain))
+		return refuse(CodeBusy, "too many claims wait", time.Now().Add(askAgainMillis*time.Millisecond))
 	}
 	p.waiting = append(p.waiting, w)
 	p.signal()
