feat: prefixes follow the engine's cache events; once-only work is preempted last

The engine preempts the lowest priority first. Within the priority of a class, requests that may not be repeated now rank above those that may. A gap in the cache events drops what was believed before it.

--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -133,7 +133,7 @@
 			Model:      in.GetModel(),
 			Prompt:     in.GetPrompt(),
 			MaxTokens:  int(in.GetMaxTokens()),
-			Priority:   class.Priority,
+			Priority:   enginePriority(class.Priority, in.GetRepeatable()),
 			PrefixHash: PrefixHash(in.GetPrompt()),
 		},
 		account:     in.GetAccount(),
@@ -150,6 +150,16 @@
 	return nil
 }
 
+// enginePriority orders work at the engine, which preempts the lowest first:
+// within a class's priority, what may not be repeated goes last.
+func enginePriority(priority int, repeatable bool) int {
+	const ranks = 2
+	if repeatable {
+		return priority * ranks
+	}
+	return priority*ranks + 1
+}
+
 // refusalOf maps the book's refusal to a result code.
 func refusalOf(d booking.Refuse) *receipt.Result {
 	code := receipt.QueueFull
--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -38,6 +38,9 @@
 type Engine interface {
 	Generate(context.Context, engine.Request) (Stream, error)
 	Cancel(ctx context.Context, id string) error
+	// CacheEvents returns the cache events after the given sequence. They come
+	// late, and some never come.
+	CacheEvents(ctx context.Context, since uint64) ([]engine.CacheEvent, error)
 }
 
 // Stream is the engine's side of one generation.
@@ -84,6 +87,8 @@
 	applied *agreement.Document
 	pace    pace
 	recent  prefixes
+	// cacheSequence is that of the newest cache event taken.
+	cacheSequence uint64
 	// start passes admitted jobs to Run.
 	start chan *job
 }
@@ -123,6 +128,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.tick(ctx) })
+	group.Go(func() error { return k.watchCache(ctx) })
 	group.Go(func() error {
 		for {
 			select {
--- a/internal/backend/keeper/keeper_test.go
+++ b/internal/backend/keeper/keeper_test.go
@@ -276,3 +276,30 @@
 	}
 	is.Equal(server.Executions(in.GetRequestId()), 1)
 }
+
+func TestCacheEvents(t *testing.T) {
+	stored := func(sequence, hash uint64) engine.CacheEvent {
+		return engine.CacheEvent{Sequence: sequence, Kind: engine.Stored, PrefixHash: hash}
+	}
+	evicted := func(sequence, hash uint64) engine.CacheEvent {
+		return engine.CacheEvent{Sequence: sequence, Kind: engine.Evicted, PrefixHash: hash}
+	}
+	tests := []struct {
+		name string
+		give []engine.CacheEvent
+		want []uint64
+	}{
+		{"stored", []engine.CacheEvent{stored(1, 5), stored(2, 6)}, []uint64{6, 5}},
+		{"evicted", []engine.CacheEvent{stored(1, 5), stored(2, 6), evicted(3, 5)}, []uint64{6}},
+		{"repeated", []engine.CacheEvent{stored(1, 5), evicted(2, 5), stored(1, 5)}, []uint64{}},
+		{"gap", []engine.CacheEvent{stored(1, 5), stored(4, 6)}, []uint64{6}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			k := &Keeper{}
+			k.takeCacheEvents(tt.give)
+			is.Equal(append([]uint64{}, k.recent.hashes...), tt.want)
+		})
+	}
+}
--- a/internal/backend/keeper/policy.go
+++ b/internal/backend/keeper/policy.go
@@ -52,23 +52,3 @@
 	}
 	p.micros += paceWeight * (micros - p.micros)
 }
-
-// prefixLimit bounds the prefixes that a load report names.
-const prefixLimit = 8
-
-// prefixes holds the prompt prefixes that ran last, the newest first.
-type prefixes struct {
-	hashes []uint64
-}
-
-// use moves the hash to the front.
-func (p *prefixes) use(hash uint64) {
-	kept := make([]uint64, 0, prefixLimit)
-	kept = append(kept, hash)
-	for _, h := range p.hashes {
-		if h != hash && len(kept) < prefixLimit {
-			kept = append(kept, h)
-		}
-	}
-	p.hashes = kept
-}
--- a/internal/role/backendhost/engine.go
+++ b/internal/role/backendhost/engine.go
@@ -25,3 +25,8 @@
 func (a engineAdapter) Cancel(ctx context.Context, id string) error {
 	return a.client.Cancel(ctx, id)
 }
+
+// CacheEvents returns the engine's cache events after the given sequence.
+func (a engineAdapter) CacheEvents(ctx context.Context, since uint64) ([]engine.CacheEvent, error) {
+	return a.client.CacheEvents(ctx, since)
+}
