--- a/internal/trial/openday/once_test.go
+++ b/internal/trial/openday/once_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
@@ -26,9 +25,6 @@
 	return count
 }
 
-// newKey returns a fresh idempotency key.
-func newKey() string { return uuid.Must(uuid.NewV7()).String() }
-
 // agreement returns a question that may not be repeated.
 func agreement(key, prompt string) question {
 	q := ask("agreement", prompt)
