--- a/cmd/root.go
+++ b/cmd/root.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 )
 
 // Exit codes of the program.
@@ -50,6 +53,7 @@
 
 // Execute runs the program with the given arguments and returns its exit code.
 func Execute(args []string) int {
+	expvar.Publish(line.VarName, line.TrafficVar{})
 	return run(context.Background(), args, os.Stdout, os.Stderr)
 }
 
--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -107,7 +107,7 @@
 	h.incarnation = max(1, rand.Uint64())
 	h.ring = &explanation.Ring{}
 	h.measure = &measure.Measure{}
-	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: &http.Client{}}
+	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: line.NewPlatformClient()}
 	h.peers.seeds = h.Settings.Peers
 	h.bulletin = &bulletin.Bulletin{
 		Address: h.Settings.PeerAddress,
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -86,9 +86,9 @@
 func (h *Host) prepare() {
 	h.ring = &explanation.Ring{}
 	h.measure = &measure.Measure{}
-	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: &http.Client{}}
+	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: line.NewPlatformClient()}
 	h.roster = &roster.Roster{}
-	log := &journal.Client{Address: h.Settings.LogServiceAddress, HTTP: &http.Client{}}
+	log := &journal.Client{Address: h.Settings.LogServiceAddress, HTTP: line.NewPlatformClient()}
 	h.bulletin = h.newBulletin(log)
 	h.referral = h.newReferral()
 	h.rounds = h.newRounds()
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -118,7 +118,7 @@
 		ConfigVersion:     j.ConfigVersion(),
 		Asker:             j.Address,
 	}
-	return line.Call(ctx, j.target.PeerAddress,
+	return line.CallData(ctx, j.target.PeerAddress,
 		func(ctx context.Context, conn drpc.Conn) (*message.CallReply, error) {
 			return message.NewDRPCBackendClient(conn).Call(ctx, request)
 		})
--- a/internal/wire/line/line.go
+++ b/internal/wire/line/line.go
@@ -69,22 +69,40 @@
 	return boundedConn{conn}, nil
 }
 
-// Dial opens a connection to the process at address, a host and port. The
-// caller closes it. The error is marked with ErrDial.
+// Dial opens a connection for callers' data to the process at address, a host
+// and port. The caller closes it. The error is marked with ErrDial.
 func Dial(ctx context.Context, address string) (drpc.Conn, error) {
+	return dial(ctx, address, Data)
+}
+
+func dial(ctx context.Context, address string, traffic *Traffic) (drpc.Conn, error) {
 	deadline := time.Now().Add(dialMillis * time.Millisecond)
 	dialer := net.Dialer{Deadline: deadline}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
 	}
-	return drpcconn.NewWithOptions(boundedConn{conn}, drpcconn.Options{Manager: managerOptions()}), nil
+	traffic.calls.Add(1)
+	counted := countedConn{Conn: conn, traffic: traffic}
+	return drpcconn.NewWithOptions(boundedConn{counted}, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
-// Call dials address, runs one unary call and closes the connection.
+// Call dials address, runs one call that carries no caller's data, and closes
+// the connection.
 func Call[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
+	return callOnce(ctx, address, Control, call)
+}
+
+// CallData is Call for a call that carries a caller's data.
+func CallData[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
+	return callOnce(ctx, address, Data, call)
+}
+
+func callOnce[R any](
+	ctx context.Context, address string, traffic *Traffic, call func(context.Context, drpc.Conn) (R, error),
+) (R, error) {
 	var none R
-	conn, err := Dial(ctx, address)
+	conn, err := dial(ctx, address, traffic)
 	if err != nil {
 		return none, err
 	}
--- /dev/null
+++ b/internal/wire/line/traffic.go
@@ -0,0 +1,103 @@
+package line
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Traffic counts the bytes of one kind of connection of this process, as the
+// side that opened it.
+type Traffic struct {
+	calls    atomic.Int64
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Figures are the counts of one kind of connection at one moment.
+type Figures struct {
+	// Connections counts the connections that were opened.
+	Connections int64
+	// SentBytes and ReceivedBytes leave out the headers of TCP and IP.
+	SentBytes     int64
+	ReceivedBytes int64
+}
+
+// Figures returns the counts.
+func (t *Traffic) Figures() Figures {
+	return Figures{
+		Connections:   t.calls.Load(),
+		SentBytes:     t.sent.Load(),
+		ReceivedBytes: t.received.Load(),
+	}
+}
+
+var (
+	// Control counts calls between own processes that carry no caller's data:
+	// probes, version exchange, claims and operators' questions.
+	Control = &Traffic{}
+	// Data counts streams and calls that carry callers' data.
+	Data = &Traffic{}
+	// Platform counts calls of the platform's log, list and weight store.
+	Platform = &Traffic{}
+)
+
+// VarName is the expvar name of the traffic counts.
+const VarName = "FulmarvalveTraffic"
+
+// TrafficVar writes all counts of the process; it is an expvar.Var.
+type TrafficVar struct{}
+
+// String returns the counts as JSON.
+func (TrafficVar) String() string {
+	text, err := json.Marshal(map[string]Figures{
+		"Control":  Control.Figures(),
+		"Data":     Data.Figures(),
+		"Platform": Platform.Figures(),
+	})
+	if err != nil {
+		return "{}"
+	}
+	return string(text)
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read reads into p.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+// Write writes p.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+// NewPlatformClient returns the HTTP client for one service of the platform.
+func NewPlatformClient() *http.Client {
+	dialer := &net.Dialer{}
+	transport := NewTransport()
+	transport.DisableKeepAlives = false
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, stop := context.WithDeadline(ctx, time.Now().Add(dialMillis*time.Millisecond))
+		defer stop()
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		Platform.calls.Add(1)
+		return countedConn{Conn: conn, traffic: Platform}, nil
+	}
+	return &http.Client{Transport: transport}
+}
