fix: retry budget starts full

Cause: the budget of a new entry host was empty, so that it allowed one retry a second until some hundred answers had ended well. When a backend server died soon after the start, callers of whole repeatable answers were given up on with 'given up after 1 attempts: Budget' while another backend server was idle. Ruled out: retries outside the budget for lost generations, which would let the loss of an availability zone become a storm; a higher floor, as it holds for good. A new package test bounds the retries of a filled budget at burst and floor.

--- a/internal/routing/allowance/allowance_test.go
+++ b/internal/routing/allowance/allowance_test.go
@@ -78,6 +78,21 @@
 	is.Equal(retries, b.Rules.BurstRetries+b.Rules.FloorPerSecond)
 }
 
+func TestFilledBudgetIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{Rules: DefaultRules()}
+	b.Fill()
+	is.Equal(b.Left(), b.Rules.BurstRetries)
+	retries := 0
+	for range 5000 {
+		a := Attempt{Count: 1, Outcome: OutcomeUnknown, Repeatable: true, OthersLeft: true}
+		if _, ok := b.Decide(a, newRandom(1), now).(Retry); ok {
+			retries++
+		}
+	}
+	is.Equal(retries, b.Rules.BurstRetries+b.Rules.FloorPerSecond)
+}
+
 func TestBudgetProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := &Budget{Rules: DefaultRules()}
--- a/internal/routing/allowance/budget.go
+++ b/internal/routing/allowance/budget.go
@@ -20,6 +20,12 @@
 	b.saved = min(b.saved+b.Rules.SuccessPermille, b.Rules.BurstRetries*permille)
 }
 
+// Fill saves up as many retries as there may be. A budget that starts empty
+// would give up requests that were lost before the first successes.
+func (b *Budget) Fill() {
+	b.saved = b.Rules.BurstRetries * permille
+}
+
 // Decide tells whether and when a failed attempt is repeated, and takes the
 // repeat from the budget.
 func (b *Budget) Decide(a Attempt, random *rand.Rand, now time.Time) Decision {
--- a/internal/routing/referral/referral.go
+++ b/internal/routing/referral/referral.go
@@ -182,6 +182,7 @@
 		r.refusingUntil = make(map[string]time.Time)
 		r.rules = choice.DefaultRules()
 		r.budget = &allowance.Budget{Rules: allowance.DefaultRules()}
+		r.budget.Fill()
 	}
 	document := r.Configuration()
 	if document == nil || document == r.applied {
