--- a/internal/trial/openday/client_test.go
+++ b/internal/trial/openday/client_test.go
@@ -209,15 +209,18 @@
 // endMark is the data of the event that closes every stream.
 const endMark = "[DONE]"
 
+// errBrokenOff says that a stream ended before its mark of the end.
+var errBrokenOff = errors.New("the stream broke off")
+
 // next reads one event. It fails with io.EOF after the mark of the end, and
-// with io.ErrUnexpectedEOF on a stream that breaks off.
+// with errBrokenOff on a stream that ends before.
 func (s *stream) next() (event, error) {
 	var e event
 	for {
 		text, err := s.reader.ReadString('\n')
 		s.raw.WriteString(text)
 		if err != nil {
-			return e, errors.CombineErrors(io.ErrUnexpectedEOF, err)
+			return e, errors.Mark(errors.Newf("after %d bytes: %v", s.raw.Len(), err), errBrokenOff)
 		}
 		line := strings.TrimSuffix(text, "\n")
 		if id, ok := strings.CutPrefix(line, "id: "); ok {
--- /dev/null
+++ b/internal/trial/openday/owner_loss_test.go
@@ -0,0 +1,190 @@
+package openday
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+)
+
+// lostCodes are the results of a generation that was lost with its owner.
+var lostCodes = []receipt.Code{receipt.GenerationLost, receipt.OwnerSilent}
+
+// checkLost checks that an answer ended as lost, with nothing joined on: what
+// was delivered is checked token by token by the transcript.
+func checkLost(t *transcript, codes ...receipt.Code) error {
+	if !t.ended {
+		return errors.Newf("no end after %d tokens", t.position)
+	}
+	code := receipt.Code(t.end.Fulmarvalve.Code)
+	if !slices.Contains(codes, code) {
+		return errors.Newf("ended with %s: %s", code, t.end.Fulmarvalve.Reason)
+	}
+	if t.end.Fulmarvalve.Outcome != string(receipt.Unknown) {
+		return errors.Newf("a lost generation has outcome %s", t.end.Fulmarvalve.Outcome)
+	}
+	if t.position == uint64(len(t.want)) {
+		return errors.New("the whole answer was delivered before the loss")
+	}
+	return nil
+}
+
+// busiest returns the backend server that runs a request.
+func (d *deployment) busiest(t *testing.T) *backendServer {
+	t.Helper()
+	var found *backendServer
+	eventually(t, "a request runs", func() error {
+		for _, b := range d.backends {
+			status, err := askStatus(b.settings.PeerAddress)
+			if err == nil && status.OpenRequests > 0 {
+				found = b
+				return nil
+			}
+		}
+		return errors.New("nothing is open")
+	})
+	return found
+}
+
+// TestOwnerKilledMidStream checks that a streamed answer ends as lost when its
+// owner dies, whether or not the owner is started again, while the others live.
+func TestOwnerKilledMidStream(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name     string
+		restarts bool
+	}{
+		{"stays away", false},
+		{"is started again", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t, quick(layout{entries: 2, engines: 2}))
+			prompt := prompts(1, 400)[0]
+			s, err := newCaller(d.entries[0]).stream(ask("programme", prompt))
+			is.NoErr(err)
+			defer s.close()
+			answer := newTranscript(d.output(prompt))
+			is.NoErr(answer.readUntil(s, firstTokens))
+			owner := d.busiest(t)
+			owner.kill()
+			if tt.restarts {
+				owner.start()
+			}
+			is.NoErr(answer.readAll(s))
+			is.NoErr(checkLost(answer, lostCodes...))
+			is.Equal(d.executions(answer.request), 1)
+			if !tt.restarts {
+				return
+			}
+			resumed := *answer
+			resumed.ended = false
+			again, err := newCaller(d.entries[1]).resume(account, answer.ticket(), answer.position)
+			is.NoErr(err)
+			defer again.close()
+			is.NoErr(resumed.readAll(again))
+			is.NoErr(checkLost(&resumed, lostCodes...))
+			is.Equal(resumed.position, answer.position)
+		})
+	}
+}
+
+// TestOwnerKilledUnseen checks that repeatable answers that leave only as a
+// whole are run again elsewhere, unseen by their callers.
+func TestOwnerKilledUnseen(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, quick(layout{entries: 1, engines: 2}))
+	c := newCaller(d.entries[0])
+	var group errgroup.Group
+	for n, prompt := range prompts(6, 200) {
+		group.Go(func() error {
+			if n%2 == 0 {
+				return d.checkWholeUnseen(c, ask("programme", prompt))
+			}
+			return d.checkHeldUnseen(c, ask("outline", prompt))
+		})
+	}
+	d.busiest(t).kill()
+	is.NoErr(group.Wait())
+}
+
+// checkWholeUnseen asks for an answer at once.
+func (d *deployment) checkWholeUnseen(c *caller, q question) error {
+	r, err := c.whole(q)
+	if err != nil {
+		return err
+	}
+	p, err := checkWholeReply(r, d.output(q.prompt))
+	if err != nil {
+		return err
+	}
+	return d.checkRuns(p.Fulmarvalve.RequestID, 2)
+}
+
+// checkHeldUnseen asks for a stream whose tokens leave at the end.
+func (d *deployment) checkHeldUnseen(c *caller, q question) error {
+	s, err := c.stream(q)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	answer := newTranscript(d.output(q.prompt))
+	if err := answer.readAll(s); err != nil {
+		return err
+	}
+	if err := answer.checkWhole(); err != nil {
+		return err
+	}
+	return d.checkRuns(answer.request, 2)
+}
+
+// checkRuns checks that a request ran at least once and not more often than
+// once for each loss and once more.
+func (d *deployment) checkRuns(id string, most int) error {
+	if count := d.executions(id); count < 1 || count > most {
+		return errors.Newf("request %s ran %d times", id, count)
+	}
+	return nil
+}
+
+// TestOwnerKilledOnceOnly checks that an answer that may not be repeated is
+// lost with its owner and runs nowhere else.
+func TestOwnerKilledOnceOnly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, quick(layout{entries: 2, engines: 2}))
+	c := newCaller(d.entries[0])
+	q := ask("agreement", prompts(1, 400)[0])
+	q.key = newKey()
+	d.waitClaims(t)
+	var first reply
+	var group errgroup.Group
+	group.Go(func() (err error) {
+		first, err = c.whole(q)
+		return err
+	})
+	owner := d.busiest(t)
+	owner.kill()
+	owner.start()
+	is.NoErr(group.Wait())
+	lost, err := first.part()
+	is.NoErr(err)
+	is.Equal(lost.Fulmarvalve.Outcome, string(receipt.Unknown))
+	is.Equal(lost.text(), "")
+	is.Equal(d.executions(lost.Fulmarvalve.RequestID), 1)
+
+	second, err := newCaller(d.entries[1]).whole(q)
+	is.NoErr(err)
+	again, err := second.part()
+	is.NoErr(err)
+	is.Equal(again.Fulmarvalve.Outcome, string(receipt.Unknown))
+	is.Equal(d.executions(lost.Fulmarvalve.RequestID), 1)
+	is.Equal(d.executions(again.Fulmarvalve.RequestID), 0)
+}
--- a/internal/trial/openday/readiness_test.go
+++ b/internal/trial/openday/readiness_test.go
@@ -69,7 +69,7 @@
 	t.Helper()
 	for _, e := range d.entries {
 		eventually(t, "keys are bound at "+e.name, func() error {
-			r, err := newCaller(e).call(http.MethodPost, "/bookings", newKey())
+			r, err := newCaller(e).whole(question{account: account, class: "agreement", key: newKey(), prompt: "tokens=1 ready?"})
 			if err == nil && r.status != http.StatusOK {
 				return errors.Newf("status %d: %s", r.status, r.body)
 			}
--- a/internal/trial/openday/transcript_test.go
+++ b/internal/trial/openday/transcript_test.go
@@ -88,12 +88,12 @@
 	return nil
 }
 
-// readAll reads to the end of the stream. It fails with io.ErrUnexpectedEOF
-// when the stream breaks off.
+// readAll reads to the end of the stream. It fails with errBrokenOff when
+// the stream breaks off.
 func (t *transcript) readAll(s *stream) error {
 	for {
 		e, err := s.next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if errors.Is(err, io.EOF) {
 			return t.checkEnded()
 		}
 		if err != nil {
