--- /dev/null
+++ b/internal/trial/season/arrival.go
@@ -0,0 +1,100 @@
+package season
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+)
+
+const (
+	microsPerMilli  = 1000
+	microsPerSecond = 1_000_000
+)
+
+// Streams of random numbers, one for each use, so that a change of one use
+// leaves the others as they are.
+const (
+	streamArrivals = iota + 1
+	streamAccounts
+	streamEntry
+)
+
+// arrivals draws all requests of a trial, in no order.
+func (t Trial) arrivals() []*call {
+	factors := t.accountFactors()
+	length := int64(t.Seconds) * microsPerSecond
+	var all []*call
+	for i := range t.Deployment.Classes {
+		random := rand.New(rand.NewPCG(t.Seed, uint64(streamArrivals+100*i)))
+		all = append(all, t.classArrivals(&t.Deployment.Classes[i], factors, length, random)...)
+	}
+	for i, c := range all {
+		c.key = uint64(i + 1)
+		c.id = fmt.Sprintf("%s-%06d", c.class.Name, i)
+	}
+	return all
+}
+
+// classArrivals draws the requests of one class by thinning a Poisson process.
+func (t Trial) classArrivals(class *Class, factors []float64, length int64, random *rand.Rand) []*call {
+	s := t.Scenario
+	most := class.PerSecond * s.Load * max(s.BurstFactor, 1) * max(s.FloodFactor, 1)
+	var out []*call
+	at := int64(0)
+	for {
+		at += int64(random.ExpFloat64() / most * microsPerSecond)
+		if at >= length {
+			return out
+		}
+		account := pick(t.Deployment.AccountShares, random)
+		keep := random.Float64()
+		tokens := drawLength(class, factors[account], s.HeavyTail, random)
+		rate := class.PerSecond * s.factor(at)
+		if account == 0 && !class.Urgent && s.flooding(at, length) {
+			rate *= s.FloodFactor
+		}
+		if keep*most < rate {
+			out = append(out, newCall(class, account, tokens, at))
+		}
+	}
+}
+
+// accountFactors draws how much longer or shorter the answers of each account
+// are.
+func (t Trial) accountFactors() []float64 {
+	random := rand.New(rand.NewPCG(t.Seed, streamAccounts))
+	out := make([]float64, len(t.Deployment.AccountShares))
+	for i := range out {
+		out[i] = math.Exp(0.3 * random.NormFloat64())
+	}
+	return out
+}
+
+// drawLength draws the length of an answer from a log-normal distribution. A
+// heavy tail keeps the mean and widens the spread.
+func drawLength(class *Class, factor float64, heavy bool, random *rand.Rand) int {
+	deviation, median := class.Deviation, class.MedianTokens*factor
+	if heavy {
+		wide := heavyFactor * deviation
+		median *= math.Exp((deviation*deviation - wide*wide) / 2)
+		deviation = wide
+	}
+	tokens := int(median * math.Exp(deviation*random.NormFloat64()))
+	return max(1, min(tokens, class.MaxTokens))
+}
+
+// pick draws an index by weight.
+func pick(weights []float64, random *rand.Rand) int {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	at := random.Float64() * total
+	for i, w := range weights {
+		at -= w
+		if at < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
--- /dev/null
+++ b/internal/trial/season/entry.go
@@ -0,0 +1,87 @@
+package season
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/choice"
+)
+
+const (
+	// probeMicros is the interval at which an entry host asks for load.
+	probeMicros = microsPerSecond
+	// lostMillis is how long an entry host avoids a backend server that did not
+	// answer.
+	lostMillis = 3000
+	region     = "region"
+)
+
+// entry is an entry host.
+type entry struct {
+	zone   string
+	random *rand.Rand
+	budget allowance.Budget
+	rules  choice.Rules
+	// view holds what is known of each backend server, in their order.
+	view []choice.Candidate
+	// prefixes holds the prefixes that each is believed to cache.
+	prefixes []map[uint64]bool
+	// turn is the next backend server of round robin.
+	turn int
+}
+
+func newEntry(seed uint64, index int, zone string, servers []*server) *entry {
+	e := &entry{
+		zone:     zone,
+		random:   rand.New(rand.NewPCG(seed, uint64(streamEntry+1000*(index+1)))),
+		budget:   allowance.Budget{Rules: allowance.DefaultRules()},
+		rules:    choice.DefaultRules(),
+		view:     make([]choice.Candidate, len(servers)),
+		prefixes: make([]map[uint64]bool, len(servers)),
+	}
+	for i, s := range servers {
+		e.view[i] = choice.Candidate{Name: s.name, Zone: s.zone, Region: region}
+		e.prefixes[i] = map[uint64]bool{}
+	}
+	e.turn = e.random.IntN(len(servers))
+	return e
+}
+
+// see takes over the load of a backend server.
+func (e *entry) see(s *server, now int64) {
+	v := &e.view[s.index]
+	load := s.load()
+	v.Running, v.Waiting = load.Running, load.Waiting
+	v.MemoryPermille, v.ForecastPermille = load.MemoryPermille, load.ForecastPermille
+	v.MeasuredAt = clock(now)
+	v.SentSince = 0
+}
+
+// choose returns the decision of the project's routing code for a call.
+func (e *entry) choose(c *call, servers []*server, now int64) choice.Decision {
+	hash := c.prefixHash()
+	for i := range e.view {
+		e.view[i].Refused = c.refused[servers[i]]
+		e.view[i].HoldsPrefix = hash != 0 && e.prefixes[i][hash]
+	}
+	q := choice.Request{
+		Zone:         e.zone,
+		Region:       region,
+		Urgent:       c.class.Urgent,
+		PromptTokens: c.class.PromptTokens,
+		PrefixTokens: c.class.PrefixTokens,
+	}
+	return choice.Choose(q, e.view, e.rules, e.random, clock(now))
+}
+
+// avoid keeps other requests from a backend server until a moment.
+func (e *entry) avoid(s *server, until time.Time) {
+	e.view[s.index].RefusingUntil = until
+}
+
+// serverName returns the name of the backend server at an index.
+func serverName(index int) string {
+	return fmt.Sprint("server ", index)
+}
--- /dev/null
+++ b/internal/trial/season/season_test.go
@@ -0,0 +1,60 @@
+package season
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// shortSeconds is the length of the trials that run in CI.
+const shortSeconds = 270
+
+func TestRunIsDeterministic(t *testing.T) {
+	is := is.New(t)
+	d := SnagaZajedno()
+	trial := Trial{
+		Deployment: d,
+		Scenario:   Scenario{Load: 0.5, Loss: ServerLoss{}},
+		Policy:     Forecast{Booking: d.Booking},
+		Seed:       3,
+		Seconds:    shortSeconds,
+	}
+	first, second := trial.Run().Total(), trial.Run().Total()
+	is.Equal(first.Figures(), second.Figures())
+}
+
+func TestEveryRequestEnds(t *testing.T) {
+	scenarios := []Scenario{
+		{Name: "flood", Load: 0.5, FloodFactor: 6, Loss: NoLoss{}},
+		{Name: "zone loss", Load: 0.7, Loss: ZoneLoss{}},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.Name, func(t *testing.T) {
+			is := is.New(t)
+			d := Fjorukofar()
+			r := Trial{
+				Deployment: d,
+				Scenario:   scenario,
+				Policy:     Forecast{Booking: d.Booking},
+				Seed:       1,
+				Seconds:    shortSeconds,
+			}.Run()
+			total := r.Total()
+			is.True(total.Offered > 0)
+			is.Equal(total.Offered, total.Completed+total.Refused+total.Lost+total.GaveUp)
+		})
+	}
+}
+
+func TestArrivalsDoNotDependOnPolicy(t *testing.T) {
+	is := is.New(t)
+	trial := Trial{Deployment: SnagaZajedno(), Scenario: Scenario{Load: 1}, Seed: 1, Seconds: 60}
+	first := trial.arrivals()
+	trial.Policy = RoundRobin{}
+	second := trial.arrivals()
+	is.Equal(len(first), len(second))
+	for i := range first {
+		is.Equal(first[i].arrived, second[i].arrived)
+		is.Equal(first[i].output, second[i].output)
+	}
+}
--- /dev/null
+++ b/internal/trial/season/server.go
@@ -0,0 +1,134 @@
+package season
+
+import (
+	"fmt"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/tide"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
+)
+
+const (
+	// pollMicros is the interval at which a backend server looks through its
+	// queue.
+	pollMicros = 250 * microsPerMilli
+	// progressTokens is how often the book hears of a generation's progress.
+	progressTokens = 8
+	// stepSmoothing is the weight of the latest step in the mean.
+	stepSmoothing = 0.05
+)
+
+// server is a backend server with the process beside it.
+type server struct {
+	index int
+	name  string
+	zone  string
+	model EngineModel
+	// life counts the losses.
+	life  int
+	alive bool
+
+	batch *engine.Batch
+	// book is nil for baselines.
+	book *booking.Book
+	// calls holds the open calls by key.
+	calls map[uint64]*call
+	// byID holds the same calls by identity.
+	byID map[string]*call
+	// stepping tells whether a step is scheduled.
+	stepping bool
+	// prefilling counts the generations that computed their prompt in the last
+	// step.
+	prefilling int
+	// stepMicros is the smoothed time of a step.
+	stepMicros float64
+}
+
+func newServer(t Trial, index, zone int) *server {
+	s := &server{
+		index: index,
+		name:  serverName(index),
+		zone:  fmt.Sprint("zone ", zone),
+		model: t.Deployment.Engine,
+	}
+	s.begin(t.Policy)
+	return s
+}
+
+// begin puts an empty engine and an empty book in place.
+func (s *server) begin(p Policy) {
+	s.alive = true
+	s.stepping = false
+	s.calls = map[uint64]*call{}
+	s.byID = map[string]*call{}
+	s.batch = &engine.Batch{
+		MemoryTokens:  s.model.MemoryTokens,
+		MaxBatch:      s.model.BatchLimit,
+		PrefillTokens: s.model.PrefillTokens,
+	}
+	s.stepMicros = float64(s.model.StepMicros)
+	if f, ok := p.(Forecast); ok {
+		s.book = &booking.Book{
+			Policy:         f.Booking,
+			CapacityTokens: s.model.MemoryTokens,
+			BatchLimit:     s.model.BatchLimit,
+			StepMicros:     s.model.StepMicros,
+			Lengths:        &tide.Model{},
+		}
+	}
+}
+
+// load returns what the backend server reports.
+func (s *server) load() booking.Load {
+	if s.book != nil {
+		return s.book.Load()
+	}
+	memory := (s.batch.MemoryUsed() - s.batch.CachedTokens()) * 1000 / s.model.MemoryTokens
+	return booking.Load{
+		Running:          s.batch.Running(),
+		Waiting:          s.batch.Waiting(),
+		MemoryPermille:   memory,
+		ForecastPermille: memory,
+	}
+}
+
+// duration returns the time of the next step.
+func (s *server) duration() int64 {
+	return int64(s.model.StepMicros +
+		s.batch.Running()*s.model.SequenceMicros +
+		s.prefilling*s.model.PrefillMicros)
+}
+
+// busy tells whether the engine has work.
+func (s *server) busy() bool {
+	return s.batch.Running()+s.batch.Waiting() > 0
+}
+
+// place puts a call on the engine.
+func (s *server) place(c *call) {
+	c.started = true
+	s.batch.Add(c.job())
+}
+
+// take counts a call to the backend server.
+func (s *server) take(c *call) {
+	c.server = s
+	s.calls[c.key] = c
+	s.byID[c.id] = c
+}
+
+// drop is the reverse of take.
+func (s *server) drop(c *call) {
+	c.server = nil
+	c.preempted = false
+	delete(s.calls, c.key)
+	delete(s.byID, c.id)
+}
+
+// forget drops a call that has ended or was cancelled.
+func (s *server) forget(c *call) {
+	s.drop(c)
+	if s.book != nil {
+		s.book.Release(c.id)
+	}
+}
--- /dev/null
+++ b/internal/trial/season/tally.go
@@ -0,0 +1,128 @@
+package season
+
+import (
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// longestMicros is the longest time that is told apart.
+	longestMicros = 600 * microsPerSecond
+	// digits is the number of significant digits of the histograms.
+	digits = 3
+)
+
+// ClassReport is what was measured of one class.
+type ClassReport struct {
+	// Class names the class.
+	Class string
+	// Offered counts the requests.
+	Offered int
+	// Completed counts the whole answers within the deadline.
+	Completed int
+	// Refused counts the requests that got a final refusal; they were not run.
+	Refused int
+	// Lost counts the generations that ended with their backend server.
+	Lost int
+	// GaveUp counts the callers who left at their deadline.
+	GaveUp int
+	// Started counts the requests that reached an engine.
+	Started int
+	// Preemptions counts the preemptions of all generations.
+	Preemptions int
+	// Worth is the value of one completed request.
+	Worth float64
+	// Stall is the time without progress of each request that was not refused,
+	// in microseconds: until the first token and in gaps from 200 ms on.
+	Stall *hdrhistogram.Histogram
+	// Pause is the part of it after the first token.
+	Pause *hdrhistogram.Histogram
+	// FirstToken is the time to the first token, in microseconds.
+	FirstToken *hdrhistogram.Histogram
+	// Gap is the time between two tokens, in microseconds.
+	Gap *hdrhistogram.Histogram
+}
+
+// Report is the outcome of one or more trials.
+type Report struct {
+	// Classes holds a report for each class, in the deployment's order.
+	Classes []ClassReport
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestMicros, digits)
+}
+
+func newReport(d Deployment) Report {
+	r := Report{Classes: make([]ClassReport, len(d.Classes))}
+	for i, c := range d.Classes {
+		r.Classes[i] = ClassReport{
+			Class:      c.Name,
+			Worth:      c.Worth,
+			Stall:      newHistogram(),
+			Pause:      newHistogram(),
+			FirstToken: newHistogram(),
+			Gap:        newHistogram(),
+		}
+	}
+	return r
+}
+
+// of returns the report of a call's class.
+func (r Report) of(c *call) *ClassReport {
+	for i := range r.Classes {
+		if r.Classes[i].Class == c.class.Name {
+			return &r.Classes[i]
+		}
+	}
+	return nil
+}
+
+// record adds a call that has ended.
+func (r Report) record(c *call, end int64) {
+	t := r.of(c)
+	t.Offered++
+	t.Preemptions += c.preemptions
+	if c.started {
+		t.Started++
+	}
+	switch c.state {
+	case stateCompleted:
+		t.Completed++
+	case stateRefused:
+		t.Refused++
+		return
+	case stateLost:
+		t.Lost++
+	default:
+		t.GaveUp++
+	}
+	recordMicros(t.Stall, c.stallMicros(end))
+	recordMicros(t.Pause, c.pauseMicros)
+	if c.produced > 0 {
+		recordMicros(t.FirstToken, c.firstToken-c.arrived)
+	}
+}
+
+// recordMicros adds a time, cut to the range of the histogram.
+func recordMicros(h *hdrhistogram.Histogram, micros int64) {
+	_ = h.RecordValue(max(0, min(micros, longestMicros)))
+}
+
+// Goodput returns the worth of the completed requests as a part of the worth of
+// all that were offered.
+func (r Report) Goodput() float64 {
+	done, offered := 0.0, 0.0
+	for _, c := range r.Classes {
+		done += c.Worth * float64(c.Completed)
+		offered += c.Worth * float64(c.Offered)
+	}
+	if offered == 0 {
+		return 0
+	}
+	return done / offered
+}
+
+// PreemptionsPerThousand returns the preemptions for each thousand generations.
+func (c ClassReport) PreemptionsPerThousand() float64 {
+	return 1000 * float64(c.Preemptions) / float64(max(c.Started, 1))
+}
