--- a/internal/result/receipt/table.go
+++ b/internal/result/receipt/table.go
@@ -77,7 +77,7 @@
 	{QueueFull, "QueueFull", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The waiting queue of the backend server is full."},
 	{NoBackend, "NoBackend", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "No live backend server serves the request."},
 	{Leaving, "Leaving", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The process accepts no new work."},
-	{LogUnavailable, "LogUnavailable", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The platform's log is down, and the request may not be repeated."},
+	{LogUnavailable, "LogUnavailable", NotRun, RepeatWithKey, http.StatusServiceUnavailable, true, "The platform's log is down, and the request may not be repeated."},
 	{DeadlinePassed, "DeadlinePassed", NotRun, RepeatSafe, http.StatusGatewayTimeout, false, "The deadline passed before the start."},
 	{BodyTooLarge, "BodyTooLarge", NotRun, RepeatNever, http.StatusRequestEntityTooLarge, false, "The request body is over the limit."},
 	{EntryFull, "EntryFull", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The entry host has too many open requests."},
