feat: rates of client accounts hold over all entry hosts together

Cause: each entry host held an account to its rate divided by the number of entry hosts. An account whose requests come over one connection got a third of its rate at 3 hosts and would get 1/360 at the target size. Ruled out: the whole rate at each host; counting each request at a home, which costs more than 4 KB a second for each node at the target size. Change: a random sample goes to a home host, which answers the share to admit.

--- a/internal/caller/turnstile/turnstile.go
+++ b/internal/caller/turnstile/turnstile.go
@@ -1,4 +1,5 @@
-// Package turnstile limits the requests of client accounts at one entry host.
+// Package turnstile limits the requests of client accounts at one entry host:
+// none takes more than its whole rate here, nor more than its share of it.
 package turnstile
 
 import (
@@ -7,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/quota"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 )
@@ -14,12 +16,16 @@
 // fullRetryMillis is the time after which a full entry host is worth another try.
 const fullRetryMillis = 500
 
+// quotaRetryMillis is the time after which an account over its rate is worth
+// another try.
+const quotaRetryMillis = 1000
+
 // Turnstile admits requests at one entry host. It is safe for concurrent use.
 type Turnstile struct {
 	// MaxOpen bounds the open requests of the entry host; set before use.
 	MaxOpen int
-	// EntryHosts returns how many entry hosts share an account's rate; at least one.
-	EntryHosts func() int
+	// Quota holds accounts to their rate over all entry hosts; nil does not.
+	Quota *quota.Quota
 
 	mu       sync.Mutex
 	open     int
@@ -37,6 +43,10 @@
 // Enter admits a request of the account. The caller calls the returned
 // function once when the request ends. A refusal means that nothing was run.
 func (t *Turnstile) Enter(account agreement.Account, urgent bool, now time.Time) (func(), *receipt.Result) {
+	if !t.withinQuota(account, now) {
+		return nil, receipt.New(receipt.RateLimited, "client account %s is over its rate at all entry hosts together", account.Name).
+			WithRetryAt(now.Add(quotaRetryMillis * time.Millisecond))
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.open >= t.limit(urgent) {
@@ -51,6 +61,14 @@
 	return sync.OnceFunc(t.leave), nil
 }
 
+// withinQuota asks for the account's share of the rate over all entry hosts.
+func (t *Turnstile) withinQuota(account agreement.Account, now time.Time) bool {
+	if t.Quota == nil {
+		return true
+	}
+	return t.Quota.Admit(quota.Limit{Account: account.Name, RequestsPerSecond: account.RequestsPerSecond}, now)
+}
+
 // Open returns the count of open requests.
 func (t *Turnstile) Open() int {
 	t.mu.Lock()
@@ -91,7 +109,7 @@
 	if t.limiters == nil {
 		t.limiters = make(map[string]*limiter)
 	}
-	perSecond := account.RequestsPerSecond / float64(max(1, t.EntryHosts()))
+	perSecond := account.RequestsPerSecond
 	current, ok := t.limiters[account.Name]
 	if !ok {
 		current = &limiter{
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/quota"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/turnstile"
 	"github.com/fulmarvalve/fulmarvalve/internal/permit/holder"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
@@ -46,6 +47,7 @@
 	bulletin *bulletin.Bulletin
 	roster   *roster.Roster
 	hosts    *hostlist.Client
+	quota    *quota.Quota
 	gate     *turnstile.Turnstile
 	holder   *holder.Holder
 	rounds   *rounds.Rounds
@@ -71,6 +73,7 @@
 	group.Go(func() error { return h.bulletin.Run(ctx) })
 	group.Go(func() error { return h.rounds.Run(ctx) })
 	group.Go(func() error { return h.holder.Run(ctx) })
+	group.Go(func() error { return h.quota.Run(ctx) })
 	group.Go(func() error {
 		defer stop()
 		return h.drain(ctx, life)
@@ -93,9 +96,10 @@
 	h.referral = h.newReferral()
 	h.rounds = h.newRounds()
 	h.holder = h.newHolder(log)
+	h.quota = h.newQuota()
 	h.gate = &turnstile.Turnstile{
-		MaxOpen:    h.Settings.MaxOpenRequests,
-		EntryHosts: h.entryHostCount,
+		MaxOpen: h.Settings.MaxOpenRequests,
+		Quota:   h.quota,
 	}
 	h.runner = &visit.Runner{
 		Picker:         h.referral,
@@ -151,7 +155,7 @@
 // handler serves the calls of other processes.
 func (h *Host) handler() *drpcmux.Mux {
 	mux := drpcmux.New()
-	line.Must(message.DRPCRegisterEntry(mux, &claims{holder: h.holder}))
+	line.Must(message.DRPCRegisterEntry(mux, &entryCalls{holder: h.holder, quota: h.quota}))
 	line.Must(message.DRPCRegisterPeer(mux, &peer.Peer{
 		Exchanger: h.bulletin,
 		Records:   h.records,
@@ -161,16 +165,22 @@
 	return mux
 }
 
-// claims serves the claims that other entry hosts forward.
-type claims struct {
+// entryCalls serves what other entry hosts ask.
+type entryCalls struct {
 	holder *holder.Holder
+	quota  *quota.Quota
 }
 
 // Claim binds a key in a partition that this host holds.
-func (c *claims) Claim(ctx context.Context, in *message.ClaimRequest) (*message.ClaimReply, error) {
+func (c *entryCalls) Claim(ctx context.Context, in *message.ClaimRequest) (*message.ClaimReply, error) {
 	return c.holder.HandleClaim(ctx, in)
 }
 
+// Meter takes a sample of an account whose home is this host.
+func (c *entryCalls) Meter(_ context.Context, in *message.MeterRequest) (*message.MeterReply, error) {
+	return c.quota.HandleMeter(in, time.Now()), nil
+}
+
 func (h *Host) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", h.measure.Handler())
--- a/internal/role/entryhost/parts.go
+++ b/internal/role/entryhost/parts.go
@@ -6,6 +6,7 @@
 
 	"storj.io/drpc"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/quota"
 	"github.com/fulmarvalve/fulmarvalve/internal/permit/holder"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
@@ -72,6 +73,40 @@
 	}
 }
 
+func (h *Host) newQuota() *quota.Quota {
+	return &quota.Quota{
+		Name:    h.Settings.Name,
+		Hosts:   h.quotaHosts,
+		LimitOf: h.limitOf,
+		Send: func(ctx context.Context, address string, in *message.MeterRequest) (*message.MeterReply, error) {
+			return line.Call(ctx, address,
+				func(ctx context.Context, conn drpc.Conn) (*message.MeterReply, error) {
+					return message.NewDRPCEntryClient(conn).Meter(ctx, in)
+				})
+		},
+		Log: diary.For(h.Log, diary.Intake),
+	}
+}
+
+// quotaHosts returns the entry hosts that may be the home of an account.
+func (h *Host) quotaHosts() []quota.Host {
+	var hosts []quota.Host
+	for _, live := range h.entryHosts() {
+		hosts = append(hosts, quota.Host{Name: live.Name, Address: live.Address})
+	}
+	return hosts
+}
+
+// limitOf returns the rate of an account in the configuration in force.
+func (h *Host) limitOf(name string) quota.Limit {
+	document := h.bulletin.Document()
+	if document == nil {
+		return quota.Limit{Account: name}
+	}
+	account, _ := document.Account(name)
+	return quota.Limit{Account: name, RequestsPerSecond: account.RequestsPerSecond}
+}
+
 // claimClient asks another entry host to bind a key.
 type claimClient struct {
 	address string
