--- a/internal/settings/edition/exchanger.go
+++ b/internal/settings/edition/exchanger.go
@@ -18,13 +18,13 @@
 const (
 	// DefaultExchangePeriodMillis is the mean pause between exchanges with
 	// random peers.
-	DefaultExchangePeriodMillis = 1000
+	DefaultExchangePeriodMillis = 2000
 	// SpreadPeers is the number of random peers that hear of a new version at
 	// once.
 	SpreadPeers = 2
 
 	// exchangeTimeoutMillis limits one exchange.
-	exchangeTimeoutMillis = 2000
+	exchangeTimeoutMillis = 1000
 	// recordsPerSecond limits the documents that one process sends.
 	recordsPerSecond = 4
 	// hintCapacity bounds the hints that wait; further ones are dropped, because
--- /dev/null
+++ b/internal/settings/edition/publisher_test.go
@@ -0,0 +1,168 @@
+package edition
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+	standin "github.com/fulmarvalve/fulmarvalve/internal/standin/journal"
+)
+
+// tryPublish publishes within some seconds of virtual time.
+func tryPublish(t *testing.T, log journal.Log, change Change) (Edition, error) {
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(20*time.Second))
+	defer cancel()
+	publisher := Publisher{Journal: log}
+	return publisher.Publish(ctx, change)
+}
+
+func recordCount(t *testing.T, log journal.Log) int {
+	page, err := log.Read(t.Context(), Stream, 1, pageRecords)
+	is.New(t).NoErr(err)
+	return len(page.Records)
+}
+
+func TestPublishAccepts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		first, err := tryPublish(t, store, Change{Author: "una", Text: smallDocument(1)})
+		is.NoErr(err)
+		is.Equal(first.Version, uint64(1))
+		second, err := tryPublish(t, store, Change{Author: "una", ReplacesCurrent: true, Text: smallDocument(2)})
+		is.NoErr(err)
+		is.Equal(second.Version, uint64(2))
+		is.Equal(second.Document.Accounts[0].Name, "account-2")
+	})
+}
+
+func TestPublishConflictNamesTheWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		first, err := tryPublish(t, store, Change{Author: "una", Text: smallDocument(1)})
+		is.NoErr(err)
+		_, err = tryPublish(t, store, Change{Author: "birna", Text: smallDocument(2)})
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(*conflict, ConflictError{Replaces: 0, InForce: 1, Winner: first.ID, Author: "una"})
+		is.Equal(recordCount(t, store), 1)
+	})
+}
+
+func TestPublishLostAnswerAppendsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		store.Faults.LoseAnswers.Store(1)
+		e, err := tryPublish(t, store, Change{Text: smallDocument(1)})
+		is.NoErr(err)
+		is.Equal(e.Version, uint64(1))
+		is.Equal(recordCount(t, store), 1)
+	})
+}
+
+func TestPublishInvalidDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		_, err := tryPublish(t, store, Change{Text: []byte(`{}`)})
+		var faults *agreement.Faults
+		is.True(errors.As(err, &faults))
+		is.Equal(recordCount(t, store), 0)
+	})
+}
+
+func TestPublishDuringOutageIsNotApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		store.Faults.Down.Store(true)
+		_, err := tryPublish(t, store, Change{Text: smallDocument(1)})
+		var unknown *UnknownOutcomeError
+		is.True(err != nil)
+		is.True(!errors.As(err, &unknown)) // nothing was appended
+	})
+}
+
+// outageAfterAppend goes down with the answer of the first append.
+type outageAfterAppend struct {
+	*standin.Store
+	once atomic.Bool
+}
+
+func (l *outageAfterAppend) Append(ctx context.Context, name string, data []byte) (uint64, error) {
+	offset, err := l.Store.Append(ctx, name, data)
+	if l.once.CompareAndSwap(false, true) {
+		l.Faults.Down.Store(true)
+		return 0, journal.ErrUnknown
+	}
+	return offset, err
+}
+
+func TestPublishContinuesAnUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &outageAfterAppend{Store: &standin.Store{}}
+		_, err := tryPublish(t, log, Change{Text: smallDocument(1)})
+		var unknown *UnknownOutcomeError
+		is.True(errors.As(err, &unknown))
+
+		log.Faults.Down.Store(false)
+		again := Change{ID: unknown.ID, Text: smallDocument(1)}
+		e, err := tryPublish(t, log, again)
+		is.NoErr(err)
+		is.Equal(e.ID, unknown.ID)
+		is.Equal(recordCount(t, log), 1)
+
+		mustPublish(t, log, smallDocument(2))
+		e, err = tryPublish(t, log, again)
+		is.NoErr(err) // it was accepted, and replaced later
+		is.Equal(e.Version, uint64(1))
+
+		_, err = tryPublish(t, log, Change{ID: unknown.ID, ReplacesCurrent: true, Text: smallDocument(1)})
+		is.True(err != nil) // would apply the change a second time
+	})
+}
+
+// TestPublishDoesNotGuessPastRetention continues a change the record of which
+// has expired: the outcome stays unknown, and is not called a conflict.
+func TestPublishDoesNotGuessPastRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{RetainRecords: 2}
+		e := mustPublish(t, store, smallDocument(1))
+		mustPublish(t, store, smallDocument(2))
+		c := cursor{log: store}
+		is.NoErr(c.advance(t.Context()))
+		mustAppend(t, store, c.state.Snapshot())
+		mustPublish(t, store, smallDocument(3)) // only the snapshot and this one are left
+		_, err := tryPublish(t, store, Change{ID: e.ID, Text: smallDocument(1)})
+		var unknown *UnknownOutcomeError
+		is.True(errors.As(err, &unknown))
+	})
+}
+
+func TestPublishWithoutHistoryNeedsASeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{RetainSeconds: 60}
+		mustPublish(t, store, smallDocument(1))
+		c := cursor{log: store}
+		is.NoErr(c.advance(t.Context()))
+		time.Sleep(2 * time.Minute)
+		_, err := tryPublish(t, store, Change{Text: smallDocument(2)})
+		is.True(errors.Is(err, ErrUnanchored))
+		publisher := Publisher{Journal: store, Seed: c.state}
+		e, err := publisher.Publish(t.Context(), Change{ReplacesCurrent: true, Text: smallDocument(2)})
+		is.NoErr(err)
+		is.Equal(e.Version, uint64(2))
+	})
+}
--- /dev/null
+++ b/internal/settings/edition/reader_test.go
@@ -0,0 +1,184 @@
+package edition
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	standin "github.com/fulmarvalve/fulmarvalve/internal/standin/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const fleetSeed = 11
+
+func TestRestartDuringOutageLearnsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		e := mustPublish(t, store, smallDocument(1))
+		f := newFleet(store, 5, fleetSeed)
+		stop := f.start(t)
+		_, ok := f.awaitAll(e.Version, time.Minute)
+		is.True(ok)
+		store.Faults.Down.Store(true)
+		stop()
+
+		f.nodes[4].register = &Register{}
+		f.nodes[4].reader.Register = f.nodes[4].register
+		f.nodes[4].exchanger = &Exchanger{Name: "node-4", Register: f.nodes[4].register, Peers: f.nodes[4]}
+		stop = f.start(t)
+		defer stop()
+		_, ok = f.awaitAll(e.Version, time.Minute)
+		is.True(ok)
+		current, ok := f.nodes[4].register.Current()
+		is.True(ok)
+		is.Equal(current.ID, e.ID)
+	})
+}
+
+func TestReaderSplitFromTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		f := newFleet(store, 4, fleetSeed)
+		f.nodes[0].journal.down.Store(true)
+		f.nodes[1].journal.down.Store(true)
+		stop := f.start(t)
+		defer stop()
+		for i := range 3 {
+			e := mustPublish(t, store, smallDocument(i))
+			_, ok := f.awaitAll(e.Version, time.Minute)
+			is.True(ok)
+		}
+	})
+}
+
+// TestVersionOutlivesRetention runs a fleet for many retention periods. A new
+// reader still finds the version in force in the log alone.
+func TestVersionOutlivesRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const republishSeconds, periods = 600, 20
+		store := &standin.Store{RetainSeconds: 3600}
+		f := newFleet(store, 40, fleetSeed)
+		for _, n := range f.nodes {
+			n.reader.RepublishSeconds = republishSeconds
+		}
+		stop := f.start(t)
+		mustPublish(t, store, smallDocument(1))
+		e := mustPublish(t, store, smallDocument(2))
+		time.Sleep(periods * republishSeconds * time.Second)
+		stop()
+
+		page, err := store.Read(t.Context(), Stream, 1, pageRecords)
+		is.NoErr(err)
+		t.Logf("seed %d: %d records appended in %d republication periods", fleetSeed, page.Next-1, periods)
+		is.True(page.First > 2)             // retention dropped the proposals
+		is.True(page.Next-1 <= 2+2*periods) // few holders publish
+		fresh := Reader{Journal: store, Register: &Register{}, FleetSize: func() int { return 1 }}
+		is.NoErr(fresh.Poll(t.Context()))
+		is.Equal(fresh.Register.State().Edition.ID, e.ID)
+		next := mustPublish(t, store, smallDocument(3))
+		is.Equal(next.Version, uint64(3))
+	})
+}
+
+// TestReaderPausedBeyondRetention wakes a reader that missed records.
+func TestReaderPausedBeyondRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{RetainRecords: 2}
+		paused := Reader{Journal: store, Register: &Register{}, FleetSize: func() int { return 1 }}
+		mustPublish(t, store, smallDocument(1))
+		is.NoErr(paused.Poll(t.Context()))
+
+		mustPublish(t, store, smallDocument(2))
+		c := cursor{log: store, state: paused.Register.State()}
+		is.NoErr(c.advance(t.Context()))
+		mustAppend(t, store, proposal("ahead", 7, smallDocument(7)))
+		mustAppend(t, store, proposal("loser", 1, smallDocument(8)))
+		is.True(errors.Is(paused.Poll(t.Context()), ErrUnanchored))
+		is.Equal(paused.Register.Version(), uint64(1)) // neither reverts nor guesses
+
+		is.NoErr(c.advance(t.Context()))
+		mustAppend(t, store, c.state.Snapshot())
+		is.NoErr(paused.Poll(t.Context()))
+		is.Equal(paused.Register.State().Edition.ID, c.state.Edition.ID)
+	})
+}
+
+func TestObserveFetchesFromThePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		e := mustPublish(t, store, smallDocument(1))
+		f := newFleet(store, 2, fleetSeed)
+		is.NoErr(f.nodes[0].reader.Poll(t.Context()))
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		f.nodes[1].exchanger.PeriodMillis = 3_600_000
+		g.Go(func() error { return f.nodes[1].exchanger.Run(ctx) })
+		f.nodes[1].exchanger.Observe(e.Version, "node-0")
+		time.Sleep(10 * linkMillis * time.Millisecond)
+		is.Equal(f.nodes[1].register.Version(), e.Version)
+		cancel()
+		is.NoErr(g.Wait())
+	})
+}
+
+func TestHandleExchangeLimitsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{}
+		mustPublish(t, store, smallDocument(1))
+		f := newFleet(store, 1, fleetSeed)
+		is.NoErr(f.nodes[0].reader.Poll(t.Context()))
+		sent := 0
+		for range 20 {
+			reply, err := f.nodes[0].exchanger.HandleExchange(t.Context(), &message.ExchangeRequest{})
+			is.NoErr(err)
+			is.Equal(reply.GetVersion(), uint64(1))
+			if len(reply.GetRecord()) > 0 {
+				sent++
+			}
+		}
+		is.Equal(sent, recordsPerSecond)
+	})
+}
+
+// TestRegisterNeverReverts offers states in any order.
+func TestRegisterNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawStream(t)
+		var r Register
+		for range 20 {
+			before := r.State()
+			offered := s.states[rapid.IntRange(0, len(s.records)).Draw(t, "prefix")]
+			if _, err := r.Offer(offered); err != nil {
+				t.Fatal(err)
+			}
+			after := r.State()
+			if after.Edition.Version < before.Edition.Version || after.Through < before.Through {
+				t.Fatalf("went from version %d through %d to version %d through %d",
+					before.Edition.Version, before.Through, after.Edition.Version, after.Through)
+			}
+		}
+	})
+}
+
+func TestRegisterRefusesAnotherEditionOfAVersion(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	changed, err := r.Offer(State{Edition: Edition{Version: 1, ID: "a"}, Through: 1})
+	is.NoErr(err)
+	is.True(changed)
+	_, err = r.Offer(State{Edition: Edition{Version: 1, ID: "b"}, Through: 2})
+	is.True(errors.Is(err, ErrDiverged))
+	is.Equal(r.State().Edition.ID, "a")
+}
--- a/internal/settings/edition/register.go
+++ b/internal/settings/edition/register.go
@@ -52,8 +52,7 @@
 			current.Edition.Version, current.Edition.ID, offered.Edition.ID)
 	}
 	if offered.Through > current.Through {
-		longer := current.WithThrough(offered.Through)
-		r.state.Store(&longer)
+		r.state.Store(&offered)
 	}
 	return nil
 }
