--- a/cmd/root.go
+++ b/cmd/root.go
@@ -4,14 +4,15 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 )
 
 // Exit codes of the program.
@@ -52,9 +53,8 @@
 
 // Execute runs the program with the given arguments and returns its exit code.
 func Execute(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return run(ctx, args, os.Stdout, os.Stderr)
+	expvar.Publish(line.VarName, line.TrafficVar{})
+	return run(context.Background(), args, os.Stdout, os.Stderr)
 }
 
 // run executes the command tree and maps its error to an exit code.
@@ -81,6 +81,13 @@
 		Action:         rejectUnknownCommand,
 		Commands: []*cli.Command{
 			newCheckCommand(),
+			newEntryCommand(),
+			newBackendCommand(),
+			newStatusCommand(),
+			newExplainCommand(),
+			newDrainCommand(),
+			newDemoCommand(),
+			newStandinsCommand(),
 			newVersionCommand(),
 		},
 	}
--- a/internal/backend/keeper/load.go
+++ b/internal/backend/keeper/load.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
+// unreadGraceSeconds is how long after its end an unread answer counts as open.
+const unreadGraceSeconds = 15
+
 // Load returns the current load.
 func (k *Keeper) Load() *message.Load {
 	k.mu.Lock()
@@ -25,17 +32,26 @@
 }
 
 // Probe answers with the current load.
-func (k *Keeper) Probe(context.Context, *message.ProbeRequest) (*message.Load, error) {
+func (k *Keeper) Probe(_ context.Context, in *message.ProbeRequest) (*message.Load, error) {
+	k.VersionSeen(in.GetConfigVersion(), in.GetAsker())
 	return k.Load(), nil
 }
 
-// Open returns the count of generations that have not ended and of streams
-// that still deliver.
+// Open returns the count of generations that have not ended, of streams that
+// still deliver, and of answers that ended a moment ago and were not read yet:
+// a caller whose path broke may be on its way back for them.
 func (k *Keeper) Open() int {
-	return max(k.Logbook.OpenRequests(), int(k.readers.Load()))
+	hold := time.Duration(k.Settings.HoldSeconds-unreadGraceSeconds) * time.Second
+	unread := k.Logbook.Unread(time.Now().Add(max(0, hold)))
+	return max(k.Logbook.OpenRequests()+unread, int(k.readers.Load()))
 }
 
 // Leave stops the admission of new work. Open generations run to their end.
 func (k *Keeper) Leave() {
 	k.leaving.Store(true)
 }
+
+// Call is not served by an engine.
+func (k *Keeper) Call(context.Context, *message.CallRequest) (*message.CallReply, error) {
+	return nil, drpcerr.WithCode(errors.New("an engine runs no plain call"), drpcerr.Unimplemented)
+}
--- a/internal/backend/keeper/serve.go
+++ b/internal/backend/keeper/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
@@ -28,6 +26,7 @@
 }
 
 func (k *Keeper) deliver(in *message.GenerateRequest, out Sender) error {
+	k.VersionSeen(in.GetConfigVersion(), in.GetAsker())
 	if in.GetAttach() == nil {
 		if refusal := k.admit(in, time.Now()); refusal != nil {
 			k.Records.Record(in.GetRequestId(), refusal.Record())
@@ -63,7 +62,7 @@
 	switch s := entry.State.(type) {
 	case logbook.Refused:
 		return entry, receipt.New(receipt.Code(s.Code), "%s", s.Reason).
-			WithRetryAt(warden.RetryAt(time.Now()))
+			WithRetryAt(warden.RetryAt(time.Now())).WithRecorded()
 	case logbook.Evicted:
 		return entry, receipt.New(receipt.NotHeld, "the answer is no longer held")
 	default:
@@ -104,6 +103,7 @@
 			Code:             uint32(refusal.Code),
 			Reason:           refusal.Reason,
 			RetryAtUnixNanos: warden.NanosOf(refusal.RetryAt),
+			Recorded:         refusal.Recorded,
 		}},
 		Load: k.Load(),
 	}
@@ -143,11 +143,9 @@
 	}
 }
 
-// readRefusal maps an answer that can't be read.
+// readRefusal maps an answer that can't be read. The request ran here, so the
+// refusal must not say that it did not.
 func readRefusal(err error) *receipt.Result {
-	if errors.Is(err, logbook.ErrBeyond) {
-		return receipt.New(receipt.InvalidRequest, "%v", err)
-	}
 	return receipt.New(receipt.NotHeld, "%v", err)
 }
 
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -41,8 +41,10 @@
 	Desk     Desk
 	// ConfigVersion returns the version in force.
 	ConfigVersion func() uint64
-	Records       explanation.Writer
-	Log           *slog.Logger
+	// VersionSeen takes the version that an asker holds and its peer address.
+	VersionSeen func(version uint64, address string)
+	Records     explanation.Writer
+	Log         *slog.Logger
 
 	leaving atomic.Bool
 	running atomic.Int64
@@ -98,6 +100,7 @@
 // Call runs one call, or returns the reply of the run that this incarnation
 // holds for the same request.
 func (p *Porter) Call(ctx context.Context, in *message.CallRequest) (*message.CallReply, error) {
+	p.VersionSeen(in.GetConfigVersion(), in.GetAsker())
 	reply, refusal := p.call(ctx, in)
 	if refusal != nil {
 		p.Records.Record(in.GetRequestId(), refusal.Record())
@@ -105,6 +108,7 @@
 			Code:             uint32(refusal.Code),
 			Reason:           refusal.Reason,
 			RetryAtUnixNanos: warden.NanosOf(refusal.RetryAt),
+			Recorded:         refusal.Recorded,
 		}
 	}
 	reply.Load = p.Load()
@@ -204,7 +208,7 @@
 	}
 	evictAt := time.Now().Add(time.Duration(p.Settings.HoldSeconds) * time.Second)
 	if err := p.Logbook.Finish(id, uint32(code), reason, evictAt); err != nil {
-		p.Log.Error("call could not be ended", "request", id, "cause", err)
+		p.Log.Error("call could not be ended", "Request", id, "Cause", err)
 	}
 	p.Records.Record(id, explanation.Ended{Code: uint32(code), Outcome: string(code.Info().Outcome), Reason: reason})
 }
@@ -246,9 +250,9 @@
 func endOf(entry logbook.Entry) *receipt.Result {
 	switch s := entry.State.(type) {
 	case logbook.Refused:
-		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRetryAt(warden.RetryAt(time.Now()))
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRetryAt(warden.RetryAt(time.Now())).WithRecorded()
 	case logbook.Ended:
-		return receipt.New(receipt.Code(s.Code), "%s", s.Reason)
+		return receipt.New(receipt.Code(s.Code), "%s", s.Reason).WithRecorded()
 	default:
 		return receipt.New(receipt.NotHeld, "the reply is no longer held")
 	}
--- a/internal/caller/intake/stream.go
+++ b/internal/caller/intake/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -21,6 +22,8 @@
 	callerWriteMillis = 10000
 	// headerLastEvent carries the last position that a returning caller has.
 	headerLastEvent = "Last-Event-ID"
+	// resumeClass stands for the class in the measurement of a resumed answer.
+	resumeClass = "Resume"
 )
 
 // stream writes an answer as server-sent events. The id of each event is the
@@ -134,7 +137,8 @@
 }
 
 // resume continues a generation that another connection or another entry host
-// began to deliver.
+// began to deliver. A refusal is about the resume, not about the request of the
+// ticket, which has run; so it names no request.
 func (in *Intake) resume(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	t, err := ticket.Decode(mux.Vars(r)["ticket"])
@@ -144,14 +148,20 @@
 	}
 	from, err := lastPosition(r)
 	if err != nil {
-		writeRefusal(w, t.RequestID, receipt.New(receipt.InvalidRequest, "%v", err))
+		writeRefusal(w, "", receipt.New(receipt.InvalidRequest, "%v", err))
 		return
 	}
 	if r.Header.Get(HeaderAccount) != t.Account {
-		writeRefusal(w, t.RequestID, receipt.New(receipt.AccountRefused, "the ticket is of another client account"))
+		writeRefusal(w, "", receipt.New(receipt.AccountRefused, "the ticket is of another client account"))
+		return
+	}
+	leave, refusal := in.enterAgain(t.Account, now)
+	if refusal != nil {
+		writeRefusal(w, "", refusal)
 		return
 	}
-	span := in.Observer.Began(t.Account, "Resume", now)
+	defer leave()
+	span := in.Observer.Began(t.Account, resumeClass, now)
 	sink := newStream(w, t.RequestID, "", span)
 	sink.position = from
 	sink.open()
@@ -160,6 +170,21 @@
 	sink.end(result)
 }
 
+// enterAgain admits a caller that comes back for an answer. It takes a place
+// of the entry host, and none of the account's rate.
+func (in *Intake) enterAgain(accountName string, now time.Time) (func(), *receipt.Result) {
+	document, refusal := in.document(now)
+	if refusal != nil {
+		return nil, refusal
+	}
+	account, found := document.Account(accountName)
+	if !found {
+		return nil, receipt.New(receipt.AccountRefused, "client account %q is not configured", accountName)
+	}
+	account.RequestsPerSecond = 0
+	return in.enter(account, agreement.Class{Urgent: true}, now)
+}
+
 // lastPosition reads the count of tokens that the caller holds.
 func lastPosition(r *http.Request) (uint64, error) {
 	text := r.Header.Get(headerLastEvent)
--- a/internal/routing/visit/claim.go
+++ b/internal/routing/visit/claim.go
@@ -4,15 +4,22 @@
 	"context"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/holder"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
 // claim binds the request's key to the target, or takes over the binding that
 // is in force. A binding that the owner refused is replaced.
 func (j *journey) claim(ctx context.Context) *receipt.Result {
+	if refusal := j.learnIncarnation(ctx); refusal != nil {
+		return refusal
+	}
 	request := &message.ClaimRequest{
 		Key:               j.request.Key,
 		Partition:         claim.PartitionOf(j.request.Key, j.Partitions),
@@ -28,7 +35,7 @@
 			WithRetryAt(time.Now().Add(time.Second))
 	}
 	if reply.GetCode() != 0 {
-		return receipt.New(receipt.Code(reply.GetCode()), "%s", reply.GetReason()).
+		return receipt.New(claimCode(holder.Code(reply.GetCode())), "%s", reply.GetReason()).
 			WithRetryAt(timeFromNanos(reply.GetRetryAtUnixNanos()))
 	}
 	return j.adopt(reply.GetPermit())
@@ -61,8 +68,63 @@
 	return nil
 }
 
+// bindingAfter returns what a refusal means for a request whose key is bound.
+// "Not run" holds only when the incarnation that the key is bound to has
+// recorded it: another entry host may have sent the same request there, and
+// another incarnation does not know what the bound one did.
+func (j *journey) bindingAfter(result *receipt.Result, incarnation uint64, recorded bool) *receipt.Result {
+	if j.permit == nil || result.Code.Info().Outcome != receipt.NotRun {
+		return result
+	}
+	if incarnation != j.permit.GetIncarnation() {
+		return receipt.New(receipt.KeySpent,
+			"the key is bound to incarnation %d of %s, which is gone", j.permit.GetIncarnation(), j.target.Backend)
+	}
+	if !recorded {
+		return receipt.New(receipt.OwnerSilent, "%s refused without a record: %s", j.target.Backend, result.Reason).
+			WithRetryAt(result.RetryAt)
+	}
+	return result
+}
+
 // follows makes the journey deliver the request that the key was bound to.
 func (j *journey) follows(requestID string) {
 	j.request.ID = requestID
 	j.delivery.RequestID = requestID
 }
+
+// learnIncarnation asks the target who it is, where no reply has told yet.
+func (j *journey) learnIncarnation(ctx context.Context) *receipt.Result {
+	if j.target.Incarnation != 0 {
+		return nil
+	}
+	askedAt := time.Now()
+	ctx, stop := context.WithDeadline(ctx, j.progressDeadline())
+	defer stop()
+	load, err := line.Call(ctx, j.target.PeerAddress,
+		func(ctx context.Context, conn drpc.Conn) (*message.Load, error) {
+			return message.NewDRPCBackendClient(conn).Probe(ctx, &message.ProbeRequest{})
+		})
+	now := time.Now()
+	if err != nil {
+		j.Picker.Unreachable(j.target, now)
+		return receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, err).
+			WithRetryAt(now.Add(time.Second))
+	}
+	j.Picker.Observe(load, askedAt, now)
+	j.target.Incarnation = load.GetIncarnation()
+	return nil
+}
+
+// claimCode maps the code of a claim that brought no permit. Nothing was sent
+// to an owner, so the request has not run.
+func claimCode(code holder.Code) receipt.Code {
+	switch code {
+	case holder.CodeKeyExpired:
+		return receipt.KeyExpired
+	case holder.CodeKeyFuture, holder.CodeKeyMalformed:
+		return receipt.KeyRequired
+	default:
+		return receipt.LogUnavailable
+	}
+}
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -57,7 +57,7 @@
 func (j *journey) giveUp(sent bool, silentUntil time.Time, cause error) *receipt.Result {
 	now := time.Now()
 	j.Picker.Unreachable(j.target, now)
-	if !sent {
+	if !sent && j.permit == nil {
 		return receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, cause).
 			WithRetryAt(now.Add(time.Second))
 	}
@@ -120,6 +120,7 @@
 	defer func() { _ = conn.Close() }()
 	watchdog := time.AfterFunc(time.Until(j.progressDeadline()), func() { cut(errNoProgress) })
 	defer watchdog.Stop()
+	j.askedAt = time.Now()
 	stream, err := message.NewDRPCBackendClient(conn).Generate(ctx, j.generateRequest())
 	if err != nil {
 		return nil, errors.CombineErrors(context.Cause(ctx), err)
@@ -161,13 +162,15 @@
 		Repeatable:        j.request.Repeatable,
 		Permit:            j.permit,
 		Whole:             j.request.Whole,
+		ConfigVersion:     j.ConfigVersion(),
+		Asker:             j.Address,
 	}
 }
 
 // take handles one frame. A result ends the request, an error breaks the path.
 func (j *journey) take(frame *message.Frame) (*receipt.Result, error) {
 	if load := frame.GetLoad(); load != nil {
-		j.Picker.Observe(load, time.Now())
+		j.Picker.Observe(load, j.askedAt, time.Now())
 	}
 	bound := !j.delivery.Generation().IsZero()
 	step := j.delivery.Accept(frame)
@@ -182,10 +185,11 @@
 	case delivery.Gap:
 		return nil, errors.Wrapf(errGap, "position %d", s.From)
 	case delivery.Foreign:
+		j.Gauge.CountRejectedFrame(s.Reason.String())
 		j.disturbed("frame rejected: " + s.Reason.String())
 		return nil, nil
 	case delivery.Refused:
-		return j.takeRefusal(s), nil
+		return j.takeRefusal(s, frame), nil
 	case delivery.Ended:
 		return receipt.New(receipt.Code(s.Code), "%s", s.Reason), nil
 	default:
@@ -193,7 +197,7 @@
 	}
 }
 
-func (j *journey) takeRefusal(refusal delivery.Refused) *receipt.Result {
+func (j *journey) takeRefusal(refusal delivery.Refused, frame *message.Frame) *receipt.Result {
 	result := receipt.New(receipt.Code(refusal.Code), "%s", refusal.Reason).
 		WithRetryAt(timeFromNanos(refusal.RetryAtUnixNanos))
 	j.disturbed("refused: " + result.Error())
@@ -201,7 +205,7 @@
 	if result.Code == receipt.NotHeld && j.delivery.Next() > 0 {
 		return receipt.New(receipt.GenerationLost, "%s", refusal.Reason)
 	}
-	return result
+	return j.bindingAfter(result, frame.GetGeneration().GetIncarnation(), frame.GetRefusal().GetRecorded())
 }
 
 func (j *journey) ticket() ticket.Ticket {
--- /dev/null
+++ b/internal/trial/openday/deployment_test.go
@@ -0,0 +1,202 @@
+package openday
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/desk"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/site"
+)
+
+const (
+	region       = "zagreb"
+	model        = "coach"
+	memoryTokens = 50000
+	// programsAtOnce bounds the processes of all deployments that run at once.
+	programsAtOnce = 12
+	// stepMillis is the engine's time for one token of each generation.
+	stepMillis = 10
+)
+
+// places bounds the processes of parallel tests.
+var places = semaphore.NewWeighted(programsAtOnce)
+
+// layout says what a deployment consists of. Zero values mean the default.
+type layout struct {
+	entries int
+	engines int
+	desks   int
+	// relayed puts a relay before the peer address of each backend server.
+	relayed bool
+	// unconfigured leaves out the operator file.
+	unconfigured bool
+	// stepMillis is the engine's step.
+	stepMillis int
+	// changeEntry and changeBackend change the settings of each process.
+	changeEntry   func(*process.Entry)
+	changeBackend func(*process.Backend)
+}
+
+// entryHost is one entry host.
+type entryHost struct {
+	*program
+	settings process.Entry
+}
+
+// backendServer is one backend server with the process beside it.
+type backendServer struct {
+	*program
+	settings process.Backend
+	// relay stands before the peer address; nil without one.
+	relay *relay
+	// engine is nil for a plain service.
+	engine *engine.Server
+	// desk is nil for an engine.
+	desk *desk.Server
+}
+
+// deployment is a running deployment with its stand-ins.
+type deployment struct {
+	t         *testing.T
+	directory string
+	pool      *addressPool
+	site      *site.Site
+	entries   []*entryHost
+	backends  []*backendServer
+}
+
+// newDeployment starts a deployment and waits until it serves. It ends with
+// the test.
+func newDeployment(t *testing.T, l layout) *deployment {
+	t.Helper()
+	count := int64(l.entries + l.engines + l.desks)
+	if err := places.Acquire(context.Background(), count); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { places.Release(count) })
+	d := &deployment{t: t, directory: t.TempDir(), pool: newAddressPool(t)}
+	d.prepare(l)
+	d.serveSite()
+	for _, b := range d.backends {
+		b.start()
+	}
+	for _, e := range d.entries {
+		e.start()
+	}
+	if l.unconfigured {
+		d.waitListed()
+		return d
+	}
+	d.apply()
+	d.waitReady()
+	return d
+}
+
+// prepare makes settings, relays and programs.
+func (d *deployment) prepare(l layout) {
+	log, list, front := d.pool.next(), d.pool.next(), d.pool.next()
+	for n := range l.entries {
+		d.addEntry(n, log, list, l.changeEntry)
+	}
+	for n := range l.engines {
+		settings := d.backendSettings(fmt.Sprintf("coaching-%d", n+1), log, front)
+		settings.Kind, settings.EngineAddress = process.KindEngine, d.pool.next()
+		settings.Service, settings.Model = "coaching", model
+		settings.MemoryTokens = memoryTokens
+		d.addBackend(settings, l)
+	}
+	for n := range l.desks {
+		settings := d.backendSettings(fmt.Sprintf("front-desk-%d", n+1), log, front)
+		settings.Kind, settings.ServiceAddress = process.KindPlain, d.pool.next()
+		settings.Service = "front-desk"
+		d.addBackend(settings, l)
+	}
+	d.site = &site.Site{StepMillis: l.stepMillis}
+	if l.stepMillis == 0 {
+		d.site.StepMillis = stepMillis
+	}
+	for _, b := range d.backends {
+		settings := b.settings
+		settings.HostListAddress = list
+		d.site.Backends = append(d.site.Backends, settings)
+	}
+	if err := d.site.Prepare(); err != nil {
+		d.t.Fatal(err)
+	}
+	for _, b := range d.backends {
+		b.engine = d.site.Engines[b.settings.Name]
+		b.desk = d.site.Desks[b.settings.Name]
+	}
+}
+
+func (d *deployment) addEntry(n int, log, list string, change func(*process.Entry)) {
+	settings := process.DefaultEntry()
+	settings.Name = fmt.Sprintf("entry-%d", n+1)
+	settings.Region, settings.Zone = region, fmt.Sprintf("zagreb-%c", 'a'+n)
+	settings.CallerAddress = d.pool.next()
+	settings.PeerAddress = d.pool.next()
+	settings.MetricsAddress = d.pool.next()
+	settings.LogServiceAddress, settings.HostListAddress = log, list
+	settings.Peers = []string{}
+	if change != nil {
+		change(&settings)
+	}
+	p := newProgram(d.t, settings.Name, "entry", d.writeSettings(settings.Name, settings))
+	d.entries = append(d.entries, &entryHost{program: p, settings: settings})
+}
+
+func (d *deployment) backendSettings(name, log, list string) process.Backend {
+	settings := process.DefaultBackend()
+	settings.Name = name
+	settings.Region, settings.Zone = region, "zagreb-a"
+	settings.PeerAddress = d.pool.next()
+	settings.MetricsAddress = d.pool.next()
+	settings.LogServiceAddress, settings.HostListAddress = log, list
+	settings.Peers = []string{}
+	for _, e := range d.entries {
+		settings.Peers = append(settings.Peers, e.settings.PeerAddress)
+	}
+	return settings
+}
+
+func (d *deployment) addBackend(settings process.Backend, l layout) {
+	if l.changeBackend != nil {
+		l.changeBackend(&settings)
+	}
+	p := newProgram(d.t, settings.Name, "backend", d.writeSettings(settings.Name, settings))
+	b := &backendServer{program: p, settings: settings}
+	if l.relayed {
+		b.relay = newRelay(d.t, d.pool.next(), settings.PeerAddress)
+	}
+	d.backends = append(d.backends, b)
+}
+
+func (d *deployment) writeSettings(name string, settings any) string {
+	text, err := json.Marshal(settings)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	path := filepath.Join(d.directory, name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	return path
+}
+
+// backend finds a backend server by its name, or returns nil.
+func (d *deployment) backend(name string) *backendServer {
+	for _, b := range d.backends {
+		if b.settings.Name == name {
+			return b
+		}
+	}
+	return nil
+}
