feat: apply command

The command publishes an operator file as a whole, prints the accepted version or the change that came first, and can wait until the version is in force at named peers. When the log has lost its history, it starts from the version of a peer. After an unknown outcome the same ID finds out what became of the change, and does not apply it twice.

--- /dev/null
+++ b/cmd/apply.go
@@ -0,0 +1,192 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/edition"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const (
+	// replacesAuto stands for the version that the log holds now.
+	replacesAuto = "auto"
+	// defaultApplySeconds limits the apply command.
+	defaultApplySeconds = 30
+)
+
+func newApplyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "publish an operator file on the log as a whole",
+		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log", Usage: "address of the log service", Required: true},
+			&cli.StringFlag{
+				Name:      "replaces",
+				Usage:     "version that the file replaces, or auto for the one in force",
+				Required:  true,
+				Validator: validateReplaces,
+			},
+			&cli.StringFlag{Name: "author", Usage: "name that the version carries; by default the user's"},
+			&cli.StringFlag{Name: "id", Usage: "ID of an earlier try whose outcome is unknown"},
+			&cli.BoolFlag{Name: "wait", Usage: "wait until the version is in force at all peers"},
+			&cli.StringSliceFlag{Name: "peer", Usage: "peer address of a process, as host:port; may be given again"},
+			&cli.IntFlag{Name: "timeout-seconds", Usage: "limit for the whole command", Value: defaultApplySeconds},
+		},
+		Action: runApply,
+	}
+}
+
+func validateReplaces(text string) error {
+	if text == replacesAuto {
+		return nil
+	}
+	_, err := strconv.ParseUint(text, 10, 64)
+	return errors.Wrap(err, "expected a version or auto")
+}
+
+func runApply(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return withCode(ExitUsage, errors.New("apply: name one file"))
+	}
+	if c.Bool("wait") && len(c.StringSlice("peer")) == 0 {
+		return withCode(ExitUsage, errors.New("apply: --wait needs at least one --peer"))
+	}
+	change, err := readChange(c)
+	if err != nil {
+		return withCode(ExitFailure, err)
+	}
+	deadline := time.Now().Add(time.Duration(c.Int("timeout-seconds")) * time.Second)
+	ctx, stop := context.WithDeadline(ctx, deadline)
+	defer stop()
+
+	accepted, err := publish(ctx, c, change)
+	if err != nil {
+		return reportApplyFailure(c.Root().Writer, err)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "version %d is accepted (change %s)\n", accepted.Version, accepted.ID)
+	if err != nil {
+		return withCode(ExitFailure, errors.Wrap(err, "write result"))
+	}
+	if !c.Bool("wait") {
+		return nil
+	}
+	return waitInForce(ctx, c, accepted.Version)
+}
+
+func readChange(c *cli.Command) (edition.Change, error) {
+	text, err := os.ReadFile(c.Args().First())
+	if err != nil {
+		return edition.Change{}, errors.Wrap(err, "read file")
+	}
+	change := edition.Change{ID: c.String("id"), Author: c.String("author"), Text: text}
+	if change.Author == "" {
+		change.Author = currentUser()
+	}
+	if c.String("replaces") == replacesAuto {
+		change.ReplacesCurrent = true
+		return change, nil
+	}
+	change.Replaces, err = strconv.ParseUint(c.String("replaces"), 10, 64)
+	return change, errors.Wrap(err, "read the version to replace")
+}
+
+// currentUser returns the name of the user, or "unknown".
+func currentUser() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+// publish applies the change. When the log has lost its history, it starts from
+// the version of a peer.
+func publish(ctx context.Context, c *cli.Command, change edition.Change) (edition.Edition, error) {
+	publisher := edition.Publisher{Journal: &journal.Client{Address: c.String("log")}}
+	accepted, err := publisher.Publish(ctx, change)
+	if !errors.Is(err, edition.ErrUnanchored) {
+		return accepted, err
+	}
+	for _, peer := range c.StringSlice("peer") {
+		state, learnErr := edition.Learn(ctx, askExchange, peer)
+		if learnErr != nil {
+			err = errors.CombineErrors(err, learnErr)
+			continue
+		}
+		publisher.Seed = state
+		return publisher.Publish(ctx, change)
+	}
+	return accepted, err
+}
+
+// reportApplyFailure prints what the operator has to act on, and gives the
+// failure its exit code.
+func reportApplyFailure(w io.Writer, err error) error {
+	var faults *agreement.Faults
+	var conflict *edition.ConflictError
+	var unknown *edition.UnknownOutcomeError
+	switch {
+	case errors.As(err, &faults):
+		for _, fault := range faults.List {
+			_, _ = fmt.Fprintln(w, fault)
+		}
+		return withCode(ExitInvalid, errors.Newf("apply: %d faults", len(faults.List)))
+	case errors.As(err, &conflict):
+		printWinner(w, conflict)
+		return withCode(ExitConflict, errors.Wrap(err, "apply"))
+	case errors.As(err, &unknown):
+		return withCode(ExitUnavailable, errors.Wrapf(err, "apply: run again with --id %s to find out", unknown.ID))
+	case errors.Is(err, edition.ErrUnanchored):
+		return withCode(ExitFailure, errors.Wrap(err, "apply: name a --peer that holds the version in force"))
+	case isUnavailable(err):
+		return withCode(ExitUnavailable, errors.Wrap(err, "apply: the file was not applied"))
+	default:
+		return withCode(ExitFailure, errors.Wrap(err, "apply: the file was not applied"))
+	}
+}
+
+func printWinner(w io.Writer, conflict *edition.ConflictError) {
+	if conflict.InForce == 0 {
+		_, _ = fmt.Fprintln(w, "no version is in force")
+		return
+	}
+	_, _ = fmt.Fprintf(w, "version %d is in force, by %s (change %s)\n",
+		conflict.InForce, conflict.Author, conflict.Winner)
+}
+
+// isUnavailable reports whether the log gave no answer.
+func isUnavailable(err error) bool {
+	return errors.IsAny(err, journal.ErrUnavailable, journal.ErrThrottled, context.DeadlineExceeded, context.Canceled)
+}
+
+func waitInForce(ctx context.Context, c *cli.Command, version uint64) error {
+	peers := c.StringSlice("peer")
+	if err := edition.AwaitInForce(ctx, askExchange, peers, version); err != nil {
+		return withCode(ExitUnavailable, err)
+	}
+	_, err := fmt.Fprintf(c.Root().Writer, "version %d is in force at %d peers\n", version, len(peers))
+	return withCode(ExitFailure, errors.Wrap(err, "write result"))
+}
+
+// askExchange sends a version exchange to a process.
+func askExchange(ctx context.Context, address string, in *message.ExchangeRequest) (*message.ExchangeReply, error) {
+	ctx, stop := withAskDeadline(ctx)
+	defer stop()
+	return line.Call(ctx, address, func(ctx context.Context, conn drpc.Conn) (*message.ExchangeReply, error) {
+		return message.NewDRPCPeerClient(conn).Exchange(ctx, in)
+	})
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -80,6 +80,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action:         rejectUnknownCommand,
 		Commands: []*cli.Command{
+			newApplyCommand(),
 			newCheckCommand(),
 			newEntryCommand(),
 			newBackendCommand(),
--- a/internal/settings/edition/publisher.go
+++ b/internal/settings/edition/publisher.go
@@ -218,10 +218,21 @@
 	}
 }
 
-// retry runs an operation until it succeeds, fails for good, or ctx ends.
+// retry runs an operation until it succeeds, fails for good, or ctx ends. It
+// returns the last failure.
 func retry[T any](ctx context.Context, operation backoff.Operation[T]) (T, error) {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = retryMinMillis * time.Millisecond
 	delays.MaxInterval = retryMaxMillis * time.Millisecond
-	return backoff.Retry(ctx, operation, backoff.WithBackOff(delays), backoff.WithMaxElapsedTime(0))
+	var last error
+	noting := func() (T, error) {
+		result, err := operation()
+		last = err
+		return result, err
+	}
+	result, err := backoff.Retry(ctx, noting, backoff.WithBackOff(delays), backoff.WithMaxElapsedTime(0))
+	if err != nil && ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		return result, errors.Wrap(last, "given up")
+	}
+	return result, err
 }
