feat: count a shared prompt prefix once in the memory forecast

The forecast counted the prefix of each generation, though the engine holds it once: with 384 of 900 prompt tokens shared, a sixth of the memory stayed unused. Each prefix now counts with the chance that any user still runs.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -25,6 +25,11 @@
 	Repeatable bool
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
+	// PrefixHash names the part of the prompt that the engine's prefix cache may
+	// share with other generations. Zero means none.
+	PrefixHash uint64
+	// PrefixTokens is the length of that part. At most PromptTokens.
+	PrefixTokens int
 	// MaxTokens bounds the answer. Zero means no bound.
 	MaxTokens int
 	// Deadline is when the caller gives up. Zero means never.
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -163,6 +163,19 @@
 	is.True(ok)
 }
 
+func TestSharedPrefixCountsOnce(t *testing.T) {
+	is := is.New(t)
+	alone := fill(newBook())
+	b := newBook()
+	for i := range 100 {
+		r := request(fmt.Sprint("shared ", i))
+		r.PrefixHash, r.PrefixTokens = 7, 80
+		b.Offer(r, start)
+	}
+	is.True(b.Load().Running > alone*3/2)
+	is.True(b.Load().ForecastPermille <= 1000)
+}
+
 func TestExpire(t *testing.T) {
 	is := is.New(t)
 	b := newBook()
--- a/internal/backend/booking/offer.go
+++ b/internal/backend/booking/offer.go
@@ -65,13 +65,13 @@
 	if len(b.running) >= b.batchLimit(w.Urgent) {
 		return Admit{}, ReasonBatch
 	}
-	with := *p
+	with := p.clone()
 	with.add(b.Lengths.Curve(w.Class, w.Account), w.Request, 0, b.BlockTokens)
-	f := b.forecast(&with, w.Urgent)
+	f := b.forecast(with, w.Urgent)
 	if !f.fits() && len(b.running) > 0 {
 		return Admit{}, ReasonMemory
 	}
-	*p = with
+	*p = *with
 	return Admit{RequestID: w.RequestID, QueuedAt: w.QueuedAt, Forecast: f}, 0
 }
 
--- /dev/null
+++ b/internal/backend/booking/profile.go
@@ -0,0 +1,133 @@
+package booking
+
+import (
+	"math"
+	"slices"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/tide"
+)
+
+const (
+	// horizonCount counts the horizons of a forecast.
+	horizonCount = 42
+	// evenHorizons counts those that stand evenly spaced at the beginning.
+	evenHorizons = 6
+	// evenSpacing is the distance between these, in tokens.
+	evenSpacing = 8
+	// horizonGrowth is the ratio between the later ones.
+	horizonGrowth = 1.19
+	// leastAlive is the chance of still running below which a generation is
+	// taken as ended.
+	leastAlive = 0.001
+)
+
+// horizons are the numbers of tokens ahead at which memory is forecast.
+var horizons = newHorizons()
+
+func newHorizons() [horizonCount]int {
+	var out [horizonCount]int
+	for i := range out {
+		if i < evenHorizons {
+			out[i] = i * evenSpacing
+			continue
+		}
+		out[i] = int(float64(out[i-1])*horizonGrowth + 1)
+	}
+	return out
+}
+
+// profile is the mean and the variance of the memory at each horizon, where
+// generations that have ended by then use none. Generations are taken as
+// independent.
+type profile struct {
+	mean     [horizonCount]float64
+	variance [horizonCount]float64
+	// prefixes holds each shared prefix once.
+	prefixes []sharedPrefix
+}
+
+// sharedPrefix is the part of a prompt that several generations hold together.
+type sharedPrefix struct {
+	hash uint64
+	// unused is the chance that none of its users runs at each horizon.
+	unused [horizonCount]float64
+}
+
+// clone returns a profile that can be changed on its own.
+func (p *profile) clone() *profile {
+	out := *p
+	out.prefixes = slices.Clone(p.prefixes)
+	return &out
+}
+
+// add includes one generation with the given distribution of lengths.
+func (p *profile) add(c *tide.Curve, r Request, produced, blockTokens int) {
+	shared := p.prefix(r)
+	reached := c.Survival(produced)
+	for i, ahead := range horizons {
+		alive := aliveAt(c, r, reached, produced, ahead)
+		if alive < leastAlive {
+			return
+		}
+		size := roundUp(r.PromptTokens+produced+ahead, blockTokens)
+		if shared != nil {
+			size -= r.PrefixTokens
+			p.mean[i] += float64(r.PrefixTokens) * shared.unused[i] * alive
+			shared.unused[i] *= 1 - alive
+		}
+		own := float64(size)
+		p.mean[i] += alive * own
+		p.variance[i] += alive * (1 - alive) * own * own
+	}
+}
+
+// aliveAt returns the chance that a generation still runs at a horizon.
+func aliveAt(c *tide.Curve, r Request, reached float64, produced, ahead int) float64 {
+	if ahead == 0 {
+		return 1
+	}
+	if r.MaxTokens > 0 && produced+ahead >= r.MaxTokens {
+		return 0
+	}
+	return c.ConditionalFrom(reached, produced, ahead)
+}
+
+// prefix returns the shared prefix of a request, or nil if it has none.
+func (p *profile) prefix(r Request) *sharedPrefix {
+	if r.PrefixHash == 0 {
+		return nil
+	}
+	for i := range p.prefixes {
+		if p.prefixes[i].hash == r.PrefixHash {
+			return &p.prefixes[i]
+		}
+	}
+	added := sharedPrefix{hash: r.PrefixHash}
+	for i := range added.unused {
+		added.unused[i] = 1
+	}
+	p.prefixes = append(p.prefixes, added)
+	return &p.prefixes[len(p.prefixes)-1]
+}
+
+// peak returns the highest forecast, deviations above the mean.
+func (p *profile) peak(deviations float64) (tokens, ahead int) {
+	highest := 0.0
+	for i := range horizons {
+		at := p.mean[i] + deviations*math.Sqrt(p.variance[i])
+		if at > highest {
+			highest = at
+			ahead = horizons[i]
+		}
+	}
+	return int(math.Ceil(highest)), ahead
+}
+
+// profile returns the profile of all running generations.
+func (b *Book) profile() *profile {
+	p := &profile{}
+	for _, r := range b.running {
+		p.add(b.Lengths.Curve(r.Class, r.Account), r.Request, r.Produced, b.BlockTokens)
+	}
+	return p
+}
--- a/internal/trial/season/call.go
+++ b/internal/trial/season/call.go
@@ -88,6 +88,8 @@
 		Urgent:       c.class.Urgent,
 		Repeatable:   c.class.Repeatable,
 		PromptTokens: c.class.PromptTokens,
+		PrefixHash:   c.prefixHash(),
+		PrefixTokens: c.class.PrefixTokens,
 		MaxTokens:    c.class.MaxTokens,
 		Deadline:     clock(c.deadline),
 	}
