feat: admit urgent requests against the urgent ones alone

Urgent requests were held against the forecast of all generations and were refused or timed out once running answers outgrew it (1.75 % of the booking calls under overload). The others can be preempted, so an urgent request now needs only the batch and the memory of the urgent ones, and the owner preempts for its prompt when the free memory is short.

--- a/internal/backend/booking/command.go
+++ b/internal/backend/booking/command.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	var started []Admit
-	p := b.profile()
+	p := b.profiles()
 	for {
 		admit, ok := b.nextOne(p, now)
 		if !ok {
@@ -29,7 +29,7 @@
 
 // nextOne starts the first waiting request that fits. Requests behind the first
 // may start before it only a bounded number of times.
-func (b *Book) nextOne(p *profile, now time.Time) (Admit, bool) {
+func (b *Book) nextOne(p profiles, now time.Time) (Admit, bool) {
 	slices.SortFunc(b.waiting, func(first, second *Waiting) int {
 		return b.order(first, second, now)
 	})
--- a/internal/backend/booking/offer.go
+++ b/internal/backend/booking/offer.go
@@ -23,7 +23,7 @@
 	behind := b.ahead(w, now)
 	reason := ReasonBehind
 	if behind == 0 {
-		admit, blocked := b.try(w, b.profile())
+		admit, blocked := b.try(w, b.profiles())
 		if blocked == 0 && !b.late(w, now) {
 			b.start(w, now)
 			return admit
@@ -60,18 +60,27 @@
 	return startAt.Add(usual).After(w.Deadline)
 }
 
-// try returns the start of a request, or what stands against it.
-func (b *Book) try(w *Waiting, p *profile) (Admit, Reason) {
+// try returns the start of a request, or what stands against it. An urgent
+// request is held against the urgent generations alone, since the others can be
+// preempted. On a start the profiles include it.
+func (b *Book) try(w *Waiting, p profiles) (Admit, Reason) {
 	if len(b.running) >= b.batchLimit(w.Urgent) {
 		return Admit{}, ReasonBatch
 	}
-	with := p.clone()
-	with.add(b.Lengths.Curve(w.Class, w.Account), w.Request, 0, b.BlockTokens)
+	against := p.all
+	if w.Urgent {
+		against = p.urgent
+	}
+	with := against.clone()
+	b.include(with, w.Request, 0)
 	f := b.forecast(with, w.Urgent)
 	if !f.fits() && len(b.running) > 0 {
 		return Admit{}, ReasonMemory
 	}
-	*p = *with
+	*against = *with
+	if w.Urgent {
+		b.include(p.all, w.Request, 0)
+	}
 	return Admit{RequestID: w.RequestID, QueuedAt: w.QueuedAt, Forecast: f}, 0
 }
 
--- a/internal/backend/booking/profile.go
+++ b/internal/backend/booking/profile.go
@@ -123,11 +123,27 @@
 	return int(math.Ceil(highest)), ahead
 }
 
-// profile returns the profile of all running generations.
-func (b *Book) profile() *profile {
-	p := &profile{}
+// profiles are the profiles against which requests are admitted.
+type profiles struct {
+	// all covers all running generations.
+	all *profile
+	// urgent covers the urgent ones; the others make room for these.
+	urgent *profile
+}
+
+// profiles returns the profiles of the running generations.
+func (b *Book) profiles() profiles {
+	p := profiles{all: &profile{}, urgent: &profile{}}
 	for _, r := range b.running {
-		p.add(b.Lengths.Curve(r.Class, r.Account), r.Request, r.Produced, b.BlockTokens)
+		b.include(p.all, r.Request, r.Produced)
+		if r.Urgent {
+			b.include(p.urgent, r.Request, r.Produced)
+		}
 	}
 	return p
 }
+
+// include adds a generation to a profile.
+func (b *Book) include(p *profile, r Request, produced int) {
+	p.add(b.Lengths.Curve(r.Class, r.Account), r, produced, b.BlockTokens)
+}
--- a/internal/backend/booking/query.go
+++ b/internal/backend/booking/query.go
@@ -31,7 +31,7 @@
 
 // Forecast returns the forecast of the running generations.
 func (b *Book) Forecast() Forecast {
-	return b.forecast(b.profile(), true)
+	return b.forecast(b.profiles().all, true)
 }
 
 // Running returns the running generations, the earliest first.
--- a/internal/trial/season/serve.go
+++ b/internal/trial/season/serve.go
@@ -148,8 +148,7 @@
 	if !ok || f.EngineChooses {
 		return
 	}
-	free := s.model.MemoryTokens - s.batch.MemoryUsed() + s.batch.CachedTokens()
-	need := precedence.Need{Tokens: s.batch.Running() - free}
+	need := s.need()
 	if need.Tokens <= 0 {
 		return
 	}
@@ -164,6 +163,20 @@
 	}
 }
 
+// need returns the memory that the next step lacks: a token for each running
+// generation, and the prompts of the urgent ones that have not begun.
+func (s *server) need() precedence.Need {
+	free := s.model.MemoryTokens - s.batch.MemoryUsed() + s.batch.CachedTokens()
+	need := precedence.Need{Tokens: s.batch.Running() - free}
+	for _, c := range s.calls {
+		if c.class.Urgent && c.started && c.produced == 0 {
+			need.Tokens += c.class.PromptTokens + 1
+			need.Urgent = true
+		}
+	}
+	return need
+}
+
 // generations returns the generations that hold memory.
 func (s *server) generations() []precedence.Generation {
 	var out []precedence.Generation
