--- /dev/null
+++ b/internal/trial/openday/engine_faults_test.go
@@ -0,0 +1,72 @@
+package openday
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
+)
+
+// faultsAtOnce is how many tokens one switch of a fault disturbs.
+const faultsAtOnce = 60
+
+// TestEngineFaults checks that a disturbed stream of an engine disturbs no
+// answer, with callers at once whose events may cross.
+func TestEngineFaults(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		disturb func(*engine.Server)
+	}{
+		{"crossed events", func(s *engine.Server) { s.Faults.CrossEvents.Store(faultsAtOnce) }},
+		{"crossed ends", func(s *engine.Server) { s.Faults.CrossEnds.Store(faultsAtOnce) }},
+		{"repeated tokens", func(s *engine.Server) { s.Faults.RepeatTokens.Store(faultsAtOnce) }},
+		{"omitted tokens", func(s *engine.Server) { s.Faults.OmitTokens.Store(faultsAtOnce) }},
+		{"silent streams", func(s *engine.Server) { s.SilenceStreams() }},
+		{"lost answers", func(s *engine.Server) { s.Faults.LoseAnswers.Store(4) }},
+	}
+	d := newDeployment(t, quick(layout{entries: 1, engines: 1}))
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCaller(d.entries[0])
+			first := newCrowd(d, "programme", prompts(6, 80), c)
+			first.begun.Wait()
+			tt.disturb(d.backends[0].engine)
+			second := newCrowd(d, "outline", prompts(6, 40), c)
+			first.checkWhole(t, d)
+			second.checkWhole(t, d)
+		})
+	}
+}
+
+// TestEngineCrash checks that a crash of the engine ends streamed answers as
+// failed, and that whole repeatable answers run again unseen.
+func TestEngineCrash(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, quick(layout{entries: 1, engines: 2}))
+	c := newCaller(d.entries[0])
+	w := newCrowd(d, "programme", prompts(4, 300), c)
+	var group errgroup.Group
+	for n, prompt := range prompts(4, 300) {
+		group.Go(func() error {
+			if n%2 == 0 {
+				return d.checkWholeUnseen(c, ask("programme", prompt))
+			}
+			return d.checkHeldUnseen(c, ask("outline", prompt))
+		})
+	}
+	w.begun.Wait()
+	for _, b := range d.backends {
+		b.engine.Crash()
+	}
+	is.NoErr(group.Wait())
+	w.wait(t)
+	for _, r := range w.readers {
+		is.NoErr(checkLost(&r.transcript, receipt.EngineFailed))
+		is.Equal(d.executions(r.request), 1)
+	}
+}
--- /dev/null
+++ b/internal/trial/openday/silence_test.go
@@ -0,0 +1,134 @@
+package openday
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// ways lists what of an open connection goes silent.
+var ways = []struct {
+	name string
+	ways []direction
+}{
+	{"to the owner", []direction{toBackend}},
+	{"to the entry host", []direction{toEntry}},
+	{"both ways", []direction{toBackend, toEntry}},
+}
+
+// silenceAll silences the open connections of every relay.
+func (d *deployment) silenceAll(ways ...direction) {
+	for _, b := range d.backends {
+		b.relay.silence(ways...)
+	}
+}
+
+func (d *deployment) wakeAll() {
+	for _, b := range d.backends {
+		b.relay.wake()
+	}
+}
+
+func (d *deployment) connections() int {
+	count := 0
+	for _, b := range d.backends {
+		count += b.relay.count()
+	}
+	return count
+}
+
+// TestConnectionsSilent checks that answers survive the connections that carry
+// them, and stay right when the old connections wake beside the new ones.
+func TestConnectionsSilent(t *testing.T) {
+	t.Parallel()
+	for _, tt := range ways {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, quick(layout{entries: 1, engines: 2, relayed: true}))
+			w := newCrowd(d, "programme", prompts(6, 400), newCaller(d.entries[0]))
+			w.begun.Wait()
+			d.silenceAll(tt.ways...)
+			waitFor(t, quickProgressMillis*3/2)
+			d.wakeAll()
+			d.silenceAll(tt.ways...)
+			w.checkWhole(t, d)
+			d.wakeAll()
+		})
+	}
+}
+
+// TestSilentForGood checks that an answer is whole though its first connection
+// never wakes, and that its tokens took another one.
+func TestSilentForGood(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, quick(layout{entries: 1, engines: 1, relayed: true}))
+	w := newCrowd(d, "programme", prompts(3, 250), newCaller(d.entries[0]))
+	w.begun.Wait()
+	before := d.connections()
+	d.silenceAll(toBackend, toEntry)
+	w.checkWhole(t, d)
+	is.True(d.connections() > before)
+}
+
+// waitFor passes time in which a fault lasts; nothing is checked by it.
+func waitFor(t *testing.T, millis int) {
+	t.Helper()
+	time.Sleep(time.Duration(millis) * time.Millisecond)
+}
+
+// TestPlainCallSilent checks that a call that may not be repeated runs once and
+// is answered though the connection that carries it goes silent.
+func TestPlainCallSilent(t *testing.T) {
+	t.Parallel()
+	for _, tt := range ways {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t, quick(layout{entries: 1, engines: 1, desks: 1, relayed: true}))
+			d.waitClaims(t)
+			service := d.backends[1].desk
+			service.Faults.SlowMillis.Store(quickProgressMillis)
+			c := newCaller(d.entries[0])
+			var booking, tides reply
+			var group errgroup.Group
+			group.Go(func() (err error) {
+				booking, err = c.call(http.MethodPost, "/bookings", newKey())
+				return err
+			})
+			group.Go(func() (err error) {
+				tides, err = c.call(http.MethodGet, "/tides", "")
+				return err
+			})
+			eventually(t, "both calls run", func() error {
+				status, err := askStatus(d.backends[1].settings.PeerAddress)
+				if err == nil && status.OpenRequests < 2 {
+					return errors.Newf("%d run", status.OpenRequests)
+				}
+				return err
+			})
+			d.silenceAll(tt.ways...)
+			is.NoErr(group.Wait())
+			is.Equal(booking.status, http.StatusOK)
+			is.Equal(tides.status, http.StatusOK)
+			is.Equal(service.Bookings(), 1)
+		})
+	}
+}
+
+// TestOwnerFrozen checks that a generation goes on after its owner was frozen
+// for less than the silence deadline.
+func TestOwnerFrozen(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, quick(layout{entries: 2, engines: 1}))
+	w := newCrowd(d, "programme", prompts(4, 300), newCaller(d.entries[0]))
+	w.begun.Wait()
+	d.backends[0].freeze()
+	waitFor(t, quickProgressMillis*3)
+	d.backends[0].thaw()
+	w.checkWhole(t, d)
+}
