fix: not run is said only when no attempt may have run

Cause: the final result of a request was that of its newest attempt. A repeatable request that was lost with its owner, or whose path broke after it was sent, and whose repeat was refused (queue full, leaving, no backend server, deadline passed) ended as NotRun although the first attempt had run. Ruled out: asking the first owner once more, which may be gone; a request whose key is bound, which moves on after a recorded refusal only. Change: a request keeps the newest result of an attempt that may have run, and a final NotRun becomes that result, with the refusal in its reason. Also: a repeatable plain call whose path went silent takes a fresh connection to the same owner when no other backend server is left; before, it ended as OwnerSilent at once though new connections worked.

--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -37,6 +37,7 @@
 		refused:  make(map[string]bool),
 	}
 	reply, result := journey.call(ctx, call)
+	result = journey.truthful(result)
 	journey.finish(result)
 	return reply, result
 }
@@ -47,7 +48,7 @@
 		if result := j.checkTime(ctx); result != nil {
 			return Reply{}, result
 		}
-		if result := j.nextOwner(ctx); result != nil {
+		if result := j.nextOwner(ctx); result != nil && !j.askAgain(result) {
 			return Reply{}, result
 		}
 		reply, result := j.askOwner(ctx, call)
@@ -57,6 +58,12 @@
 	}
 }
 
+// askAgain tells whether the same owner is asked on a fresh connection: no other
+// one is left, and the last connection fell silent.
+func (j *journey) askAgain(result *receipt.Result) bool {
+	return j.request.Repeatable && j.lastRefusal != nil && result.Code == receipt.OwnerSilent
+}
+
 // askOwner sends the call to the target. A call whose reply was lost is asked
 // again by request identity where it may not be repeated elsewhere.
 func (j *journey) askOwner(ctx context.Context, call Call) (Reply, *receipt.Result) {
@@ -73,7 +80,10 @@
 		if ctx.Err() != nil {
 			return Reply{}, j.callCut(ctx, sent)
 		}
-		sent = sent || !errors.Is(err, line.ErrDial)
+		if !errors.Is(err, line.ErrDial) {
+			sent = true
+			j.mayHaveRun(j.brokenOff(err))
+		}
 		j.disturbed(err.Error())
 		now := time.Now()
 		j.Picker.Unreachable(j.target, now)
--- a/internal/routing/visit/fixture_test.go
+++ b/internal/routing/visit/fixture_test.go
@@ -30,6 +30,8 @@
 
 	mu    sync.Mutex
 	asked []*message.GenerateRequest
+	// silentCalls is how many coming plain calls get no reply.
+	silentCalls int
 }
 
 func (o *owner) Generate(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
@@ -40,10 +42,22 @@
 	return step(in, out)
 }
 
-func (o *owner) Call(context.Context, *message.CallRequest) (*message.CallReply, error) {
+func (o *owner) Call(ctx context.Context, _ *message.CallRequest) (*message.CallReply, error) {
+	if o.staysSilent() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return &message.CallReply{HttpStatus: 200, Load: o.load()}, nil
 }
 
+// staysSilent takes one of the calls that get no reply.
+func (o *owner) staysSilent() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.silentCalls--
+	return o.silentCalls >= 0
+}
+
 func (o *owner) Cancel(context.Context, *message.CancelRequest) (*message.CancelReply, error) {
 	return &message.CancelReply{}, nil
 }
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -42,6 +42,7 @@
 		j.disturbed(err.Error())
 		if !errors.Is(err, line.ErrDial) {
 			sent = true
+			j.mayHaveRun(j.brokenOff(err))
 		}
 		if j.delivery.Next() > before {
 			silentUntil = j.silentDeadline()
--- a/internal/routing/visit/journey.go
+++ b/internal/routing/visit/journey.go
@@ -28,6 +28,9 @@
 	attempt int
 	// lastRefusal is the newest refusal of an owner.
 	lastRefusal *receipt.Result
+	// unsure is the newest result of an attempt that may have run; nil when none
+	// may have.
+	unsure *receipt.Result
 	// askedAt is when the newest connection to the owner was opened.
 	askedAt time.Time
 	// resumed tells that the caller holds tokens that another entry host delivered.
@@ -113,6 +116,7 @@
 // result. A request that is given up on gets its final result at once.
 func (j *journey) moveOn(ctx context.Context, result *receipt.Result) *receipt.Result {
 	j.refused[j.target.Backend] = true
+	j.mayHaveRun(result)
 	if !j.mayMoveOn(result) {
 		return result
 	}
--- /dev/null
+++ b/internal/routing/visit/truth_test.go
@@ -0,0 +1,108 @@
+package visit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// TestNotRunOnlyWhenNothingRan checks that a request of which one attempt may
+// have run never ends as not run, whatever the later attempts say.
+func TestNotRunOnlyWhenNothingRan(t *testing.T) {
+	broken := func(*message.GenerateRequest, message.DRPCBackend_GenerateStream) error {
+		return context.Canceled
+	}
+	tests := []struct {
+		name string
+		// script prepares the first owner; the second one refuses.
+		script func(*owner)
+		whole  bool
+	}{
+		{
+			name: "lost with tokens, then refused",
+			script: func(o *owner) {
+				o.script = append(o.script, o.send(1, "one", "two"), o.refuse(receipt.NotHeld, false))
+			},
+			whole: true,
+		},
+		{
+			name: "engine failed, then refused",
+			script: func(o *owner) {
+				o.script = append(o.script, func(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
+					f := o.end(in, 0)
+					f.GetEnd().Code = uint32(receipt.EngineFailed)
+					return out.Send(f)
+				})
+			},
+		},
+		{
+			name: "path broke before the first frame, then refused",
+			script: func(o *owner) {
+				o.script = append(o.script, broken, o.refuse(receipt.QueueFull, false))
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			first := &owner{name: "a", incarnation: 7}
+			tt.script(first)
+			first.serve(t)
+			second := &owner{name: "b", incarnation: 8}
+			second.script = append(second.script, second.refuse(receipt.QueueFull, false))
+			second.serve(t)
+			result := runner(&picker{owners: []*owner{first, second}}, nil).
+				Generate(context.Background(), Request{ID: "r1", Repeatable: true, Whole: tt.whole}, &answer{})
+			is.Equal(result.Code.Info().Outcome, receipt.Unknown)
+			is.Equal(second.calls(), 1)
+		})
+	}
+}
+
+// TestDeadlineAfterLossIsUnknown checks that a deadline that passes between two
+// attempts does not hide that the first one ran.
+func TestDeadlineAfterLossIsUnknown(t *testing.T) {
+	is := is.New(t)
+	lost := &owner{name: "a", incarnation: 7}
+	deadline := time.Now().Add(150 * time.Millisecond)
+	lost.script = append(lost.script, func(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
+		time.Sleep(time.Until(deadline.Add(-20 * time.Millisecond)))
+		f := lost.end(in, 0)
+		f.GetEnd().Code = uint32(receipt.EngineFailed)
+		return out.Send(f)
+	})
+	lost.serve(t)
+	p := &latePicker{picker: picker{owners: []*owner{lost}}, at: deadline.Add(time.Millisecond)}
+	r := runner(nil, nil)
+	r.Picker = p
+	result := r.Generate(context.Background(), Request{ID: "r1", Repeatable: true, Deadline: deadline}, &answer{})
+	is.Equal(result.Code.Info().Outcome, receipt.Unknown)
+}
+
+// latePicker lets every repeat wait until at.
+type latePicker struct {
+	picker
+	at time.Time
+}
+
+func (p *latePicker) Retry(allowance.Attempt, time.Time) allowance.Decision {
+	return allowance.Retry{At: p.at}
+}
+
+// TestRepeatableCallIsAskedAgain checks that a call whose path went silent takes
+// a fresh connection to the same owner when there is no other.
+func TestRepeatableCallIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	o := &owner{name: "a", incarnation: 7, silentCalls: 1}
+	o.serve(t)
+	reply, result := runner(&picker{owners: []*owner{o}}, nil).
+		Call(context.Background(), Call{ID: "r1", Service: "front-desk", Repeatable: true})
+	is.Equal(result.Code, receipt.OK)
+	is.Equal(reply.Status, 200)
+}
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -122,7 +122,7 @@
 		delivery: &delivery.Delivery{RequestID: request.ID},
 		refused:  make(map[string]bool),
 	}
-	result := journey.run(ctx)
+	result := journey.truthful(journey.run(ctx))
 	journey.finish(result)
 	return result
 }
