--- a/internal/backend/keeper/cache.go
+++ b/internal/backend/keeper/cache.go
@@ -41,13 +41,11 @@
 // watchCache reads the engine's cache events until ctx ends. Without an answer
 // the prefixes stay as they are believed.
 func (k *Keeper) watchCache(ctx context.Context) error {
-	for {
-		wait(ctx, time.Now().Add(cacheMillis*time.Millisecond))
-		if ctx.Err() != nil {
-			return nil
-		}
+	for ctx.Err() == nil {
 		k.readCacheEvents(ctx)
+		wait(ctx, time.Now().Add(cacheMillis*time.Millisecond))
 	}
+	return nil
 }
 
 func (k *Keeper) readCacheEvents(ctx context.Context) {
