--- a/internal/backend/keeper/drive.go
+++ b/internal/backend/keeper/drive.go
@@ -29,16 +29,15 @@
 )
 
 // drive runs one generation on the engine to its end.
-func (k *Keeper) drive(ctx context.Context, j *job) error {
+func (k *Keeper) drive(ctx context.Context, j *job) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	if !k.bindStop(j, stop) {
 		k.finish(j, receipt.Cancelled, "cancelled before the start")
-		return nil
+		return
 	}
 	code, reason := k.generate(ctx, j)
 	k.finish(j, code, reason)
-	return nil
 }
 
 // bindStop lets others stop the job from now on. It returns false when the job
--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/crew"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
@@ -89,8 +90,8 @@
 	recent  prefixes
 	// cacheSequence is that of the newest cache event taken.
 	cacheSequence uint64
-	// start passes admitted jobs to Run.
-	start chan *job
+	// crew runs the admitted jobs.
+	crew crew.Crew
 }
 
 // job is one open generation. The keeper's mutex guards its changing fields.
@@ -119,7 +120,8 @@
 // before the first call is served.
 func (k *Keeper) Prepare() {
 	k.jobs = make(map[string]*job)
-	k.start = make(chan *job, k.Settings.MaxRunning+k.Settings.QueueLimit+1)
+	k.crew.Backlog = k.Settings.MaxRunning + k.Settings.QueueLimit + 1
+	k.crew.Prepare()
 	k.pace = pace{micros: firstStepMicros}
 }
 
@@ -129,16 +131,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.tick(ctx) })
 	group.Go(func() error { return k.watchCache(ctx) })
-	group.Go(func() error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case j := <-k.start:
-				group.Go(func() error { return k.drive(ctx, j) })
-			}
-		}
-	})
+	group.Go(func() error { return k.crew.Run(ctx) })
 	return errors.Wrap(group.Wait(), "run keeper")
 }
 
@@ -158,11 +151,11 @@
 	}
 }
 
-// launch hands admitted jobs to Run. The caller holds the mutex. The channel
-// has room for every job that the book holds.
+// launch hands an admitted job to the crew. The caller holds the mutex; the
+// crew has room for every job that the book holds.
 func (k *Keeper) launch(j *job) {
 	j.running = true
-	k.start <- j
+	k.crew.Submit(func(ctx context.Context) { k.drive(ctx, j) })
 }
 
 // startNext starts the waiting requests that fit now.
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/crew"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/desk"
@@ -48,39 +49,22 @@
 
 	leaving atomic.Bool
 	running atomic.Int64
-	// work passes calls that may not be repeated to Run, which outlives the
-	// connection that brought them.
-	work chan work
-}
-
-// work is one call that may not be repeated.
-type work struct {
-	in *message.CallRequest
+	// crew runs the calls that may not be repeated.
+	crew crew.Crew
 }
 
 // Prepare sets up the state that calls need. It is called once, before Run and
 // before the first call is served.
 func (p *Porter) Prepare() {
-	p.work = make(chan work, p.Settings.MaxRunning)
+	p.crew.Backlog = p.Settings.MaxRunning
+	p.crew.Prepare()
 }
 
 // Run works until ctx ends.
 func (p *Porter) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.evict(ctx) })
-	group.Go(func() error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case w := <-p.work:
-				group.Go(func() error {
-					p.runOnce(ctx, w.in)
-					return nil
-				})
-			}
-		}
-	})
+	group.Go(func() error { return p.crew.Run(ctx) })
 	return errors.Wrap(group.Wait(), "run porter")
 }
 
@@ -172,7 +156,7 @@
 		return warden.StartRefusal(err, now)
 	}
 	if !held {
-		p.work <- work{in: in}
+		p.crew.Submit(func(ctx context.Context) { p.runOnce(ctx, in) })
 	}
 	return nil
 }
