--- a/internal/trial/openday/engine_faults_test.go
+++ b/internal/trial/openday/engine_faults_test.go
@@ -38,10 +38,20 @@
 			second := newCrowd(d, "outline", prompts(6, 40), c)
 			first.checkWhole(t, d)
 			second.checkWhole(t, d)
+			checkUsed(t, &d.backends[0].engine.Faults)
 		})
 	}
 }
 
+// checkUsed checks that every fault that was switched has happened.
+func checkUsed(t *testing.T, f *engine.Faults) {
+	t.Helper()
+	left := f.CrossEvents.Load() + f.CrossEnds.Load() + f.RepeatTokens.Load() + f.OmitTokens.Load() + f.LoseAnswers.Load()
+	if left > 0 {
+		t.Errorf("%d faults did not happen", left)
+	}
+}
+
 // TestEngineCrash checks that a crash of the engine ends streamed answers as
 // failed, and that whole repeatable answers run again unseen.
 func TestEngineCrash(t *testing.T) {
