fix: a slow plain service is told from a dead path

Cause: a plain call had one reply and no heartbeat, so an entry host cut any call that took longer than the progress deadline; a repeatable one ended as OwnerSilent where no other backend server was left, and one that may not be repeated ended as unknown after the silence deadline though its service was at work. Seen as a failure of TestPlainCallSilent on a busy machine, whose service takes as long as the progress deadline. Ruled out: a longer deadline, which would find dead paths later. Change: the owner streams heartbeats until the reply.

--- a/internal/backend/keeper/load.go
+++ b/internal/backend/keeper/load.go
@@ -52,6 +52,6 @@
 }
 
 // Call is not served by an engine.
-func (k *Keeper) Call(context.Context, *message.CallRequest) (*message.CallReply, error) {
-	return nil, drpcerr.WithCode(errors.New("an engine runs no plain call"), drpcerr.Unimplemented)
+func (k *Keeper) Call(*message.CallRequest, message.DRPCBackend_CallStream) error {
+	return drpcerr.WithCode(errors.New("an engine runs no plain call"), drpcerr.Unimplemented)
 }
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -82,9 +82,44 @@
 }
 
 // Call runs one call, or returns the reply of the run that this incarnation
-// holds for the same request.
-func (p *Porter) Call(ctx context.Context, in *message.CallRequest) (*message.CallReply, error) {
+// holds for the same request. Heartbeats tell the asker that the path is alive.
+func (p *Porter) Call(in *message.CallRequest, out message.DRPCBackend_CallStream) error {
 	p.VersionSeen(in.GetConfigVersion(), in.GetAsker())
+	group, ctx := errgroup.WithContext(out.Context())
+	replied := make(chan *message.CallReply, 1)
+	group.Go(func() error {
+		replied <- p.reply(ctx, in)
+		return nil
+	})
+	group.Go(func() error { return p.send(ctx, out, replied) })
+	return group.Wait()
+}
+
+// send sends heartbeats until the reply is there, then the reply.
+func (p *Porter) send(ctx context.Context, out message.DRPCBackend_CallStream, replied <-chan *message.CallReply) error {
+	ticker := time.NewTicker(time.Duration(p.Settings.HeartbeatMillis) * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case reply := <-replied:
+			return out.Send(&message.CallFrame{Body: &message.CallFrame_Reply{Reply: reply}})
+		case <-ticker.C:
+			if err := out.Send(heartbeat()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func heartbeat() *message.CallFrame {
+	running := &message.Heartbeat{State: message.GenerationState_GENERATION_STATE_RUNNING}
+	return &message.CallFrame{Body: &message.CallFrame_Heartbeat{Heartbeat: running}}
+}
+
+// reply returns the reply or the refusal of one call.
+func (p *Porter) reply(ctx context.Context, in *message.CallRequest) *message.CallReply {
 	reply, refusal := p.call(ctx, in)
 	if refusal != nil {
 		p.Records.Record(in.GetRequestId(), refusal.Record())
@@ -96,7 +131,7 @@
 		}
 	}
 	reply.Load = p.Load()
-	return reply, nil
+	return reply
 }
 
 func (p *Porter) call(ctx context.Context, in *message.CallRequest) (*message.CallReply, *receipt.Result) {
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"storj.io/drpc"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
@@ -111,10 +110,33 @@
 	}
 }
 
+// send opens one connection and waits for the reply while heartbeats come.
 func (j *journey) send(ctx context.Context, call Call) (*message.CallReply, error) {
-	ctx, stop := context.WithDeadline(ctx, j.progressDeadline())
-	defer stop()
-	request := &message.CallRequest{
+	ctx, watch := j.watch(ctx)
+	defer watch.stop()
+	conn, err := line.Dial(ctx, j.target.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := message.NewDRPCBackendClient(conn).Call(ctx, j.callRequest(call))
+	if err != nil {
+		return nil, errors.CombineErrors(context.Cause(ctx), err)
+	}
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return nil, errors.CombineErrors(context.Cause(ctx), err)
+		}
+		watch.alive()
+		if reply := frame.GetReply(); reply != nil {
+			return reply, nil
+		}
+	}
+}
+
+func (j *journey) callRequest(call Call) *message.CallRequest {
+	return &message.CallRequest{
 		RequestId:         j.request.ID,
 		Account:           call.Account,
 		Class:             call.Class,
@@ -128,10 +150,6 @@
 		ConfigVersion:     j.ConfigVersion(),
 		Asker:             j.Address,
 	}
-	return line.CallData(ctx, j.target.PeerAddress,
-		func(ctx context.Context, conn drpc.Conn) (*message.CallReply, error) {
-			return message.NewDRPCBackendClient(conn).Call(ctx, request)
-		})
 }
 
 func (j *journey) takeReply(reply *message.CallReply, askedAt time.Time) (Reply, *receipt.Result) {
--- a/internal/routing/visit/fixture_test.go
+++ b/internal/routing/visit/fixture_test.go
@@ -32,8 +32,14 @@
 	asked []*message.GenerateRequest
 	// silentCalls is how many coming plain calls get no reply.
 	silentCalls int
+	// heartbeats is how many heartbeats come before the reply of a plain call.
+	heartbeats int
 }
 
+// heartbeatMillis is the pause between heartbeats, well under the progress
+// deadline of the tests.
+const heartbeatMillis = 50
+
 func (o *owner) Generate(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
 	o.mu.Lock()
 	step := o.script[min(len(o.asked), len(o.script)-1)]
@@ -42,12 +48,20 @@
 	return step(in, out)
 }
 
-func (o *owner) Call(ctx context.Context, _ *message.CallRequest) (*message.CallReply, error) {
+func (o *owner) Call(_ *message.CallRequest, out message.DRPCBackend_CallStream) error {
 	if o.staysSilent() {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		<-out.Context().Done()
+		return out.Context().Err()
+	}
+	for range o.heartbeats {
+		time.Sleep(heartbeatMillis * time.Millisecond)
+		beat := &message.CallFrame_Heartbeat{Heartbeat: &message.Heartbeat{}}
+		if err := out.Send(&message.CallFrame{Body: beat}); err != nil {
+			return err
+		}
 	}
-	return &message.CallReply{HttpStatus: 200, Load: o.load()}, nil
+	reply := &message.CallReply{HttpStatus: 200, Load: o.load()}
+	return out.Send(&message.CallFrame{Body: &message.CallFrame_Reply{Reply: reply}})
 }
 
 // staysSilent takes one of the calls that get no reply.
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -14,9 +14,6 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
-// errNoProgress is the cause of a path that was cut for its silence.
-var errNoProgress = errors.New("no frame came before the progress deadline")
-
 // errGap reports a frame that is missing; a fresh connection asks for it again.
 var errGap = errors.New("a frame is missing")
 
@@ -112,15 +109,13 @@
 // attach opens one connection and relays until the answer ends or the path
 // breaks. A nil result comes with the cause of the break.
 func (j *journey) attach(ctx context.Context) (*receipt.Result, error) {
-	ctx, cut := context.WithCancelCause(ctx)
-	defer cut(nil)
+	ctx, watch := j.watch(ctx)
+	defer watch.stop()
 	conn, err := line.Dial(ctx, j.target.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	watchdog := time.AfterFunc(time.Until(j.progressDeadline()), func() { cut(errNoProgress) })
-	defer watchdog.Stop()
 	j.askedAt = time.Now()
 	stream, err := message.NewDRPCBackendClient(conn).Generate(ctx, j.generateRequest())
 	if err != nil {
@@ -131,7 +126,7 @@
 		if err != nil {
 			return nil, errors.CombineErrors(context.Cause(ctx), err)
 		}
-		watchdog.Reset(time.Until(j.progressDeadline()))
+		watch.alive()
 		result, err := j.take(frame)
 		if result != nil || err != nil {
 			return result, err
--- a/internal/routing/visit/visit_test.go
+++ b/internal/routing/visit/visit_test.go
@@ -188,3 +188,15 @@
 	is.True(!result.RetryAt.IsZero())
 	is.Equal(full.calls(), 1)
 }
+
+// TestSlowCallIsNotCut proves that a plain service may take longer than the
+// progress deadline while its owner's heartbeats come.
+func TestSlowCallIsNotCut(t *testing.T) {
+	is := is.New(t)
+	o := &owner{name: "a", incarnation: 7, heartbeats: 8}
+	o.serve(t)
+	reply, result := runner(&picker{owners: []*owner{o}}, nil).
+		Call(context.Background(), Call{ID: "c1", Repeatable: true})
+	is.Equal(result.Code, receipt.OK)
+	is.Equal(reply.Status, 200)
+}
--- a/internal/wire/line/line.go
+++ b/internal/wire/line/line.go
@@ -90,19 +90,8 @@
 // Call dials address, runs one call that carries no caller's data, and closes
 // the connection.
 func Call[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
-	return callOnce(ctx, address, Control, call)
-}
-
-// CallData is Call for a call that carries a caller's data.
-func CallData[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
-	return callOnce(ctx, address, Data, call)
-}
-
-func callOnce[R any](
-	ctx context.Context, address string, traffic *Traffic, call func(context.Context, drpc.Conn) (R, error),
-) (R, error) {
 	var none R
-	conn, err := dial(ctx, address, traffic)
+	conn, err := dial(ctx, address, Control)
 	if err != nil {
 		return none, err
 	}
