test: deployments start sooner

Change: the platform lists all hosts from the start, the operator file is published before, and entry hosts start when the processes beside the backend servers answer. A deployment serves once its hosts are listed and configured; the recorded sessions also wait until loads were heard.

--- a/internal/trial/openday/deployment_test.go
+++ b/internal/trial/openday/deployment_test.go
@@ -84,19 +84,24 @@
 	t.Cleanup(func() { places.Release(count) })
 	d := &deployment{t: t, directory: t.TempDir(), pool: newAddressPool(t)}
 	d.prepare(l)
+	d.listHosts()
 	d.serveSite()
+	if !l.unconfigured {
+		d.apply()
+	}
 	for _, b := range d.backends {
 		b.start()
 	}
+	for _, b := range d.backends {
+		b.waitServing()
+	}
 	for _, e := range d.entries {
 		e.start()
 	}
-	if l.unconfigured {
-		d.waitListed()
-		return d
+	d.waitListed()
+	if !l.unconfigured {
+		d.waitConfigured()
 	}
-	d.apply()
-	d.waitReady()
 	return d
 }
 
--- a/internal/trial/openday/golden_test.go
+++ b/internal/trial/openday/golden_test.go
@@ -36,6 +36,7 @@
 	d := newDeployment(t, layout{entries: 2, engines: 1, desks: 1, changeEntry: func(s *process.Entry) {
 		s.MaxBodyBytes = bodyLimitBytes
 	}})
+	d.waitReady()
 	d.waitClaims(t)
 	sessions := []struct {
 		name   string
--- a/internal/trial/openday/readiness_test.go
+++ b/internal/trial/openday/readiness_test.go
@@ -15,35 +15,57 @@
 // host has heard from every backend server.
 func (d *deployment) waitReady() {
 	d.t.Helper()
-	d.waitListed()
+	d.waitConfigured()
 	for _, e := range d.entries {
-		eventually(d.t, e.name+" is configured", func() error { return configured(e.settings.PeerAddress) })
-	}
-	for _, b := range d.backends {
-		eventually(d.t, b.name+" is configured", func() error { return configured(b.settings.PeerAddress) })
+		eventually(d.t, e.name+" hears from the backend servers", func() error {
+			return d.knowsAll(e, func(h peer.HostStatus) bool { return h.AgeMillis >= 0 })
+		})
 	}
 }
 
-// waitListed waits until every entry host has heard from every backend server.
+// waitServing waits until the process beside a backend server answers.
+func (b *backendServer) waitServing() {
+	b.t.Helper()
+	eventually(b.t, b.name+" answers", func() error {
+		_, err := askStatus(b.settings.PeerAddress)
+		return err
+	})
+}
+
+// waitListed waits until every entry host knows of every backend server.
 func (d *deployment) waitListed() {
 	d.t.Helper()
 	for _, e := range d.entries {
-		eventually(d.t, e.name+" knows the backend servers", func() error { return d.knowsAll(e) })
+		eventually(d.t, e.name+" knows the backend servers", func() error {
+			return d.knowsAll(e, func(peer.HostStatus) bool { return true })
+		})
+	}
+}
+
+// waitConfigured waits until every process has the operator file.
+func (d *deployment) waitConfigured() {
+	d.t.Helper()
+	for _, e := range d.entries {
+		eventually(d.t, e.name+" is configured", func() error { return configured(e.settings.PeerAddress) })
+	}
+	for _, b := range d.backends {
+		eventually(d.t, b.name+" is configured", func() error { return configured(b.settings.PeerAddress) })
 	}
 }
 
-func (d *deployment) knowsAll(e *entryHost) error {
+// knowsAll checks what an entry host knows of each backend server.
+func (d *deployment) knowsAll(e *entryHost, known func(peer.HostStatus) bool) error {
 	status, err := askStatus(e.settings.PeerAddress)
 	if err != nil {
 		return err
 	}
 	seen := make(map[string]bool)
 	for _, h := range status.Hosts {
-		seen[h.Name] = h.AgeMillis >= 0
+		seen[h.Name] = known(h)
 	}
 	for _, b := range d.backends {
 		if !seen[b.settings.Name] {
-			return errors.Newf("nothing heard from %s", b.settings.Name)
+			return errors.Newf("too little is known of %s", b.settings.Name)
 		}
 	}
 	return nil
--- a/internal/trial/openday/site_test.go
+++ b/internal/trial/openday/site_test.go
@@ -14,6 +14,41 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
+// listHosts puts every host into the platform's list from the start.
+func (d *deployment) listHosts() {
+	list := d.site.HostList
+	for _, e := range d.entries {
+		list.InitialHosts = append(list.InitialHosts, hostlist.Host{
+			Name:        e.settings.Name,
+			Role:        hostlist.RoleEntry,
+			Region:      e.settings.Region,
+			Zone:        e.settings.Zone,
+			PeerAddress: e.settings.PeerAddress,
+			State:       hostlist.StateLive,
+		})
+	}
+	for _, b := range d.backends {
+		list.InitialHosts = append(list.InitialHosts, hostlist.Host{
+			Name:        b.settings.Name,
+			Role:        hostlist.RoleBackend,
+			Region:      b.settings.Region,
+			Zone:        b.settings.Zone,
+			PeerAddress: b.listedAddress(),
+			Model:       b.settings.Model,
+			Service:     b.settings.Service,
+			State:       hostlist.StateLive,
+		})
+	}
+}
+
+// listedAddress is the address at which entry hosts reach the process.
+func (b *backendServer) listedAddress() string {
+	if b.relay == nil {
+		return b.settings.PeerAddress
+	}
+	return b.relay.listener.Addr().String()
+}
+
 // serveSite runs the stand-ins until the test ends.
 func (d *deployment) serveSite() {
 	ctx, stop := context.WithCancel(context.Background())
@@ -46,8 +81,8 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		if b := d.backend(host.Name); b != nil && b.relay != nil {
-			host.PeerAddress = b.relay.listener.Addr().String()
+		if b := d.backend(host.Name); b != nil {
+			host.PeerAddress = b.listedAddress()
 		}
 		d.site.HostList.Put(host)
 		w.WriteHeader(http.StatusNoContent)
