fix: an owner whose address refuses connections is gone after 2 s

Cause: a generation whose owner had died ended as lost after the silence deadline of 15 s only, though the host of the owner answered each attempt with a refused connection. The caller heard nothing meanwhile. Ruled out: the first refused connection as proof, since a device on the path may refuse for a moment; a shorter silence deadline, as a frozen owner goes on. Change: refused connections alone for 2 s end the attempts; whatever else comes in between starts the time anew. Nothing listens at the address then, so the incarnation is gone and its generation can't be continued.

--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -69,7 +69,7 @@
 func (j *journey) askOwner(ctx context.Context, call Call) (Reply, *receipt.Result) {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
-	silentUntil := j.silentDeadline()
+	silence := j.newSilence()
 	sent := false
 	for {
 		askedAt := time.Now()
@@ -86,12 +86,13 @@
 		}
 		j.disturbed(err.Error())
 		now := time.Now()
+		silence.take(err, now)
 		j.Picker.Unreachable(j.target, now)
 		if !sent && j.permit == nil {
 			return Reply{}, receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, err).
 				WithRetryAt(now.Add(time.Second))
 		}
-		if j.request.Repeatable || now.After(silentUntil) {
+		if j.request.Repeatable || silence.ended(now) {
 			return Reply{}, receipt.New(receipt.OwnerSilent, "%s does not answer: %v", j.target.Backend, err).
 				WithRetryAt(now.Add(time.Second))
 		}
--- a/internal/routing/visit/fixture_test.go
+++ b/internal/routing/visit/fixture_test.go
@@ -79,6 +79,14 @@
 
 // serve starts the owner on loopback until the test ends.
 func (o *owner) serve(t testing.TB) *owner {
+	t.Helper()
+	o.serveUntil(t)
+	return o
+}
+
+// serveUntil starts the owner on loopback. It ends with the test, or when the
+// returned function is called.
+func (o *owner) serveUntil(t testing.TB) func() {
 	t.Helper()
 	is := is.New(t)
 	var config net.ListenConfig
@@ -90,11 +98,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return (&line.Server{Listener: listener, Handler: mux}).Run(ctx) })
-	t.Cleanup(func() {
+	end := func() {
 		stop()
 		_ = group.Wait()
-	})
-	return o
+	}
+	t.Cleanup(end)
+	return end
 }
 
 // frame returns a frame of the owner's only generation.
@@ -202,6 +211,8 @@
 type answer struct {
 	begun int
 	texts []string
+	// onTokens is called when tokens came; it may be nil.
+	onTokens func()
 }
 
 func (a *answer) Begin(ticket.Ticket) {
@@ -211,6 +222,9 @@
 
 func (a *answer) Tokens(_ uint64, text []string) error {
 	a.texts = append(a.texts, text...)
+	if a.onTokens != nil {
+		a.onTokens()
+	}
 	return nil
 }
 
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -28,7 +28,7 @@
 func (j *journey) follow(ctx context.Context) *receipt.Result {
 	ctx, stop := j.withDeadline(ctx)
 	defer stop()
-	silentUntil := j.silentDeadline()
+	silence := j.newSilence()
 	sent := j.resumed
 	for {
 		before := j.delivery.Next()
@@ -45,9 +45,10 @@
 			j.mayHaveRun(j.brokenOff(err))
 		}
 		if j.delivery.Next() > before {
-			silentUntil = j.silentDeadline()
+			silence = j.newSilence()
 		}
-		if lost := j.giveUp(sent, silentUntil, err); lost != nil {
+		silence.take(err, time.Now())
+		if lost := j.giveUp(sent, silence, err); lost != nil {
 			return lost
 		}
 		pause(ctx, time.Now().Add(reattachMillis*time.Millisecond))
@@ -55,7 +56,7 @@
 }
 
 // giveUp decides whether the owner is asked again after a broken path.
-func (j *journey) giveUp(sent bool, silentUntil time.Time, cause error) *receipt.Result {
+func (j *journey) giveUp(sent bool, silence silence, cause error) *receipt.Result {
 	now := time.Now()
 	j.Picker.Unreachable(j.target, now)
 	if !sent && j.permit == nil {
@@ -66,7 +67,7 @@
 	if replaceable && errors.Is(cause, line.ErrDial) {
 		return receipt.New(receipt.OwnerSilent, "%s is gone: %v", j.target.Backend, cause)
 	}
-	if now.Before(silentUntil) {
+	if !silence.ended(now) {
 		return nil
 	}
 	if j.delivery.Next() > 0 {
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -184,11 +184,3 @@
 	}
 	return time.Now().Add(time.Duration(millis) * time.Millisecond)
 }
-
-func (r *Runner) silentDeadline() time.Time {
-	millis := r.SilentMillis
-	if millis == 0 {
-		millis = defaultSilentMillis
-	}
-	return time.Now().Add(time.Duration(millis) * time.Millisecond)
-}
