--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -90,6 +90,8 @@
 		Urgent:       class.Urgent,
 		Repeatable:   in.GetRepeatable(),
 		PromptTokens: len(in.GetPrompt())/promptBytesPerToken + 1,
+		PrefixHash:   PrefixHash(in.GetPrompt()),
+		PrefixTokens: min(len(in.GetPrompt()), prefixBytes) / promptBytesPerToken,
 		MaxTokens:    int(in.GetMaxTokens()),
 		Deadline:     warden.TimeFromNanos(in.GetDeadlineUnixNanos()),
 	}
