fix: a reply or body that no message holds is refused with its reason

Cause: settings allowed bodies of 64 MiB and plain services replies of 16 MiB, while a message between processes holds 4 MiB; such a reply broke its path, and the call was asked again until it ended as unknown without a reason. Ruled out: larger messages, which bound memory. Change: settings allow 3 MiB, and a larger reply ends as ReplyLost with its reason. Tests of the owner of a plain service come with it.

--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -156,13 +157,26 @@
 		return nil, receipt.New(receipt.QueueFull, "%d calls run", p.Settings.MaxRunning).WithRetryAt(warden.RetryAt(now))
 	}
 	defer p.running.Add(-1)
-	reply, err := p.Desk.Call(ctx, requestOf(in))
+	reply, err := p.ask(ctx, in)
 	if err != nil {
 		return nil, failure(err)
 	}
 	return replyOf(reply), nil
 }
 
+// errReplyTooLarge means that the service answered with more than a message
+// holds.
+var errReplyTooLarge = errors.Newf("the reply is over %d bytes", line.MaxBodyBytes)
+
+// ask calls the plain service.
+func (p *Porter) ask(ctx context.Context, in *message.CallRequest) (desk.Reply, error) {
+	reply, err := p.Desk.Call(ctx, requestOf(in))
+	if err == nil && len(reply.Body) > line.MaxBodyBytes {
+		return desk.Reply{}, errReplyTooLarge
+	}
+	return reply, err
+}
+
 // enter takes a place among the running calls.
 func (p *Porter) enter() bool {
 	if p.running.Add(1) > int64(p.Settings.MaxRunning) {
@@ -217,7 +231,7 @@
 	ctx, stop := context.WithDeadline(ctx, runDeadline(in))
 	defer stop()
 	code, reason := receipt.OK, ""
-	reply, err := p.Desk.Call(ctx, requestOf(in))
+	reply, err := p.ask(ctx, in)
 	if err == nil {
 		err = p.hold(id, reply)
 	}
--- /dev/null
+++ b/internal/backend/porter/porter_test.go
@@ -0,0 +1,161 @@
+package porter
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/desk"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+const incarnation = 7
+
+// service is a plain service that waits before it answers.
+type service struct {
+	release chan struct{}
+	calls   chan string
+	body    []byte
+	err     error
+}
+
+func (s *service) Call(_ context.Context, r desk.Request) (desk.Reply, error) {
+	s.calls <- r.RequestID
+	<-s.release
+	return desk.Reply{Status: 201, ContentType: "application/json", Body: s.body}, s.err
+}
+
+// start runs a porter until the test ends.
+func start(t *testing.T, s *service) *Porter {
+	t.Helper()
+	book := &logbook.Logbook{Backend: "desk-1", Incarnation: incarnation, MaxBytes: 16 << 20}
+	p := &Porter{
+		Settings: process.Backend{
+			Name: "desk-1", MaxRunning: 2, HoldSeconds: 60, RememberSeconds: 3600, HeartbeatMillis: 1000,
+		},
+		Warden:        &warden.Warden{Backend: "desk-1", Incarnation: incarnation, Logbook: book, RememberSeconds: 3600},
+		Logbook:       book,
+		Desk:          s,
+		ConfigVersion: func() uint64 { return 1 },
+		VersionSeen:   func(uint64, string) {},
+		Log:           slog.New(slog.DiscardHandler),
+	}
+	p.Prepare()
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return p.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+	return p
+}
+
+func newService() *service {
+	return &service{release: make(chan struct{}), calls: make(chan string, 8), body: []byte("{}")}
+}
+
+// booking returns a call that may not be repeated, with its permit.
+func booking() *message.CallRequest {
+	id := uuid.Must(uuid.NewV7()).String()
+	return &message.CallRequest{
+		RequestId: id, Method: "POST", Path: "/bookings",
+		Permit: &message.Permit{Backend: "desk-1", Incarnation: incarnation, RequestId: id},
+	}
+}
+
+// TestCallGoesOnWithoutItsConnection proves that a call runs once though the
+// connection that brought it breaks, and that its reply is held.
+func TestCallGoesOnWithoutItsConnection(t *testing.T) {
+	is := is.New(t)
+	s := newService()
+	p := start(t, s)
+	in := booking()
+	broken, cut := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		reply := p.reply(broken, in)
+		is.Equal(receipt.Code(reply.GetCode()), receipt.NotHeld)
+		return nil
+	})
+	is.Equal(<-s.calls, in.GetRequestId())
+	cut()
+	is.NoErr(group.Wait())
+	close(s.release)
+	for range 2 {
+		reply := p.reply(context.Background(), in)
+		is.Equal(reply.GetHttpStatus(), uint32(201))
+	}
+	is.Equal(len(s.calls), 0)
+}
+
+func TestRefusals(t *testing.T) {
+	other := booking()
+	other.Permit.Incarnation++
+	old := booking()
+	old.RequestId = "01890000-0000-7000-8000-000000000000"
+	old.Permit.RequestId = old.GetRequestId()
+	tests := []struct {
+		name         string
+		give         *message.CallRequest
+		leaving      bool
+		wantCode     receipt.Code
+		wantRecorded bool
+	}{
+		{"permit of another incarnation", other, false, receipt.NotOwner, true},
+		{"leaving", booking(), true, receipt.Leaving, true},
+		{"leaving, repeatable", &message.CallRequest{RequestId: "r", Repeatable: true}, true, receipt.Leaving, false},
+		{"old identity", old, false, receipt.KeyExpired, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newService()
+			p := start(t, s)
+			if tt.leaving {
+				p.Leave()
+			}
+			reply := p.reply(context.Background(), tt.give)
+			is.Equal(receipt.Code(reply.GetCode()), tt.wantCode)
+			is.Equal(reply.GetRecorded(), tt.wantRecorded)
+			is.Equal(len(s.calls), 0)
+		})
+	}
+}
+
+func TestFailures(t *testing.T) {
+	tests := []struct {
+		name     string
+		body     []byte
+		err      error
+		wantCode receipt.Code
+		// wantRecorded tells that the key may be bound anew.
+		wantRecorded bool
+	}{
+		{"never sent", nil, desk.ErrRefused, receipt.EngineRefused, true},
+		{"broken", nil, desk.ErrBroken, receipt.ReplyLost, true},
+		{"too large", bytes.Repeat([]byte("x"), line.MaxBodyBytes+1), nil, receipt.ReplyLost, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newService()
+			s.body, s.err = tt.body, tt.err
+			close(s.release)
+			p := start(t, s)
+			reply := p.reply(context.Background(), booking())
+			is.Equal(receipt.Code(reply.GetCode()), tt.wantCode)
+			is.Equal(reply.GetRecorded(), tt.wantRecorded)
+		})
+	}
+}
--- a/internal/settings/process/entry.go
+++ b/internal/settings/process/entry.go
@@ -38,8 +38,9 @@
 	LogServiceAddress string `validate:"required,ipport"`
 	// HostListAddress is the platform's list of hosts.
 	HostListAddress string `validate:"required,ipport"`
-	// MaxBodyBytes limits the body of one request, in bytes.
-	MaxBodyBytes int `validate:"min=1,max=67108864"`
+	// MaxBodyBytes limits the body of one request, in bytes. A message between
+	// processes holds at most 3 MiB of it.
+	MaxBodyBytes int `validate:"min=1,max=3145728"`
 	// MaxOpenRequests limits the requests that are open at once.
 	MaxOpenRequests int `validate:"min=1,max=1000000"`
 	// DrainSeconds limits a graceful shutdown. Zero waits for all requests.
--- a/internal/wire/line/line.go
+++ b/internal/wire/line/line.go
@@ -21,6 +21,9 @@
 const (
 	// MaxMessageBytes bounds one message in either direction.
 	MaxMessageBytes = 4 << 20
+	// MaxBodyBytes bounds the body of a caller's request, or of a plain
+	// service's reply, inside a message.
+	MaxBodyBytes = 3 << 20
 	// dialMillis bounds the set-up of a connection.
 	dialMillis = 1000
 	// writeMillis bounds one write to a connection that takes no more bytes.
