--- a/internal/trial/season/table.go
+++ b/internal/trial/season/table.go
@@ -33,6 +33,11 @@
 	GapMillis float64
 	// Preemptions is the number for each thousand generations.
 	Preemptions float64
+	// WastedPercent is the part of the produced tokens whose answer was not
+	// completed.
+	WastedPercent float64
+	// Tokens counts the tokens of the completed answers, in thousands.
+	Tokens float64
 }
 
 // Figures returns the values of one class.
@@ -52,6 +57,8 @@
 		FirstFar:       seconds(c.FirstToken, 99),
 		GapMillis:      1000 * seconds(c.Gap, 99),
 		Preemptions:    c.PreemptionsPerThousand(),
+		WastedPercent:  100 * float64(c.Produced-c.Tokens) / float64(max(c.Produced, 1)),
+		Tokens:         float64(c.Tokens) / 1000,
 	}
 }
 
@@ -71,6 +78,8 @@
 		t.Lost += c.Lost
 		t.GaveUp += c.GaveUp
 		t.Started += c.Started
+		t.Tokens += c.Tokens
+		t.Produced += c.Produced
 		t.Preemptions += c.Preemptions
 		t.Stall.Merge(c.Stall)
 		t.Pause.Merge(c.Pause)
@@ -134,6 +143,8 @@
 	{"first p99 s", func(f Figures) float64 { return f.FirstFar }},
 	{"gap p99 ms", func(f Figures) float64 { return f.GapMillis }},
 	{"preempt/1000", func(f Figures) float64 { return f.Preemptions }},
+	{"tokens k", func(f Figures) float64 { return f.Tokens }},
+	{"wasted %", func(f Figures) float64 { return f.WastedPercent }},
 }
 
 // Row is one line of the table: a policy and a class over several seeds.
--- a/internal/trial/season/tally.go
+++ b/internal/trial/season/tally.go
@@ -27,6 +27,10 @@
 	GaveUp int
 	// Started counts the requests that reached an engine.
 	Started int
+	// Tokens counts the tokens of the completed answers.
+	Tokens int
+	// Produced counts the tokens of all answers, with those cut short.
+	Produced int
 	// Preemptions counts the preemptions of all generations.
 	Preemptions int
 	// Worth is the value of one completed request.
@@ -82,12 +86,14 @@
 	t := r.of(c)
 	t.Offered++
 	t.Preemptions += c.preemptions
+	t.Produced += c.produced
 	if c.started {
 		t.Started++
 	}
 	switch c.state {
 	case stateCompleted:
 		t.Completed++
+		t.Tokens += c.output
 	case stateRefused:
 		t.Refused++
 		return
