feat: start short answers first and bound the queue by place

Under overload cheap answers were refused as often as long drafts, since the queue was bounded by its length whoever stood in it.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -50,6 +50,9 @@
 	Request
 	// QueuedAt is when the request was offered.
 	QueuedAt time.Time
+	// ExpectedTokens is the length of the answer that was expected when the
+	// request was offered. At least 1.
+	ExpectedTokens int
 	// Overtaken counts the later requests that started first because this one
 	// did not fit.
 	Overtaken int
@@ -67,8 +70,8 @@
 	// UrgentHeadroomPermille is the share of memory and of the batch that only
 	// urgent requests may use.
 	UrgentHeadroomPermille int
-	// QueueLimit bounds the waiting requests. Urgent requests have as many
-	// places again as a quarter of it.
+	// QueueLimit bounds how many others may start before a request that waits.
+	// The whole queue is at most four times as long.
 	QueueLimit int
 }
 
--- a/internal/backend/booking/offer.go
+++ b/internal/backend/booking/offer.go
@@ -19,10 +19,14 @@
 	if roundUp(r.PromptTokens+1, b.BlockTokens) > b.limitTokens(r.Urgent) {
 		return Refuse{RequestID: r.RequestID, Reason: ReasonTooLarge}
 	}
-	w := &Waiting{Request: r, QueuedAt: now}
-	behind := b.ahead(w, now)
+	w := &Waiting{
+		Request:        r,
+		QueuedAt:       now,
+		ExpectedTokens: b.Lengths.Remaining(r.Class, r.Account, 0, expectedQuantile),
+	}
+	p := b.placeOf(w, now)
 	reason := ReasonBehind
-	if behind == 0 {
+	if p.ahead == 0 {
 		admit, blocked := b.try(w, b.profiles())
 		if blocked == 0 && !b.late(w, now) {
 			b.start(w, now)
@@ -30,20 +34,20 @@
 		}
 		reason = blocked
 	}
-	return b.enqueue(w, behind, reason, now)
+	return b.enqueue(w, p, reason, now)
 }
 
 // enqueue puts a request that cannot start into the queue, or refuses it.
-func (b *Book) enqueue(w *Waiting, behind int, reason Reason, now time.Time) Decision {
-	startAt := b.startAt(behind, now)
+func (b *Book) enqueue(w *Waiting, p place, reason Reason, now time.Time) Decision {
+	startAt := b.startAt(p.ahead, now)
 	if b.late(w, startAt) {
 		return Refuse{RequestID: w.RequestID, Reason: ReasonDeadline, RetryAt: b.retryAt(now)}
 	}
-	if full, ok := b.room(w.Request); !ok {
+	if full, ok := b.room(w, p); !ok {
 		return Refuse{RequestID: w.RequestID, Reason: full, RetryAt: b.retryAt(now)}
 	}
 	b.waiting = append(b.waiting, w)
-	return Wait{RequestID: w.RequestID, Position: behind + 1, Reason: reason, StartAt: startAt}
+	return Wait{RequestID: w.RequestID, Position: p.ahead + 1, Reason: reason, StartAt: startAt}
 }
 
 // late tells whether a request that starts at the given time has no fair chance
--- a/internal/backend/booking/query.go
+++ b/internal/backend/booking/query.go
@@ -60,8 +60,8 @@
 func (b *Book) Position(id string, now time.Time) (position int, startAt time.Time, ok bool) {
 	for _, w := range b.waiting {
 		if w.RequestID == id {
-			behind := b.ahead(w, now)
-			return behind + 1, b.startAt(behind, now), true
+			p := b.placeOf(w, now)
+			return p.ahead + 1, b.startAt(p.ahead, now), true
 		}
 	}
 	return 0, time.Time{}, false
--- a/internal/backend/booking/queue.go
+++ b/internal/backend/booking/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"time"
 )
 
@@ -13,11 +14,16 @@
 	overtakeDepth = 4
 	// overtakeLimit is how often one request may be overtaken.
 	overtakeLimit = 16
-	// urgentQueueDivisor is the part of the queue's length that is added for
-	// urgent requests.
-	urgentQueueDivisor = 4
-	// accountQueueDivisor is the part of the queue that one account may hold.
+	// wholeQueueFactor bounds the whole queue, in units of the policy's limit.
+	wholeQueueFactor = 4
+	// accountQueueDivisor is the part of the limit that one account may hold.
 	accountQueueDivisor = 2
+	// expectedQuantile is the quantile of the length by which requests are
+	// ordered.
+	expectedQuantile = 0.8
+	// bitsPerRank is the binary digits of the expected length that cost one
+	// priority: an answer four times as long starts later by one.
+	bitsPerRank = 2
 )
 
 // order compares two waiting requests; the negative one starts first.
@@ -36,47 +42,47 @@
 	)
 }
 
-// rank is the priority of a request, raised with the time it has waited.
+// rank is the priority of a request, raised with the time it has waited and
+// lowered with the length that is expected.
 func (w *Waiting) rank(now time.Time) int {
-	return w.Priority + int(now.Sub(w.QueuedAt).Milliseconds()/agingMillis)
+	raised := int(now.Sub(w.QueuedAt).Milliseconds() / agingMillis)
+	return w.Priority + raised - bits.Len(uint(w.ExpectedTokens))/bitsPerRank
 }
 
-// ahead counts the waiting requests that start before w.
-func (b *Book) ahead(w *Waiting, now time.Time) int {
-	count := 0
+// place is what stands before a request in the queue.
+type place struct {
+	// ahead counts the waiting requests that start before it.
+	ahead int
+	// ofAccount counts those of the same client account.
+	ofAccount int
+}
+
+// placeOf returns the place of a request in the queue.
+func (b *Book) placeOf(w *Waiting, now time.Time) place {
+	p := place{}
 	for _, other := range b.waiting {
-		if other != w && b.order(other, w, now) < 0 {
-			count++
+		if other == w || b.order(other, w, now) > 0 {
+			continue
+		}
+		p.ahead++
+		if other.Account == w.Account {
+			p.ofAccount++
 		}
 	}
-	return count
+	return p
 }
 
-// room tells whether the queue has a place for the request, and why not.
-func (b *Book) room(r Request) (Reason, bool) {
+// room tells whether a request may wait at its place, and why not. Those that
+// start after it do not count, so that long requests cannot keep short or urgent
+// ones out.
+func (b *Book) room(w *Waiting, p place) (Reason, bool) {
 	limit := b.Policy.QueueLimit
-	if r.Urgent {
-		limit += limit / urgentQueueDivisor
-	}
-	if len(b.waiting) >= limit {
+	switch {
+	case p.ahead >= limit || len(b.waiting) >= limit*wholeQueueFactor:
 		return ReasonQueueFull, false
-	}
-	if r.Urgent {
-		return 0, true
-	}
-	if b.heldBy(r.Account) >= max(1, b.Policy.QueueLimit/accountQueueDivisor) {
+	case !w.Urgent && p.ofAccount >= max(1, limit/accountQueueDivisor):
 		return ReasonAccountLimit, false
+	default:
+		return 0, true
 	}
-	return 0, true
-}
-
-// heldBy counts the places in the queue that an account holds.
-func (b *Book) heldBy(account string) int {
-	count := 0
-	for _, w := range b.waiting {
-		if w.Account == account {
-			count++
-		}
-	}
-	return count
 }
