fix: leave preemption at the brink of memory to the engine

The owner ordered a preemption of its own choice whenever the next step lacked memory. The engine took the same generation back in that step, since its memory had just come free, and then preempted its own choice as well. The order is of use only for an urgent prompt, which goes before the victim in the engine's queue; it is kept for that.

--- a/internal/trial/season/serve.go
+++ b/internal/trial/season/serve.go
@@ -149,7 +149,7 @@
 		return
 	}
 	need := s.need()
-	if need.Tokens <= 0 {
+	if !need.Urgent || need.Tokens <= 0 {
 		return
 	}
 	rules := precedence.Rules{
