--- /dev/null
+++ b/internal/trial/openday/configuration_test.go
@@ -0,0 +1,184 @@
+package openday
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+// Exit codes of the command that applies an operator file.
+const (
+	exitOK       = 0
+	exitConflict = 4
+)
+
+// writeServices writes an operator file with one more client account.
+func (d *deployment) writeServices(account string) string {
+	d.t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", "services.json"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	var document map[string]any
+	if err := json.Unmarshal(text, &document); err != nil {
+		d.t.Fatal(err)
+	}
+	added := map[string]any{"Name": account, "Share": 1, "RequestsPerSecond": 1000, "Burst": 1000}
+	document["Accounts"] = append(document["Accounts"].([]any), added)
+	text, err = json.Marshal(document)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	path := filepath.Join(d.directory, account+"-services.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	return path
+}
+
+// applyFile runs the command of an operator and returns its exit code.
+func (d *deployment) applyFile(path, replaces string) (int, error) {
+	ctx, stop := context.WithDeadline(context.Background(), patience())
+	defer stop()
+	log := d.entries[0].settings.LogServiceAddress
+	command := exec.CommandContext(ctx, binary, "apply", "--log", log, "--replaces", replaces, path)
+	output, err := command.CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode(), nil
+	}
+	return 0, errors.Wrapf(err, "apply: %s", output)
+}
+
+// waitVersion waits until the process at the address has the version in force.
+func waitVersion(t *testing.T, address string, want uint64) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("version %d at %s", want, address), func() error {
+		status, err := askStatus(address)
+		if err == nil && status.ConfigVersion != want {
+			return errors.Newf("version %d is in force", status.ConfigVersion)
+		}
+		return err
+	})
+}
+
+func (d *deployment) waitVersionEverywhere(want uint64) {
+	d.t.Helper()
+	for _, e := range d.entries {
+		waitVersion(d.t, e.settings.PeerAddress, want)
+	}
+	for _, b := range d.backends {
+		waitVersion(d.t, b.settings.PeerAddress, want)
+	}
+}
+
+// served tells whether the entry host serves the client account.
+func (e *entryHost) served(account string) (bool, error) {
+	q := ask("session-check", "tokens=1 served?")
+	q.account = account
+	r, err := newCaller(e).whole(q)
+	if err != nil {
+		return false, err
+	}
+	p, err := r.part()
+	return p.Fulmarvalve.Result == "OK", err
+}
+
+// TestOperatorsRace applies files at once that replace the same version, with
+// lost answers of the log: one wins, and it is the one in force everywhere.
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const operators = 4
+	d := newDeployment(t, layout{entries: 2, engines: 1})
+	d.site.Journal.Faults.LoseAnswers.Store(2)
+	codes := make([]int, operators)
+	var group errgroup.Group
+	for n := range operators {
+		path := d.writeServices(fmt.Sprintf("hall-%d", n))
+		group.Go(func() (err error) {
+			codes[n], err = d.applyFile(path, "1")
+			return err
+		})
+	}
+	is.NoErr(group.Wait())
+	winner, wins := 0, 0
+	for n, code := range codes {
+		if code == exitOK {
+			winner, wins = n, wins+1
+			continue
+		}
+		is.Equal(code, exitConflict)
+	}
+	is.Equal(wins, 1)
+	d.waitVersionEverywhere(2)
+	for _, e := range d.entries {
+		for n := range operators {
+			got, err := e.served(fmt.Sprintf("hall-%d", n))
+			is.NoErr(err)
+			is.Equal(got, n == winner)
+		}
+	}
+}
+
+// TestVersionOutlivesOutage restarts every process in turn while the log is
+// down: each hears the version in force from its peers, and none falls back.
+func TestVersionOutlivesOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 2, engines: 1, changeEntry: quickOwners})
+	code, err := d.applyFile(d.writeServices("late-hall"), "1")
+	is.NoErr(err)
+	is.Equal(code, exitOK)
+	d.waitVersionEverywhere(2)
+	d.site.Journal.Faults.Down.Store(true)
+	for _, e := range d.entries {
+		e.kill()
+		e.start()
+		waitVersion(t, e.settings.PeerAddress, 2)
+	}
+	for _, b := range d.backends {
+		b.kill()
+		b.start()
+		waitVersion(t, b.settings.PeerAddress, 2)
+	}
+	eventually(t, "the late hall is served", func() error {
+		got, err := d.entries[1].served("late-hall")
+		if err == nil && !got {
+			return errors.New("not served")
+		}
+		return err
+	})
+}
+
+// TestReaderSplitFromLog gives one entry host a log that never answers. It
+// follows its peers.
+func TestReaderSplitFromLog(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 2, engines: 1, changeEntry: func(e *process.Entry) {
+		if e.Name == "entry-2" {
+			e.LogServiceAddress = "127.0.0.1:1"
+		}
+	}})
+	code, err := d.applyFile(d.writeServices("late-hall"), "1")
+	is.NoErr(err)
+	is.Equal(code, exitOK)
+	acceptedAt := time.Now()
+	waitVersion(t, d.entries[1].settings.PeerAddress, 2)
+	t.Logf("in force at the split entry host after %d ms", time.Since(acceptedAt).Milliseconds())
+	got, err := d.entries[1].served("late-hall")
+	is.NoErr(err)
+	is.True(got)
+}
