--- /dev/null
+++ b/internal/trial/openday/crowdedfleet_test.go
@@ -0,0 +1,204 @@
+package openday
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// Shape of the target's fleet.
+const (
+	// fleetEntries of fleetPart hosts are entry hosts, as 360 of 1,260 are.
+	fleetEntries = 2
+	fleetPart    = 7
+	fleetZones   = 8
+	fleetRegions = 3
+	// fleetPort is the port of every host of a fleet.
+	fleetPort = 18999
+	// prefixesReported is the most that a load names.
+	prefixesReported = 8
+)
+
+// crowdedFleet is a fleet whose hosts answer probes and version exchanges, and
+// do nothing else.
+type crowdedFleet struct {
+	hosts []hostlist.Host
+	// entries counts the entry hosts among them.
+	entries int
+}
+
+// newCrowdedFleet makes so many hosts, each with a loopback IP number of its own.
+func newCrowdedFleet(size, network int) *crowdedFleet {
+	f := &crowdedFleet{}
+	for n := range size {
+		host := hostlist.Host{
+			Region:      fmt.Sprintf("region-%d", n%fleetZones%fleetRegions),
+			Zone:        fmt.Sprintf("zone-%d", n%fleetZones),
+			PeerAddress: fmt.Sprintf("127.%d.%d.%d:%d", network, n/200, 1+n%200, fleetPort),
+			State:       hostlist.StateLive,
+		}
+		if n*fleetEntries%fleetPart < fleetEntries {
+			host.Name, host.Role = fmt.Sprintf("entry-%04d", n), hostlist.RoleEntry
+			f.entries++
+		} else {
+			model := n%targetModels + 1
+			host.Name, host.Role = fmt.Sprintf("backend-%04d", n), hostlist.RoleBackend
+			host.Model, host.Service = fmt.Sprintf("model-%d", model), fmt.Sprintf("service-%d", model)
+		}
+		f.hosts = append(f.hosts, host)
+	}
+	return f
+}
+
+// backends counts the backend servers.
+func (f *crowdedFleet) backends() int { return len(f.hosts) - f.entries }
+
+// Run serves all hosts until ctx ends.
+func (f *crowdedFleet) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for n, host := range f.hosts {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", host.PeerAddress)
+		if err != nil {
+			return err
+		}
+		answerer := &fleetHost{name: host.Name, incarnation: uint64(n + 1)}
+		mux := drpcmux.New()
+		line.Must(message.DRPCRegisterBackend(mux, answerer))
+		line.Must(message.DRPCRegisterPeer(mux, &peer.Peer{Exchanger: answerer}))
+		server := &line.Server{Listener: listener, Handler: mux}
+		group.Go(func() error { return server.Run(ctx) })
+	}
+	return group.Wait()
+}
+
+// fleetHost answers for one host.
+type fleetHost struct {
+	message.DRPCBackendUnimplementedServer
+	name        string
+	incarnation uint64
+}
+
+// Probe answers with a load of the usual size.
+func (h *fleetHost) Probe(context.Context, *message.ProbeRequest) (*message.Load, error) {
+	load := &message.Load{
+		Backend: h.name, Incarnation: h.incarnation<<40 + 1<<62, Running: 97, Waiting: 3,
+		MemoryPermille: 700, ForecastPermille: 800, ConfigVersion: 1,
+	}
+	for n := range prefixesReported {
+		load.Prefixes = append(load.Prefixes, 1<<62+uint64(n))
+	}
+	return load, nil
+}
+
+// HandleExchange answers with the same version.
+func (h *fleetHost) HandleExchange(context.Context, *message.ExchangeRequest) (*message.ExchangeReply, error) {
+	return &message.ExchangeReply{Version: 1}, nil
+}
+
+// measureFleet measures an entry host without load in fleets of several sizes.
+func measureFleet(t *testing.T) {
+	for n, size := range []int{100, 400, 1260} {
+		t.Run("", func(t *testing.T) { measureFleetOf(t, size, 200+n) })
+	}
+}
+
+func measureFleetOf(t *testing.T, size, network int) {
+	f := newCrowdedFleet(size, network)
+	d := &deployment{t: t, directory: t.TempDir(), pool: newAddressPool(t)}
+	log, list := d.pool.next(), d.pool.next()
+	d.servePlatform(log, list, f.hosts)
+	d.serve(f)
+	d.publish()
+	d.addEntry(0, log, list, func(s *process.Entry) { s.Region, s.Zone = "region-0", "zone-0" })
+	e := d.entries[0]
+	e.start()
+	eventually(t, "the fleet is listed", func() error {
+		status, err := askStatus(e.settings.PeerAddress)
+		if err == nil && len(status.Hosts) < size {
+			err = fmt.Errorf("%d hosts known", len(status.Hosts))
+		}
+		return err
+	})
+	// Other entry hosts pick among all hosts, and processes beside backend
+	// servers among the entry hosts.
+	perSecond := float64(f.entries)/float64(size) + float64(f.backends())/float64(f.entries)
+	time.Sleep(2 * settleSeconds * time.Second)
+	begin := e.use(e.settings.MetricsAddress, true)
+	asked := askAtRate(t, e.settings.PeerAddress, perSecond, idleSeconds)
+	s := e.use(e.settings.MetricsAddress, false).since(begin)
+	t.Logf("%d hosts: %.2f%% of a core, %d KB, heap %d KB; opened %.1f calls/s with %.0f B/s; answered %.1f exchanges/s with %.0f B/s; platform %.0f B/s",
+		size, s.cpuPercent, s.residentBytes>>10, s.heapBytes>>10, s.controlCalls, s.control, asked.calls, asked.bytes, s.platform)
+}
+
+// inbound is what a process was asked by others, for each second.
+type inbound struct {
+	calls, bytes float64
+}
+
+// askAtRate compares versions with a process at an even rate.
+func askAtRate(t *testing.T, address string, perSecond float64, seconds int) inbound {
+	request := &message.ExchangeRequest{Name: "127.201.1.1:18999", Version: 1}
+	return callAtRate(t, address, perSecond, seconds, func(ctx context.Context, conn drpc.Conn) error {
+		_, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
+		return err
+	})
+}
+
+// callAtRate calls a process at an even rate.
+func callAtRate(t *testing.T, address string, perSecond float64, seconds int, call func(context.Context, drpc.Conn) error) inbound {
+	t.Helper()
+	begin, before := time.Now(), line.Control.Figures()
+	endAt := begin.Add(time.Duration(seconds) * time.Second)
+	var group errgroup.Group
+	for dueAt := begin; dueAt.Before(endAt); dueAt = dueAt.Add(time.Duration(float64(time.Second) / perSecond)) {
+		time.Sleep(time.Until(dueAt))
+		group.Go(func() error {
+			ctx, stop := context.WithDeadline(context.Background(), patience())
+			defer stop()
+			_, err := line.Call(ctx, address, func(ctx context.Context, conn drpc.Conn) (struct{}, error) {
+				return struct{}{}, call(ctx, conn)
+			})
+			return err
+		})
+	}
+	time.Sleep(time.Until(endAt))
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	after, took := line.Control.Figures(), time.Since(begin).Seconds()
+	bytes := after.SentBytes + after.ReceivedBytes - before.SentBytes - before.ReceivedBytes
+	return inbound{calls: float64(after.Connections-before.Connections) / took, bytes: float64(bytes) / took}
+}
+
+// measureProbes probes a process beside a backend server at several rates.
+func measureProbes(t *testing.T) {
+	var rates, cpu []float64
+	r := newRig(t, paceMillis)
+	time.Sleep(settleSeconds * time.Second)
+	for _, rate := range []float64{2, 50, 200} {
+		begin := r.backend.use(r.backend.settings.MetricsAddress, true)
+		request := &message.ProbeRequest{ConfigVersion: 1, Asker: r.entry.settings.PeerAddress}
+		asked := callAtRate(t, r.backend.settings.PeerAddress, rate, relaySeconds, func(ctx context.Context, conn drpc.Conn) error {
+			_, err := message.NewDRPCBackendClient(conn).Probe(ctx, request)
+			return err
+		})
+		s := r.backend.use(r.backend.settings.MetricsAddress, false).since(begin)
+		rates, cpu = append(rates, asked.calls), append(cpu, s.cpuPercent)
+		t.Logf("%.1f probes/s: backend process %.2f%% of a core, %.0f B a probe; opened %.1f calls/s with %.0f B/s; platform %.0f B/s",
+			asked.calls, s.cpuPercent, asked.bytes/asked.calls, s.controlCalls, s.control, s.platform)
+	}
+	perCall, idle := slope(rates, cpu)
+	t.Logf("backend process: %.0f µs a probe, %.2f%% of a core at none", perCall*1e4, idle)
+}
--- /dev/null
+++ b/internal/trial/openday/footprint_test.go
@@ -0,0 +1,145 @@
+package openday
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
+)
+
+// holding is a part that keeps state in memory.
+type holding struct {
+	name  string
+	sizes []int
+	// fill makes the part with so many items.
+	fill func(count int) any
+}
+
+// measureState measures the memory that each part keeps for one item.
+func measureState(t *testing.T) {
+	for _, h := range []holding{
+		{"client account and class in the metrics", []int{64, 256, 1024}, fillMeasure},
+		{"decision record of a choice among 4", []int{1024, 4096, 16384}, fillRing},
+		{"decision record of an admission", []int{1024, 4096, 16384}, fillPlainRing},
+		{"listed host", []int{100, 400, 1260}, fillRoster},
+		{"request identity", []int{1000, 10_000, 40_000}, fillIdentities},
+		{"answer of 235 tokens", []int{250, 1000, 4000}, fillAnswers},
+	} {
+		var counts, bytes []float64
+		for _, size := range h.sizes {
+			live := liveBytes(func() any { return h.fill(size) })
+			counts, bytes = append(counts, float64(size)), append(bytes, live)
+			t.Logf("%s: %d take %.0f KB", h.name, size, live/1024)
+		}
+		each, _ := slope(counts, bytes)
+		t.Logf("%s: %.0f B each", h.name, each)
+	}
+}
+
+// liveBytes returns the heap that stays in use.
+func liveBytes(fill func() any) float64 {
+	before := heapInUse()
+	kept := fill()
+	after := heapInUse()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func heapInUse() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func fillMeasure(count int) any {
+	m := &measure.Measure{MaxSeries: count}
+	for n := range count {
+		m.Series(fmt.Sprint("account ", n), "class").FirstToken(time.Millisecond)
+	}
+	return m
+}
+
+func fillRing(count int) any {
+	ring := &explanation.Ring{Capacity: count}
+	for n := range count {
+		routed := explanation.Routed{Backend: fmt.Sprint("backend-", n), Reason: "LeastLoad"}
+		for c := range 4 {
+			routed.Candidates = append(routed.Candidates, explanation.Candidate{
+				Backend: fmt.Sprintf("backend-%04d", c), AvailabilityZone: fmt.Sprintf("zone-%d", c), SeenAt: time.Now(),
+			})
+		}
+		ring.Add(explanation.Record{
+			Time: time.Now(), Process: "entry-17", Part: "visit", RequestID: requestID(n), Decision: routed,
+		})
+	}
+	return ring
+}
+
+func fillPlainRing(count int) any {
+	ring := &explanation.Ring{Capacity: count}
+	for n := range count {
+		ring.Add(explanation.Record{
+			Time: time.Now(), Process: "backend-17", Part: "keeper", RequestID: requestID(n),
+			Decision: explanation.Admitted{Reason: "memory and batch have room"},
+		})
+	}
+	return ring
+}
+
+func requestID(n int) string {
+	return fmt.Sprintf("01a23daa-9c08-7c07-a3e9-%012d", n)
+}
+
+func fillRoster(count int) any {
+	known := &roster.Roster{}
+	var hosts []roster.Host
+	for _, h := range newCrowdedFleet(count, 1).hosts {
+		hosts = append(hosts, roster.Host{
+			Name: h.Name, Role: roster.Role(h.Role), Region: h.Region, AvailabilityZone: h.Zone,
+			PeerAddress: h.PeerAddress, Model: h.Model, Service: h.Service, State: roster.HostState(h.State),
+		})
+	}
+	if err := known.ApplyList(hosts, time.Now()); err != nil {
+		panic(err)
+	}
+	known.Snapshot()
+	return known
+}
+
+func fillIdentities(count int) any {
+	return fillLogbook(count, 0)
+}
+
+func fillAnswers(count int) any {
+	return fillLogbook(count, answerTokens)
+}
+
+// fillLogbook holds ended answers of so many tokens.
+func fillLogbook(count, tokens int) any {
+	book := &logbook.Logbook{Backend: "backend-17", Incarnation: 1, MaxBytes: 1 << 40}
+	later := time.Now().Add(time.Hour)
+	for n := range count {
+		id := requestID(n)
+		if _, _, err := book.Start(id, later); err != nil {
+			panic(err)
+		}
+		for position := range tokens {
+			text := strings.Clone(" token")
+			if err := book.Append(id, uint64(position), []string{text}); err != nil {
+				panic(err)
+			}
+		}
+		if err := book.Finish(id, 1, "", later); err != nil {
+			panic(err)
+		}
+	}
+	return book
+}
--- /dev/null
+++ b/internal/trial/openday/usage_test.go
@@ -0,0 +1,174 @@
+package openday
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+)
+
+const (
+	// ticksPerSecond is the unit of processor time that the kernel reports in.
+	ticksPerSecond = 100
+	// userTimeField is the index of the user time among the fields that follow
+	// the name of a process; the system time is next.
+	userTimeField = 11
+)
+
+// usage is what a process has used at one moment.
+type usage struct {
+	at time.Time
+	// cpu is the user and system time since the start.
+	cpu time.Duration
+	// residentBytes is the memory of the process that is not swapped out.
+	residentBytes int64
+	traffic       map[string]line.Figures
+	mallocs       uint64
+	heapBytes     uint64
+}
+
+// vars is the part of the published variables that is measured.
+type vars struct {
+	FulmarvalveTraffic map[string]line.Figures
+	Memstats           struct {
+		Mallocs   uint64
+		HeapAlloc uint64
+	} `json:"memstats"`
+}
+
+// spent is what a process used between two moments, for each second.
+type spent struct {
+	seconds       float64
+	cpuPercent    float64
+	mallocs       float64
+	residentBytes int64
+	heapBytes     uint64
+	control       float64
+	platform      float64
+	data          float64
+	// controlCalls counts the connections of control and platform.
+	controlCalls float64
+}
+
+// use reads what a process has used. The variables are read before the
+// processor time at the begin of a measurement, and after it at the end.
+func (p *program) use(metrics string, begin bool) usage {
+	p.t.Helper()
+	var u usage
+	var v vars
+	if begin {
+		v = readVars(p.t, metrics)
+	}
+	u.at = time.Now()
+	u.cpu = processorTime(p.t, p.command.Process.Pid)
+	u.residentBytes = residentBytes(p.t, p.command.Process.Pid)
+	if !begin {
+		v = readVars(p.t, metrics)
+	}
+	u.traffic = v.FulmarvalveTraffic
+	u.mallocs, u.heapBytes = v.Memstats.Mallocs, v.Memstats.HeapAlloc
+	return u
+}
+
+func (u usage) since(begin usage) spent {
+	seconds := u.at.Sub(begin.at).Seconds()
+	bytes := func(kind string) float64 {
+		now, then := u.traffic[kind], begin.traffic[kind]
+		return float64(now.SentBytes+now.ReceivedBytes-then.SentBytes-then.ReceivedBytes) / seconds
+	}
+	calls := u.traffic["Control"].Connections - begin.traffic["Control"].Connections
+	return spent{
+		seconds:       seconds,
+		cpuPercent:    100 * (u.cpu - begin.cpu).Seconds() / seconds,
+		mallocs:       float64(u.mallocs-begin.mallocs) / seconds,
+		residentBytes: u.residentBytes,
+		heapBytes:     u.heapBytes,
+		control:       bytes("Control"),
+		platform:      bytes("Platform"),
+		data:          bytes("Data"),
+		controlCalls:  float64(calls) / seconds,
+	}
+}
+
+// processorTime reads the user and system time of a process.
+func processorTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(after)
+	var ticks int64
+	for _, field := range fields[userTimeField : userTimeField+2] {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
+
+// residentBytes reads the resident memory of a process.
+func residentBytes(t *testing.T, pid int) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(text))[1], 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pages * int64(os.Getpagesize())
+}
+
+// readVars reads the published variables of a process.
+func readVars(t *testing.T, address string) vars {
+	t.Helper()
+	var v vars
+	if err := getVars(address, &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func getVars(address string, into *vars) error {
+	ctx, stop := context.WithDeadline(context.Background(), patience())
+	defer stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "read variables")
+	}
+	defer func() { _ = response.Body.Close() }()
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(into), "decode variables")
+}
+
+// slope returns the slope and the intercept of the least-squares line.
+func slope(x, y []float64) (perUnit, atZero float64) {
+	var sumX, sumY, sumXX, sumXY float64
+	for i := range x {
+		sumX += x[i]
+		sumY += y[i]
+		sumXX += x[i] * x[i]
+		sumXY += x[i] * y[i]
+	}
+	n := float64(len(x))
+	perUnit = (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
+	return perUnit, (sumY - perUnit*sumX) / n
+}
