perf: rank the subset of backend servers once for each list

Cause: every choice, and every period of probes, ranked all backend servers of a model by rendezvous hashing. The subset was drawn in two places.

Ruled out: a full cache of candidates, since loads change with each reply; a faster sort, since the survey of all members cost as much as the ranking.

Change: the referral keeps the names of each subset until a list is applied, and rounds ask it which backend servers to watch.

--- a/internal/role/entryhost/parts.go
+++ b/internal/role/entryhost/parts.go
@@ -44,11 +44,11 @@
 
 func (h *Host) newRounds() *rounds.Rounds {
 	return &rounds.Rounds{
-		Self:       h.self,
-		Candidates: h.Settings.ProbeCandidates,
-		Hosts:      h.hosts,
-		Roster:     h.roster,
-		Observe:    h.referral.Observe,
+		Self:    h.self,
+		Hosts:   h.hosts,
+		Watched: h.referral.Watched,
+		Roster:  h.roster,
+		Observe: h.referral.Observe,
 		Asker: func(in *message.ProbeRequest) {
 			in.ConfigVersion = h.bulletin.Version()
 			in.Asker = h.Settings.PeerAddress
--- a/internal/routing/referral/bench_test.go
+++ b/internal/routing/referral/bench_test.go
@@ -68,3 +68,17 @@
 		})
 	}
 }
+
+// BenchmarkWatched measures what a period of probes asks for, in fleets of the
+// same sizes.
+func BenchmarkWatched(b *testing.B) {
+	for _, backends := range []int{100, 400, 900} {
+		b.Run(fmt.Sprint(backends), func(b *testing.B) {
+			r := benchReferral(b, backends, time.Now())
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Watched()
+			}
+		})
+	}
+}
--- a/internal/routing/referral/referral.go
+++ b/internal/routing/referral/referral.go
@@ -47,6 +47,8 @@
 	// address that it came from.
 	VersionSeen func(version uint64, address string)
 
+	watch watch
+
 	mu sync.Mutex
 	// random is nil before the first use.
 	random *rand.Rand
@@ -85,22 +87,24 @@
 }
 
 // survey returns the candidates for the request with what is known of them.
-func (r *Referral) survey(s visit.Selection, now time.Time) (map[string]*roster.Member, []choice.Candidate) {
+func (r *Referral) survey(s visit.Selection, now time.Time) (map[string]roster.Member, []choice.Candidate) {
 	snapshot := r.Roster.Snapshot()
-	listed := snapshot.Service(s.Service)
+	of := kind{service: s.Service}
 	prefix := uint64(0)
 	if s.Model != "" {
-		listed = snapshot.Model(s.Model)
+		of = kind{model: s.Model}
 		prefix = xxhash.Sum64String(s.Prompt[:min(len(s.Prompt), prefixBytes)])
 	}
-	members := make(map[string]*roster.Member)
-	var candidates []choice.Candidate
-	for m := range listed {
-		members[m.Host.Name] = m
-		candidates = append(candidates, r.candidate(m, s, prefix, now))
-	}
-	if len(candidates) > r.Candidates {
-		candidates = choice.Subset(r.Name, r.Zone, candidates, r.Candidates)
+	names := r.subset(snapshot, of)
+	members := make(map[string]roster.Member, len(names))
+	candidates := make([]choice.Candidate, 0, len(names))
+	for _, name := range names {
+		m, found := snapshot.Find(name)
+		if !found {
+			continue
+		}
+		members[name] = m
+		candidates = append(candidates, r.candidate(&m, s, prefix, now))
 	}
 	return members, candidates
 }
@@ -134,7 +138,7 @@
 }
 
 // targetOf describes the choice for the runner and for the decision record.
-func targetOf(d choice.Chosen, members map[string]*roster.Member, candidates []choice.Candidate) visit.Target {
+func targetOf(d choice.Chosen, members map[string]roster.Member, candidates []choice.Candidate) visit.Target {
 	chosen := members[d.Backend]
 	scores := make(map[string]choice.Considered, len(d.Considered))
 	for _, c := range d.Considered {
--- /dev/null
+++ b/internal/routing/referral/watch.go
@@ -0,0 +1,117 @@
+package referral
+
+import (
+	"sync"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/choice"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
+)
+
+// kind groups the backend servers that one request may go to.
+type kind struct {
+	// model is empty for plain services.
+	model   string
+	service string
+}
+
+// watch holds the subsets of backend servers that an entry host routes to. They
+// depend on the membership only, so they are ranked again when it changes. The
+// zero value is ready for use. It is safe for concurrent use.
+type watch struct {
+	mu sync.Mutex
+	// membership is the one that the subsets were drawn from.
+	membership roster.Membership
+	// subsets holds the names of each subset in order of rank. A slice is never
+	// changed once it is here.
+	subsets map[kind][]string
+	// listed holds the kinds that have a backend server.
+	listed []kind
+}
+
+// kindOf returns the kind that a backend server is of.
+func kindOf(h roster.Host) kind {
+	if h.Model != "" {
+		return kind{model: h.Model}
+	}
+	return kind{service: h.Service}
+}
+
+// subset returns the names of the backend servers of a kind that the entry host
+// routes to.
+func (r *Referral) subset(snapshot *roster.Snapshot, of kind) []string {
+	w := &r.watch
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.adopt(snapshot)
+	names, known := w.subsets[of]
+	if !known {
+		names = r.rank(snapshot, of)
+		w.subsets[of] = names
+	}
+	return names
+}
+
+// adopt forgets what another membership has brought. The caller holds the
+// mutex.
+func (w *watch) adopt(snapshot *roster.Snapshot) {
+	if w.subsets != nil && w.membership == snapshot.Membership() {
+		return
+	}
+	w.membership = snapshot.Membership()
+	w.subsets = make(map[kind][]string)
+	w.listed = kinds(snapshot)
+}
+
+// rank draws the subset of a kind. A kind without a backend server has none.
+func (r *Referral) rank(snapshot *roster.Snapshot, of kind) []string {
+	listed := snapshot.Service(of.service)
+	if of.model != "" {
+		listed = snapshot.Model(of.model)
+	}
+	var candidates []choice.Candidate
+	for m := range listed {
+		candidates = append(candidates, choice.Candidate{Name: m.Host.Name, Zone: m.Host.AvailabilityZone})
+	}
+	var names []string
+	for _, c := range choice.Subset(r.Name, r.Zone, candidates, r.Candidates) {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+// Watched returns the backend servers of all kinds that the entry host routes
+// to.
+func (r *Referral) Watched() []roster.Member {
+	snapshot := r.Roster.Snapshot()
+	var watched []roster.Member
+	for _, of := range r.watch.kinds(snapshot) {
+		for _, name := range r.subset(snapshot, of) {
+			if m, found := snapshot.Find(name); found {
+				watched = append(watched, m)
+			}
+		}
+	}
+	return watched
+}
+
+// kinds returns the kinds that have a backend server.
+func (w *watch) kinds(snapshot *roster.Snapshot) []kind {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.adopt(snapshot)
+	return w.listed
+}
+
+func kinds(snapshot *roster.Snapshot) []kind {
+	seen := make(map[kind]bool)
+	var listed []kind
+	for m := range snapshot.All() {
+		of := kindOf(m.Host)
+		if m.Host.Role != roster.RoleBackend || seen[of] {
+			continue
+		}
+		seen[of] = true
+		listed = append(listed, of)
+	}
+	return listed
+}
--- /dev/null
+++ b/internal/routing/referral/watch_test.go
@@ -0,0 +1,72 @@
+package referral
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/choice"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
+)
+
+// listOf names so many backend servers of each model and one plain service.
+func listOf(perModel, models int) []roster.Host {
+	hosts := []roster.Host{{Name: "entry-1", Role: roster.RoleEntry, PeerAddress: "127.0.0.1:1"}}
+	for n := range perModel * models {
+		hosts = append(hosts, roster.Host{
+			Name: fmt.Sprintf("engine-%03d", n), Role: roster.RoleBackend, PeerAddress: "127.0.0.1:1",
+			AvailabilityZone: fmt.Sprintf("zone-%d", n%4), Model: fmt.Sprintf("model-%d", n%models), Service: "s",
+		})
+	}
+	return append(hosts, roster.Host{
+		Name: "desk-1", Role: roster.RoleBackend, PeerAddress: "127.0.0.1:1", Service: "desk",
+	})
+}
+
+// ranked is the subset as it is drawn without a memory of it.
+func ranked(r *Referral, model string) []string {
+	var candidates []choice.Candidate
+	for m := range r.Roster.Snapshot().Model(model) {
+		candidates = append(candidates, choice.Candidate{Name: m.Host.Name, Zone: m.Host.AvailabilityZone})
+	}
+	var names []string
+	for _, c := range choice.Subset(r.Name, r.Zone, candidates, r.Candidates) {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+func TestSubsetFollowsTheList(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := &Referral{Name: "entry-1", Zone: "zone-1", Candidates: 8, Roster: &roster.Roster{}}
+	is.Equal(len(r.Watched()), 0) // no list was read yet
+	for _, perModel := range []int{2, 40, 60, 8} {
+		// Hosts that are no longer listed are kept for a while; a later list
+		// drops them.
+		now = now.Add(time.Hour)
+		is.NoErr(r.Roster.ApplyList(listOf(perModel, 3), now))
+		now = now.Add(time.Hour)
+		is.NoErr(r.Roster.ApplyList(listOf(perModel, 3), now))
+		snapshot := r.Roster.Snapshot()
+		for _, model := range []string{"model-0", "model-1", "model-2"} {
+			is.Equal(r.subset(snapshot, kind{model: model}), ranked(r, model))
+		}
+		is.Equal(r.subset(snapshot, kind{service: "desk"}), []string{"desk-1"})
+		is.Equal(len(r.Watched()), 3*min(perModel, 8)+1)
+	}
+}
+
+func TestSubsetIsKeptWhileTheListIs(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := &Referral{Name: "entry-1", Zone: "zone-1", Candidates: 8, Roster: &roster.Roster{}}
+	is.NoErr(r.Roster.ApplyList(listOf(40, 3), now))
+	of := kind{model: "model-1"}
+	before := r.subset(r.Roster.Snapshot(), of)
+	is.NoErr(r.Roster.DialFailed(before[0], now)) // changes a member and not the membership
+	after := r.subset(r.Roster.Snapshot(), of)
+	is.True(&before[0] == &after[0]) // the same slice was returned
+}
--- a/internal/routing/roster/snapshot.go
+++ b/internal/routing/roster/snapshot.go
@@ -12,6 +12,18 @@
 	index   *index
 }
 
+// Membership identifies the hosts of a snapshot. Snapshots with equal ones hold
+// the same hosts in the same places.
+type Membership struct {
+	index *index
+}
+
+// Membership returns the membership of the snapshot. It changes with each list
+// that is applied.
+func (s *Snapshot) Membership() Membership {
+	return Membership{index: s.index}
+}
+
 // index holds places of members in a snapshot. It is immutable.
 type index struct {
 	byName    map[string]int
--- a/internal/routing/rounds/rounds.go
+++ b/internal/routing/rounds/rounds.go
@@ -14,7 +14,6 @@
 	"storj.io/drpc"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/choice"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
@@ -44,12 +43,11 @@
 // Rounds runs beside one entry host. Its fields must be set before Run.
 type Rounds struct {
 	// Self returns the host as it registers itself.
-	Self func() hostlist.Host
-	// Candidates bounds the backend servers that are probed, per model or
-	// service.
-	Candidates int
-	Hosts      *hostlist.Client
-	Roster     *roster.Roster
+	Self  func() hostlist.Host
+	Hosts *hostlist.Client
+	// Watched returns the backend servers that the host routes to.
+	Watched func() []roster.Member
+	Roster  *roster.Roster
 	// Observe takes the load that a probe brought.
 	Observe func(load *message.Load, askedAt, now time.Time)
 	// Asker fills the fields of a probe that name this process.
@@ -142,7 +140,7 @@
 func (r *Rounds) probeOldest(ctx context.Context) {
 	now := time.Now()
 	var group errgroup.Group
-	for _, m := range oldest(r.watched(), now, probesPerPeriod) {
+	for _, m := range oldest(r.Watched(), now, probesPerPeriod) {
 		group.Go(func() error {
 			r.probe(ctx, m)
 			return nil
@@ -167,29 +165,6 @@
 	return old[:min(limit, len(old))]
 }
 
-// watched returns the subset of backend servers that this host routes to.
-func (r *Rounds) watched() []roster.Member {
-	self := r.Self()
-	snapshot := r.Roster.Snapshot()
-	kinds := make(map[string][]choice.Candidate)
-	for m := range snapshot.All() {
-		if m.Host.Role != roster.RoleBackend {
-			continue
-		}
-		kind := m.Host.Model + "/" + m.Host.Service
-		kinds[kind] = append(kinds[kind], choice.Candidate{Name: m.Host.Name, Zone: m.Host.AvailabilityZone})
-	}
-	var watched []roster.Member
-	for _, all := range kinds {
-		for _, c := range choice.Subset(self.Name, self.Zone, all, r.Candidates) {
-			if m, found := snapshot.Find(c.Name); found {
-				watched = append(watched, m)
-			}
-		}
-	}
-	return watched
-}
-
 func (r *Rounds) probe(ctx context.Context, m roster.Member) {
 	askedAt := time.Now()
 	ctx, stop := context.WithDeadline(ctx, askedAt.Add(askMillis*time.Millisecond))
