test: cost of control calls, and the floor of the latency measurement

Cause: the latency at the caller holds what the load itself adds on the machine, and exchanges and samples of account rates had no cost.

Change: the same streams are read from the engine without the system between, and probes, exchanges and samples are sent at three rates each.

--- /dev/null
+++ b/internal/trial/openday/calls_test.go
@@ -0,0 +1,112 @@
+package openday
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+)
+
+// inbound is what a process was asked by others, for each second.
+type inbound struct {
+	calls, bytes float64
+}
+
+// askAtRate compares versions with a process at an even rate.
+func askAtRate(t *testing.T, address string, perSecond float64, seconds int) inbound {
+	request := &message.ExchangeRequest{Name: "127.201.1.1:18999", Version: 1}
+	return callAtRate(t, address, perSecond, seconds, func(ctx context.Context, conn drpc.Conn) error {
+		_, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
+		return err
+	})
+}
+
+// callAtRate calls a process at an even rate.
+func callAtRate(t *testing.T, address string, perSecond float64, seconds int, call func(context.Context, drpc.Conn) error) inbound {
+	t.Helper()
+	begin, before := time.Now(), line.Control.Figures()
+	endAt := begin.Add(time.Duration(seconds) * time.Second)
+	var group errgroup.Group
+	for dueAt := begin; dueAt.Before(endAt); dueAt = dueAt.Add(time.Duration(float64(time.Second) / perSecond)) {
+		time.Sleep(time.Until(dueAt))
+		group.Go(func() error {
+			ctx, stop := context.WithDeadline(context.Background(), patience())
+			defer stop()
+			_, err := line.Call(ctx, address, func(ctx context.Context, conn drpc.Conn) (struct{}, error) {
+				return struct{}{}, call(ctx, conn)
+			})
+			return err
+		})
+	}
+	time.Sleep(time.Until(endAt))
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	after, took := line.Control.Figures(), time.Since(begin).Seconds()
+	bytes := after.SentBytes + after.ReceivedBytes - before.SentBytes - before.ReceivedBytes
+	return inbound{calls: float64(after.Connections-before.Connections) / took, bytes: float64(bytes) / took}
+}
+
+// controlCall is one kind of call that carries no caller's data.
+type controlCall struct {
+	name string
+	// of is the process that is asked, at address.
+	of      *program
+	address string
+	metrics string
+	call    func(context.Context, drpc.Conn) error
+}
+
+// measureCalls asks both processes at several rates.
+func measureCalls(t *testing.T) {
+	r := newRig(t, paceMillis)
+	entry, backend := r.entry, r.backend
+	probe := &message.ProbeRequest{ConfigVersion: 1, Asker: entry.settings.PeerAddress}
+	compare := &message.ExchangeRequest{Name: entry.settings.PeerAddress, Version: 1}
+	sample := &message.MeterRequest{Account: accountName(1), Weight: 4}
+	for _, c := range []controlCall{
+		{
+			"probe of a backend process", backend.program, backend.settings.PeerAddress, backend.settings.MetricsAddress,
+			func(ctx context.Context, conn drpc.Conn) error {
+				_, err := message.NewDRPCBackendClient(conn).Probe(ctx, probe)
+				return err
+			},
+		},
+		{
+			"exchange with an entry host", entry.program, entry.settings.PeerAddress, entry.settings.MetricsAddress,
+			func(ctx context.Context, conn drpc.Conn) error {
+				_, err := message.NewDRPCPeerClient(conn).Exchange(ctx, compare)
+				return err
+			},
+		},
+		{
+			"sample to an entry host", entry.program, entry.settings.PeerAddress, entry.settings.MetricsAddress,
+			func(ctx context.Context, conn drpc.Conn) error {
+				_, err := message.NewDRPCEntryClient(conn).Meter(ctx, sample)
+				return err
+			},
+		},
+	} {
+		c.measure(t)
+	}
+}
+
+// measure asks at several rates and prints the slope.
+func (c controlCall) measure(t *testing.T) {
+	var rates, cpu []float64
+	for _, rate := range []float64{10, 50, 200} {
+		begin := c.of.use(c.metrics, true)
+		asked := callAtRate(t, c.address, rate, settleSeconds, c.call)
+		s := c.of.use(c.metrics, false).since(begin)
+		rates, cpu = append(rates, asked.calls), append(cpu, s.cpuPercent)
+		t.Logf("%s: %.0f/s, %.2f%% of a core, %.0f B each; meanwhile it opened %.1f calls/s with %.0f B/s, platform %.0f B/s",
+			c.name, asked.calls, s.cpuPercent, asked.bytes/asked.calls, s.controlCalls, s.control, s.platform)
+	}
+	perCall, idle := slope(rates, cpu)
+	t.Logf("%s: %.0f µs each, %.2f%% of a core at none", c.name, perCall*1e4, idle)
+}
--- a/internal/trial/openday/crowdedfleet_test.go
+++ b/internal/trial/openday/crowdedfleet_test.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/edition"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
@@ -65,6 +65,14 @@
 // backends counts the backend servers.
 func (f *crowdedFleet) backends() int { return len(f.hosts) - f.entries }
 
+// exchangesPerSecond returns how often an entry host is asked to compare
+// versions: other entry hosts pick among all hosts, and processes beside backend
+// servers among the entry hosts.
+func (f *crowdedFleet) exchangesPerSecond() float64 {
+	perPeriod := float64(f.entries)/float64(len(f.hosts)) + float64(f.backends())/float64(f.entries)
+	return perPeriod * 1000 / edition.DefaultExchangePeriodMillis
+}
+
 // Run serves all hosts until ctx ends.
 func (f *crowdedFleet) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -131,74 +139,10 @@
 		}
 		return err
 	})
-	// Other entry hosts pick among all hosts, and processes beside backend
-	// servers among the entry hosts.
-	perSecond := float64(f.entries)/float64(size) + float64(f.backends())/float64(f.entries)
 	time.Sleep(2 * settleSeconds * time.Second)
 	begin := e.use(e.settings.MetricsAddress, true)
-	asked := askAtRate(t, e.settings.PeerAddress, perSecond, idleSeconds)
+	asked := askAtRate(t, e.settings.PeerAddress, f.exchangesPerSecond(), idleSeconds)
 	s := e.use(e.settings.MetricsAddress, false).since(begin)
 	t.Logf("%d hosts: %.2f%% of a core, %d KB, heap %d KB; opened %.1f calls/s with %.0f B/s; answered %.1f exchanges/s with %.0f B/s; platform %.0f B/s",
 		size, s.cpuPercent, s.residentBytes>>10, s.heapBytes>>10, s.controlCalls, s.control, asked.calls, asked.bytes, s.platform)
 }
-
-// inbound is what a process was asked by others, for each second.
-type inbound struct {
-	calls, bytes float64
-}
-
-// askAtRate compares versions with a process at an even rate.
-func askAtRate(t *testing.T, address string, perSecond float64, seconds int) inbound {
-	request := &message.ExchangeRequest{Name: "127.201.1.1:18999", Version: 1}
-	return callAtRate(t, address, perSecond, seconds, func(ctx context.Context, conn drpc.Conn) error {
-		_, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
-		return err
-	})
-}
-
-// callAtRate calls a process at an even rate.
-func callAtRate(t *testing.T, address string, perSecond float64, seconds int, call func(context.Context, drpc.Conn) error) inbound {
-	t.Helper()
-	begin, before := time.Now(), line.Control.Figures()
-	endAt := begin.Add(time.Duration(seconds) * time.Second)
-	var group errgroup.Group
-	for dueAt := begin; dueAt.Before(endAt); dueAt = dueAt.Add(time.Duration(float64(time.Second) / perSecond)) {
-		time.Sleep(time.Until(dueAt))
-		group.Go(func() error {
-			ctx, stop := context.WithDeadline(context.Background(), patience())
-			defer stop()
-			_, err := line.Call(ctx, address, func(ctx context.Context, conn drpc.Conn) (struct{}, error) {
-				return struct{}{}, call(ctx, conn)
-			})
-			return err
-		})
-	}
-	time.Sleep(time.Until(endAt))
-	if err := group.Wait(); err != nil {
-		t.Error(err)
-	}
-	after, took := line.Control.Figures(), time.Since(begin).Seconds()
-	bytes := after.SentBytes + after.ReceivedBytes - before.SentBytes - before.ReceivedBytes
-	return inbound{calls: float64(after.Connections-before.Connections) / took, bytes: float64(bytes) / took}
-}
-
-// measureProbes probes a process beside a backend server at several rates.
-func measureProbes(t *testing.T) {
-	var rates, cpu []float64
-	r := newRig(t, paceMillis)
-	time.Sleep(settleSeconds * time.Second)
-	for _, rate := range []float64{2, 50, 200} {
-		begin := r.backend.use(r.backend.settings.MetricsAddress, true)
-		request := &message.ProbeRequest{ConfigVersion: 1, Asker: r.entry.settings.PeerAddress}
-		asked := callAtRate(t, r.backend.settings.PeerAddress, rate, relaySeconds, func(ctx context.Context, conn drpc.Conn) error {
-			_, err := message.NewDRPCBackendClient(conn).Probe(ctx, request)
-			return err
-		})
-		s := r.backend.use(r.backend.settings.MetricsAddress, false).since(begin)
-		rates, cpu = append(rates, asked.calls), append(cpu, s.cpuPercent)
-		t.Logf("%.1f probes/s: backend process %.2f%% of a core, %.0f B a probe; opened %.1f calls/s with %.0f B/s; platform %.0f B/s",
-			asked.calls, s.cpuPercent, asked.bytes/asked.calls, s.controlCalls, s.control, s.platform)
-	}
-	perCall, idle := slope(rates, cpu)
-	t.Logf("backend process: %.0f µs a probe, %.2f%% of a core at none", perCall*1e4, idle)
-}
--- a/internal/trial/openday/slopes_test.go
+++ b/internal/trial/openday/slopes_test.go
@@ -28,12 +28,13 @@
 	if !*slopes {
 		t.Skip("needs -slopes")
 	}
+	t.Run("Direct", measureDirect)
 	t.Run("Tokens", measureTokens)
 	t.Run("Requests", measureRequests)
 	t.Run("OpenStreams", measureOpenStreams)
 	t.Run("HeldTokens", measureHeldTokens)
 	t.Run("State", measureState)
-	t.Run("Probes", measureProbes)
+	t.Run("Calls", measureCalls)
 	t.Run("Fleet", measureFleet)
 }
 
