feat: restart of a stream whose history has expired

A fleet that was off for longer than the log retains could never apply a file again: the stream had lost its history, and no process held a version.

A restart is an entry of its own. Readers that know the history take it too, when its version is higher. A reader without history starts from the first usable restart, and from its own place.

--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -37,9 +37,12 @@
 			&cli.StringFlag{
 				Name:      "replaces",
 				Usage:     "version that the file replaces, or auto for the one in force",
-				Required:  true,
 				Validator: validateReplaces,
 			},
+			&cli.Uint64Flag{
+				Name:  "restart-at",
+				Usage: "version to start again with when history has expired and no process holds a version",
+			},
 			&cli.StringFlag{Name: "author", Usage: "name that the version carries; by default the user's"},
 			&cli.StringFlag{Name: "id", Usage: "ID of an earlier try whose outcome is unknown"},
 			&cli.BoolFlag{Name: "wait", Usage: "wait until the version is in force at all peers"},
@@ -65,6 +68,9 @@
 	if c.Bool("wait") && len(c.StringSlice("peer")) == 0 {
 		return withCode(ExitUsage, errors.New("apply: --wait needs at least one --peer"))
 	}
+	if c.IsSet("replaces") == (c.Uint64("restart-at") > 0) {
+		return withCode(ExitUsage, errors.New("apply: give either --replaces or --restart-at"))
+	}
 	change, err := readChange(c)
 	if err != nil {
 		return withCode(ExitFailure, err)
@@ -96,7 +102,10 @@
 	if change.Author == "" {
 		change.Author = currentUser()
 	}
-	if c.String("replaces") == replacesAuto {
+	switch c.String("replaces") {
+	case "":
+		return change, nil
+	case replacesAuto:
 		change.ReplacesCurrent = true
 		return change, nil
 	}
@@ -117,6 +126,9 @@
 // the version of a peer.
 func publish(ctx context.Context, c *cli.Command, change edition.Change) (edition.Edition, error) {
 	publisher := edition.Publisher{Journal: &journal.Client{Address: c.String("log")}}
+	if version := c.Uint64("restart-at"); version > 0 {
+		return publisher.Restart(ctx, change, version)
+	}
 	accepted, err := publisher.Publish(ctx, change)
 	if !errors.Is(err, edition.ErrUnanchored) {
 		return accepted, err
@@ -151,7 +163,7 @@
 	case errors.As(err, &unknown):
 		return withCode(ExitUnavailable, errors.Wrapf(err, "apply: run again with --id %s to find out", unknown.ID))
 	case errors.Is(err, edition.ErrUnanchored):
-		return withCode(ExitFailure, errors.Wrap(err, "apply: name a --peer that holds the version in force"))
+		return withCode(ExitFailure, errors.Wrap(err, "apply: name a --peer that holds the version in force, or use --restart-at"))
 	case isUnavailable(err):
 		return withCode(ExitUnavailable, errors.Wrap(err, "apply: the file was not applied"))
 	default:
--- a/cmd/apply_test.go
+++ b/cmd/apply_test.go
@@ -98,6 +98,8 @@
 		"no file":            {[]string{"--log", b.log, "--replaces", "0"}, ExitUsage, ""},
 		"no version":         {[]string{"--log", b.log, file}, ExitUsage, ""},
 		"faulty version":     {[]string{"--log", b.log, "--replaces", "last", file}, ExitUsage, ""},
+		"two versions":       {[]string{"--log", b.log, "--replaces", "0", "--restart-at", "1", file}, ExitUsage, ""},
+		"needs no restart":   {[]string{"--log", b.log, "--restart-at", "9", file}, ExitConflict, "no version is in force\n"},
 		"wait without peer":  {[]string{"--log", b.log, "--replaces", "0", "--wait", file}, ExitUsage, ""},
 		"absent file":        {[]string{"--log", b.log, "--replaces", "0", "absent.json"}, ExitFailure, ""},
 		"continued and auto": {[]string{"--log", b.log, "--replaces", "auto", "--id", "x", file}, ExitFailure, ""},
--- a/internal/settings/edition/anchor.go
+++ b/internal/settings/edition/anchor.go
@@ -2,50 +2,64 @@
 
 import "github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
 
-// Anchor returns the latest state that the retained records state, from which
-// the fold can go on without a gap. It reports false when there is none.
+// Anchor returns a state that the retained records state, from which the fold
+// can go on without a gap. It reports false when there is none.
 //
 // A proposal alone cannot start a fold, because the one that it lost to may
 // have expired. A snapshot can, but only from the prefix that it states, and
 // not from its own place: records between the two may have changed the version.
+// All usable snapshots lead to the same end, and the latest has the fewest
+// records after it. Without one, the first usable restart counts, from its own
+// place: it replaces whatever was in force there.
 func Anchor(records []journal.Record, first uint64) (State, bool) {
 	if first <= 1 {
 		return State{}, true
 	}
-	var best State
-	found := false
-	for _, record := range records {
-		state, ok := statedBy(record)
-		if !ok || state.Through+1 < first {
-			continue
-		}
-		if !found || later(state, best) {
-			best = state
-			found = true
+	for i := len(records) - 1; i >= 0; i-- {
+		if snapshot, ok := usableSnapshot(records[i], first); ok {
+			return snapshot, true
 		}
 	}
-	return best, found
-}
-
-// later reports whether a covers a longer prefix than b, or a newer version at
-// the same prefix.
-func later(a, b State) bool {
-	if a.Through != b.Through {
-		return a.Through > b.Through
+	for _, record := range records {
+		if restart, ok := usableRestart(record, first); ok {
+			return restart, true
+		}
 	}
-	return a.Edition.Version > b.Edition.Version
+	return State{}, false
 }
 
-// statedBy returns the state that a record states, if it is a valid snapshot.
-func statedBy(record journal.Record) (State, bool) {
+// usableSnapshot returns the state of a valid snapshot after which no record is
+// missing.
+func usableSnapshot(record journal.Record, first uint64) (State, bool) {
 	entry, err := Decode(record.Data)
 	if err != nil {
 		return State{}, false
 	}
 	snapshot, ok := entry.(Snapshot)
-	if !ok || snapshot.Through >= record.Offset {
+	if !ok || !usable(snapshot.Through, first, record) {
 		return State{}, false
 	}
 	state, err := StateOf(snapshot)
 	return state.WithAnchoredAt(record.AppendedAt), err == nil
 }
+
+// usableRestart returns the state after a valid restart, when no record between
+// it and the prefix that it saw is missing.
+func usableRestart(record journal.Record, first uint64) (State, bool) {
+	entry, err := Decode(record.Data)
+	if err != nil {
+		return State{}, false
+	}
+	restart, ok := entry.(Restart)
+	if !ok || !usable(restart.Through, first, record) {
+		return State{}, false
+	}
+	e, err := newEdition(restart.Version, restart.ID, restart.Author, restart.Document)
+	return State{Edition: e, Through: record.Offset, AnchoredAt: record.AppendedAt}, err == nil
+}
+
+// usable reports whether all records after the prefix are retained, and the
+// prefix ends before the record itself.
+func usable(through, first uint64, record journal.Record) bool {
+	return through+1 >= first && through < record.Offset
+}
--- a/internal/settings/edition/codec.go
+++ b/internal/settings/edition/codec.go
@@ -25,6 +25,7 @@
 
 	kindProposal = "Proposal"
 	kindSnapshot = "Snapshot"
+	kindRestart  = "Restart"
 )
 
 // ErrNewerFormat says that an entry was written by a newer program, the rules
@@ -77,6 +78,11 @@
 			Format: Format, Kind: kindSnapshot, ID: e.ID, Author: e.Author,
 			Version: e.Version, Through: e.Through, AnchoredAt: unixNanos(e.AnchoredAt), Document: e.Document,
 		}
+	case Restart:
+		return envelope{
+			Format: Format, Kind: kindRestart, ID: e.ID, Author: e.Author,
+			Version: e.Version, Through: e.Through, Document: e.Document,
+		}
 	default:
 		panic(errors.AssertionFailedf("unknown kind of entry: %T", e))
 	}
@@ -113,6 +119,11 @@
 			ID: env.ID, Author: env.Author,
 			Version: env.Version, Through: env.Through, AnchoredAt: fromUnixNanos(env.AnchoredAt), Document: env.Document,
 		}, nil
+	case kindRestart:
+		return Restart{
+			ID: env.ID, Author: env.Author,
+			Version: env.Version, Through: env.Through, Document: env.Document,
+		}, nil
 	default:
 		return nil, errors.Newf("unknown kind of configuration entry: %q", env.Kind)
 	}
--- a/internal/settings/edition/entry.go
+++ b/internal/settings/edition/entry.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Entry is one record of the stream: a Proposal or a Snapshot.
+// Entry is one record of the stream: a Proposal, a Snapshot or a Restart.
 type Entry interface {
 	entry()
 }
@@ -40,6 +40,23 @@
 	AnchoredAt time.Time
 }
 
+// Restart puts a version in force on a stream whose history has expired unread.
+type Restart struct {
+	// ID is unique for each restart.
+	ID string
+	// Author is who published the restart.
+	Author string
+	// Version is higher than any that was ever in force.
+	Version uint64
+	// Document is the operator file as JSON.
+	Document json.RawMessage
+	// Through is the offset of the last record when the restart was published.
+	// In the stream it is lower than the restart's own offset.
+	Through uint64
+}
+
 func (Proposal) entry() {}
 
 func (Snapshot) entry() {}
+
+func (Restart) entry() {}
--- a/internal/settings/edition/fold.go
+++ b/internal/settings/edition/fold.go
@@ -85,6 +85,8 @@
 		return next.propose(e)
 	case Snapshot:
 		return next.restate(e, record.AppendedAt)
+	case Restart:
+		return next.restart(e, record.AppendedAt)
 	default:
 		panic(errors.AssertionFailedf("unknown kind of entry: %T", e))
 	}
@@ -92,17 +94,11 @@
 
 // propose decides a proposal.
 func (s State) propose(p Proposal) (State, Verdict) {
-	current := s.Edition
-	if p.ID == current.ID {
+	if p.ID == s.Edition.ID {
 		return s, Repeated{}
 	}
-	if p.Replaces != current.Version {
-		return s, Conflicting{
-			Replaces: p.Replaces,
-			InForce:  current.Version,
-			Winner:   current.ID,
-			Author:   current.Author,
-		}
+	if p.Replaces != s.Edition.Version {
+		return s, s.conflict(p.Replaces)
 	}
 	if p.Version != p.Replaces+1 {
 		return s, Void{Reason: errors.Newf("version %d cannot replace %d", p.Version, p.Replaces)}
@@ -114,22 +110,42 @@
 	return s.WithEdition(e), Accepted{Version: e.Version}
 }
 
-// restate decides a snapshot. A snapshot that a holder took never exceeds the
-// fold's version. One that does was published to restart the stream, and all
-// readers take it.
+// restate decides a snapshot. It changes nothing but the time of the latest
+// one, because a holder states what the fold decided already.
 func (s State) restate(snapshot Snapshot, appendedAt time.Time) (State, Verdict) {
-	if snapshot.Through >= s.Through {
+	if snapshot.Through >= s.Through || snapshot.Version > s.Edition.Version {
 		return s, Void{Reason: errors.New("snapshot states more than its own past")}
 	}
-	if snapshot.Version < s.Edition.Version {
+	if snapshot.ID != s.Edition.ID {
 		return s, Repeated{}
 	}
-	if snapshot.Version == s.Edition.Version {
+	return s.WithAnchoredAt(appendedAt), Repeated{}
+}
+
+// restart decides a restart. Readers that know the history take it as well, so
+// that all end with the same version.
+func (s State) restart(r Restart, appendedAt time.Time) (State, Verdict) {
+	if r.Through >= s.Through {
+		return s, Void{Reason: errors.New("restart states more than its own past")}
+	}
+	if r.ID == s.Edition.ID {
 		return s.WithAnchoredAt(appendedAt), Repeated{}
 	}
-	e, err := newEdition(snapshot.Version, snapshot.ID, snapshot.Author, snapshot.Document)
+	if r.Version <= s.Edition.Version {
+		return s, s.conflict(r.Version - 1)
+	}
+	e, err := newEdition(r.Version, r.ID, r.Author, r.Document)
 	if err != nil {
 		return s, Void{Reason: err}
 	}
 	return s.WithEdition(e).WithAnchoredAt(appendedAt), Accepted{Version: e.Version}
 }
+
+func (s State) conflict(replaces uint64) Conflicting {
+	return Conflicting{
+		Replaces: replaces,
+		InForce:  s.Edition.Version,
+		Winner:   s.Edition.ID,
+		Author:   s.Edition.Author,
+	}
+}
--- a/internal/settings/edition/publisher_test.go
+++ b/internal/settings/edition/publisher_test.go
@@ -150,6 +150,23 @@
 	})
 }
 
+// TestPublishIgnoresRecordsBeforeTheAnchor continues a change that lost, whose
+// record is retained and lies before the snapshot that the fold starts from.
+func TestPublishIgnoresRecordsBeforeTheAnchor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{RetainRecords: 2}
+		mustPublish(t, store, smallDocument(1))
+		c := cursor{log: store}
+		is.NoErr(c.advance(t.Context()))
+		mustAppend(t, store, proposal("loser", 0, smallDocument(2)))
+		is.NoErr(c.advance(t.Context()))
+		mustAppend(t, store, c.state.Snapshot())
+		_, err := tryPublish(t, store, Change{ID: "loser", Text: smallDocument(2)})
+		is.True(err != nil) // it is not taken for the version in force
+	})
+}
+
 func TestPublishWithoutHistoryNeedsASeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -166,3 +183,47 @@
 		is.Equal(e.Version, uint64(2))
 	})
 }
+
+// TestRestartAfterHistoryExpired starts again after the whole fleet was off for
+// longer than the log retains.
+func TestRestartAfterHistoryExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{RetainSeconds: 60}
+		publisher := Publisher{Journal: store}
+		_, err := publisher.Restart(t.Context(), Change{Text: smallDocument(1)}, 5)
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict)) // nothing has expired
+		mustPublish(t, store, smallDocument(1))
+		time.Sleep(2 * time.Minute)
+
+		store.Faults.LoseAnswers.Store(1)
+		e, err := publisher.Restart(t.Context(), Change{ID: "again", Text: smallDocument(2)}, 5)
+		is.NoErr(err)
+		is.Equal(e.Version, uint64(5))
+		is.Equal(recordCount(t, store), 1)
+		_, err = publisher.Restart(t.Context(), Change{ID: "late", Text: smallDocument(3)}, 5)
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Winner, "again")
+
+		fresh := Reader{Journal: store, Register: &Register{}, FleetSize: func() int { return 1 }}
+		is.NoErr(fresh.Poll(t.Context()))
+		is.Equal(fresh.Register.State().Edition.ID, "again")
+		is.Equal(mustPublish(t, store, smallDocument(4)).Version, uint64(6))
+	})
+}
+
+// TestRacingRestarts appends two restarts of which neither saw the other: all
+// readers take the first.
+func TestRacingRestarts(t *testing.T) {
+	is := is.New(t)
+	store := &standin.Store{RetainRecords: 2}
+	for range 4 {
+		mustAppend(t, store, proposal("stale", 7, smallDocument(1)))
+	}
+	mustAppend(t, store, Restart{ID: "first", Version: 9, Document: smallDocument(1), Through: 4})
+	mustAppend(t, store, Restart{ID: "second", Version: 9, Document: smallDocument(2), Through: 4})
+	c := cursor{log: store}
+	is.NoErr(c.advance(t.Context()))
+	is.Equal(c.state.Edition.ID, "first")
+}
