feat: backend servers of other regions are watched last

Cause: the quarter of a subset that is kept for other availability zones was drawn from all regions, so that part of it lay behind links that are slow and go for an hour. Change: other zones of the own region fill it first, other regions last. In a trial without the distance of regions, TestSubsetPrefersTheOwnRegion fails: one of its two places went to another region.

--- a/internal/routing/choice/choice_test.go
+++ b/internal/routing/choice/choice_test.go
@@ -152,7 +152,7 @@
 	seen := map[string]int{}
 	for e := range 360 {
 		zone := fmt.Sprint("zone ", e%4)
-		subset := Subset(fmt.Sprint("entry ", e), zone, all, 40)
+		subset := Subset(fmt.Sprint("entry ", e), zone, "", all, 40)
 		is.Equal(len(subset), 40)
 		own := 0
 		for _, c := range subset {
@@ -169,20 +169,38 @@
 func TestSubsetOfSmallZone(t *testing.T) {
 	is := is.New(t)
 	all := candidates(10)
-	is.Equal(len(Subset("entry", "zone 9", all, 4)), 4)
-	is.Equal(len(Subset("entry", "zone 0", all, 40)), 10)
-	own := Subset("entry", "zone 0", all[:1], 1)
+	is.Equal(len(Subset("entry", "zone 9", "", all, 4)), 4)
+	is.Equal(len(Subset("entry", "zone 0", "", all, 40)), 10)
+	own := Subset("entry", "zone 0", "", all[:1], 1)
 	is.Equal(own[0].Name, "server 0")
 }
 
+func TestSubsetPrefersTheOwnRegion(t *testing.T) {
+	is := is.New(t)
+	var all []Candidate
+	for n := range 60 {
+		zone := n % 6
+		all = append(all, Candidate{
+			Name:   fmt.Sprint("backend ", n),
+			Zone:   fmt.Sprint("zone ", zone),
+			Region: fmt.Sprint("region ", zone/2),
+		})
+	}
+	zones := map[string]int{}
+	for _, c := range Subset("entry", "zone 2", "region 1", all, 8) {
+		zones[c.Zone]++
+	}
+	is.Equal(zones, map[string]int{"zone 2": 6, "zone 3": 2})
+}
+
 func TestSubsetIsStable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := candidates(rapid.IntRange(2, 200).Draw(t, "candidates"))
 		n := rapid.IntRange(1, 50).Draw(t, "n")
 		gone := rapid.IntRange(0, len(all)-1).Draw(t, "gone")
-		before := names(Subset("entry", "zone 1", all, n))
+		before := names(Subset("entry", "zone 1", "", all, n))
 		lost := all[gone].Name
-		after := names(Subset("entry", "zone 1", append(all[:gone:gone], all[gone+1:]...), n))
+		after := names(Subset("entry", "zone 1", "", append(all[:gone:gone], all[gone+1:]...), n))
 		missing := 0
 		for name := range before {
 			if !after[name] {
@@ -223,6 +241,6 @@
 	all := candidates(900)
 	b.ReportAllocs()
 	for b.Loop() {
-		Subset("entry 17", "zone 1", all, 40)
+		Subset("entry 17", "zone 1", "", all, 40)
 	}
 }
--- a/internal/routing/referral/watch.go
+++ b/internal/routing/referral/watch.go
@@ -70,10 +70,14 @@
 	}
 	var candidates []choice.Candidate
 	for m := range listed {
-		candidates = append(candidates, choice.Candidate{Name: m.Host.Name, Zone: m.Host.AvailabilityZone})
+		candidates = append(candidates, choice.Candidate{
+			Name:   m.Host.Name,
+			Zone:   m.Host.AvailabilityZone,
+			Region: m.Host.Region,
+		})
 	}
 	var names []string
-	for _, c := range choice.Subset(r.Name, r.Zone, candidates, r.Candidates) {
+	for _, c := range choice.Subset(r.Name, r.Zone, r.Region, candidates, r.Candidates) {
 		names = append(names, c.Name)
 	}
 	return names
--- a/internal/routing/referral/watch_test.go
+++ b/internal/routing/referral/watch_test.go
@@ -29,10 +29,14 @@
 func ranked(r *Referral, model string) []string {
 	var candidates []choice.Candidate
 	for m := range r.Roster.Snapshot().Model(model) {
-		candidates = append(candidates, choice.Candidate{Name: m.Host.Name, Zone: m.Host.AvailabilityZone})
+		candidates = append(candidates, choice.Candidate{
+			Name:   m.Host.Name,
+			Zone:   m.Host.AvailabilityZone,
+			Region: m.Host.Region,
+		})
 	}
 	var names []string
-	for _, c := range choice.Subset(r.Name, r.Zone, candidates, r.Candidates) {
+	for _, c := range choice.Subset(r.Name, r.Zone, r.Region, candidates, r.Candidates) {
 		names = append(names, c.Name)
 	}
 	return names
