feat: an urgent prompt pushes repeatable generations aside

Cause: an urgent request that the forecast admits beside the others may meet a full engine, and the engine lets its prompt wait until memory is free. Change: before an urgent generation starts, the owner chooses victims for the memory that its prompt lacks and orders their preemption; what may not be repeated goes last. Shown by TestUrgentRequestPreemptsRepeatableOne.

--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -141,6 +141,7 @@
 		account:     in.GetAccount(),
 		class:       class.Name,
 		repeatable:  in.GetRepeatable(),
+		urgent:      class.Urgent,
 		deadline:    warden.TimeFromNanos(in.GetDeadlineUnixNanos()),
 		sequence:    entry.Sequence,
 		abandonedAt: time.Now(),
--- a/internal/backend/keeper/drive.go
+++ b/internal/backend/keeper/drive.go
@@ -36,6 +36,7 @@
 		k.finish(j, receipt.Cancelled, "cancelled before the start")
 		return
 	}
+	k.relieve(ctx, j)
 	code, reason := k.generate(ctx, j)
 	k.finish(j, code, reason)
 }
@@ -226,6 +227,7 @@
 	k := r.keeper
 	r.stalledAt = time.Now()
 	r.lastToken = time.Time{}
+	k.pushedAside(r.job, true)
 	k.Gauge.Preempted(r.job.account, r.job.class)
 	k.Records.Record(r.job.request.ID, explanation.Preempted{Reason: "the engine freed memory", Position: uint64(r.position)})
 	_ = k.Logbook.Progress(r.job.request.ID, message.GenerationState_GENERATION_STATE_PREEMPTED)
@@ -237,6 +239,7 @@
 		k.Gauge.Stalled(r.job.account, r.job.class, r.stalledAt, time.Now())
 	}
 	r.stalledAt = time.Time{}
+	k.pushedAside(r.job, false)
 	k.Records.Record(r.job.request.ID, explanation.Resumed{
 		Backend:     k.Settings.Name,
 		Incarnation: k.Incarnation,
@@ -247,6 +250,16 @@
 	_ = k.Logbook.Progress(r.job.request.ID, message.GenerationState_GENERATION_STATE_RUNNING)
 }
 
+// pushedAside notes whether the engine holds memory for the generation.
+func (k *Keeper) pushedAside(j *job, preempted bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j.preempted = preempted
+	if preempted {
+		j.preemptions++
+	}
+}
+
 // progressed tells the book of a new token and measures the engine's pace.
 func (k *Keeper) progressed(j *job, produced int, previous, now time.Time) {
 	k.mu.Lock()
--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -42,6 +42,7 @@
 	// CacheEvents returns the cache events after the given sequence. They come
 	// late, and some never come.
 	CacheEvents(ctx context.Context, since uint64) ([]engine.CacheEvent, error)
+	Order(ctx context.Context, order engine.Order) error
 }
 
 // Stream is the engine's side of one generation.
@@ -101,6 +102,12 @@
 	class   string
 	// repeatable generations may be cancelled once abandoned.
 	repeatable bool
+	// urgent generations may preempt others to start.
+	urgent bool
+	// preempted tells that the engine has pushed the generation aside, and
+	// preemptions how often it did.
+	preempted   bool
+	preemptions int
 	// deadline is zero when the caller set none.
 	deadline time.Time
 	sequence uint64
--- a/internal/backend/keeper/keeper_test.go
+++ b/internal/backend/keeper/keeper_test.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/tide"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
@@ -91,6 +92,7 @@
 		"Models": [{"Name": "coach", "Version": "1", "Replicas": 1}],
 		"Classes": [
 			{"Name": "check", "Service": "coaching", "Repeatable": true, "MaxTokens": 500},
+			{"Name": "now", "Service": "coaching", "Priority": 9, "Urgent": true, "Repeatable": true, "MaxTokens": 500},
 			{"Name": "draft", "Service": "coaching", "Repeatable": false, "MaxTokens": 500}
 		],
 		"Accounts": [{"Name": "club", "Share": 1, "RequestsPerSecond": 100, "Burst": 100}]
@@ -303,3 +305,48 @@
 		})
 	}
 }
+
+// TestUrgentRequestPreemptsRepeatableOne fills the engine's memory with a draft
+// that may not be repeated and a check that may, and expects an urgent prompt
+// to push the check aside.
+func TestUrgentRequestPreemptsRepeatableOne(t *testing.T) {
+	is := is.New(t)
+	server := &standin.Server{StepMillis: 2, Seed: 1, MemoryTokens: 4096}
+	k := start(t, server)
+	k.Records = explanation.Writer{Ring: &explanation.Ring{}}
+	long := func(words int) string { return " " + strings.Repeat("word ", words) }
+	once, check, urgent := draft("tokens=400"+long(800)), request("tokens=400"+long(800)), request("tokens=5"+long(1800))
+	urgent.Class = "now"
+	var group errgroup.Group
+	for n, in := range []*message.GenerateRequest{once, check} {
+		group.Go(func() error { return ask(k, in, &inbox{}) })
+		waitRunning(t, k, uint32(n+1))
+	}
+	is.NoErr(ask(k, urgent, &inbox{}))
+	is.True(preemptedFor(k, check.GetRequestId(), urgent.GetRequestId()))
+	is.True(!preemptedFor(k, once.GetRequestId(), urgent.GetRequestId()))
+	is.NoErr(group.Wait())
+}
+
+// waitRunning waits until so many generations are on the engine.
+func waitRunning(t *testing.T, k *Keeper, count uint32) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for k.Load().GetRunning() < count {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d generations run", k.Load().GetRunning(), count)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// preemptedFor tells whether a request was preempted in favour of another.
+func preemptedFor(k *Keeper, id, favoured string) bool {
+	for _, record := range k.Records.Ring.Find(id) {
+		preempted, is := record.Decision.(explanation.Preempted)
+		if is && preempted.InFavourOf == favoured {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/role/backendhost/engine.go
+++ b/internal/role/backendhost/engine.go
@@ -30,3 +30,8 @@
 func (a engineAdapter) CacheEvents(ctx context.Context, since uint64) ([]engine.CacheEvent, error) {
 	return a.client.CacheEvents(ctx, since)
 }
+
+// Order gives the engine one order.
+func (a engineAdapter) Order(ctx context.Context, order engine.Order) error {
+	return a.client.Order(ctx, order)
+}
