feat: engines report what orders have made of them

Cause: a process that starts beside an engine can't tell what the engine has loaded, so it would load everything again from the rate-limited store. Ruled out: keeping it on the host, which has no disk, and a log record for each order, which costs an append for each engine and version. Change: the engine's client asks for the state; an engine without it answers 404, which is ErrNoState. The stand-in keeps the state by its orders and can hide it; its record of orders in order of effect, with numbers, stays as it was. Conclusion: optional, because not all engines can tell.

--- a/internal/platform/engine/client.go
+++ b/internal/platform/engine/client.go
@@ -70,6 +70,25 @@
 	return errors.Wrapf(err, "order %s", order.Kind)
 }
 
+// State returns what the engine's orders have made of it. It fails with
+// ErrNoState when the engine does not report that.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var state State
+	a, err := exchange.Do(ctx, c.HTTP, exchange.Call{Method: http.MethodGet, Address: c.Address, Path: "/orders"})
+	if err != nil {
+		return state, errors.Wrap(classify(err), "state")
+	}
+	switch a.Status {
+	case http.StatusOK:
+		err = exchange.Decode(a, &state)
+		return state, errors.Wrap(err, "state")
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+		return state, errors.Wrap(ErrNoState, "state")
+	default:
+		return state, errors.Wrap(statusError(a.Status), "state")
+	}
+}
+
 // Load returns the engine's load as of its MeasuredAt.
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	var load Load
--- a/internal/platform/engine/engine.go
+++ b/internal/platform/engine/engine.go
@@ -18,6 +18,10 @@
 // one than the order's. It is also an ErrRefused.
 var ErrFenced = errors.Newf("%w: fencing number is old", ErrRefused)
 
+// ErrNoState says that the engine does not report what its orders have made of
+// it.
+var ErrNoState = errors.New("engine does not report its state")
+
 // ResumeFromStart as ResumeFrom attaches to a generation and asks for all of
 // its tokens.
 const ResumeFromStart = -1
@@ -103,3 +107,17 @@
 	// RequestID names the generation that Preempt is about.
 	RequestID string
 }
+
+// State is what orders have made of an engine.
+type State struct {
+	// Fence is the highest fencing number taken; 0 from an engine that ignores
+	// the numbers.
+	Fence uint64
+	// Model and Version are what is loaded; empty before the first load.
+	Model   string
+	Version string
+	// Adapters are loaded for the model's version.
+	Adapters []string
+	// Role is empty before the first one.
+	Role string
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -48,6 +48,8 @@
 	CacheEventGapEvery int
 	// ChecksFencing says whether orders with an old fencing number are refused.
 	ChecksFencing bool
+	// HidesState says that the engine does not report its state.
+	HidesState bool
 	// Seed varies lengths and texts.
 	Seed uint64
 	// Words are the texts of tokens; none means a built-in list.
@@ -124,6 +126,7 @@
 	r.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions/{id}", s.cancel).Methods(http.MethodDelete)
 	r.HandleFunc("/orders", s.order).Methods(http.MethodPost)
+	r.HandleFunc("/orders", s.reportState).Methods(http.MethodGet)
 	r.HandleFunc("/load", s.load).Methods(http.MethodGet)
 	r.HandleFunc("/cache-events", s.cacheEvents).Methods(http.MethodGet)
 	r.HandleFunc("/executions/{id}", s.countExecutions).Methods(http.MethodGet)
@@ -138,8 +141,8 @@
 	return s.executions[id]
 }
 
-// Crash drops all streams and forgets all generations and the highest fencing
-// number; the engine is up again at once, unless Faults.Down is set. Executions
+// Crash drops all streams and forgets all generations, the highest fencing
+// number and what orders have loaded; the engine is up again at once, unless Faults.Down is set. Executions
 // and Orders stay, since they are the tests' record and not the engine's.
 func (s *Server) Crash() {
 	s.mu.Lock()
@@ -150,6 +153,7 @@
 	clear(s.latest)
 	s.finished = nil
 	s.orders.highest = 0
+	s.orders.state = engine.State{}
 	close(s.crashed)
 	s.crashed = make(chan struct{})
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -14,6 +14,26 @@
 	// highest is the highest fencing number of an executed order.
 	highest  uint64
 	executed []engine.Order
+	// state is what the executed orders have made of the engine.
+	state engine.State
+}
+
+// execute records an order that is valid.
+func (b *orderBook) execute(order engine.Order) {
+	b.highest = max(b.highest, order.Fence)
+	b.executed = append(b.executed, order)
+	switch order.Kind {
+	case engine.LoadModel, engine.LoadVersion:
+		b.state.Model = order.Target
+		b.state.Version = order.Version
+		b.state.Adapters = nil
+	case engine.LoadAdapter:
+		if !slices.Contains(b.state.Adapters, order.Target) {
+			b.state.Adapters = append(slices.Clone(b.state.Adapters), order.Target)
+		}
+	case engine.ChangeRole:
+		b.state.Role = order.Target
+	}
 }
 
 // Orders returns the orders that took effect, in order.
@@ -23,6 +43,25 @@
 	return slices.Clone(s.orders.executed)
 }
 
+// State returns what the orders have made of the engine.
+func (s *Server) State() engine.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.orders.state
+	if s.ChecksFencing {
+		state.Fence = s.orders.highest
+	}
+	return state
+}
+
+func (s *Server) reportState(w http.ResponseWriter, _ *http.Request) {
+	if s.HidesState {
+		http.Error(w, "state is not reported", http.StatusNotFound)
+		return
+	}
+	serving.WriteJSON(w, s.State())
+}
+
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var order engine.Order
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&order); err != nil {
@@ -54,7 +93,6 @@
 	default:
 		return http.StatusBadRequest
 	}
-	s.orders.highest = max(s.orders.highest, order.Fence)
-	s.orders.executed = append(s.orders.executed, order)
+	s.orders.execute(order)
 	return http.StatusNoContent
 }
