--- /dev/null
+++ b/internal/backend/instruction/plan_test.go
@@ -0,0 +1,108 @@
+package instruction_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/instruction"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+// documentOf returns a document with one model.
+func documentOf(version string, replicas int, adapters ...string) agreement.Document {
+	model := agreement.Model{Name: "coach", Version: version, Adapters: adapters, Replicas: replicas}
+	return agreement.Document{Models: []agreement.Model{model}}.WithIndex()
+}
+
+func actionsOf(orders []instruction.Order) []instruction.Action {
+	actions := []instruction.Action{}
+	for _, o := range orders {
+		actions = append(actions, o.Action)
+	}
+	return actions
+}
+
+func TestPlan(t *testing.T) {
+	serving := instruction.Reached{Number: 3, Model: "coach", Version: "1", Adapters: []string{"a"}, Role: instruction.RoleServing}
+	tests := []struct {
+		name     string
+		document agreement.Document
+		number   uint64
+		rank     int
+		reached  instruction.Reached
+		want     []instruction.Action
+	}{
+		{"an engine of which nothing is known", documentOf("1", 2, "a"), 3, 0, instruction.Reached{}, []instruction.Action{
+			instruction.LoadModel{Model: "coach", Version: "1"},
+			instruction.LoadAdapter{Adapter: "a", Version: "1"},
+			instruction.ChangeRole{Role: instruction.RoleServing},
+		}},
+		{"nothing to do", documentOf("1", 2, "a"), 3, 0, serving, []instruction.Action{}},
+		{"a new number alone", documentOf("1", 2, "a"), 4, 0, serving, []instruction.Action{
+			instruction.ChangeRole{Role: instruction.RoleServing},
+		}},
+		{"a new version needs its adapters", documentOf("2", 2, "a"), 4, 0, serving, []instruction.Action{
+			instruction.ChangeRole{Role: instruction.RoleServing},
+			instruction.LoadVersion{Model: "coach", Version: "2"},
+			instruction.LoadAdapter{Adapter: "a", Version: "2"},
+		}},
+		{"one more adapter", documentOf("1", 2, "a", "b"), 3, 0, serving, []instruction.Action{
+			instruction.LoadAdapter{Adapter: "b", Version: "1"},
+		}},
+		{"beyond the replicas", documentOf("2", 2, "a"), 3, 2, serving, []instruction.Action{
+			instruction.ChangeRole{Role: instruction.RoleStandby},
+		}},
+		{"rank unknown", documentOf("1", 2, "a"), 3, instruction.RankUnknown, serving, []instruction.Action{}},
+		{"model not named", agreement.Document{}, 4, 0, serving, []instruction.Action{
+			instruction.ChangeRole{Role: instruction.RoleServing},
+		}},
+		{"an older version", documentOf("0", 2), 2, 0, serving, []instruction.Action{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			backend := instruction.Backend{Model: "coach", Rank: tt.rank}
+			orders := instruction.Plan(tt.document, tt.number, backend, tt.reached)
+			is.New(t).Equal(actionsOf(orders), tt.want)
+		})
+	}
+}
+
+// TestPlanReachesItsGoal: whatever was reached, the plan of a version that is
+// not older ends where nothing is left to order, also when it is cut short and
+// made anew.
+func TestPlanReachesItsGoal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		version := rapid.SampledFrom([]string{"1", "2", "3"})
+		adapters := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.ID)
+		reached := instruction.Reached{
+			Number:   rapid.Uint64Range(0, 5).Draw(t, "number"),
+			Model:    rapid.SampledFrom([]string{"", "coach", "drafter"}).Draw(t, "model"),
+			Version:  version.Draw(t, "reached"),
+			Adapters: adapters.Draw(t, "held"),
+			Role:     rapid.SampledFrom([]string{"", instruction.RoleServing, instruction.RoleStandby}).Draw(t, "role"),
+		}
+		goal := documentOf(version.Draw(t, "goal"), 2, adapters.Draw(t, "wanted")...)
+		backend := instruction.Backend{Model: "coach", Rank: rapid.IntRange(-1, 3).Draw(t, "rank")}
+		number := reached.Number + rapid.Uint64Range(0, 2).Draw(t, "step")
+		for range 20 {
+			orders := instruction.Plan(goal, number, backend, reached)
+			if len(orders) == 0 {
+				break
+			}
+			for _, o := range orders[:rapid.IntRange(1, len(orders)).Draw(t, "done")] {
+				reached = reached.With(o)
+			}
+		}
+		if left := instruction.Plan(goal, number, backend, reached); len(left) > 0 {
+			t.Fatalf("left to order: %v", left)
+		}
+		if reached.Role == instruction.RoleServing && reached.Version != goal.Models[0].Version {
+			t.Fatalf("serves version %s", reached.Version)
+		}
+		if reached.Number != number {
+			t.Fatalf("number is %d, want %d", reached.Number, number)
+		}
+	})
+}
