feat: orders are given to the engine at the weight store's pace

Cause: nothing loaded models, adapters and versions or changed roles. Ruled out: dropping all work at each new version, since the operator file changes more often than a large load takes; and asking the store again right at the time it names, which it names to all. Change: the foreman follows the version in force, fetches weights with spread and jittered requests, and sends one order at a time through the fence. A load goes on while the version in force still needs it. A lost answer is asked again with the same number, and the plan is repeated once the engine has settled. Before its first order, or after a pause, it reads the log's end when the engine ignores numbers and is not empty.

--- /dev/null
+++ b/internal/backend/foreman/cause.go
@@ -0,0 +1,37 @@
+package foreman
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/instruction"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/weights"
+)
+
+// causeKind returns a short name of a failure, by which repeated ones are
+// recognised. It is empty without a failure.
+func causeKind(err error) string {
+	if err == nil {
+		return ""
+	}
+	var throttled *weights.ThrottledError
+	if errors.As(err, &throttled) {
+		return "throttled"
+	}
+	known := []error{
+		errBusy,
+		instruction.ErrLapsed,
+		instruction.ErrOldNumber,
+		engine.ErrFenced,
+		engine.ErrRefused,
+		engine.ErrBroken,
+		weights.ErrUnknownWeights,
+		weights.ErrUnavailable,
+	}
+	for _, k := range known {
+		if errors.Is(err, k) {
+			return k.Error()
+		}
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/backend/foreman/foreman_test.go
@@ -0,0 +1,321 @@
+package foreman
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/instruction"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/edition"
+	standinengine "github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
+	standinweights "github.com/fulmarvalve/fulmarvalve/internal/standin/weights"
+)
+
+// attemptsToLearn bounds the attempts of a process that has woken.
+const attemptsToLearn = 5
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func TestOrdersFollowTheEdition(t *testing.T) {
+	forEachEngine(t, func(b *bench) {
+		f, h := b.start(edition.Edition{})
+		b.publish(h, editionOf(1, "1", 2, "strength"))
+		quiet()
+		b.publish(h, editionOf(2, "1", 2, "strength"))
+		quiet()
+		b.publish(h, editionOf(3, "2", 2))
+		quiet()
+		b.is.Equal(b.taken(), []string{
+			"1 LoadModel coach1", "1 LoadAdapter strength1", "1 ChangeRole Serving",
+			"2 ChangeRole Serving",
+			"3 ChangeRole Serving", "3 LoadVersion coach2",
+		})
+		b.is.Equal(b.loads("1"), 1)
+		b.is.Equal(f.Status(), Status{ModelVersion: "2", Role: instruction.RoleServing, OrderedVersion: 3})
+	})
+}
+
+// TestLostAnswerIsAskedAgain: the order is repeated with its number, and the
+// plan once more after the engine has settled.
+func TestLostAnswerIsAskedAgain(t *testing.T) {
+	forEachEngine(t, func(b *bench) {
+		b.engine.Faults.LoseOrders.Store(2)
+		b.log.accept(editionOf(1, "1", 2))
+		b.start(editionOf(1, "1", 2))
+		quiet()
+		b.is.True(!b.wentBack())
+		b.is.Equal(b.engine.State().Version, "1")
+		b.is.Equal(b.engine.State().Role, instruction.RoleServing)
+		b.is.Equal(b.loads("1"), 1)
+	})
+}
+
+// TestPlanIsRepeatedAfterALostAnswer: a copy of an old order takes effect late,
+// after the plan of a newer version.
+func TestPlanIsRepeatedAfterALostAnswer(t *testing.T) {
+	b := &bench{engine: &standinengine.Server{HidesState: true}}
+	inVirtualTime(t, b, func(b *bench) {
+		_, h := b.start(edition.Edition{})
+		b.engine.Faults.LoseOrders.Store(1)
+		b.publish(h, editionOf(1, "1", 1))
+		synctest.Wait()
+		b.publish(h, editionOf(2, "2", 1))
+		time.Sleep(10 * time.Second)
+		late := engine.Order{Kind: engine.LoadModel, Target: modelName, Version: "1", Fence: 1}
+		client := &engine.Client{Address: "engine", HTTP: b.client(&b.enginePipe)}
+		b.is.NoErr(client.Order(b.ctx, late))
+		b.is.Equal(b.engine.State().Version, "1")
+		quiet()
+		b.is.Equal(b.engine.State().Version, "2")
+		b.is.Equal(b.loads("2"), 1)
+	})
+}
+
+// TestReplacementLearnsTheNumber: a process that starts with an old edition
+// beside an engine that was given a newer one does not send the old order.
+func TestReplacementLearnsTheNumber(t *testing.T) {
+	forEachEngine(t, func(b *bench) {
+		_, h := b.start(edition.Edition{})
+		b.publish(h, editionOf(1, "1", 1))
+		quiet()
+		b.publish(h, editionOf(2, "2", 1))
+		quiet()
+		b.stop()
+		f, _ := b.start(editionOf(1, "1", 1))
+		quiet()
+		b.is.True(!b.wentBack())
+		b.is.Equal(b.engine.State().Version, "2")
+		b.is.Equal(f.Status().Waiting, "")
+	})
+}
+
+// TestReplacementWaitsForTheLog: without the log a replacement can't know what
+// an engine was given that ignores numbers, unless nothing is loaded.
+func TestReplacementWaitsForTheLog(t *testing.T) {
+	tests := []struct {
+		name   string
+		engine *standinengine.Server
+		empty  bool
+		orders bool
+	}{
+		{"ignores", &standinengine.Server{}, false, false},
+		{"ignores and hides", &standinengine.Server{HidesState: true}, false, false},
+		{"ignores and is empty", &standinengine.Server{}, true, true},
+		{"checks", &standinengine.Server{ChecksFencing: true}, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inVirtualTime(t, &bench{engine: tt.engine}, func(b *bench) {
+				b.log.accept(editionOf(1, "1", 1))
+				if !tt.empty {
+					b.start(editionOf(1, "1", 1))
+					quiet()
+					b.stop()
+				}
+				b.log.setDown(true)
+				before := len(b.taken())
+				b.start(editionOf(2, "2", 1))
+				quiet()
+				b.is.Equal(len(b.taken()) > before, tt.orders)
+				b.log.accept(editionOf(2, "2", 1))
+				b.log.setDown(false)
+				quiet()
+				b.is.Equal(b.engine.State().Version, "2")
+			})
+		})
+	}
+}
+
+// TestFormerHolderWakesWithAnOldOrder: a process is paused between its plan and
+// the sending; the engine is given a newer version meanwhile.
+func TestFormerHolderWakesWithAnOldOrder(t *testing.T) {
+	forEachEngine(t, func(b *bench) {
+		first := editionOf(1, "1", 1)
+		b.log.accept(first)
+		former, _ := b.newForeman(first)
+		former.prepare()
+		b.is.NoErr(former.learn(b.ctx))
+		old := instruction.Plan(first.Document, 1, former.backend(), former.reached)[0]
+
+		_, h := b.start(first)
+		quiet()
+		b.publish(h, editionOf(2, "2", 1))
+		quiet()
+		err := former.send(b.ctx, old)
+		b.is.True(errors.Is(err, instruction.ErrLapsed))
+		b.is.True(!b.wentBack())
+		b.is.Equal(b.engine.State().Version, "2")
+
+		for range attemptsToLearn {
+			err = former.pursue(b.ctx, former.Configuration.Changed())
+			if err == nil {
+				break
+			}
+		}
+		b.is.NoErr(err)
+		b.is.True(!b.wentBack())
+		b.is.Equal(b.engine.State().Version, "2")
+	})
+}
+
+func TestNewerEditionDropsThePlan(t *testing.T) {
+	b := &bench{
+		engine: &standinengine.Server{},
+		store:  &standinweights.Server{LoadMillis: 120_000},
+	}
+	inVirtualTime(t, b, func(b *bench) {
+		_, h := b.start(edition.Edition{})
+		b.publish(h, editionOf(1, "1", 1))
+		time.Sleep(60 * time.Second)
+		b.publish(h, editionOf(2, "2", 1))
+		time.Sleep(125 * time.Second)
+		b.is.Equal(b.taken(), []string{"2 LoadModel coach2", "2 ChangeRole Serving"})
+		b.is.Equal(b.loads("1"), 0)
+	})
+}
+
+// TestOtherChangesLeaveTheLoadGoing: the operator file changes more often than
+// a load takes.
+func TestOtherChangesLeaveTheLoadGoing(t *testing.T) {
+	b := &bench{
+		engine: &standinengine.Server{},
+		store:  &standinweights.Server{LoadMillis: 120_000},
+	}
+	inVirtualTime(t, b, func(b *bench) {
+		_, h := b.start(edition.Edition{})
+		for number := range uint64(6) {
+			b.publish(h, editionOf(number+1, "1", 1))
+			time.Sleep(27 * time.Second)
+		}
+		b.is.Equal(b.taken(), []string{"5 LoadModel coach1", "5 ChangeRole Serving", "6 ChangeRole Serving"})
+		b.is.Equal(b.loads("1"), 1)
+	})
+}
+
+// TestEngineServesWhileWeightsLoad: a generation goes through a change of the
+// version without a pause or a second start.
+func TestEngineServesWhileWeightsLoad(t *testing.T) {
+	const tokens = 30_000
+	b := &bench{
+		engine: &standinengine.Server{MemoryTokens: 2 * tokens, StepMillis: 5},
+		store:  &standinweights.Server{LoadMillis: 60_000},
+	}
+	inVirtualTime(t, b, func(b *bench) {
+		_, h := b.start(edition.Edition{})
+		b.publish(h, editionOf(1, "1", 1))
+		quiet()
+		client := &engine.Client{Address: "engine", HTTP: b.client(&b.enginePipe)}
+		prompt := fmt.Sprintf("tokens=%d", tokens)
+		stream, err := client.Generate(b.ctx, engine.Request{ID: "draft", Model: modelName, Prompt: prompt})
+		b.is.NoErr(err)
+		b.publish(h, editionOf(2, "2", 1))
+		for position := range tokens {
+			event, err := stream.Next()
+			b.is.NoErr(err)
+			b.is.Equal(event.(engine.Token).Position, position)
+		}
+		end, err := stream.Next()
+		b.is.NoErr(err)
+		b.is.Equal(end, engine.Finished{RequestID: "draft", Reason: engine.ReasonStop, Tokens: tokens})
+		b.is.NoErr(stream.Close())
+		b.is.Equal(b.engine.Executions("draft"), 1)
+		b.is.Equal(b.engine.State().Version, "2")
+	})
+}
+
+func TestStoreFaults(t *testing.T) {
+	const adapter = "strength"
+	tests := []struct {
+		name    string
+		store   *standinweights.Server
+		prepare func(*standinweights.Server)
+		mend    func(*standinweights.Server)
+		// before tells whether the engine is ready before the store is mended.
+		before bool
+		loads  int
+	}{
+		{
+			"down", &standinweights.Server{},
+			func(s *standinweights.Server) { s.Faults.Down.Store(true) },
+			func(s *standinweights.Server) { s.Faults.Down.Store(false) },
+			false, 1,
+		},
+		{
+			"slow", &standinweights.Server{},
+			func(s *standinweights.Server) { s.Faults.SlowMillis.Store(80_000) },
+			func(*standinweights.Server) {}, true, 1,
+		},
+		{
+			"answers lost", &standinweights.Server{},
+			func(s *standinweights.Server) { s.Faults.LoseAnswers.Store(2) },
+			func(*standinweights.Server) {}, true, 3,
+		},
+		{
+			"rate-limited", &standinweights.Server{LoadsPerMinute: 1},
+			func(*standinweights.Server) {},
+			func(*standinweights.Server) {}, true, 1,
+		},
+		{
+			"without the version", &standinweights.Server{Versions: map[string][]string{modelName: {"0"}, adapter: {"1"}}},
+			func(*standinweights.Server) {},
+			func(*standinweights.Server) {}, false, 0,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inVirtualTime(t, &bench{engine: &standinengine.Server{}, store: tt.store}, func(b *bench) {
+				tt.prepare(b.store)
+				f, h := b.start(edition.Edition{})
+				b.publish(h, editionOf(1, "1", 1, adapter))
+				quiet()
+				b.is.Equal(b.engine.State().Role == instruction.RoleServing, tt.before)
+				b.is.Equal(f.Status().Waiting == "", tt.before)
+				tt.mend(b.store)
+				quiet()
+				b.is.Equal(b.loads("1"), tt.loads)
+				b.is.Equal(len(b.engine.State().Adapters), min(tt.loads, 1))
+			})
+		})
+	}
+}
+
+func TestEngineThatLostItsModelGetsItAgain(t *testing.T) {
+	b := &bench{engine: &standinengine.Server{ChecksFencing: true}}
+	inVirtualTime(t, b, func(b *bench) {
+		b.start(editionOf(1, "1", 1))
+		quiet()
+		b.engine.Crash()
+		b.is.Equal(b.engine.State(), engine.State{})
+		quiet()
+		b.is.Equal(b.engine.State(), engine.State{Fence: 1, Model: modelName, Version: "1", Role: instruction.RoleServing})
+		b.is.Equal(b.loads("1"), 2)
+	})
+}
+
+func TestStandbyWaitsForOpenRequests(t *testing.T) {
+	b := &bench{engine: &standinengine.Server{}}
+	inVirtualTime(t, b, func(b *bench) {
+		b.log.accept(editionOf(1, "1", 1))
+		b.start(editionOf(1, "1", 1))
+		quiet()
+		b.stop()
+		b.rank = 1
+		b.open = 1
+		f, _ := b.start(editionOf(1, "1", 1))
+		quiet()
+		b.is.Equal(b.engine.State().Role, instruction.RoleServing)
+		b.is.True(f.Status().Waiting != "")
+		b.stop()
+		b.open = 0
+		b.start(editionOf(1, "1", 1))
+		quiet()
+		b.is.Equal(b.engine.State().Role, instruction.RoleStandby)
+	})
+}
--- /dev/null
+++ b/internal/backend/foreman/rollout_test.go
@@ -0,0 +1,178 @@
+package foreman
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/weights"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/edition"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
+	standinweights "github.com/fulmarvalve/fulmarvalve/internal/standin/weights"
+)
+
+const (
+	// storeLoadsPerMinute is the limit of the store in the measurement.
+	storeLoadsPerMinute = 60
+	// peakLimit bounds the requests that reach the store in any one second.
+	peakLimit = 40
+)
+
+// memoryEngine is an engine without I/O.
+type memoryEngine struct {
+	mu       sync.Mutex
+	state    engine.State
+	loadedAt time.Time
+}
+
+func (e *memoryEngine) State(context.Context) (engine.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+func (e *memoryEngine) Order(_ context.Context, order engine.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Fence = max(e.state.Fence, order.Fence)
+	if order.Kind == engine.LoadVersion {
+		e.state.Version = order.Version
+		e.loadedAt = time.Now()
+	}
+	return nil
+}
+
+func (e *memoryEngine) has(version string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Version == version
+}
+
+// requestCounter counts requests by the second in which they come.
+type requestCounter struct {
+	mu      sync.Mutex
+	seconds map[int64]int
+	total   int
+}
+
+func (c *requestCounter) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		c.seconds[time.Now().Unix()]++
+		c.total++
+		c.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *requestCounter) peak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peak := 0
+	for _, n := range c.seconds {
+		peak = max(peak, n)
+	}
+	return peak
+}
+
+// rollout is what the measurement of one rollout gave.
+type rollout struct {
+	took           time.Duration
+	requests, peak int
+}
+
+// measureRollout brings a number of engines to a new version.
+func measureRollout(t *testing.T, count int, store *standinweights.Server) rollout {
+	var result rollout
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var pipe serving.Pipe
+		var group errgroup.Group
+		counter := &requestCounter{seconds: make(map[int64]int)}
+		group.Go(func() error { return pipe.Serve(ctx, counter.count(store.Handler())) })
+		client := pipe.Client()
+		log := &accepted{}
+		engines := make([]*memoryEngine, count)
+		processes := make([]*heard, count)
+		for i := range count {
+			engines[i] = &memoryEngine{state: engine.State{Fence: 1, Model: modelName, Version: "1", Role: "Serving"}}
+			processes[i] = &heard{log: log}
+			processes[i].hear(editionOf(1, "1", count))
+			f := &Foreman{
+				Model:         modelName,
+				Configuration: processes[i],
+				Engine:        engines[i],
+				ChecksFencing: true,
+				Store:         &weights.Client{Address: "store", HTTP: client},
+			}
+			group.Go(func() error { return f.Run(ctx) })
+		}
+		begin := time.Now()
+		next := editionOf(2, "2", count)
+		publishTo(processes, next)
+		waitForAll(engines, "2")
+		result = rollout{took: latest(engines).Sub(begin), requests: counter.total, peak: counter.peak()}
+		cancel()
+		client.CloseIdleConnections()
+		is.NoErr(group.Wait())
+	})
+	return result
+}
+
+func publishTo(processes []*heard, e edition.Edition) {
+	for _, p := range processes {
+		p.hear(e)
+	}
+}
+
+func waitForAll(engines []*memoryEngine, version string) {
+	for _, e := range engines {
+		for !e.has(version) {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func latest(engines []*memoryEngine) time.Time {
+	var last time.Time
+	for _, e := range engines {
+		if e.loadedAt.After(last) {
+			last = e.loadedAt
+		}
+	}
+	return last
+}
+
+// TestRollout measures the time and the store's load of a new version.
+func TestRollout(t *testing.T) {
+	tests := []struct {
+		name      string
+		waitMilli int
+	}{
+		{"store refuses at once", 0},
+		{"store lets wait 5 s", 5000},
+	}
+	for _, tt := range tests {
+		for _, count := range []int{10, 100, 900} {
+			if testing.Short() && count > 100 {
+				continue
+			}
+			store := &standinweights.Server{LoadsPerMinute: storeLoadsPerMinute, MaxWaitMillis: tt.waitMilli}
+			got := measureRollout(t, count, store)
+			perMinute := float64(count) / got.took.Minutes()
+			t.Logf("%s, %d engines: %s, %.1f loads a minute, %d requests, peak %d a second",
+				tt.name, count, got.took.Round(time.Second), perMinute, got.requests, got.peak)
+			is := is.New(t)
+			is.True(got.peak <= peakLimit)
+			is.Equal(store.Loads(standinweights.Weights{Model: modelName, Version: "2"}), count)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/foreman/send.go
@@ -0,0 +1,86 @@
+package foreman
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/instruction"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
+)
+
+// carryOut fetches the weights of one order and sends it.
+func (f *Foreman) carryOut(ctx context.Context, changed <-chan struct{}, order instruction.Order) error {
+	if err := f.fetch(ctx, order); err != nil {
+		return err
+	}
+	if f.wouldCut(order) {
+		return errBusy
+	}
+	select {
+	case <-changed:
+		return errSuperseded
+	default:
+	}
+	if err := f.send(ctx, order); err != nil {
+		return err
+	}
+	f.reached = f.reached.With(order)
+	f.note()
+	o := wireOrder(order)
+	diary.For(f.Log, diary.Foreman).Info("engine has taken an order",
+		"Kind", o.Kind, "Target", o.Target, "Version", o.Version, "Number", o.Fence)
+	return nil
+}
+
+// wouldCut reports whether an order could cut requests that are open.
+func (f *Foreman) wouldCut(order instruction.Order) bool {
+	change, ok := order.Action.(instruction.ChangeRole)
+	if !ok || change.Role == f.reached.Role || change.Role != instruction.RoleStandby {
+		return false
+	}
+	return f.Open != nil && f.Open() > 0
+}
+
+// send passes one order through the fence. The exchange goes on when another
+// version comes into force, so that its outcome becomes known.
+func (f *Foreman) send(ctx context.Context, order instruction.Order) error {
+	if in, found := f.Configuration.Edition(); found {
+		f.fence.Raise(in.Version)
+	}
+	err := f.fence.Send(order, func(order instruction.Order) error {
+		ctx, stop := context.WithDeadline(ctx, time.Now().Add(orderMillis*time.Millisecond))
+		defer stop()
+		return f.Engine.Order(ctx, wireOrder(order))
+	})
+	if errors.Is(err, engine.ErrBroken) {
+		f.repeatAt = time.Now().Add(settleMillis * time.Millisecond)
+	}
+	f.fenced = f.fenced || errors.Is(err, engine.ErrFenced)
+	return errors.Wrap(err, "send order")
+}
+
+// wireOrder returns the order as the engine takes it.
+func wireOrder(order instruction.Order) engine.Order {
+	out := engine.Order{Fence: order.Number}
+	switch a := order.Action.(type) {
+	case instruction.LoadModel:
+		out.Kind = engine.LoadModel
+		out.Target = a.Model
+		out.Version = a.Version
+	case instruction.LoadVersion:
+		out.Kind = engine.LoadVersion
+		out.Target = a.Model
+		out.Version = a.Version
+	case instruction.LoadAdapter:
+		out.Kind = engine.LoadAdapter
+		out.Target = a.Adapter
+		out.Version = a.Version
+	case instruction.ChangeRole:
+		out.Kind = engine.ChangeRole
+		out.Target = a.Role
+	}
+	return out
+}
--- a/internal/records/diary/part.go
+++ b/internal/records/diary/part.go
@@ -11,6 +11,7 @@
 	Roster   Part = "roster"
 	Keeper   Part = "keeper"
 	Engine   Part = "engine"
+	Foreman  Part = "foreman"
 	Desk     Part = "desk"
 	Holder   Part = "holder"
 	Journal  Part = "journal"
