feat: process beside an engine gives its orders and shows them

Cause: the foreman had no place in a process. Change: it runs beside engines once the peer address is listened on, which is the slot that keeps a second process of the host out; the rank comes from the platform's list; the status shows the engine's version, role, ordered version and what waits. Conclusion: engines without a weight store address take orders at once.

--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -68,6 +68,8 @@
 	owner       owner
 	hosts       *hostlist.Client
 	peers       entryHosts
+	// orders is nil beside a plain service.
+	orders *orders
 }
 
 // Run serves until the lifetime's drain has ended.
@@ -92,6 +94,9 @@
 	group.Go(func() error { return h.bulletin.Run(ctx) })
 	group.Go(func() error { return h.register(ctx) })
 	group.Go(func() error { return h.peers.run(ctx, h.hosts) })
+	if h.orders != nil {
+		group.Go(func() error { return h.orders.foreman.Run(ctx) })
+	}
 	group.Go(func() error {
 		defer stop()
 		return h.drain(ctx, life)
@@ -132,6 +137,10 @@
 		h.owner = h.newKeeper(book, guard)
 	}
 	h.owner.Prepare()
+	if h.Settings.Kind == process.KindEngine {
+		h.orders = h.newOrders()
+		h.peers.listed = h.orders.rank.take
+	}
 }
 
 func (h *Host) newKeeper(book *logbook.Logbook, guard *warden.Warden) owner {
@@ -209,6 +218,7 @@
 		ConfigVersion: h.bulletin.Version(),
 		Leaving:       load.GetLeaving(),
 		OpenRequests:  h.owner.Open(),
+		Orders:        h.orders.status(),
 	}
 }
 
--- a/internal/role/backendhost/entryhosts.go
+++ b/internal/role/backendhost/entryhosts.go
@@ -22,6 +22,8 @@
 type entryHosts struct {
 	// seeds come from the settings and are always kept.
 	seeds []string
+	// listed takes each list that was read; it may be nil.
+	listed func([]hostlist.Host)
 
 	mu    sync.Mutex
 	known []string
@@ -43,6 +45,9 @@
 	for {
 		if listed, err := hosts.Hosts(ctx); err == nil {
 			e.take(listed)
+			if e.listed != nil {
+				e.listed(listed)
+			}
 		}
 		next := time.Now().Add(time.Duration(listMillis/2+rand.IntN(listMillis)) * time.Millisecond)
 		timer := time.NewTimer(time.Until(next))
--- /dev/null
+++ b/internal/role/backendhost/orders.go
@@ -0,0 +1,100 @@
+package backendhost
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/foreman"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/instruction"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/weights"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/bulletin"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+)
+
+// orders gives the engine its orders. Run starts it once the process listens on
+// its peer address, which no other process of the host can do meanwhile.
+type orders struct {
+	foreman *foreman.Foreman
+	rank    *rank
+}
+
+func (h *Host) newOrders() *orders {
+	position := newRank(h.Settings.Name, h.Settings.Model)
+	log := &journal.Client{Address: h.Settings.LogServiceAddress, HTTP: &http.Client{}}
+	f := &foreman.Foreman{
+		Model:         h.Settings.Model,
+		Rank:          position.value,
+		Open:          h.owner.Open,
+		Configuration: confirmedBulletin{Bulletin: h.bulletin, log: log},
+		Engine: &engine.Client{
+			Address: h.Settings.EngineAddress,
+			HTTP:    &http.Client{Transport: line.NewTransport()},
+		},
+		ChecksFencing: h.Settings.EngineChecksFencing,
+		Log:           h.Log,
+	}
+	if h.Settings.WeightStoreAddress != "" {
+		f.Store = &weights.Client{Address: h.Settings.WeightStoreAddress, HTTP: &http.Client{}}
+	}
+	return &orders{foreman: f, rank: position}
+}
+
+// status returns what was ordered, or nil beside a plain service.
+func (o *orders) status() *peer.OrderStatus {
+	if o == nil {
+		return nil
+	}
+	status := o.foreman.Status()
+	return &peer.OrderStatus{
+		ModelVersion:   status.ModelVersion,
+		EngineRole:     status.Role,
+		OrderedVersion: status.OrderedVersion,
+		Waiting:        status.Waiting,
+	}
+}
+
+// confirmedBulletin reads the log when the foreman asks for it.
+type confirmedBulletin struct {
+	*bulletin.Bulletin
+	log journal.Log
+}
+
+// Confirm reads the log up to its end.
+func (c confirmedBulletin) Confirm(ctx context.Context) error {
+	return c.ReadLog(ctx, c.log)
+}
+
+// rank is the position of an engine among the live engines of its model, as
+// the platform's list shows them. It is safe for concurrent use.
+type rank struct {
+	name  string
+	model string
+	// before counts the engines that come before this one.
+	before atomic.Int64
+}
+
+func newRank(name, model string) *rank {
+	r := &rank{name: name, model: model}
+	r.before.Store(instruction.RankUnknown)
+	return r
+}
+
+// take counts the live engines of the model whose names come before the own
+// one. The loss of an engine changes the role of one other engine at most.
+func (r *rank) take(listed []hostlist.Host) {
+	before := int64(0)
+	for _, h := range listed {
+		live := h.Role == hostlist.RoleBackend && h.State == hostlist.StateLive
+		if live && h.Model == r.model && h.Name < r.name {
+			before++
+		}
+	}
+	r.before.Store(before)
+}
+
+func (r *rank) value() int { return int(r.before.Load()) }
--- a/internal/role/peer/peer.go
+++ b/internal/role/peer/peer.go
@@ -30,10 +30,25 @@
 	Leaving       bool
 	// OpenRequests counts the requests that have not ended.
 	OpenRequests int
+	// Orders is what the engine was ordered; beside engines only.
+	Orders *OrderStatus `json:",omitempty"`
 	// Hosts lists what the process knows of others; entry hosts only.
 	Hosts []HostStatus `json:",omitempty"`
 }
 
+// OrderStatus is what a process has ordered its engine.
+type OrderStatus struct {
+	// ModelVersion is what the engine has loaded; empty while unknown.
+	ModelVersion string
+	// EngineRole is empty while unknown.
+	EngineRole string
+	// OrderedVersion is the highest ConfigVersion of which the engine has taken
+	// an order, as far as the process knows.
+	OrderedVersion uint64
+	// Waiting says why an order waits; empty when none does.
+	Waiting string `json:",omitempty"`
+}
+
 // HostStatus is what one process knows of another.
 type HostStatus struct {
 	Name        string
