--- /dev/null
+++ b/internal/role/backendhost/orders_test.go
@@ -0,0 +1,67 @@
+package backendhost
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/instruction"
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+func TestRank(t *testing.T) {
+	host := func(name, model, state string) hostlist.Host {
+		return hostlist.Host{Name: name, Role: hostlist.RoleBackend, Model: model, State: state}
+	}
+	live, leaving := hostlist.StateLive, hostlist.StateLeaving
+	tests := []struct {
+		name   string
+		listed []hostlist.Host
+		want   int
+	}{
+		{"nothing listed", nil, 0},
+		{"itself and a later one", []hostlist.Host{host("c", "coach", live), host("d", "coach", live)}, 0},
+		{"earlier ones", []hostlist.Host{host("a", "coach", live), host("b", "coach", live)}, 2},
+		{"one that is leaving", []hostlist.Host{host("a", "coach", leaving), host("b", "coach", live)}, 1},
+		{"another model", []hostlist.Host{host("a", "drafter", live)}, 0},
+		{"an entry host", []hostlist.Host{{Name: "a", Role: hostlist.RoleEntry, State: live}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRank("c", "coach")
+			is.Equal(r.value(), instruction.RankUnknown)
+			r.take(tt.listed)
+			is.Equal(r.value(), tt.want)
+		})
+	}
+}
+
+func TestOrdersStandBesideEnginesOnly(t *testing.T) {
+	tests := []struct {
+		kind  string
+		store string
+		want  bool
+	}{
+		{process.KindEngine, "", true},
+		{process.KindEngine, "127.0.0.1:9", true},
+		{process.KindPlain, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.kind+tt.store, func(t *testing.T) {
+			is := is.New(t)
+			settings := process.DefaultBackend()
+			settings.Kind = tt.kind
+			settings.MemoryTokens = 1000
+			settings.WeightStoreAddress = tt.store
+			h := &Host{Settings: settings}
+			h.prepare()
+			is.Equal(h.orders != nil, tt.want)
+			is.Equal(h.status().Orders != nil, tt.want)
+			if tt.want {
+				is.Equal(h.orders.foreman.Store != nil, tt.store != "")
+			}
+		})
+	}
+}
