--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -90,6 +90,8 @@
 		Urgent:       class.Urgent,
 		Repeatable:   in.GetRepeatable(),
 		PromptTokens: len(in.GetPrompt())/promptBytesPerToken + 1,
+		PrefixHash:   PrefixHash(in.GetPrompt()),
+		PrefixTokens: min(len(in.GetPrompt()), prefixBytes) / promptBytesPerToken,
 		MaxTokens:    int(in.GetMaxTokens()),
 		Deadline:     warden.TimeFromNanos(in.GetDeadlineUnixNanos()),
 	}
@@ -133,7 +135,7 @@
 			Model:      in.GetModel(),
 			Prompt:     in.GetPrompt(),
 			MaxTokens:  int(in.GetMaxTokens()),
-			Priority:   class.Priority,
+			Priority:   enginePriority(class.Priority, in.GetRepeatable()),
 			PrefixHash: PrefixHash(in.GetPrompt()),
 		},
 		account:     in.GetAccount(),
@@ -150,6 +152,16 @@
 	return nil
 }
 
+// enginePriority orders work at the engine, which preempts the lowest first:
+// within a class's priority, what may not be repeated goes last.
+func enginePriority(priority int, repeatable bool) int {
+	const ranks = 2
+	if repeatable {
+		return priority * ranks
+	}
+	return priority*ranks + 1
+}
+
 // refusalOf maps the book's refusal to a result code.
 func refusalOf(d booking.Refuse) *receipt.Result {
 	code := receipt.QueueFull
--- a/internal/routing/rounds/rounds.go
+++ b/internal/routing/rounds/rounds.go
@@ -7,25 +7,33 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/choice"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
 const (
-	// listMillis is the period at which the list is read.
+	// listMillis is the shortest period at which the list is read.
 	listMillis = 2000
+	// listHostBytes is the usual size of one host in the list.
+	listHostBytes = 160
+	// listBytesPerSecond bounds what reading the list costs on average. What a
+	// long list tells late, refusals and replies tell at once.
+	listBytesPerSecond = 1000
 	// registerMillis is the period at which the host registers.
 	registerMillis = 5000
 	// probeMillis is the period of probes, and the age at which a load is old.
 	probeMillis = 1000
+	// probesPerPeriod bounds the probes of one period: the oldest loads go
+	// first, and replies that flow anyway refresh the rest.
+	probesPerPeriod = 4
 	// askMillis bounds one question to the platform or a backend server.
 	askMillis = 1000
 	// spread is the random part of a period, so that hosts do not act in step.
@@ -35,12 +43,11 @@
 // Rounds runs beside one entry host. Its fields must be set before Run.
 type Rounds struct {
 	// Self returns the host as it registers itself.
-	Self func() hostlist.Host
-	// Candidates bounds the backend servers that are probed, per model or
-	// service.
-	Candidates int
-	Hosts      *hostlist.Client
-	Roster     *roster.Roster
+	Self  func() hostlist.Host
+	Hosts *hostlist.Client
+	// Watched returns the backend servers that the host routes to.
+	Watched func() []roster.Member
+	Roster  *roster.Roster
 	// Observe takes the load that a probe brought.
 	Observe func(load *message.Load, askedAt, now time.Time)
 	// Asker fills the fields of a probe that name this process.
@@ -51,18 +58,33 @@
 // Run works until ctx ends.
 func (r *Rounds) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, listMillis, r.readList) })
-	group.Go(func() error { return every(ctx, registerMillis, r.Announce) })
-	group.Go(func() error { return every(ctx, probeMillis, r.probeAll) })
+	group.Go(func() error { return every(ctx, r.listPeriodMillis, r.readList) })
+	group.Go(func() error { return every(ctx, constant(registerMillis), r.Announce) })
+	group.Go(func() error { return every(ctx, constant(probeMillis), r.probeOldest) })
 	return group.Wait()
 }
 
+// ListPeriodMillis returns the period at which a list of so many hosts is read
+// when its reading may cost the given bytes a second.
+func ListPeriodMillis(hosts, bytesPerSecond int) int {
+	const millisPerSecond = 1000
+	return hosts * listHostBytes * millisPerSecond / bytesPerSecond
+}
+
+func (r *Rounds) listPeriodMillis() int {
+	return max(listMillis, ListPeriodMillis(r.Roster.Snapshot().Len(), listBytesPerSecond))
+}
+
+func constant(millis int) func() int {
+	return func() int { return millis }
+}
+
 // every calls work now and then with a jittered period, until ctx ends.
-func every(ctx context.Context, millis int, work func(context.Context)) error {
+func every(ctx context.Context, millis func() int, work func(context.Context)) error {
 	for {
 		work(ctx)
 		jitter := 1 - spread/2 + spread*rand.Float64()
-		next := time.Now().Add(time.Duration(float64(millis)*jitter) * time.Millisecond)
+		next := time.Now().Add(time.Duration(float64(millis())*jitter) * time.Millisecond)
 		timer := time.NewTimer(time.Until(next))
 		select {
 		case <-ctx.Done():
@@ -114,16 +136,11 @@
 	}
 }
 
-// probeAll asks the watched backend servers whose load is old.
-func (r *Rounds) probeAll(ctx context.Context) {
+// probeOldest asks the watched backend servers whose load is the oldest.
+func (r *Rounds) probeOldest(ctx context.Context) {
 	now := time.Now()
 	var group errgroup.Group
-	group.SetLimit(r.Candidates)
-	for _, m := range r.watched() {
-		age, seen := m.Age(now)
-		if m.Suspect(now) || (seen && age < probeMillis*time.Millisecond) {
-			continue
-		}
+	for _, m := range oldest(r.Watched(), now, probesPerPeriod) {
 		group.Go(func() error {
 			r.probe(ctx, m)
 			return nil
@@ -132,27 +149,20 @@
 	_ = group.Wait()
 }
 
-// watched returns the subset of backend servers that this host routes to.
-func (r *Rounds) watched() []roster.Member {
-	self := r.Self()
-	snapshot := r.Roster.Snapshot()
-	kinds := make(map[string][]choice.Candidate)
-	for m := range snapshot.All() {
-		if m.Host.Role != roster.RoleBackend {
-			continue
-		}
-		kind := m.Host.Model + "/" + m.Host.Service
-		kinds[kind] = append(kinds[kind], choice.Candidate{Name: m.Host.Name, Zone: m.Host.AvailabilityZone})
-	}
-	var watched []roster.Member
-	for _, all := range kinds {
-		for _, c := range choice.Subset(self.Name, self.Zone, all, r.Candidates) {
-			if m, found := snapshot.Find(c.Name); found {
-				watched = append(watched, m)
-			}
+// oldest returns at most limit members whose load is old, the oldest first.
+// Members that were never heard from come before all others.
+func oldest(watched []roster.Member, now time.Time, limit int) []roster.Member {
+	var old []roster.Member
+	for _, m := range watched {
+		age, seen := m.Age(now)
+		if !m.Suspect(now) && (!seen || age >= probeMillis*time.Millisecond) {
+			old = append(old, m)
 		}
 	}
-	return watched
+	slices.SortStableFunc(old, func(a, b roster.Member) int {
+		return a.SeenAt.Compare(b.SeenAt)
+	})
+	return old[:min(limit, len(old))]
 }
 
 func (r *Rounds) probe(ctx context.Context, m roster.Member) {
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"storj.io/drpc"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/delivery"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
@@ -37,6 +36,7 @@
 		refused:  make(map[string]bool),
 	}
 	reply, result := journey.call(ctx, call)
+	result = journey.truthful(result)
 	journey.finish(result)
 	return reply, result
 }
@@ -47,7 +47,7 @@
 		if result := j.checkTime(ctx); result != nil {
 			return Reply{}, result
 		}
-		if result := j.nextOwner(ctx); result != nil {
+		if result := j.nextOwner(ctx); result != nil && !j.askAgain(result) {
 			return Reply{}, result
 		}
 		reply, result := j.askOwner(ctx, call)
@@ -57,12 +57,18 @@
 	}
 }
 
+// askAgain tells whether the same owner is asked on a fresh connection: no other
+// one is left, and the last connection fell silent.
+func (j *journey) askAgain(result *receipt.Result) bool {
+	return j.request.Repeatable && j.lastRefusal != nil && result.Code == receipt.OwnerSilent
+}
+
 // askOwner sends the call to the target. A call whose reply was lost is asked
 // again by request identity where it may not be repeated elsewhere.
 func (j *journey) askOwner(ctx context.Context, call Call) (Reply, *receipt.Result) {
 	ctx, stop := context.WithDeadline(ctx, call.Deadline)
 	defer stop()
-	silentUntil := j.silentDeadline()
+	silence := j.newSilence()
 	sent := false
 	for {
 		askedAt := time.Now()
@@ -73,15 +79,19 @@
 		if ctx.Err() != nil {
 			return Reply{}, j.callCut(ctx, sent)
 		}
-		sent = sent || !errors.Is(err, line.ErrDial)
+		if !errors.Is(err, line.ErrDial) {
+			sent = true
+			j.mayHaveRun(j.brokenOff(err))
+		}
 		j.disturbed(err.Error())
 		now := time.Now()
+		silence.take(err, now)
 		j.Picker.Unreachable(j.target, now)
 		if !sent && j.permit == nil {
 			return Reply{}, receipt.New(receipt.NoBackend, "%s was not reached: %v", j.target.Backend, err).
 				WithRetryAt(now.Add(time.Second))
 		}
-		if j.request.Repeatable || now.After(silentUntil) {
+		if j.request.Repeatable || silence.ended(now) {
 			return Reply{}, receipt.New(receipt.OwnerSilent, "%s does not answer: %v", j.target.Backend, err).
 				WithRetryAt(now.Add(time.Second))
 		}
@@ -101,10 +111,33 @@
 	}
 }
 
+// send opens one connection and waits for the reply while heartbeats come.
 func (j *journey) send(ctx context.Context, call Call) (*message.CallReply, error) {
-	ctx, stop := context.WithDeadline(ctx, j.progressDeadline())
-	defer stop()
-	request := &message.CallRequest{
+	ctx, watch := j.watch(ctx)
+	defer watch.stop()
+	conn, err := line.Dial(ctx, j.target.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := message.NewDRPCBackendClient(conn).Call(ctx, j.callRequest(call))
+	if err != nil {
+		return nil, errors.CombineErrors(context.Cause(ctx), err)
+	}
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return nil, errors.CombineErrors(context.Cause(ctx), err)
+		}
+		watch.alive()
+		if reply := frame.GetReply(); reply != nil {
+			return reply, nil
+		}
+	}
+}
+
+func (j *journey) callRequest(call Call) *message.CallRequest {
+	return &message.CallRequest{
 		RequestId:         j.request.ID,
 		Account:           call.Account,
 		Class:             call.Class,
@@ -118,10 +151,6 @@
 		ConfigVersion:     j.ConfigVersion(),
 		Asker:             j.Address,
 	}
-	return line.Call(ctx, j.target.PeerAddress,
-		func(ctx context.Context, conn drpc.Conn) (*message.CallReply, error) {
-			return message.NewDRPCBackendClient(conn).Call(ctx, request)
-		})
 }
 
 func (j *journey) takeReply(reply *message.CallReply, askedAt time.Time) (Reply, *receipt.Result) {
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -86,12 +86,19 @@
 	Claim(context.Context, *message.ClaimRequest) (*message.ClaimReply, error)
 }
 
+// Gauge counts what callers do not see. It is safe for concurrent use.
+type Gauge interface {
+	CountRetry()
+	CountRejectedFrame(reason string)
+}
+
 // Runner runs requests. It is safe for concurrent use.
 type Runner struct {
 	// Picker and Claimer must be set before use.
 	Picker  Picker
 	Claimer Claimer
 	Records explanation.Writer
+	Gauge   Gauge
 	// ProgressMillis is the silence after which a path counts as dead; zero
 	// means the default.
 	ProgressMillis int
@@ -115,7 +122,7 @@
 		delivery: &delivery.Delivery{RequestID: request.ID},
 		refused:  make(map[string]bool),
 	}
-	result := journey.run(ctx)
+	result := journey.truthful(journey.run(ctx))
 	journey.finish(result)
 	return result
 }
@@ -177,11 +184,3 @@
 	}
 	return time.Now().Add(time.Duration(millis) * time.Millisecond)
 }
-
-func (r *Runner) silentDeadline() time.Time {
-	millis := r.SilentMillis
-	if millis == 0 {
-		millis = defaultSilentMillis
-	}
-	return time.Now().Add(time.Duration(millis) * time.Millisecond)
-}
--- a/internal/wire/line/line.go
+++ b/internal/wire/line/line.go
@@ -21,6 +21,9 @@
 const (
 	// MaxMessageBytes bounds one message in either direction.
 	MaxMessageBytes = 4 << 20
+	// MaxBodyBytes bounds the body of a caller's request, or of a plain
+	// service's reply, inside a message.
+	MaxBodyBytes = 3 << 20
 	// dialMillis bounds the set-up of a connection.
 	dialMillis = 1000
 	// writeMillis bounds one write to a connection that takes no more bytes.
@@ -69,22 +72,29 @@
 	return boundedConn{conn}, nil
 }
 
-// Dial opens a connection to the process at address, a host and port. The
-// caller closes it. The error is marked with ErrDial.
+// Dial opens a connection for callers' data to the process at address, a host
+// and port. The caller closes it. The error is marked with ErrDial.
 func Dial(ctx context.Context, address string) (drpc.Conn, error) {
+	return dial(ctx, address, Data)
+}
+
+func dial(ctx context.Context, address string, traffic *Traffic) (drpc.Conn, error) {
 	deadline := time.Now().Add(dialMillis * time.Millisecond)
 	dialer := net.Dialer{Deadline: deadline}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
 	}
-	return drpcconn.NewWithOptions(boundedConn{conn}, drpcconn.Options{Manager: managerOptions()}), nil
+	traffic.calls.Add(1)
+	counted := countedConn{Conn: conn, traffic: traffic}
+	return drpcconn.NewWithOptions(boundedConn{counted}, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
-// Call dials address, runs one unary call and closes the connection.
+// Call dials address, runs one call that carries no caller's data, and closes
+// the connection.
 func Call[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
 	var none R
-	conn, err := Dial(ctx, address)
+	conn, err := dial(ctx, address, Control)
 	if err != nil {
 		return none, err
 	}
