--- a/internal/role/backendhost/orders_test.go
+++ b/internal/role/backendhost/orders_test.go
@@ -1,13 +1,20 @@
 package backendhost
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/instruction"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 )
 
 func TestRank(t *testing.T) {
@@ -65,3 +72,37 @@
 		})
 	}
 }
+
+// TestSecondProcessOfAHostGivesNoOrders: the peer address is the slot of the
+// process beside an engine, and orders begin after it is held.
+func TestSecondProcessOfAHostGivesNoOrders(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	first, err := line.Listen(ctx, "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(first.Close()) }()
+	orders := &countingEngine{}
+	server := httptest.NewServer(orders)
+	defer server.Close()
+
+	settings := process.DefaultBackend()
+	settings.Kind = process.KindEngine
+	settings.MemoryTokens = 1000
+	settings.PeerAddress = first.Addr().String()
+	settings.MetricsAddress = "127.0.0.1:0"
+	settings.EngineAddress = server.Listener.Addr().String()
+	second := &Host{Settings: settings}
+	err = second.Run(lifetime.Lifetime{Drain: ctx, Cut: ctx})
+	is.True(errors.Is(err, syscall.EADDRINUSE))
+	is.Equal(orders.calls.Load(), int64(0))
+}
+
+// countingEngine counts the calls that reach an engine.
+type countingEngine struct {
+	calls atomic.Int64
+}
+
+func (e *countingEngine) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	e.calls.Add(1)
+	w.WriteHeader(http.StatusNotFound)
+}
