fix: records of a newer format are fetched once

A process that met a peer with a newer format fetched the document at each exchange and warned each time, about 10 KB every two seconds. It now asks for what is newer than the version that it could not take, and bears no name in that request, so that no peer asks it for that version.

--- a/internal/settings/edition/exchange.go
+++ b/internal/settings/edition/exchange.go
@@ -9,7 +9,7 @@
 // Observe takes note that a peer held a version. It is called for the versions
 // that ride on other messages, and returns at once. An empty peer is ignored.
 func (e *Exchanger) Observe(version uint64, peer string) {
-	if peer == "" || version <= e.Register.Version() {
+	if peer == "" || version <= e.known() {
 		return
 	}
 	e.init()
--- a/internal/settings/edition/exchanger.go
+++ b/internal/settings/edition/exchanger.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
@@ -64,6 +65,9 @@
 	records *rate.Limiter
 	// encoded caches the document in force, compressed.
 	encoded atomic.Pointer[encodedState]
+	// refused is the latest version whose record has a newer format, so that it
+	// is not fetched again.
+	refused atomic.Uint64
 }
 
 // hint says that a peer held a version.
@@ -107,7 +111,7 @@
 		case <-ctx.Done():
 			return nil
 		case h := <-e.hints:
-			if h.version > e.Register.Version() {
+			if h.version > e.known() {
 				e.exchange(ctx, h.peer)
 			}
 		}
@@ -140,20 +144,38 @@
 func (e *Exchanger) exchange(ctx context.Context, peer string) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(exchangeTimeoutMillis*time.Millisecond))
 	defer cancel()
-	request := &message.ExchangeRequest{Name: e.Name, Version: e.Register.Version()}
+	request := e.request()
 	reply, err := e.Peers.Exchange(ctx, peer, request)
 	if err != nil {
 		e.logger().Debug("peer gave no answer", "Peer", peer, "Error", err)
 		return
 	}
-	if reply.GetVersion() <= e.Register.Version() || len(reply.GetRecord()) == 0 {
+	if reply.GetVersion() <= e.known() || len(reply.GetRecord()) == 0 {
 		return
 	}
 	if err := e.adopt(reply.GetRecord()); err != nil {
+		if errors.Is(err, ErrNewerFormat) {
+			e.refused.Store(reply.GetVersion())
+		}
 		e.logger().Warn("record of a peer is not taken", "Peer", peer, "Error", err)
 	}
 }
 
+// request asks for what is newer than the version that is known here. It bears
+// no name when that version could not be taken, so that no peer asks for it.
+func (e *Exchanger) request() *message.ExchangeRequest {
+	version := e.Register.Version()
+	if known := e.known(); known > version {
+		return &message.ExchangeRequest{Version: known}
+	}
+	return &message.ExchangeRequest{Name: e.Name, Version: version}
+}
+
+// known returns the highest version that need not be fetched.
+func (e *Exchanger) known() uint64 {
+	return max(e.Register.Version(), e.refused.Load())
+}
+
 // adopt puts a snapshot that a peer sent in force.
 func (e *Exchanger) adopt(data []byte) error {
 	state, err := decodeState(data)
--- a/internal/settings/edition/reader_test.go
+++ b/internal/settings/edition/reader_test.go
@@ -152,6 +152,41 @@
 	})
 }
 
+// newerPeer holds a version of a newer format.
+type newerPeer struct {
+	record []byte
+	sent   int
+}
+
+func (p *newerPeer) Pick() (string, bool) { return "newer", true }
+
+func (p *newerPeer) Exchange(_ context.Context, _ string, request *message.ExchangeRequest) (*message.ExchangeReply, error) {
+	reply := &message.ExchangeReply{Version: 2}
+	if request.GetVersion() < 2 {
+		p.sent++
+		reply.Record = p.record
+	}
+	return reply, nil
+}
+
+// TestRecordOfNewerFormatIsFetchedOnce keeps the version in force, and does not
+// fetch what it cannot take over and over.
+func TestRecordOfNewerFormatIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peer := &newerPeer{record: compress(t, `{"Format":2,"Kind":"Snapshot","ID":"b","Version":2,"Document":{}}`)}
+		register := &Register{}
+		_, err := register.Offer(State{Edition: Edition{Version: 1, ID: "a"}, Through: 1})
+		is.NoErr(err)
+		exchanger := &Exchanger{Register: register, Peers: peer}
+		ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(time.Minute))
+		defer cancel()
+		is.NoErr(exchanger.Run(ctx))
+		is.Equal(peer.sent, 1)
+		is.Equal(register.Version(), uint64(1))
+	})
+}
+
 // TestRegisterNeverReverts offers states in any order.
 func TestRegisterNeverReverts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
