--- a/internal/settings/edition/anchor.go
+++ b/internal/settings/edition/anchor.go
@@ -1,6 +1,11 @@
 package edition
 
-import "github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+import (
+	"iter"
+	"slices"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
+)
 
 // Anchor returns a state that the retained records state, from which the fold
 // can go on without a gap. It reports false when there is none.
@@ -15,10 +20,8 @@
 	if first <= 1 {
 		return State{}, true
 	}
-	for i := len(records) - 1; i >= 0; i-- {
-		if snapshot, ok := usableSnapshot(records[i], first); ok {
-			return snapshot, true
-		}
+	if snapshot, ok := lastSnapshot(records, first); ok {
+		return snapshot, true
 	}
 	for _, record := range records {
 		if restart, ok := usableRestart(record, first); ok {
@@ -28,6 +31,26 @@
 	return State{}, false
 }
 
+// lastSnapshot returns the state of the last usable snapshot of the records, of
+// which first is the offset of the first one.
+func lastSnapshot(records []journal.Record, first uint64) (State, bool) {
+	return findSnapshot(slices.Backward(records), first)
+}
+
+// firstSnapshot returns the state of the first usable snapshot of the records.
+func firstSnapshot(records []journal.Record, first uint64) (State, bool) {
+	return findSnapshot(slices.All(records), first)
+}
+
+func findSnapshot(records iter.Seq2[int, journal.Record], first uint64) (State, bool) {
+	for _, record := range records {
+		if snapshot, ok := usableSnapshot(record, first); ok {
+			return snapshot, true
+		}
+	}
+	return State{}, false
+}
+
 // usableSnapshot returns the state of a valid snapshot after which no record is
 // missing.
 func usableSnapshot(record journal.Record, first uint64) (State, bool) {
--- a/internal/settings/edition/cursor.go
+++ b/internal/settings/edition/cursor.go
@@ -8,8 +8,15 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
 )
 
-// pageRecords is the number of records that are read at once.
-const pageRecords = 64
+const (
+	// pageRecords is the number of records that are read at once.
+	pageRecords = 64
+	// catchUpRecords is the distance from the end above which a cursor looks for
+	// a snapshot near the end, before it folds all records.
+	catchUpRecords = 256
+	// tailGrowth is the factor by which the search for a snapshot widens.
+	tailGrowth = 4
+)
 
 // ErrUnanchored says that retention dropped records that were not read here,
 // and that the stream holds no snapshot to start from.
@@ -29,32 +36,77 @@
 	apply decider
 	// observe may be nil.
 	observe observer
-	// skipped is set when records were passed over, because they had expired.
+	// whole is set to fold as many of the retained records as can be decided.
+	whole bool
+	// skipped is set when records were passed over.
 	skipped bool
 }
 
 // advance folds all records up to the end of the stream. It returns
 // ErrNewerFormat when it stopped at a record that this program cannot decide.
 func (c *cursor) advance(ctx context.Context) error {
+	page, err := c.read(ctx, c.state.Through+1)
+	if err != nil {
+		return err
+	}
+	gap := page.First > c.state.Through+1
+	far := page.Next > c.state.Through+1+catchUpRecords
+	if !c.whole && (gap || far) {
+		found, err := c.jump(ctx, max(page.First, c.state.Through+1), page.Next)
+		if err != nil || found {
+			return err
+		}
+	}
+	if gap {
+		return c.recover(ctx, page.First)
+	}
+	return c.foldPages(ctx, page)
+}
+
+// foldPages folds a page and those after it.
+func (c *cursor) foldPages(ctx context.Context, page journal.Page) error {
 	for {
-		page, err := c.log.Read(ctx, Stream, c.state.Through+1, pageRecords)
+		if err := c.fold(page.Records); err != nil {
+			return err
+		}
+		if len(page.Records) == 0 || c.state.Through+1 >= page.Next {
+			return nil
+		}
+		var err error
+		page, err = c.read(ctx, c.state.Through+1)
 		if err != nil {
-			return errors.Wrap(err, "read configuration stream")
+			return err
 		}
 		if page.First > c.state.Through+1 {
 			return c.recover(ctx, page.First)
 		}
-		if err := c.fold(page.Records); err != nil {
-			return err
+	}
+}
+
+// jump starts again from a snapshot near the end of the stream, which is
+// searched backwards from next and not beyond low. It reports whether there was
+// one.
+func (c *cursor) jump(ctx context.Context, low, next uint64) (bool, error) {
+	for window := uint64(pageRecords); ; window *= tailGrowth {
+		from := low
+		if next > low+window {
+			from = next - window
 		}
-		if len(page.Records) == 0 || c.state.Through+1 >= page.Next {
-			return nil
+		records, from, err := c.retained(ctx, from)
+		if err != nil {
+			return false, err
+		}
+		if snapshot, ok := lastSnapshot(records, from); ok {
+			return true, c.restartFrom(snapshot, records)
+		}
+		if from <= low || window >= next {
+			return false, nil
 		}
 	}
 }
 
-// recover starts again from a snapshot, after retention dropped records that
-// were not read.
+// recover starts again from what all retained records state, after retention
+// dropped records that were not read.
 func (c *cursor) recover(ctx context.Context, first uint64) error {
 	records, first, err := c.retained(ctx, first)
 	if err != nil {
@@ -64,8 +116,16 @@
 	if !ok {
 		return errors.Wrapf(ErrUnanchored, "read through %d, first retained is %d", c.state.Through, first)
 	}
+	if earliest, found := firstSnapshot(records, first); c.whole && found {
+		anchor = earliest
+	}
+	return c.restartFrom(anchor, records)
+}
+
+// restartFrom goes on from a state and folds the records after its prefix.
+func (c *cursor) restartFrom(anchor State, records []journal.Record) error {
 	if anchor.Edition.Version < c.state.Edition.Version {
-		return errors.Wrapf(ErrDiverged, "version %d is in force, a later snapshot states %d",
+		return errors.Wrapf(ErrDiverged, "version %d is in force, a later record states %d",
 			c.state.Edition.Version, anchor.Edition.Version)
 	}
 	c.state = anchor
@@ -73,29 +133,34 @@
 	return c.fold(records)
 }
 
-// retained reads all records of the stream. The first offset may rise
-// meanwhile.
-func (c *cursor) retained(ctx context.Context, first uint64) ([]journal.Record, uint64, error) {
+// retained reads all records from an offset on. It returns the offset of the
+// first one, which rises when retention drops records meanwhile.
+func (c *cursor) retained(ctx context.Context, from uint64) ([]journal.Record, uint64, error) {
 	var records []journal.Record
-	position := first
+	position := from
 	for {
-		page, err := c.log.Read(ctx, Stream, position, pageRecords)
+		page, err := c.read(ctx, position)
 		if err != nil {
-			return nil, 0, errors.Wrap(err, "read configuration stream")
+			return nil, 0, err
 		}
 		if page.First > position {
 			records = nil
-			first = page.First
+			from = page.First
 			position = page.First
 		}
 		records = append(records, page.Records...)
 		position += uint64(len(page.Records))
 		if len(page.Records) == 0 || position >= page.Next {
-			return records, first, nil
+			return records, from, nil
 		}
 	}
 }
 
+func (c *cursor) read(ctx context.Context, from uint64) (journal.Page, error) {
+	page, err := c.log.Read(ctx, Stream, from, pageRecords)
+	return page, errors.Wrap(err, "read configuration stream")
+}
+
 func (c *cursor) fold(records []journal.Record) error {
 	apply := c.apply
 	if apply == nil {
--- a/internal/settings/edition/fold_test.go
+++ b/internal/settings/edition/fold_test.go
@@ -187,24 +187,34 @@
 	})
 }
 
-// TestAnchoredFoldAgrees drops any prefix of any stream: a reader that finds an
-// anchor in the rest ends in the state of a reader of the whole.
+// TestAnchoredFoldAgrees drops any prefix of any stream: a reader that starts
+// from the anchor of the rest, or from any usable snapshot in it, ends in the
+// state of a reader of the whole.
 func TestAnchoredFoldAgrees(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawStream(t)
 		dropped := rapid.IntRange(0, len(s.records)).Draw(t, "dropped")
 		rest := s.records[dropped:]
-		anchor, ok := Anchor(rest, uint64(dropped+1))
-		if !ok {
-			return
+		var starts []State
+		if anchor, ok := Anchor(rest, uint64(dropped+1)); ok {
+			starts = append(starts, anchor)
 		}
-		c := cursor{state: anchor}
-		if err := c.fold(rest); err != nil {
-			t.Fatal(err)
+		for _, record := range rest {
+			if snapshot, ok := usableSnapshot(record, uint64(dropped+1)); ok {
+				starts = append(starts, snapshot)
+			}
 		}
-		if want := s.states[len(s.records)]; !sameVerdict(c.state, want) {
-			t.Fatalf("dropped %d: version %d of %s through %d, want %d of %s through %d", dropped,
-				c.state.Edition.Version, c.state.Edition.ID, c.state.Through, want.Edition.Version, want.Edition.ID, want.Through)
+		want := s.states[len(s.records)]
+		for _, start := range starts {
+			c := cursor{state: start}
+			if err := c.fold(rest); err != nil {
+				t.Fatal(err)
+			}
+			if !sameVerdict(c.state, want) {
+				t.Fatalf("dropped %d, started through %d: version %d of %s through %d, want %d of %s through %d",
+					dropped, start.Through, c.state.Edition.Version, c.state.Edition.ID, c.state.Through,
+					want.Edition.Version, want.Edition.ID, want.Through)
+			}
 		}
 	})
 }
--- a/internal/settings/edition/publisher.go
+++ b/internal/settings/edition/publisher.go
@@ -62,7 +62,7 @@
 	}
 	u := &publication{
 		id:       change.ID,
-		cursor:   cursor{log: p.Journal, state: p.Seed, apply: p.apply},
+		cursor:   cursor{log: p.Journal, state: p.Seed, apply: p.apply, whole: change.ID != ""},
 		appended: change.ID != "",
 	}
 	if change.ID == "" {
--- a/internal/settings/edition/publisher_test.go
+++ b/internal/settings/edition/publisher_test.go
@@ -167,6 +167,26 @@
 	})
 }
 
+// TestPublishContinuesAcrossASnapshot continues a change that was accepted and
+// replaced. Its record stands between two snapshots, and older ones expired.
+func TestPublishContinuesAcrossASnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{RetainRecords: 4}
+		mustPublish(t, store, smallDocument(1))
+		c := cursor{log: store}
+		is.NoErr(c.advance(t.Context()))
+		mustAppend(t, store, c.state.Snapshot())
+		e := mustPublish(t, store, smallDocument(2))
+		mustPublish(t, store, smallDocument(3))
+		is.NoErr(c.advance(t.Context()))
+		mustAppend(t, store, c.state.Snapshot())
+		again, err := tryPublish(t, store, Change{ID: e.ID, Replaces: 1, Text: smallDocument(2)})
+		is.NoErr(err)
+		is.Equal(again.Version, e.Version)
+	})
+}
+
 func TestPublishWithoutHistoryNeedsASeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/settings/edition/reader_test.go
+++ b/internal/settings/edition/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
 	standin "github.com/fulmarvalve/fulmarvalve/internal/standin/journal"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -217,3 +219,45 @@
 	is.True(errors.Is(err, ErrDiverged))
 	is.Equal(r.State().Edition.ID, "a")
 }
+
+// countingLog counts the records that are read.
+type countingLog struct {
+	*standin.Store
+	records int
+}
+
+func (l *countingLog) Read(ctx context.Context, name string, from uint64, limit int) (journal.Page, error) {
+	page, err := l.Store.Read(ctx, name, from, limit)
+	l.records += len(page.Records)
+	return page, err
+}
+
+// TestNewReaderStartsNearTheEnd reads a long stream whose last snapshot stands
+// near the end, with and without its beginning.
+func TestNewReaderStartsNearTheEnd(t *testing.T) {
+	for name, retained := range map[string]int{"whole history": 0, "beginning has expired": 900} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log := &countingLog{Store: &standin.Store{RetainRecords: retained}}
+			c := cursor{log: log}
+			for i := range 1000 {
+				mustAppend(t, log, proposal(fmt.Sprintf("p%d", i), uint64(i), smallDocument(i)))
+				is.NoErr(c.advance(t.Context()))
+				if i == 900 {
+					mustAppend(t, log, c.state.Snapshot())
+				}
+			}
+			log.records = 0
+			fresh := cursor{log: log}
+			is.NoErr(fresh.advance(t.Context()))
+			is.Equal(fresh.state.Edition.ID, "p999")
+			is.Equal(fresh.state.Through, uint64(1001))
+			is.True(log.records < 500) // it did not read the whole stream
+
+			log.records = 0
+			whole := cursor{log: log, whole: true}
+			is.NoErr(whole.advance(t.Context()))
+			is.Equal(whole.state.Edition.ID, "p999")
+		})
+	}
+}
