--- a/internal/backend/booking/offer.go
+++ b/internal/backend/booking/offer.go
@@ -19,31 +19,35 @@
 	if roundUp(r.PromptTokens+1, b.BlockTokens) > b.limitTokens(r.Urgent) {
 		return Refuse{RequestID: r.RequestID, Reason: ReasonTooLarge}
 	}
-	w := &Waiting{Request: r, QueuedAt: now}
-	behind := b.ahead(w, now)
+	w := &Waiting{
+		Request:        r,
+		QueuedAt:       now,
+		ExpectedTokens: b.Lengths.Remaining(r.Class, r.Account, 0, expectedQuantile),
+	}
+	p := b.placeOf(w, now)
 	reason := ReasonBehind
-	if behind == 0 {
-		admit, blocked := b.try(w, b.profile())
+	if p.ahead == 0 {
+		admit, blocked := b.try(w, b.profiles())
 		if blocked == 0 && !b.late(w, now) {
 			b.start(w, now)
 			return admit
 		}
 		reason = blocked
 	}
-	return b.enqueue(w, behind, reason, now)
+	return b.enqueue(w, p, reason, now)
 }
 
 // enqueue puts a request that cannot start into the queue, or refuses it.
-func (b *Book) enqueue(w *Waiting, behind int, reason Reason, now time.Time) Decision {
-	startAt := b.startAt(behind, now)
+func (b *Book) enqueue(w *Waiting, p place, reason Reason, now time.Time) Decision {
+	startAt := b.startAt(p.ahead, now)
 	if b.late(w, startAt) {
 		return Refuse{RequestID: w.RequestID, Reason: ReasonDeadline, RetryAt: b.retryAt(now)}
 	}
-	if full, ok := b.room(w.Request); !ok {
+	if full, ok := b.room(w, p); !ok {
 		return Refuse{RequestID: w.RequestID, Reason: full, RetryAt: b.retryAt(now)}
 	}
 	b.waiting = append(b.waiting, w)
-	return Wait{RequestID: w.RequestID, Position: behind + 1, Reason: reason, StartAt: startAt}
+	return Wait{RequestID: w.RequestID, Position: p.ahead + 1, Reason: reason, StartAt: startAt}
 }
 
 // late tells whether a request that starts at the given time has no fair chance
@@ -60,18 +64,27 @@
 	return startAt.Add(usual).After(w.Deadline)
 }
 
-// try returns the start of a request, or what stands against it.
-func (b *Book) try(w *Waiting, p *profile) (Admit, Reason) {
+// try returns the start of a request, or what stands against it. An urgent
+// request is held against the urgent generations alone, since the others can be
+// preempted. On a start the profiles include it.
+func (b *Book) try(w *Waiting, p profiles) (Admit, Reason) {
 	if len(b.running) >= b.batchLimit(w.Urgent) {
 		return Admit{}, ReasonBatch
 	}
-	with := *p
-	with.add(b.Lengths.Curve(w.Class, w.Account), w.Request, 0, b.BlockTokens)
-	f := b.forecast(&with, w.Urgent)
+	against := p.all
+	if w.Urgent {
+		against = p.urgent
+	}
+	with := against.clone()
+	b.include(with, w.Request, 0)
+	f := b.forecast(with, w.Urgent)
 	if !f.fits() && len(b.running) > 0 {
 		return Admit{}, ReasonMemory
 	}
-	*p = with
+	*against = *with
+	if w.Urgent {
+		b.include(p.all, w.Request, 0)
+	}
 	return Admit{RequestID: w.RequestID, QueuedAt: w.QueuedAt, Forecast: f}, 0
 }
 
--- a/internal/routing/visit/fixture_test.go
+++ b/internal/routing/visit/fixture_test.go
@@ -30,8 +30,16 @@
 
 	mu    sync.Mutex
 	asked []*message.GenerateRequest
+	// silentCalls is how many coming plain calls get no reply.
+	silentCalls int
+	// heartbeats is how many heartbeats come before the reply of a plain call.
+	heartbeats int
 }
 
+// heartbeatMillis is the pause between heartbeats, well under the progress
+// deadline of the tests.
+const heartbeatMillis = 50
+
 func (o *owner) Generate(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
 	o.mu.Lock()
 	step := o.script[min(len(o.asked), len(o.script)-1)]
@@ -40,8 +48,28 @@
 	return step(in, out)
 }
 
-func (o *owner) Call(context.Context, *message.CallRequest) (*message.CallReply, error) {
-	return &message.CallReply{HttpStatus: 200, Load: o.load()}, nil
+func (o *owner) Call(_ *message.CallRequest, out message.DRPCBackend_CallStream) error {
+	if o.staysSilent() {
+		<-out.Context().Done()
+		return out.Context().Err()
+	}
+	for range o.heartbeats {
+		time.Sleep(heartbeatMillis * time.Millisecond)
+		beat := &message.CallFrame_Heartbeat{Heartbeat: &message.Heartbeat{}}
+		if err := out.Send(&message.CallFrame{Body: beat}); err != nil {
+			return err
+		}
+	}
+	reply := &message.CallReply{HttpStatus: 200, Load: o.load()}
+	return out.Send(&message.CallFrame{Body: &message.CallFrame_Reply{Reply: reply}})
+}
+
+// staysSilent takes one of the calls that get no reply.
+func (o *owner) staysSilent() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.silentCalls--
+	return o.silentCalls >= 0
 }
 
 func (o *owner) Cancel(context.Context, *message.CancelRequest) (*message.CancelReply, error) {
@@ -65,6 +93,14 @@
 
 // serve starts the owner on loopback until the test ends.
 func (o *owner) serve(t testing.TB) *owner {
+	t.Helper()
+	o.serveUntil(t)
+	return o
+}
+
+// serveUntil starts the owner on loopback. It ends with the test, or when the
+// returned function is called.
+func (o *owner) serveUntil(t testing.TB) func() {
 	t.Helper()
 	is := is.New(t)
 	var config net.ListenConfig
@@ -76,11 +112,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return (&line.Server{Listener: listener, Handler: mux}).Run(ctx) })
-	t.Cleanup(func() {
+	end := func() {
 		stop()
 		_ = group.Wait()
-	})
-	return o
+	}
+	t.Cleanup(end)
+	return end
 }
 
 // frame returns a frame of the owner's only generation.
@@ -188,6 +225,8 @@
 type answer struct {
 	begun int
 	texts []string
+	// onTokens is called when tokens came; it may be nil.
+	onTokens func()
 }
 
 func (a *answer) Begin(ticket.Ticket) {
@@ -197,6 +236,9 @@
 
 func (a *answer) Tokens(_ uint64, text []string) error {
 	a.texts = append(a.texts, text...)
+	if a.onTokens != nil {
+		a.onTokens()
+	}
 	return nil
 }
 
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -14,9 +14,6 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
-// errNoProgress is the cause of a path that was cut for its silence.
-var errNoProgress = errors.New("no frame came before the progress deadline")
-
 // errGap reports a frame that is missing; a fresh connection asks for it again.
 var errGap = errors.New("a frame is missing")
 
@@ -28,7 +25,7 @@
 func (j *journey) follow(ctx context.Context) *receipt.Result {
 	ctx, stop := j.withDeadline(ctx)
 	defer stop()
-	silentUntil := j.silentDeadline()
+	silence := j.newSilence()
 	sent := j.resumed
 	for {
 		before := j.delivery.Next()
@@ -42,11 +39,13 @@
 		j.disturbed(err.Error())
 		if !errors.Is(err, line.ErrDial) {
 			sent = true
+			j.mayHaveRun(j.brokenOff(err))
 		}
 		if j.delivery.Next() > before {
-			silentUntil = j.silentDeadline()
+			silence = j.newSilence()
 		}
-		if lost := j.giveUp(sent, silentUntil, err); lost != nil {
+		silence.take(err, time.Now())
+		if lost := j.giveUp(sent, silence, err); lost != nil {
 			return lost
 		}
 		pause(ctx, time.Now().Add(reattachMillis*time.Millisecond))
@@ -54,7 +53,7 @@
 }
 
 // giveUp decides whether the owner is asked again after a broken path.
-func (j *journey) giveUp(sent bool, silentUntil time.Time, cause error) *receipt.Result {
+func (j *journey) giveUp(sent bool, silence silence, cause error) *receipt.Result {
 	now := time.Now()
 	j.Picker.Unreachable(j.target, now)
 	if !sent && j.permit == nil {
@@ -65,7 +64,7 @@
 	if replaceable && errors.Is(cause, line.ErrDial) {
 		return receipt.New(receipt.OwnerSilent, "%s is gone: %v", j.target.Backend, cause)
 	}
-	if now.Before(silentUntil) {
+	if !silence.ended(now) {
 		return nil
 	}
 	if j.delivery.Next() > 0 {
@@ -111,15 +110,13 @@
 // attach opens one connection and relays until the answer ends or the path
 // breaks. A nil result comes with the cause of the break.
 func (j *journey) attach(ctx context.Context) (*receipt.Result, error) {
-	ctx, cut := context.WithCancelCause(ctx)
-	defer cut(nil)
+	ctx, watch := j.watch(ctx)
+	defer watch.stop()
 	conn, err := line.Dial(ctx, j.target.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	watchdog := time.AfterFunc(time.Until(j.progressDeadline()), func() { cut(errNoProgress) })
-	defer watchdog.Stop()
 	j.askedAt = time.Now()
 	stream, err := message.NewDRPCBackendClient(conn).Generate(ctx, j.generateRequest())
 	if err != nil {
@@ -130,7 +127,7 @@
 		if err != nil {
 			return nil, errors.CombineErrors(context.Cause(ctx), err)
 		}
-		watchdog.Reset(time.Until(j.progressDeadline()))
+		watch.alive()
 		result, err := j.take(frame)
 		if result != nil || err != nil {
 			return result, err
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -122,7 +122,7 @@
 		delivery: &delivery.Delivery{RequestID: request.ID},
 		refused:  make(map[string]bool),
 	}
-	result := journey.run(ctx)
+	result := journey.truthful(journey.run(ctx))
 	journey.finish(result)
 	return result
 }
@@ -184,11 +184,3 @@
 	}
 	return time.Now().Add(time.Duration(millis) * time.Millisecond)
 }
-
-func (r *Runner) silentDeadline() time.Time {
-	millis := r.SilentMillis
-	if millis == 0 {
-		millis = defaultSilentMillis
-	}
-	return time.Now().Add(time.Duration(millis) * time.Millisecond)
-}
--- a/internal/wire/line/line.go
+++ b/internal/wire/line/line.go
@@ -21,6 +21,9 @@
 const (
 	// MaxMessageBytes bounds one message in either direction.
 	MaxMessageBytes = 4 << 20
+	// MaxBodyBytes bounds the body of a caller's request, or of a plain
+	// service's reply, inside a message.
+	MaxBodyBytes = 3 << 20
 	// dialMillis bounds the set-up of a connection.
 	dialMillis = 1000
 	// writeMillis bounds one write to a connection that takes no more bytes.
@@ -90,19 +93,8 @@
 // Call dials address, runs one call that carries no caller's data, and closes
 // the connection.
 func Call[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
-	return callOnce(ctx, address, Control, call)
-}
-
-// CallData is Call for a call that carries a caller's data.
-func CallData[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
-	return callOnce(ctx, address, Data, call)
-}
-
-func callOnce[R any](
-	ctx context.Context, address string, traffic *Traffic, call func(context.Context, drpc.Conn) (R, error),
-) (R, error) {
 	var none R
-	conn, err := dial(ctx, address, traffic)
+	conn, err := dial(ctx, address, Control)
 	if err != nil {
 		return none, err
 	}
