--- a/internal/settings/edition/propagation_test.go
+++ b/internal/settings/edition/propagation_test.go
@@ -78,10 +78,12 @@
 	return result
 }
 
-var largeFleets = flag.Bool("large-fleets", false, "run the propagation test with large documents at 250 and 1260 nodes")
+var (
+	largeFleets     = flag.Bool("large-fleets", false, "run the propagation test with large documents at 250 and 1260 nodes")
+	propagationSeed = flag.Uint64("propagation-seed", 7, "seed of the propagation test")
+)
 
 func TestPropagation(t *testing.T) {
-	const seed = 7
 	cases := []propagationCase{
 		{name: "60 nodes", nodes: 60, changes: 3, document: largeDocument},
 		{name: "60 nodes with losses", nodes: 60, changes: 3, document: largeDocument, lossPermille: 200, logLossPermille: 500},
@@ -97,11 +99,11 @@
 				t.Skip("run with -args -large-fleets")
 			}
 			is := is.New(t)
-			p := measurePropagation(t, c, seed)
+			p := measurePropagation(t, c, *propagationSeed)
 			slices.Sort(p.inForce)
 			worst := p.inForce[len(p.inForce)-1]
 			t.Logf("seed %d: in force after %v median, %v worst; %.0f bytes/s mean, %.0f worst node; %.2f messages/s",
-				seed, p.inForce[len(p.inForce)/2], worst, p.bytesMean, p.bytesMax, p.messages)
+				*propagationSeed, p.inForce[len(p.inForce)/2], worst, p.bytesMean, p.bytesMax, p.messages)
 			is.True(worst <= inForceLimitSeconds*time.Second)
 			is.True(p.bytesMax <= bytesLimit)
 		})
