--- a/internal/settings/edition/reader_test.go
+++ b/internal/settings/edition/reader_test.go
@@ -91,6 +91,21 @@
 	})
 }
 
+// TestClockAheadOfTheLog reads each second with a clock that is hours ahead.
+func TestClockAheadOfTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{Now: func() time.Time { return time.Now().Add(-5 * time.Hour) }}
+		mustPublish(t, store, smallDocument(1))
+		reader := Reader{Journal: store, Register: &Register{}, FleetSize: func() int { return 1 }, RepublishSeconds: 600}
+		for range 3000 {
+			is.NoErr(reader.Poll(t.Context()))
+			time.Sleep(time.Second)
+		}
+		is.True(recordCount(t, store) <= 1+5) // one snapshot in each period
+	})
+}
+
 // TestReaderPausedBeyondRetention wakes a reader that missed records.
 func TestReaderPausedBeyondRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/settings/edition/republication.go
+++ b/internal/settings/edition/republication.go
@@ -12,6 +12,9 @@
 	dueAt time.Time
 	// anchoredAt is the time of the snapshot that dueAt was drawn for.
 	anchoredAt time.Time
+	// notBefore is set after each publication, so that a process whose clock is
+	// ahead of the log's does not publish at every read.
+	notBefore time.Time
 }
 
 // due reports whether a snapshot of the state is to be published now. Each
@@ -28,7 +31,7 @@
 		p.anchoredAt = state.AnchoredAt
 		p.dueAt = state.AnchoredAt.Add(period + delay)
 	}
-	return !now.Before(p.dueAt)
+	return !now.Before(p.dueAt) && !now.Before(p.notBefore)
 }
 
 // keepSnapshot publishes a snapshot when one is due. The state must reach to
@@ -42,6 +45,9 @@
 	if !r.republish.due(state, time.Now(), period, r.random()) {
 		return nil
 	}
-	r.republish.dueAt = time.Now().Add(period)
-	return publishSnapshot(ctx, r.Journal, state)
+	if err := publishSnapshot(ctx, r.Journal, state); err != nil {
+		return err
+	}
+	r.republish.notBefore = time.Now().Add(period)
+	return nil
 }
