--- a/internal/trial/openday/engine_faults_test.go
+++ b/internal/trial/openday/engine_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
@@ -10,8 +11,13 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
 )
 
-// faultsAtOnce is how many tokens one switch of a fault disturbs.
-const faultsAtOnce = 60
+const (
+	// faultsAtOnce is how many tokens one switch of a fault disturbs.
+	faultsAtOnce = 60
+	// omittedAtEnds is enough to leave out every token up to the ends of all
+	// answers, and some of those that are asked for again.
+	omittedAtEnds = 900
+)
 
 // TestEngineFaults checks that a disturbed stream of an engine disturbs no
 // answer, with callers at once whose events may cross.
@@ -25,6 +31,12 @@
 		{"crossed ends", func(s *engine.Server) { s.Faults.CrossEnds.Store(faultsAtOnce) }},
 		{"repeated tokens", func(s *engine.Server) { s.Faults.RepeatTokens.Store(faultsAtOnce) }},
 		{"omitted tokens", func(s *engine.Server) { s.Faults.OmitTokens.Store(faultsAtOnce) }},
+		{"omitted ends", func(s *engine.Server) { s.Faults.OmitTokens.Store(omittedAtEnds) }},
+		{"repeated tokens and silent streams", func(s *engine.Server) {
+			s.Faults.RepeatTokens.Store(faultsAtOnce)
+			eventually(t, "tokens were repeated", func() error { return usedUp(&s.Faults) })
+			s.SilenceStreams()
+		}},
 		{"silent streams", func(s *engine.Server) { s.SilenceStreams() }},
 		{"lost answers", func(s *engine.Server) { s.Faults.LoseAnswers.Store(4) }},
 	}
@@ -38,18 +50,20 @@
 			second := newCrowd(d, "outline", prompts(6, 40), c)
 			first.checkWhole(t, d)
 			second.checkWhole(t, d)
-			checkUsed(t, &d.backends[0].engine.Faults)
+			if err := usedUp(&d.backends[0].engine.Faults); err != nil {
+				t.Error(err)
+			}
 		})
 	}
 }
 
-// checkUsed checks that every fault that was switched has happened.
-func checkUsed(t *testing.T, f *engine.Faults) {
-	t.Helper()
+// usedUp checks that every fault that was switched has happened.
+func usedUp(f *engine.Faults) error {
 	left := f.CrossEvents.Load() + f.CrossEnds.Load() + f.RepeatTokens.Load() + f.OmitTokens.Load() + f.LoseAnswers.Load()
 	if left > 0 {
-		t.Errorf("%d faults did not happen", left)
+		return errors.Newf("%d faults did not happen", left)
 	}
+	return nil
 }
 
 // TestEngineCrash checks that a crash of the engine ends streamed answers as
--- a/internal/trial/openday/leaving_test.go
+++ b/internal/trial/openday/leaving_test.go
@@ -121,12 +121,10 @@
 	is := is.New(t)
 	d := newDeployment(t, layout{entries: 2, engines: 1})
 	first, second := newCaller(d.entries[0]), newCaller(d.entries[1])
-	w := newCrowd(d, "programme", prompts(2, 300), first)
-	w.begun.Wait()
-	resumed := w.readers[0].transcript
-	s, err := first.resume(account, resumed.ticket(), resumed.position)
-	is.NoErr(err)
+	resumed, s := beginElsewhere(t, d, prompts(1, 500)[0])
 	defer s.close()
+	w := newCrowd(d, "programme", prompts(2, 100), first)
+	w.begun.Wait()
 	d.entries[0].terminate()
 	waitLeaving(t, d.entries[0].program, d.entries[0].settings.PeerAddress)
 
@@ -145,6 +143,22 @@
 	is.Equal(d.entries[0].exitCode(), 0)
 }
 
+// beginElsewhere begins a stream at the second entry host and resumes it at the
+// first one.
+func beginElsewhere(t *testing.T, d *deployment, prompt string) (*transcript, *stream) {
+	t.Helper()
+	is := is.New(t)
+	s, err := newCaller(d.entries[1]).stream(ask("programme", prompt))
+	is.NoErr(err)
+	answer := newTranscript(d.output(prompt))
+	is.NoErr(answer.readUntil(s, firstTokens))
+	s.close()
+	s, err = newCaller(d.entries[0]).resume(account, answer.ticket(), answer.position)
+	is.NoErr(err)
+	is.NoErr(answer.readUntil(s, answer.position+1))
+	return answer, s
+}
+
 // TestSecondSignalCuts checks that a second signal ends a process at once: the
 // answer that it cuts ends as lost or breaks off, and is not said to be whole.
 func TestSecondSignalCuts(t *testing.T) {
