--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -82,9 +83,44 @@
 }
 
 // Call runs one call, or returns the reply of the run that this incarnation
-// holds for the same request.
-func (p *Porter) Call(ctx context.Context, in *message.CallRequest) (*message.CallReply, error) {
+// holds for the same request. Heartbeats tell the asker that the path is alive.
+func (p *Porter) Call(in *message.CallRequest, out message.DRPCBackend_CallStream) error {
 	p.VersionSeen(in.GetConfigVersion(), in.GetAsker())
+	group, ctx := errgroup.WithContext(out.Context())
+	replied := make(chan *message.CallReply, 1)
+	group.Go(func() error {
+		replied <- p.reply(ctx, in)
+		return nil
+	})
+	group.Go(func() error { return p.send(ctx, out, replied) })
+	return group.Wait()
+}
+
+// send sends heartbeats until the reply is there, then the reply.
+func (p *Porter) send(ctx context.Context, out message.DRPCBackend_CallStream, replied <-chan *message.CallReply) error {
+	ticker := time.NewTicker(time.Duration(p.Settings.HeartbeatMillis) * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case reply := <-replied:
+			return out.Send(&message.CallFrame{Body: &message.CallFrame_Reply{Reply: reply}})
+		case <-ticker.C:
+			if err := out.Send(heartbeat()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func heartbeat() *message.CallFrame {
+	running := &message.Heartbeat{State: message.GenerationState_GENERATION_STATE_RUNNING}
+	return &message.CallFrame{Body: &message.CallFrame_Heartbeat{Heartbeat: running}}
+}
+
+// reply returns the reply or the refusal of one call.
+func (p *Porter) reply(ctx context.Context, in *message.CallRequest) *message.CallReply {
 	reply, refusal := p.call(ctx, in)
 	if refusal != nil {
 		p.Records.Record(in.GetRequestId(), refusal.Record())
@@ -96,7 +132,7 @@
 		}
 	}
 	reply.Load = p.Load()
-	return reply, nil
+	return reply
 }
 
 func (p *Porter) call(ctx context.Context, in *message.CallRequest) (*message.CallReply, *receipt.Result) {
@@ -121,13 +157,26 @@
 		return nil, receipt.New(receipt.QueueFull, "%d calls run", p.Settings.MaxRunning).WithRetryAt(warden.RetryAt(now))
 	}
 	defer p.running.Add(-1)
-	reply, err := p.Desk.Call(ctx, requestOf(in))
+	reply, err := p.ask(ctx, in)
 	if err != nil {
 		return nil, failure(err)
 	}
 	return replyOf(reply), nil
 }
 
+// errReplyTooLarge means that the service answered with more than a message
+// holds.
+var errReplyTooLarge = errors.Newf("the reply is over %d bytes", line.MaxBodyBytes)
+
+// ask calls the plain service.
+func (p *Porter) ask(ctx context.Context, in *message.CallRequest) (desk.Reply, error) {
+	reply, err := p.Desk.Call(ctx, requestOf(in))
+	if err == nil && len(reply.Body) > line.MaxBodyBytes {
+		return desk.Reply{}, errReplyTooLarge
+	}
+	return reply, err
+}
+
 // enter takes a place among the running calls.
 func (p *Porter) enter() bool {
 	if p.running.Add(1) > int64(p.Settings.MaxRunning) {
@@ -182,7 +231,7 @@
 	ctx, stop := context.WithDeadline(ctx, runDeadline(in))
 	defer stop()
 	code, reason := receipt.OK, ""
-	reply, err := p.Desk.Call(ctx, requestOf(in))
+	reply, err := p.ask(ctx, in)
 	if err == nil {
 		err = p.hold(id, reply)
 	}
