test: each engine produces its own texts

Cause: all engines of a deployment gave the same text for a prompt, so that tokens of another generation could not be told from the right ones. Change: seeds differ, and an answer is checked against the engine that its ticket or its whole answer names. Another ticket after the first token fails.

--- a/internal/trial/openday/deployment_test.go
+++ b/internal/trial/openday/deployment_test.go
@@ -136,9 +136,12 @@
 	if err := d.site.Prepare(); err != nil {
 		d.t.Fatal(err)
 	}
-	for _, b := range d.backends {
+	for n, b := range d.backends {
 		b.engine = d.site.Engines[b.settings.Name]
 		b.desk = d.site.Desks[b.settings.Name]
+		if b.engine != nil {
+			b.engine.Seed = uint64(n + 1)
+		}
 	}
 }
 
--- a/internal/trial/openday/engine_faults_test.go
+++ b/internal/trial/openday/engine_faults_test.go
@@ -25,20 +25,20 @@
 	t.Parallel()
 	tests := []struct {
 		name    string
-		disturb func(*engine.Server)
+		disturb func(*testing.T, *engine.Server)
 	}{
-		{"crossed events", func(s *engine.Server) { s.Faults.CrossEvents.Store(faultsAtOnce) }},
-		{"crossed ends", func(s *engine.Server) { s.Faults.CrossEnds.Store(faultsAtOnce) }},
-		{"repeated tokens", func(s *engine.Server) { s.Faults.RepeatTokens.Store(faultsAtOnce) }},
-		{"omitted tokens", func(s *engine.Server) { s.Faults.OmitTokens.Store(faultsAtOnce) }},
-		{"omitted ends", func(s *engine.Server) { s.Faults.OmitTokens.Store(omittedAtEnds) }},
-		{"repeated tokens and silent streams", func(s *engine.Server) {
+		{"crossed events", func(_ *testing.T, s *engine.Server) { s.Faults.CrossEvents.Store(faultsAtOnce) }},
+		{"crossed ends", func(_ *testing.T, s *engine.Server) { s.Faults.CrossEnds.Store(faultsAtOnce) }},
+		{"repeated tokens", func(_ *testing.T, s *engine.Server) { s.Faults.RepeatTokens.Store(faultsAtOnce) }},
+		{"omitted tokens", func(_ *testing.T, s *engine.Server) { s.Faults.OmitTokens.Store(faultsAtOnce) }},
+		{"omitted ends", func(_ *testing.T, s *engine.Server) { s.Faults.OmitTokens.Store(omittedAtEnds) }},
+		{"repeated tokens and silent streams", func(t *testing.T, s *engine.Server) {
 			s.Faults.RepeatTokens.Store(faultsAtOnce)
 			eventually(t, "tokens were repeated", func() error { return usedUp(&s.Faults) })
 			s.SilenceStreams()
 		}},
-		{"silent streams", func(s *engine.Server) { s.SilenceStreams() }},
-		{"lost answers", func(s *engine.Server) { s.Faults.LoseAnswers.Store(4) }},
+		{"silent streams", func(_ *testing.T, s *engine.Server) { s.SilenceStreams() }},
+		{"lost answers", func(_ *testing.T, s *engine.Server) { s.Faults.LoseAnswers.Store(4) }},
 	}
 	d := newDeployment(t, quick(layout{entries: 1, engines: 1}))
 	for _, tt := range tests {
@@ -46,7 +46,7 @@
 			c := newCaller(d.entries[0])
 			first := newCrowd(d, "programme", prompts(6, 80), c)
 			first.begun.Wait()
-			tt.disturb(d.backends[0].engine)
+			tt.disturb(t, d.backends[0].engine)
 			second := newCrowd(d, "outline", prompts(6, 40), c)
 			first.checkWhole(t, d)
 			second.checkWhole(t, d)
--- a/internal/trial/openday/session_test.go
+++ b/internal/trial/openday/session_test.go
@@ -6,10 +6,16 @@
 	"github.com/matryer/is"
 )
 
-// output returns the tokens that every engine of the deployment produces for a
+// output returns the tokens that the engines of the deployment produce for a
 // prompt.
-func (d *deployment) output(prompt string) []string {
-	return d.backends[0].engine.Output(prompt)
+func (d *deployment) output(prompt string) outputs {
+	all := make(outputs)
+	for _, b := range d.backends {
+		if b.engine != nil {
+			all[b.settings.Name] = b.engine.Output(prompt)
+		}
+	}
+	return all
 }
 
 // executions counts how often the request of id was started, at all engines.
--- a/internal/trial/openday/transcript_test.go
+++ b/internal/trial/openday/transcript_test.go
@@ -10,11 +10,18 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 )
 
+// outputs holds the tokens that each engine produces for one prompt, by the name
+// of its backend server.
+type outputs map[string][]string
+
 // transcript is what a caller holds of one answer. It checks each event against
 // the tokens that the engine produces for the caller's own prompt, so that a
 // token that is missing, repeated, out of order or foreign fails the test.
 type transcript struct {
-	// want holds every token of the answer.
+	// outputs holds what each engine produces for the prompt. They differ, so
+	// that a token of another generation shows.
+	outputs outputs
+	// want holds every token of the answer, once its generation is known.
 	want []string
 
 	// position counts the tokens that were received.
@@ -27,8 +34,8 @@
 	ended bool
 }
 
-func newTranscript(want []string) *transcript {
-	return &transcript{want: want}
+func newTranscript(o outputs) *transcript {
+	return &transcript{outputs: o}
 }
 
 // take checks one event.
@@ -37,7 +44,9 @@
 		return errors.Newf("an event follows the end: %+v", e.part)
 	}
 	if ticket := e.Fulmarvalve.Ticket; ticket != "" {
-		t.tickets = append(t.tickets, ticket)
+		if err := t.begin(ticket, e.Fulmarvalve.Backend); err != nil {
+			return err
+		}
 	}
 	t.request = e.Fulmarvalve.RequestID
 	id, err := strconv.ParseUint(e.id, 10, 64)
@@ -53,6 +62,17 @@
 	return nil
 }
 
+// begin takes the ticket of a generation. Another one may follow only while no
+// token was received.
+func (t *transcript) begin(ticket, backend string) error {
+	if t.position > 0 {
+		return errors.Newf("a generation of %s begins after %d tokens", backend, t.position)
+	}
+	t.tickets = append(t.tickets, ticket)
+	t.want = t.outputs[backend]
+	return nil
+}
+
 // takeText checks the text of an event that ends at the position id.
 func (t *transcript) takeText(id uint64, text string) error {
 	if id < t.position || id > uint64(len(t.want)) {
@@ -127,7 +147,7 @@
 }
 
 // checkWholeReply checks an answer that came at once.
-func checkWholeReply(r reply, want []string) (part, error) {
+func checkWholeReply(r reply, o outputs) (part, error) {
 	p, err := r.part()
 	if err != nil {
 		return p, err
@@ -135,8 +155,9 @@
 	if code := receipt.Code(p.Fulmarvalve.Code); code != receipt.OK {
 		return p, errors.Newf("status %d, %s: %s", r.status, code, p.Fulmarvalve.Reason)
 	}
-	if p.text() != strings.Join(want, "") {
-		return p, errors.Newf("the answer is %q, the engine's is %q", p.text(), strings.Join(want, ""))
+	want := strings.Join(o[p.Fulmarvalve.Backend], "")
+	if p.text() != want {
+		return p, errors.Newf("the answer is %q, the engine's is %q", p.text(), want)
 	}
 	return p, nil
 }
