--- a/internal/trial/openday/relay_test.go
+++ b/internal/trial/openday/relay_test.go
@@ -59,6 +59,12 @@
 	gates [directions]gate
 }
 
+func (l *link) shut(ways ...direction) {
+	for _, way := range ways {
+		l.gates[way].shut()
+	}
+}
+
 // relay forwards connections to target. Open connections can go silent for
 // good, so that neither bytes nor their end pass, while new ones work.
 type relay struct {
@@ -70,6 +76,8 @@
 	// links holds every connection that was ever made.
 	links []*link
 	conns []net.Conn
+	// mute makes new connections silent from their start.
+	mute bool
 }
 
 // newRelay listens at address and forwards to target.
@@ -120,6 +128,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := &link{}
+	if r.mute {
+		l.shut(toBackend, toEntry)
+	}
 	r.links = append(r.links, l)
 	r.conns = append(r.conns, near, far)
 	return l
@@ -151,12 +162,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, l := range r.links {
-		for _, way := range ways {
-			l.gates[way].shut()
-		}
+		l.shut(ways...)
 	}
 }
 
+// muteNew sets whether new connections are silent from their start.
+func (r *relay) muteNew(mute bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mute = mute
+}
+
 // wake lets every silent connection go on.
 func (r *relay) wake() {
 	r.mu.Lock()
--- a/internal/trial/openday/silence_test.go
+++ b/internal/trial/openday/silence_test.go
@@ -75,6 +75,45 @@
 	is.True(d.connections() > before)
 }
 
+// TestFirstConnectionSilent checks that a request whose first connection is
+// silent from its start runs once, also after that connection wakes and brings
+// the request once more.
+func TestFirstConnectionSilent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, quick(layout{entries: 1, engines: 1, relayed: true}))
+	d.waitClaims(t)
+	r := d.backends[0].relay
+	r.muteNew(true)
+	c := newCaller(d.entries[0])
+	questions := []question{ask("programme", "tokens=20 silent"), ask("agreement", "tokens=20 silent")}
+	questions[1].key = newKey()
+	replies := make([]reply, len(questions))
+	var group errgroup.Group
+	for n, q := range questions {
+		group.Go(func() (err error) {
+			replies[n], err = c.whole(q)
+			return err
+		})
+	}
+	before := r.count()
+	eventually(t, "both requests were sent twice", func() error {
+		if made := r.count() - before; made < 2*len(questions) {
+			return errors.Newf("%d connections", made)
+		}
+		return nil
+	})
+	r.muteNew(false)
+	is.NoErr(group.Wait())
+	r.wake()
+	waitFor(t, quickProgressMillis)
+	for n, q := range questions {
+		p, err := checkWholeReply(replies[n], d.output(q.prompt))
+		is.NoErr(err)
+		is.Equal(d.executions(p.Fulmarvalve.RequestID), 1)
+	}
+}
+
 // waitFor passes time in which a fault lasts; nothing is checked by it.
 func waitFor(t *testing.T, millis int) {
 	t.Helper()
