perf: histograms are made when their first time is recorded

Cause: a series of a client account and class held three pairs of histograms, 148 KB, though an entry host records two kinds of times and a process beside a backend server one. 490 accounts would take 73 MB on every process.

Ruled out: one significant digit, which could not tell 73 ms from 80; a coarser unit, which saves a sixth and loses times below 0.1 ms.

Change: a pair is made with the first time.

--- a/internal/records/measure/measure.go
+++ b/internal/records/measure/measure.go
@@ -66,7 +66,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.series == nil {
-		m.series = map[Key]*Series{otherKey(): newSeries()}
+		m.series = map[Key]*Series{otherKey(): {}}
 	}
 	if s, ok := m.series[key]; ok {
 		return s
@@ -75,7 +75,7 @@
 		m.overflowed.Add(1)
 		return m.series[otherKey()]
 	}
-	s := newSeries()
+	s := &Series{}
 	m.series[key] = s
 	return s
 }
--- a/internal/records/measure/measure_test.go
+++ b/internal/records/measure/measure_test.go
@@ -42,6 +42,19 @@
 	is.Equal(figures.RejectedFrames, map[string]int64{"OtherGeneration": 1})
 }
 
+func TestTimesThatAreNeverRecordedTakeNoMemory(t *testing.T) {
+	is := is.New(t)
+	var m Measure
+	s := m.Series("club", "call")
+	s.Stall(time.Second)
+	s.rotate()
+	is.True(s.stall.current != nil)
+	is.True(s.firstToken.current == nil)
+	is.Equal(m.Figures().Series[1].FirstToken, Quantiles{})
+	s.FirstToken(time.Second) // after a rotation without one
+	is.Equal(m.Figures().Series[1].FirstToken.Count, int64(1))
+}
+
 func TestSeriesAreBounded(t *testing.T) {
 	is := is.New(t)
 	m := Measure{MaxSeries: 2}
--- a/internal/records/measure/series.go
+++ b/internal/records/measure/series.go
@@ -14,14 +14,6 @@
 	preemptions   atomic.Int64
 }
 
-func newSeries() *Series {
-	s := &Series{}
-	for _, t := range s.timers() {
-		t.init()
-	}
-	return s
-}
-
 // Stall records how long a generation waited without progress.
 func (s *Series) Stall(d time.Duration) {
 	s.stall.record(d)
--- a/internal/records/measure/timer.go
+++ b/internal/records/measure/timer.go
@@ -20,18 +20,14 @@
 // timer holds the times recorded in the current and the previous window.
 type timer struct {
 	mu sync.Mutex
-	// current and previous are never nil after init.
+	// current and previous are nil until the first time is recorded: a process
+	// records some kinds of times only, and a histogram takes 24 KB.
 	current  *hdrhistogram.Histogram
 	previous *hdrhistogram.Histogram
 	// total counts the times recorded in all windows.
 	total int64
 }
 
-func (t *timer) init() {
-	t.current = newHistogram()
-	t.previous = newHistogram()
-}
-
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(1, int64(maxTime/unit), significantFigures)
 }
@@ -41,6 +37,10 @@
 	value := int64(min(max(d, 0), maxTime) / unit)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.current == nil {
+		t.current = newHistogram()
+		t.previous = newHistogram()
+	}
 	t.total++
 	// The value is within range, which is the only condition.
 	_ = t.current.RecordValue(value)
@@ -50,6 +50,9 @@
 func (t *timer) rotate() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.current == nil {
+		return
+	}
 	t.current, t.previous = t.previous, t.current
 	t.current.Reset()
 }
@@ -70,11 +73,10 @@
 
 // quantiles merges both windows.
 func (t *timer) quantiles() Quantiles {
-	t.mu.Lock()
-	total := t.total
-	merged := hdrhistogram.Import(t.current.Export())
-	merged.Merge(t.previous)
-	t.mu.Unlock()
+	merged, total := t.merge()
+	if merged == nil {
+		return Quantiles{}
+	}
 	return Quantiles{
 		Total: total,
 		Count: merged.TotalCount(),
@@ -86,6 +88,19 @@
 	}
 }
 
+// merge returns both windows as one, nil when no time was ever recorded, and
+// the count of times since the start.
+func (t *timer) merge() (*hdrhistogram.Histogram, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current == nil {
+		return nil, 0
+	}
+	merged := hdrhistogram.Import(t.current.Export())
+	merged.Merge(t.previous)
+	return merged, t.total
+}
+
 func milliseconds(units int64) float64 {
 	return float64(units) * float64(unit) / float64(time.Millisecond)
 }
--- a/internal/trial/openday/footprint_test.go
+++ b/internal/trial/openday/footprint_test.go
@@ -7,7 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/logbook"
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/claim"
+	"github.com/fulmarvalve/fulmarvalve/internal/permit/holder"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
@@ -24,12 +28,14 @@
 // measureState measures the memory that each part keeps for one item.
 func measureState(t *testing.T) {
 	for _, h := range []holding{
-		{"client account and class in the metrics", []int{64, 256, 1024}, fillMeasure},
+		{"client account and class in the metrics of an entry host", []int{64, 256, 1024}, fillMeasure},
+		{"client account and class in the metrics of a backend process", []int{64, 256, 1024}, fillStalls},
 		{"decision record of a choice among 4", []int{1024, 4096, 16384}, fillRing},
 		{"decision record of an admission", []int{1024, 4096, 16384}, fillPlainRing},
 		{"listed host", []int{100, 400, 1260}, fillRoster},
 		{"request identity", []int{1000, 10_000, 40_000}, fillIdentities},
 		{"answer of 235 tokens", []int{250, 1000, 4000}, fillAnswers},
+		{"bound key", []int{1000, 7000, 28_000}, fillBindings},
 	} {
 		var counts, bytes []float64
 		for _, size := range h.sizes {
@@ -62,7 +68,17 @@
 func fillMeasure(count int) any {
 	m := &measure.Measure{MaxSeries: count}
 	for n := range count {
-		m.Series(fmt.Sprint("account ", n), "class").FirstToken(time.Millisecond)
+		s := m.Series(fmt.Sprint("account ", n), "class")
+		s.FirstToken(time.Millisecond)
+		s.BetweenTokens(time.Millisecond)
+	}
+	return m
+}
+
+func fillStalls(count int) any {
+	m := &measure.Measure{MaxSeries: count}
+	for n := range count {
+		m.Series(fmt.Sprint("account ", n), "class").Stall(time.Millisecond)
 	}
 	return m
 }
@@ -143,3 +159,24 @@
 	}
 	return book
 }
+
+// fillBindings folds the claims of one partition.
+func fillBindings(count int) any {
+	now := time.Now()
+	state := claim.NewState(0, holder.DefaultKeyWindowSeconds, 1)
+	state.Apply(state.Next(), now, claim.Lease{Epoch: "9f527d1d0a7d4c11"})
+	for range count {
+		key, err := claim.KeyOf("account-017", uuid.Must(uuid.NewV7()).String())
+		if err != nil {
+			panic(err)
+		}
+		bound := claim.Claim{
+			Key: key, RequestID: uuid.NewString(), Backend: strings.Clone("backend-0017"), Incarnation: 1,
+		}
+		verdict := state.Apply(state.Next(), now, claim.Batch{Epoch: "9f527d1d0a7d4c11", Claims: []claim.Claim{bound}})
+		if counted, ok := verdict.(claim.Counted); !ok || counted.Bound != 1 {
+			panic(verdict)
+		}
+	}
+	return state
+}
