--- a/internal/trial/season/table.go
+++ b/internal/trial/season/table.go
@@ -65,7 +65,7 @@
 // Total returns the report of all classes together.
 func (r Report) Total() ClassReport {
 	t := ClassReport{
-		Class:      "all",
+		Class:      wholeClass,
 		Stall:      newHistogram(),
 		Pause:      newHistogram(),
 		FirstToken: newHistogram(),
@@ -151,7 +151,7 @@
 type Row struct {
 	// Policy names the policy.
 	Policy string
-	// Class names the class, or "all".
+	// Class names the class, or all of them.
 	Class string
 	// Seeds holds the figures of each seed.
 	Seeds []Figures
--- /dev/null
+++ b/internal/trial/season/table_test.go
@@ -0,0 +1,107 @@
+package season
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var (
+	full  = flag.Bool("full", false, "run all scenarios and seeds of the policy table")
+	sweep = flag.Bool("sweep", false, "run the weights that the deployments choose from")
+)
+
+const (
+	// tableSeconds is the length of each trial of the full table.
+	tableSeconds = 600
+	// tableWorkers bounds the trials that run at once.
+	tableWorkers = 3
+)
+
+// tableSeeds are the seeds of the full table.
+var tableSeeds = []uint64{1, 2, 3, 4, 5}
+
+// TestPolicyTable prints the policy table. Without -full it runs one short
+// scenario.
+func TestPolicyTable(t *testing.T) {
+	scenarios, seeds, seconds := Scenarios(), tableSeeds, tableSeconds
+	if !*full {
+		scenarios = []Scenario{{Name: "short overload", Load: 1.6, Loss: NoLoss{}}}
+		seeds, seconds = tableSeeds[:1], shortSeconds
+	}
+	t.Logf("seeds %v, %d s", seeds, seconds)
+	for _, d := range []Deployment{SnagaZajedno(), Fjorukofar()} {
+		for _, s := range scenarios {
+			is := is.New(t)
+			rows, err := Comparison{
+				Deployment: d,
+				Scenario:   s,
+				Policies:   append(Baselines(), Forecast{Booking: d.Booking}),
+				Seeds:      seeds,
+				Seconds:    seconds,
+			}.Run(tableWorkers)
+			is.NoErr(err)
+			logTable(t, d, s, rows)
+		}
+	}
+}
+
+func logTable(t *testing.T, d Deployment, s Scenario, rows []Row) {
+	t.Helper()
+	var out strings.Builder
+	if err := WriteTable(&out, rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range Judge(d, rows) {
+		out.WriteString("- " + v.String() + "\n")
+	}
+	t.Logf("### %s, %s\n\n%s", d.Name, s.Name, out.String())
+}
+
+// TestWeights prints the whole-class rows for the weights that the deployments
+// choose from. It runs with -sweep only.
+func TestWeights(t *testing.T) {
+	if !*sweep {
+		t.Skip("runs with -sweep only")
+	}
+	for _, d := range []Deployment{SnagaZajedno(), Fjorukofar()} {
+		for _, s := range Scenarios() {
+			if s.Name != "busy" && s.Name != "overload" && s.Name != "bursts" {
+				continue
+			}
+			is := is.New(t)
+			var rows []Row
+			for _, quantile := range []float64{0.5, 0.7, 0.9} {
+				for _, limit := range []int{8, 16, 32} {
+					row, err := weightRow(d, s, quantile, limit)
+					is.NoErr(err)
+					rows = append(rows, row)
+				}
+			}
+			var out strings.Builder
+			is.NoErr(WriteTable(&out, rows))
+			t.Logf("### %s, %s\n\n%s", d.Name, s.Name, out.String())
+		}
+	}
+}
+
+// weightRow returns the whole-class row of one choice of weights.
+func weightRow(d Deployment, s Scenario, quantile float64, limit int) (Row, error) {
+	weights := d.Booking
+	weights.MemoryQuantile, weights.QueueLimit = quantile, limit
+	rows, err := Comparison{
+		Deployment: d,
+		Scenario:   s,
+		Policies:   []Policy{Forecast{Booking: weights}},
+		Seeds:      tableSeeds[:3],
+		Seconds:    tableSeconds,
+	}.Run(tableWorkers)
+	if err != nil {
+		return Row{}, err
+	}
+	rows[0].Policy = fmt.Sprintf("quantile %v, queue %d", quantile, limit)
+	return rows[0], nil
+}
