--- a/internal/trial/season/table_test.go
+++ b/internal/trial/season/table_test.go
@@ -25,7 +25,7 @@
 var tableSeeds = []uint64{1, 2, 3, 4, 5}
 
 // TestPolicyTable prints the policy table. Without -full it runs one short
-// scenario.
+// scenario on small deployments.
 func TestPolicyTable(t *testing.T) {
 	scenarios, seeds, seconds := Scenarios(), tableSeeds, tableSeconds
 	if !*full {
@@ -34,6 +34,9 @@
 	}
 	t.Logf("seeds %v, %d s", seeds, seconds)
 	for _, d := range []Deployment{SnagaZajedno(), Fjorukofar()} {
+		if !*full {
+			d = small(d)
+		}
 		for _, s := range scenarios {
 			is := is.New(t)
 			rows, err := Comparison{
