--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -80,9 +80,9 @@
 	return Policy{
 		StallWeight:            1,
 		PreemptionWeight:       1,
-		MemoryQuantile:         0.95,
+		MemoryQuantile:         0.75,
 		UrgentHeadroomPermille: 50,
-		QueueLimit:             64,
+		QueueLimit:             16,
 	}
 }
 
--- a/internal/trial/season/deployment.go
+++ b/internal/trial/season/deployment.go
@@ -84,6 +84,14 @@
 	return []float64{0.25, 0.2, 0.15, 0.1, 0.08, 0.07, 0.05, 0.04, 0.03, 0.03}
 }
 
+// weigh returns the default policy with the weights of a deployment.
+func weigh(stall, preemption float64) booking.Policy {
+	p := booking.DefaultPolicy()
+	p.StallWeight = stall
+	p.PreemptionWeight = preemption
+	return p
+}
+
 func usualEngine() EngineModel {
 	return EngineModel{
 		MemoryTokens:   32_000,
@@ -103,7 +111,7 @@
 		EntriesPerZone: 2,
 		Engine:         usualEngine(),
 		AccountShares:  largeAndSmall(),
-		Booking:        booking.DefaultPolicy(),
+		Booking:        weigh(2, 1),
 		Classes: []Class{
 			{
 				Name: "programme", Label: "coaching",
@@ -137,7 +145,7 @@
 		EntriesPerZone: 2,
 		Engine:         usualEngine(),
 		AccountShares:  largeAndSmall(),
-		Booking:        booking.DefaultPolicy(),
+		Booking:        weigh(1, 1.5),
 		Classes: []Class{
 			{
 				Name: "agreement", Label: "agreement",
