feat: let the engine preempt once-only drafts last

The engine preempts the youngest of the lowest priority, and agreements and answers had the same. A once-only generation now gets half a step more, so that repeatable ones of its class's priority go first.

--- a/internal/backend/precedence/precedence_test.go
+++ b/internal/backend/precedence/precedence_test.go
@@ -130,3 +130,10 @@
 		Choose(Need{Tokens: 64}, running, even)
 	}
 }
+
+func TestEnginePriority(t *testing.T) {
+	is := is.New(t)
+	is.True(EnginePriority(0, false) > EnginePriority(0, true))
+	is.True(EnginePriority(1, true) > EnginePriority(0, false))
+	is.True(EnginePriority(-1, false) < EnginePriority(0, true))
+}
--- a/internal/trial/season/call.go
+++ b/internal/trial/season/call.go
@@ -95,10 +95,10 @@
 	}
 }
 
-func (c *call) job() engine.Job {
+func (c *call) job(priority int) engine.Job {
 	return engine.Job{
 		Key:          c.key,
-		Priority:     c.class.Priority,
+		Priority:     priority,
 		PromptTokens: c.class.PromptTokens,
 		PrefixHash:   c.prefixHash(),
 		PrefixTokens: c.class.PrefixTokens,
--- a/internal/trial/season/server.go
+++ b/internal/trial/season/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/precedence"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/tide"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
 )
@@ -107,7 +108,11 @@
 // place puts a call on the engine.
 func (s *server) place(c *call) {
 	c.started = true
-	s.batch.Add(c.job())
+	priority := c.class.Priority
+	if s.book != nil {
+		priority = precedence.EnginePriority(priority, c.class.Repeatable)
+	}
+	s.batch.Add(c.job(priority))
 }
 
 // take counts a call to the backend server.
