--- a/internal/trial/season/deployment.go
+++ b/internal/trial/season/deployment.go
@@ -84,11 +84,13 @@
 	return []float64{0.25, 0.2, 0.15, 0.1, 0.08, 0.07, 0.05, 0.04, 0.03, 0.03}
 }
 
-// weigh returns the default policy with the weights of a deployment.
-func weigh(stall, preemption float64) booking.Policy {
+// weigh returns the default policy with the weights and the queue of a
+// deployment.
+func weigh(stall, preemption float64, queueLimit int) booking.Policy {
 	p := booking.DefaultPolicy()
 	p.StallWeight = stall
 	p.PreemptionWeight = preemption
+	p.QueueLimit = queueLimit
 	return p
 }
 
@@ -111,7 +113,7 @@
 		EntriesPerZone: 2,
 		Engine:         usualEngine(),
 		AccountShares:  largeAndSmall(),
-		Booking:        weigh(2, 1),
+		Booking:        weigh(2, 1, 10),
 		Classes: []Class{
 			{
 				Name: "programme", Label: "coaching",
@@ -145,7 +147,7 @@
 		EntriesPerZone: 2,
 		Engine:         usualEngine(),
 		AccountShares:  largeAndSmall(),
-		Booking:        weigh(1, 1.5),
+		Booking:        weigh(1, 1.5, 16),
 		Classes: []Class{
 			{
 				Name: "agreement", Label: "agreement",
