--- a/internal/routing/choice/choice.go
+++ b/internal/routing/choice/choice.go
@@ -78,7 +78,7 @@
 // DefaultRules returns the rules of a service that states none.
 func DefaultRules() Rules {
 	return Rules{
-		Choices:             5,
+		Choices:             3,
 		LoadHalfLifeMillis:  2000,
 		WaitingPermille:     60,
 		SentPermille:        40,
