--- a/internal/trial/openday/golden_test.go
+++ b/internal/trial/openday/golden_test.go
@@ -38,6 +38,7 @@
 	}})
 	d.waitReady()
 	d.waitClaims(t)
+	d.waitOrders()
 	sessions := []struct {
 		name   string
 		record func(*recorder, *deployment)
--- a/internal/trial/openday/readiness_test.go
+++ b/internal/trial/openday/readiness_test.go
@@ -113,3 +113,24 @@
 		return err
 	})
 }
+
+// waitOrders waits until every engine was ordered what the version in force
+// asks for.
+func (d *deployment) waitOrders() {
+	d.t.Helper()
+	for _, b := range d.backends {
+		if b.engine == nil {
+			continue
+		}
+		eventually(d.t, "the engine of "+b.name+" is ordered", func() error {
+			status, err := askStatus(b.settings.PeerAddress)
+			if err != nil {
+				return err
+			}
+			if status.Orders == nil || status.Orders.OrderedVersion != status.ConfigVersion {
+				return errors.Newf("orders: %+v", status.Orders)
+			}
+			return nil
+		})
+	}
+}
