--- a/internal/role/backendhost/entryhosts.go
+++ b/internal/role/backendhost/entryhosts.go
@@ -26,6 +26,8 @@
 type entryHosts struct {
 	// seeds come from the settings and are always kept.
 	seeds []string
+	// listed takes each list that was read; it may be nil.
+	listed func([]hostlist.Host)
 
 	mu    sync.Mutex
 	known []string
@@ -48,6 +50,9 @@
 	for {
 		if listed, err := hosts.Hosts(ctx); err == nil {
 			e.take(listed)
+			if e.listed != nil {
+				e.listed(listed)
+			}
 			period = max(listMillis, rounds.ListPeriodMillis(len(listed), listBytesPerSecond))
 		}
 		next := time.Now().Add(time.Duration(period/2+rand.IntN(period)) * time.Millisecond)
--- a/internal/trial/openday/engine_faults_test.go
+++ b/internal/trial/openday/engine_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
@@ -10,8 +11,13 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/engine"
 )
 
-// faultsAtOnce is how many tokens one switch of a fault disturbs.
-const faultsAtOnce = 60
+const (
+	// faultsAtOnce is how many tokens one switch of a fault disturbs.
+	faultsAtOnce = 60
+	// omittedAtEnds is enough to leave out every token up to the ends of all
+	// answers, and some of those that are asked for again.
+	omittedAtEnds = 900
+)
 
 // TestEngineFaults checks that a disturbed stream of an engine disturbs no
 // answer, with callers at once whose events may cross.
@@ -19,14 +25,20 @@
 	t.Parallel()
 	tests := []struct {
 		name    string
-		disturb func(*engine.Server)
+		disturb func(*testing.T, *engine.Server)
 	}{
-		{"crossed events", func(s *engine.Server) { s.Faults.CrossEvents.Store(faultsAtOnce) }},
-		{"crossed ends", func(s *engine.Server) { s.Faults.CrossEnds.Store(faultsAtOnce) }},
-		{"repeated tokens", func(s *engine.Server) { s.Faults.RepeatTokens.Store(faultsAtOnce) }},
-		{"omitted tokens", func(s *engine.Server) { s.Faults.OmitTokens.Store(faultsAtOnce) }},
-		{"silent streams", func(s *engine.Server) { s.SilenceStreams() }},
-		{"lost answers", func(s *engine.Server) { s.Faults.LoseAnswers.Store(4) }},
+		{"crossed events", func(_ *testing.T, s *engine.Server) { s.Faults.CrossEvents.Store(faultsAtOnce) }},
+		{"crossed ends", func(_ *testing.T, s *engine.Server) { s.Faults.CrossEnds.Store(faultsAtOnce) }},
+		{"repeated tokens", func(_ *testing.T, s *engine.Server) { s.Faults.RepeatTokens.Store(faultsAtOnce) }},
+		{"omitted tokens", func(_ *testing.T, s *engine.Server) { s.Faults.OmitTokens.Store(faultsAtOnce) }},
+		{"omitted ends", func(_ *testing.T, s *engine.Server) { s.Faults.OmitTokens.Store(omittedAtEnds) }},
+		{"repeated tokens and silent streams", func(t *testing.T, s *engine.Server) {
+			s.Faults.RepeatTokens.Store(faultsAtOnce)
+			eventually(t, "tokens were repeated", func() error { return usedUp(&s.Faults) })
+			s.SilenceStreams()
+		}},
+		{"silent streams", func(_ *testing.T, s *engine.Server) { s.SilenceStreams() }},
+		{"lost answers", func(_ *testing.T, s *engine.Server) { s.Faults.LoseAnswers.Store(4) }},
 	}
 	d := newDeployment(t, quick(layout{entries: 1, engines: 1}))
 	for _, tt := range tests {
@@ -34,22 +46,24 @@
 			c := newCaller(d.entries[0])
 			first := newCrowd(d, "programme", prompts(6, 80), c)
 			first.begun.Wait()
-			tt.disturb(d.backends[0].engine)
+			tt.disturb(t, d.backends[0].engine)
 			second := newCrowd(d, "outline", prompts(6, 40), c)
 			first.checkWhole(t, d)
 			second.checkWhole(t, d)
-			checkUsed(t, &d.backends[0].engine.Faults)
+			if err := usedUp(&d.backends[0].engine.Faults); err != nil {
+				t.Error(err)
+			}
 		})
 	}
 }
 
-// checkUsed checks that every fault that was switched has happened.
-func checkUsed(t *testing.T, f *engine.Faults) {
-	t.Helper()
+// usedUp checks that every fault that was switched has happened.
+func usedUp(f *engine.Faults) error {
 	left := f.CrossEvents.Load() + f.CrossEnds.Load() + f.RepeatTokens.Load() + f.OmitTokens.Load() + f.LoseAnswers.Load()
 	if left > 0 {
-		t.Errorf("%d faults did not happen", left)
+		return errors.Newf("%d faults did not happen", left)
 	}
+	return nil
 }
 
 // TestEngineCrash checks that a crash of the engine ends streamed answers as
