test: preemption by order, drains that their deadline cuts, slow plain calls

Change: a generation that is pushed aside again and again while its connections go silent is whole; a drain ends at the deadline of the settings and what it cuts is never said to be whole; the plain calls on silent connections now take longer than the progress deadline.

--- a/internal/trial/openday/leaving_test.go
+++ b/internal/trial/openday/leaving_test.go
@@ -187,17 +187,48 @@
 			is.True(p.running())
 			p.terminate()
 			is.Equal(p.exitCode(), 0)
-			err = answer.readAll(s)
-			if err == nil {
-				err = checkLost(answer, append(lostCodes, receipt.DrainCut)...)
-				is.NoErr(err)
-				return
-			}
-			is.True(brokenOff(err))
+			is.NoErr(checkCut(answer, s))
 		})
 	}
 }
 
+// checkCut checks that a stream that was cut ends as lost or breaks off.
+func checkCut(answer *transcript, s *stream) error {
+	err := answer.readAll(s)
+	if err == nil {
+		return checkLost(answer, append(lostCodes, receipt.DrainCut)...)
+	}
+	if brokenOff(err) {
+		return nil
+	}
+	return err
+}
+
+// TestDrainDeadlineCuts checks that the deadline of the settings ends a drain.
+func TestDrainDeadlineCuts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{
+		entries:       1,
+		engines:       1,
+		changeEntry:   func(s *process.Entry) { s.DrainSeconds = 1 },
+		changeBackend: func(s *process.Backend) { s.DrainSeconds = 1 },
+	})
+	for _, p := range []*program{d.backends[0].program, d.entries[0].program} {
+		prompt := prompts(1, 3000)[0]
+		s, err := newCaller(d.entries[0]).stream(ask("programme", prompt))
+		is.NoErr(err)
+		answer := newTranscript(d.output(prompt))
+		is.NoErr(answer.readUntil(s, firstTokens))
+		p.terminate()
+		is.Equal(p.exitCode(), 0)
+		is.NoErr(checkCut(answer, s))
+		s.close()
+		p.start()
+		d.waitClaims(t)
+	}
+}
+
 // TestBackendLeavesWhileCallerIsAway checks that a drain waits for a caller
 // whose entry host died and who is on the way back.
 func TestBackendLeavesWhileCallerIsAway(t *testing.T) {
--- /dev/null
+++ b/internal/trial/openday/preemption_test.go
@@ -0,0 +1,39 @@
+package openday
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+)
+
+// TestPreempted checks that a generation that is pushed aside again and again
+// goes on where it was, also while its connections go silent.
+func TestPreempted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, quick(layout{entries: 2, engines: 1, relayed: true}))
+	prompt := prompts(1, 200)[0]
+	s, err := newCaller(d.entries[0]).stream(ask("programme", prompt))
+	is.NoErr(err)
+	defer s.close()
+	answer := newTranscript(d.output(prompt))
+	orders := &engine.Client{Address: d.backends[0].settings.EngineAddress}
+	for n := range 4 {
+		is.NoErr(answer.readUntil(s, answer.position+firstTokens))
+		is.NoErr(orders.Order(context.Background(), engine.Order{
+			Kind:      engine.Preempt,
+			Fence:     uint64(n + 1),
+			RequestID: answer.request,
+		}))
+		if n%2 == 1 {
+			d.silenceAll(toBackend, toEntry)
+		}
+	}
+	is.NoErr(answer.readAll(s))
+	is.NoErr(answer.checkWhole())
+	is.Equal(d.executions(answer.request), 1)
+	is.Equal(len(d.backends[0].engine.Orders()), 4)
+}
--- a/internal/trial/openday/silence_test.go
+++ b/internal/trial/openday/silence_test.go
@@ -131,7 +131,7 @@
 			d := newDeployment(t, quick(layout{entries: 1, engines: 1, desks: 1, relayed: true}))
 			d.waitClaims(t)
 			service := d.backends[1].desk
-			service.Faults.SlowMillis.Store(quickProgressMillis / 2)
+			service.Faults.SlowMillis.Store(quickProgressMillis * 3 / 2)
 			c := newCaller(d.entries[0])
 			var booking, tides reply
 			var group errgroup.Group
