--- a/internal/settings/edition/reader_test.go
+++ b/internal/settings/edition/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
 	standin "github.com/fulmarvalve/fulmarvalve/internal/standin/journal"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
@@ -89,6 +91,21 @@
 	})
 }
 
+// TestClockAheadOfTheLog reads each second with a clock that is hours ahead.
+func TestClockAheadOfTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &standin.Store{Now: func() time.Time { return time.Now().Add(-5 * time.Hour) }}
+		mustPublish(t, store, smallDocument(1))
+		reader := Reader{Journal: store, Register: &Register{}, FleetSize: func() int { return 1 }, RepublishSeconds: 600}
+		for range 3000 {
+			is.NoErr(reader.Poll(t.Context()))
+			time.Sleep(time.Second)
+		}
+		is.True(recordCount(t, store) <= 1+5) // one snapshot in each period
+	})
+}
+
 // TestReaderPausedBeyondRetention wakes a reader that missed records.
 func TestReaderPausedBeyondRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -152,6 +169,41 @@
 	})
 }
 
+// newerPeer holds a version of a newer format.
+type newerPeer struct {
+	record []byte
+	sent   int
+}
+
+func (p *newerPeer) Pick() (string, bool) { return "newer", true }
+
+func (p *newerPeer) Exchange(_ context.Context, _ string, request *message.ExchangeRequest) (*message.ExchangeReply, error) {
+	reply := &message.ExchangeReply{Version: 2}
+	if request.GetVersion() < 2 {
+		p.sent++
+		reply.Record = p.record
+	}
+	return reply, nil
+}
+
+// TestRecordOfNewerFormatIsFetchedOnce keeps the version in force, and does not
+// fetch what it cannot take over and over.
+func TestRecordOfNewerFormatIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peer := &newerPeer{record: compress(t, `{"Format":2,"Kind":"Snapshot","ID":"b","Version":2,"Document":{}}`)}
+		register := &Register{}
+		_, err := register.Offer(State{Edition: Edition{Version: 1, ID: "a"}, Through: 1})
+		is.NoErr(err)
+		exchanger := &Exchanger{Register: register, Peers: peer}
+		ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(time.Minute))
+		defer cancel()
+		is.NoErr(exchanger.Run(ctx))
+		is.Equal(peer.sent, 1)
+		is.Equal(register.Version(), uint64(1))
+	})
+}
+
 // TestRegisterNeverReverts offers states in any order.
 func TestRegisterNeverReverts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -182,3 +234,45 @@
 	is.True(errors.Is(err, ErrDiverged))
 	is.Equal(r.State().Edition.ID, "a")
 }
+
+// countingLog counts the records that are read.
+type countingLog struct {
+	*standin.Store
+	records int
+}
+
+func (l *countingLog) Read(ctx context.Context, name string, from uint64, limit int) (journal.Page, error) {
+	page, err := l.Store.Read(ctx, name, from, limit)
+	l.records += len(page.Records)
+	return page, err
+}
+
+// TestNewReaderStartsNearTheEnd reads a long stream whose last snapshot stands
+// near the end, with and without its beginning.
+func TestNewReaderStartsNearTheEnd(t *testing.T) {
+	for name, retained := range map[string]int{"whole history": 0, "beginning has expired": 900} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log := &countingLog{Store: &standin.Store{RetainRecords: retained}}
+			c := cursor{log: log}
+			for i := range 1000 {
+				mustAppend(t, log, proposal(fmt.Sprintf("p%d", i), uint64(i), smallDocument(i)))
+				is.NoErr(c.advance(t.Context()))
+				if i == 900 {
+					mustAppend(t, log, c.state.Snapshot())
+				}
+			}
+			log.records = 0
+			fresh := cursor{log: log}
+			is.NoErr(fresh.advance(t.Context()))
+			is.Equal(fresh.state.Edition.ID, "p999")
+			is.Equal(fresh.state.Through, uint64(1001))
+			is.True(log.records < 500) // it did not read the whole stream
+
+			log.records = 0
+			whole := cursor{log: log, whole: true}
+			is.NoErr(whole.advance(t.Context()))
+			is.Equal(whole.state.Edition.ID, "p999")
+		})
+	}
+}
