--- a/internal/routing/allowance/allowance.go
+++ b/internal/routing/allowance/allowance.go
@@ -13,9 +13,6 @@
 type Rules struct {
 	// SuccessPermille is the share of successes that may be spent on retries.
 	SuccessPermille int
-	// RefusalPermille is what a repeat after a refusal costs, in thousandths of
-	// a retry. A refused attempt did not run and cost the owner little.
-	RefusalPermille int
 	// BurstRetries bounds the retries that can be saved up.
 	BurstRetries int
 	// FloorPerSecond is the rate of retries that is always allowed, so that an
@@ -33,7 +30,6 @@
 func DefaultRules() Rules {
 	return Rules{
 		SuccessPermille: 200,
-		RefusalPermille: 250,
 		BurstRetries:    50,
 		FloorPerSecond:  1,
 		AttemptLimit:    5,
--- a/internal/routing/allowance/budget.go
+++ b/internal/routing/allowance/budget.go
@@ -31,7 +31,7 @@
 		return GiveUp{Reason: ReasonAttempts, RetryAt: at}
 	case !a.Deadline.IsZero() && !at.Before(a.Deadline):
 		return GiveUp{Reason: ReasonDeadline, RetryAt: at}
-	case !b.take(b.cost(a), now):
+	case !b.take(now):
 		return GiveUp{Reason: ReasonBudget, RetryAt: at}
 	default:
 		return Retry{At: at}
@@ -43,18 +43,10 @@
 	return b.saved / permille
 }
 
-// cost returns what a repeat takes from the balance.
-func (b *Budget) cost(a Attempt) int {
-	if a.Outcome == OutcomeNotRun {
-		return b.Rules.RefusalPermille
-	}
-	return permille
-}
-
 // take spends one retry, first from the balance, then from the floor rate.
-func (b *Budget) take(cost int, now time.Time) bool {
-	if b.saved >= cost {
-		b.saved -= cost
+func (b *Budget) take(now time.Time) bool {
+	if b.saved >= permille {
+		b.saved -= permille
 		return true
 	}
 	if b.floor == nil {
