feat: report the client accounts that do not flood

The goodput of a flood counts the flooding account's refusals, which are the point of the policy. A row for the other accounts shows what the flood costs them. Goodput is now summed by worth in each report, so that every row has it.

--- a/internal/trial/season/compare.go
+++ b/internal/trial/season/compare.go
@@ -4,8 +4,12 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// wholeClass names the line of all classes together.
-const wholeClass = "all"
+const (
+	// wholeClass names the line of all classes together.
+	wholeClass = "all"
+	// otherAccounts names the line of the client accounts that do not flood.
+	otherAccounts = "other accounts"
+)
 
 // Comparison sets policies against each other on the same arrivals.
 type Comparison struct {
@@ -56,18 +60,22 @@
 	}
 }
 
-// policyRows returns the rows of one policy: all classes together, then each.
+// policyRows returns the rows of one policy: all classes together, the accounts
+// that do not flood, then each class.
 func policyRows(policy string, reports []Report) []Row {
-	rows := []Row{{Policy: policy, Class: wholeClass}}
+	rows := []Row{
+		{Policy: policy, Class: wholeClass},
+		{Policy: policy, Class: otherAccounts},
+	}
 	for _, class := range reports[0].Classes {
 		rows = append(rows, Row{Policy: policy, Class: class.Class})
 	}
 	for _, r := range reports {
-		whole := r.Total().Figures()
-		whole.GoodputPercent = 100 * r.Goodput()
-		rows[0].Seeds = append(rows[0].Seeds, whole)
-		for i, class := range r.Classes {
-			rows[i+1].Seeds = append(rows[i+1].Seeds, class.Figures())
+		whole := r.Total()
+		rows[0].Seeds = append(rows[0].Seeds, whole.Figures())
+		rows[1].Seeds = append(rows[1].Seeds, r.Others.Figures())
+		for i := range r.Classes {
+			rows[i+2].Seeds = append(rows[i+2].Seeds, r.Classes[i].Figures())
 		}
 	}
 	return rows
--- a/internal/trial/season/season_test.go
+++ b/internal/trial/season/season_test.go
@@ -36,7 +36,8 @@
 		Seed:       3,
 		Seconds:    shortSeconds,
 	}
-	first, second := trial.Run().Total(), trial.Run().Total()
+	one, other := trial.Run(), trial.Run()
+	first, second := one.Total(), other.Total()
 	is.Equal(first.Figures(), second.Figures())
 }
 
--- a/internal/trial/season/table.go
+++ b/internal/trial/season/table.go
@@ -11,7 +11,8 @@
 
 // Figures are the values of one line of the table, from one trial.
 type Figures struct {
-	// GoodputPercent is the worth of the completed requests as a part of all.
+	// GoodputPercent is the worth of the completed requests as a part of the
+	// worth of all.
 	GoodputPercent float64
 	// RefusedPercent, LostPercent and GaveUpPercent are parts of the requests.
 	RefusedPercent float64
@@ -41,38 +42,34 @@
 }
 
 // Figures returns the values of one class.
-func (c ClassReport) Figures() Figures {
-	offered := float64(max(c.Offered, 1))
+func (t *ClassReport) Figures() Figures {
+	offered := float64(max(t.Offered, 1))
 	return Figures{
-		GoodputPercent: 100 * float64(c.Completed) / offered,
-		RefusedPercent: 100 * float64(c.Refused) / offered,
-		LostPercent:    100 * float64(c.Lost) / offered,
-		GaveUpPercent:  100 * float64(c.GaveUp) / offered,
-		StallMedian:    seconds(c.Stall, 50),
-		StallTail:      seconds(c.Stall, 95),
-		StallFar:       seconds(c.Stall, 99),
-		PauseTail:      seconds(c.Pause, 95),
-		PauseFar:       seconds(c.Pause, 99),
-		FirstMedian:    seconds(c.FirstToken, 50),
-		FirstFar:       seconds(c.FirstToken, 99),
-		GapMillis:      1000 * seconds(c.Gap, 99),
-		Preemptions:    c.PreemptionsPerThousand(),
-		WastedPercent:  100 * float64(c.Produced-c.Tokens) / float64(max(c.Produced, 1)),
-		Tokens:         float64(c.Tokens) / 1000,
+		GoodputPercent: 100 * t.Goodput(),
+		RefusedPercent: 100 * float64(t.Refused) / offered,
+		LostPercent:    100 * float64(t.Lost) / offered,
+		GaveUpPercent:  100 * float64(t.GaveUp) / offered,
+		StallMedian:    seconds(t.Stall, 50),
+		StallTail:      seconds(t.Stall, 95),
+		StallFar:       seconds(t.Stall, 99),
+		PauseTail:      seconds(t.Pause, 95),
+		PauseFar:       seconds(t.Pause, 99),
+		FirstMedian:    seconds(t.FirstToken, 50),
+		FirstFar:       seconds(t.FirstToken, 99),
+		GapMillis:      1000 * seconds(t.Gap, 99),
+		Preemptions:    t.PreemptionsPerThousand(),
+		WastedPercent:  100 * float64(t.Produced-t.Tokens) / float64(max(t.Produced, 1)),
+		Tokens:         float64(t.Tokens) / 1000,
 	}
 }
 
 // Total returns the report of all classes together.
 func (r Report) Total() ClassReport {
-	t := ClassReport{
-		Class:      wholeClass,
-		Stall:      newHistogram(),
-		Pause:      newHistogram(),
-		FirstToken: newHistogram(),
-		Gap:        newHistogram(),
-	}
+	t := newClassReport(wholeClass)
 	for _, c := range r.Classes {
 		t.Offered += c.Offered
+		t.WorthOffered += c.WorthOffered
+		t.WorthCompleted += c.WorthCompleted
 		t.Completed += c.Completed
 		t.Refused += c.Refused
 		t.Lost += c.Lost
--- a/internal/trial/season/tally.go
+++ b/internal/trial/season/tally.go
@@ -33,8 +33,9 @@
 	Produced int
 	// Preemptions counts the preemptions of all generations.
 	Preemptions int
-	// Worth is the value of one completed request.
-	Worth float64
+	// WorthOffered and WorthCompleted are the value of the requests.
+	WorthOffered   float64
+	WorthCompleted float64
 	// Stall is the time without progress of each request that was not refused,
 	// in microseconds: until the first token and in gaps from 200 ms on.
 	Stall *hdrhistogram.Histogram
@@ -50,6 +51,9 @@
 type Report struct {
 	// Classes holds a report for each class, in the deployment's order.
 	Classes []ClassReport
+	// Others covers all classes of all client accounts but the first, which is
+	// the one that floods.
+	Others *ClassReport
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -59,18 +63,23 @@
 func newReport(d Deployment) Report {
 	r := Report{Classes: make([]ClassReport, len(d.Classes))}
 	for i, c := range d.Classes {
-		r.Classes[i] = ClassReport{
-			Class:      c.Name,
-			Worth:      c.Worth,
-			Stall:      newHistogram(),
-			Pause:      newHistogram(),
-			FirstToken: newHistogram(),
-			Gap:        newHistogram(),
-		}
+		r.Classes[i] = newClassReport(c.Name)
 	}
+	others := newClassReport(otherAccounts)
+	r.Others = &others
 	return r
 }
 
+func newClassReport(name string) ClassReport {
+	return ClassReport{
+		Class:      name,
+		Stall:      newHistogram(),
+		Pause:      newHistogram(),
+		FirstToken: newHistogram(),
+		Gap:        newHistogram(),
+	}
+}
+
 // of returns the report of a call's class.
 func (r Report) of(c *call) *ClassReport {
 	for i := range r.Classes {
@@ -83,8 +92,16 @@
 
 // record adds a call that has ended.
 func (r Report) record(c *call, end int64) {
-	t := r.of(c)
+	r.of(c).record(c, end)
+	if c.account != 0 {
+		r.Others.record(c, end)
+	}
+}
+
+// record adds a call that has ended.
+func (t *ClassReport) record(c *call, end int64) {
 	t.Offered++
+	t.WorthOffered += c.class.Worth
 	t.Preemptions += c.preemptions
 	t.Produced += c.produced
 	if c.started {
@@ -94,6 +111,7 @@
 	case stateCompleted:
 		t.Completed++
 		t.Tokens += c.output
+		t.WorthCompleted += c.class.Worth
 	case stateRefused:
 		t.Refused++
 		return
@@ -116,19 +134,14 @@
 
 // Goodput returns the worth of the completed requests as a part of the worth of
 // all that were offered.
-func (r Report) Goodput() float64 {
-	done, offered := 0.0, 0.0
-	for _, c := range r.Classes {
-		done += c.Worth * float64(c.Completed)
-		offered += c.Worth * float64(c.Offered)
-	}
-	if offered == 0 {
+func (t *ClassReport) Goodput() float64 {
+	if t.WorthOffered == 0 {
 		return 0
 	}
-	return done / offered
+	return t.WorthCompleted / t.WorthOffered
 }
 
 // PreemptionsPerThousand returns the preemptions for each thousand generations.
-func (c ClassReport) PreemptionsPerThousand() float64 {
-	return 1000 * float64(c.Preemptions) / float64(max(c.Started, 1))
+func (t *ClassReport) PreemptionsPerThousand() float64 {
+	return 1000 * float64(t.Preemptions) / float64(max(t.Started, 1))
 }
--- a/internal/trial/season/verdict.go
+++ b/internal/trial/season/verdict.go
@@ -50,7 +50,8 @@
 		judge = whole.kept
 	}
 	verdicts := []Verdict{
-		whole.goodput(),
+		whole.goodput("goodput %"),
+		split(rows, otherAccounts).goodput("goodput of other accounts %"),
 		judge("stall p95 s", stall),
 		judge("preempt/1000", preemptions),
 	}
@@ -92,11 +93,11 @@
 	return least
 }
 
-func (s sides) goodput() Verdict {
+func (s sides) goodput(name string) Verdict {
 	value := func(f Figures) float64 { return f.GoodputPercent }
 	best := -s.least(func(f Figures) float64 { return -f.GoodputPercent })
 	own := s.forecast.Mean(value)
-	return Verdict{Figure: "goodput %", Forecast: own, Baseline: best, Met: own >= best-goodputSlack}
+	return Verdict{Figure: name, Forecast: own, Baseline: best, Met: own >= best-goodputSlack}
 }
 
 // halved asks for half of the best baseline.
--- a/internal/trial/season/verdict_test.go
+++ b/internal/trial/season/verdict_test.go
@@ -21,19 +21,19 @@
 			"all met",
 			Figures{GoodputPercent: 80, StallTail: 10, Preemptions: 50, FirstFar: 0.1},
 			Figures{GoodputPercent: 80, StallTail: 20, Preemptions: 100, FirstFar: 0.1},
-			[]bool{true, true, true, true},
+			[]bool{true, true, true, true, true},
 		},
 		{
 			"all missed",
 			Figures{GoodputPercent: 78, StallTail: 11, Preemptions: 51, FirstFar: 0.2},
 			Figures{GoodputPercent: 80, StallTail: 20, Preemptions: 100, FirstFar: 0.1},
-			[]bool{false, false, false, false},
+			[]bool{false, false, false, false, false},
 		},
 		{
 			"idle and no worse",
 			Figures{GoodputPercent: 100, StallTail: 0.04, FirstFar: 0.04},
 			Figures{GoodputPercent: 100, StallTail: 0.03, FirstFar: 0.03},
-			[]bool{true, true, true, true},
+			[]bool{true, true, true, true, true},
 		},
 	}
 	d := Deployment{Classes: []Class{{Name: "desk", Urgent: true}}}
@@ -41,7 +41,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			var rows []Row
-			for _, class := range []string{wholeClass, "desk"} {
+			for _, class := range []string{wholeClass, otherAccounts, "desk"} {
 				rows = append(rows, rowOf(PolicyName(RoundRobin{}), class, c.baseline))
 				rows = append(rows, rowOf(PolicyName(Forecast{}), class, c.forecast))
 			}
