refactor: one way to serve, drain and end for both roles

The two roles repeated how parts are run, drained and cut; lifetime.Program does it for both. What reads state stands in files of its own.

--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
@@ -75,37 +73,43 @@
 // Run serves until the lifetime's drain has ended.
 func (h *Host) Run(life lifetime.Lifetime) error {
 	h.prepare()
-	ctx, stop := context.WithCancel(life.Cut)
-	defer stop()
-	peers, err := line.Listen(ctx, h.Settings.PeerAddress)
+	peers, err := line.Listen(life.Cut, h.Settings.PeerAddress)
 	if err != nil {
 		return err
 	}
-	metrics, err := line.Listen(ctx, h.Settings.MetricsAddress)
+	metrics, err := line.Listen(life.Cut, h.Settings.MetricsAddress)
 	if err != nil {
 		return err
 	}
-	group, ctx := errgroup.WithContext(ctx)
+	log := diary.For(h.Log, diary.Process)
+	log.Info("serving", "Name", h.Settings.Name, "Peer", h.Settings.PeerAddress, "Incarnation", h.incarnation)
+	program := lifetime.Program{
+		Life:         life,
+		Log:          log,
+		DrainSeconds: h.Settings.DrainSeconds,
+		Leave:        h.leave,
+		Open:         h.owner.Open,
+	}
 	server := &line.Server{Listener: peers, Handler: h.handler()}
-	group.Go(func() error { return server.Run(ctx) })
-	group.Go(func() error { return line.ServeHTTP(ctx, metrics, h.metricsHandler()) })
-	group.Go(func() error { return h.owner.Run(ctx) })
-	group.Go(func() error { return h.measure.Run(ctx) })
-	group.Go(func() error { return h.bulletin.Run(ctx) })
-	group.Go(func() error { return h.register(ctx) })
-	group.Go(func() error { return h.peers.run(ctx, h.hosts) })
-	if h.orders != nil {
-		group.Go(func() error { return h.orders.foreman.Run(ctx) })
+	parts := []lifetime.Part{
+		server.Run,
+		line.HTTPServer{Listener: metrics, Handler: h.metricsHandler()}.Run,
+		h.owner.Run,
+		h.measure.Run,
+		h.bulletin.Run,
+		h.register,
+		func(ctx context.Context) error { return h.peers.run(ctx, h.hosts) },
 	}
-	group.Go(func() error {
-		defer stop()
-		return h.drain(ctx, life)
-	})
-	err = group.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
+	if h.orders != nil {
+		parts = append(parts, h.orders.foreman.Run)
 	}
-	return err
+	return program.Run(parts...)
+}
+
+// leave stops the admission of new work and tells the platform's list.
+func (h *Host) leave(ctx context.Context) {
+	h.owner.Leave()
+	h.announce(ctx, hostlist.StateLeaving)
 }
 
 func (h *Host) prepare() {
@@ -222,27 +226,6 @@
 	}
 }
 
-// drain waits for the end of the lifetime, then for the open requests.
-func (h *Host) drain(ctx context.Context, life lifetime.Lifetime) error {
-	log := diary.For(h.Log, diary.Process)
-	log.Info("serving", "Name", h.Settings.Name, "Peer", h.Settings.PeerAddress, "Incarnation", h.incarnation)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-life.Drain.Done():
-	}
-	h.owner.Leave()
-	h.announce(ctx, hostlist.StateLeaving)
-	log.Info("draining", "Open", h.owner.Open())
-	cut := life.Finish(h.owner.Open, lifetime.DrainDeadline(h.Settings.DrainSeconds))
-	if cut > 0 {
-		log.Warn("cut by the drain deadline or a second signal", "Open", cut)
-		return nil
-	}
-	log.Info("drained")
-	return nil
-}
-
 // register keeps the host in the platform's list.
 func (h *Host) register(ctx context.Context) error {
 	ticker := time.NewTicker(registerAgainSeconds * time.Second)
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -3,14 +3,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
@@ -58,31 +55,36 @@
 // Run serves until the lifetime's drain has ended.
 func (h *Host) Run(life lifetime.Lifetime) error {
 	h.prepare()
-	ctx, stop := context.WithCancel(life.Cut)
-	defer stop()
-	listeners, err := h.listen(ctx)
+	open, err := h.listen(life.Cut)
 	if err != nil {
 		return err
 	}
-	group, ctx := errgroup.WithContext(ctx)
-	server := &line.Server{Listener: listeners.peers, Handler: h.handler()}
-	group.Go(func() error { return server.Run(ctx) })
-	group.Go(func() error { return line.ServeHTTP(ctx, listeners.metrics, h.metricsHandler()) })
-	group.Go(func() error { return line.ServeHTTP(ctx, listeners.callers, h.intake().Routes()) })
-	group.Go(func() error { return h.measure.Run(ctx) })
-	group.Go(func() error { return h.bulletin.Run(ctx) })
-	group.Go(func() error { return h.rounds.Run(ctx) })
-	group.Go(func() error { return h.holder.Run(ctx) })
-	group.Go(func() error { return h.quota.Run(ctx) })
-	group.Go(func() error {
-		defer stop()
-		return h.drain(ctx, life)
-	})
-	err = group.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
+	log := diary.For(h.Log, diary.Process)
+	log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress, "Peer", h.Settings.PeerAddress)
+	program := lifetime.Program{
+		Life:         life,
+		Log:          log,
+		DrainSeconds: h.Settings.DrainSeconds,
+		Leave:        h.leave,
+		Open:         h.gate.Open,
 	}
-	return err
+	server := &line.Server{Listener: open.peers, Handler: h.handler()}
+	return program.Run(
+		server.Run,
+		line.HTTPServer{Listener: open.metrics, Handler: h.metricsHandler()}.Run,
+		line.HTTPServer{Listener: open.callers, Handler: h.intake().Routes()}.Run,
+		h.measure.Run,
+		h.bulletin.Run,
+		h.rounds.Run,
+		h.holder.Run,
+		h.quota.Run,
+	)
+}
+
+// leave stops the admission of new requests and tells the platform's list.
+func (h *Host) leave(ctx context.Context) {
+	h.leaving.set()
+	h.rounds.Announce(ctx)
 }
 
 // prepare builds the parts. They share no state but through their methods.
@@ -186,82 +188,3 @@
 	mux.Handle("/debug/vars", h.measure.Handler())
 	return mux
 }
-
-func (h *Host) status() peer.Status {
-	return peer.Status{
-		Name:          h.Settings.Name,
-		Role:          hostlist.RoleEntry,
-		Region:        h.Settings.Region,
-		Zone:          h.Settings.Zone,
-		Version:       h.Version,
-		ConfigVersion: h.bulletin.Version(),
-		Leaving:       h.leaving.isSet(),
-		OpenRequests:  h.gate.Open(),
-		Hosts:         h.hostStatus(time.Now()),
-	}
-}
-
-// records returns the decision records of a request: those of this host and
-// those of the backend servers that it was routed to.
-func (h *Host) records(ctx context.Context, id string) []explanation.Record {
-	own := h.ring.Find(id)
-	all := own
-	asked := make(map[string]bool)
-	for _, record := range own {
-		routed, ok := record.Decision.(explanation.Routed)
-		if !ok || asked[routed.Backend] {
-			continue
-		}
-		asked[routed.Backend] = true
-		all = append(all, h.backendRecords(ctx, routed.Backend, id)...)
-	}
-	return all
-}
-
-// explainMillis bounds the question to one backend server.
-const explainMillis = 1000
-
-func (h *Host) backendRecords(ctx context.Context, backend, id string) []explanation.Record {
-	member, known := h.roster.Snapshot().Find(backend)
-	if !known {
-		return nil
-	}
-	ctx, stop := context.WithDeadline(ctx, time.Now().Add(explainMillis*time.Millisecond))
-	defer stop()
-	held, err := peer.AskRecords(ctx, member.Host.PeerAddress, id)
-	if err != nil {
-		diary.For(h.Log, diary.Peer).Warn("records not read", "Backend", backend, "Cause", err)
-	}
-	return held
-}
-
-// explain returns the records as JSON for callers.
-func (h *Host) explain(ctx context.Context, id string) ([]byte, bool) {
-	records := h.records(ctx, id)
-	if len(records) == 0 {
-		return nil, false
-	}
-	text, err := json.Marshal(records)
-	return text, err == nil
-}
-
-// drain waits for the end of the lifetime, then for the open requests.
-func (h *Host) drain(ctx context.Context, life lifetime.Lifetime) error {
-	log := diary.For(h.Log, diary.Process)
-	log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress, "Peer", h.Settings.PeerAddress)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-life.Drain.Done():
-	}
-	h.leaving.set()
-	h.rounds.Announce(ctx)
-	log.Info("draining", "Open", h.gate.Open())
-	cut := life.Finish(h.gate.Open, lifetime.DrainDeadline(h.Settings.DrainSeconds))
-	if cut > 0 {
-		log.Warn("cut by the drain deadline or a second signal", "Open", cut)
-		return nil
-	}
-	log.Info("drained")
-	return nil
-}
--- a/internal/role/entryhost/parts.go
+++ b/internal/role/entryhost/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"storj.io/drpc"
 
@@ -12,7 +11,6 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/journal"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/bulletin"
-	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/referral"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/rounds"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
@@ -163,29 +161,3 @@
 	}
 	return addresses
 }
-
-// hostStatus lists what this host knows of others.
-func (h *Host) hostStatus(now time.Time) []peer.HostStatus {
-	var all []peer.HostStatus
-	for m := range h.roster.Snapshot().All() {
-		status := peer.HostStatus{
-			Name:           m.Host.Name,
-			Role:           string(m.Host.Role),
-			Zone:           m.Host.AvailabilityZone,
-			PeerAddress:    m.Host.PeerAddress,
-			State:          string(m.Host.State),
-			Running:        m.Load.Running,
-			Waiting:        m.Load.Waiting,
-			MemoryPermille: m.Load.MemoryPermille,
-			AgeMillis:      -1,
-		}
-		if age, seen := m.Age(now); seen {
-			status.AgeMillis = age.Milliseconds()
-		}
-		if m.Leaving() {
-			status.State = hostlist.StateLeaving
-		}
-		all = append(all, status)
-	}
-	return all
-}
--- /dev/null
+++ b/internal/role/entryhost/status.go
@@ -0,0 +1,96 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+)
+
+func (h *Host) status() peer.Status {
+	return peer.Status{
+		Name:          h.Settings.Name,
+		Role:          hostlist.RoleEntry,
+		Region:        h.Settings.Region,
+		Zone:          h.Settings.Zone,
+		Version:       h.Version,
+		ConfigVersion: h.bulletin.Version(),
+		Leaving:       h.leaving.isSet(),
+		OpenRequests:  h.gate.Open(),
+		Hosts:         h.hostStatus(time.Now()),
+	}
+}
+
+// records returns the decision records of a request: those of this host and
+// those of the backend servers that it was routed to.
+func (h *Host) records(ctx context.Context, id string) []explanation.Record {
+	own := h.ring.Find(id)
+	all := own
+	asked := make(map[string]bool)
+	for _, record := range own {
+		routed, ok := record.Decision.(explanation.Routed)
+		if !ok || asked[routed.Backend] {
+			continue
+		}
+		asked[routed.Backend] = true
+		all = append(all, h.backendRecords(ctx, routed.Backend, id)...)
+	}
+	return all
+}
+
+// explainMillis bounds the question to one backend server.
+const explainMillis = 1000
+
+func (h *Host) backendRecords(ctx context.Context, backend, id string) []explanation.Record {
+	member, known := h.roster.Snapshot().Find(backend)
+	if !known {
+		return nil
+	}
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(explainMillis*time.Millisecond))
+	defer stop()
+	held, err := peer.AskRecords(ctx, member.Host.PeerAddress, id)
+	if err != nil {
+		diary.For(h.Log, diary.Peer).Warn("records not read", "Backend", backend, "Cause", err)
+	}
+	return held
+}
+
+// explain returns the records as JSON for callers.
+func (h *Host) explain(ctx context.Context, id string) ([]byte, bool) {
+	records := h.records(ctx, id)
+	if len(records) == 0 {
+		return nil, false
+	}
+	text, err := json.Marshal(records)
+	return text, err == nil
+}
+
+// hostStatus lists what this host knows of others.
+func (h *Host) hostStatus(now time.Time) []peer.HostStatus {
+	var all []peer.HostStatus
+	for m := range h.roster.Snapshot().All() {
+		status := peer.HostStatus{
+			Name:           m.Host.Name,
+			Role:           string(m.Host.Role),
+			Zone:           m.Host.AvailabilityZone,
+			PeerAddress:    m.Host.PeerAddress,
+			State:          string(m.Host.State),
+			Running:        m.Load.Running,
+			Waiting:        m.Load.Waiting,
+			MemoryPermille: m.Load.MemoryPermille,
+			AgeMillis:      -1,
+		}
+		if age, seen := m.Age(now); seen {
+			status.AgeMillis = age.Milliseconds()
+		}
+		if m.Leaving() {
+			status.State = hostlist.StateLeaving
+		}
+		all = append(all, status)
+	}
+	return all
+}
--- a/internal/role/lifetime/lifetime.go
+++ b/internal/role/lifetime/lifetime.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// DrainDeadline returns when a drain that begins now ends; zero seconds mean
+// drainDeadline returns when a drain that begins now ends; zero seconds mean
 // that it waits for all requests.
-func DrainDeadline(seconds int) time.Time {
+func drainDeadline(seconds int) time.Time {
 	if seconds == 0 {
 		return time.Time{}
 	}
--- /dev/null
+++ b/internal/role/lifetime/program.go
@@ -0,0 +1,62 @@
+package lifetime
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Part is one long-running part of a process. It returns when ctx ends.
+type Part func(ctx context.Context) error
+
+// Program is a process that serves, drains and ends. Its fields must be set
+// before Run.
+type Program struct {
+	Life Lifetime
+	Log  *slog.Logger
+	// DrainSeconds bounds the drain; zero waits for all requests.
+	DrainSeconds int
+	// Leave stops the admission of new work and tells the platform.
+	Leave func(ctx context.Context)
+	// Open counts the requests that have not ended.
+	Open func() int
+}
+
+// Run runs the parts until the drain has ended, Cut ends, or a part fails.
+func (p Program) Run(parts ...Part) error {
+	ctx, stop := context.WithCancel(p.Life.Cut)
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, part := range parts {
+		group.Go(func() error { return part(ctx) })
+	}
+	group.Go(func() error {
+		defer stop()
+		return p.drain(ctx)
+	})
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain waits for the end of the lifetime, then for the open requests.
+func (p Program) drain(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.Life.Drain.Done():
+	}
+	p.Leave(ctx)
+	p.Log.Info("draining", "Open", p.Open())
+	cut := p.Life.Finish(p.Open, drainDeadline(p.DrainSeconds))
+	if cut > 0 {
+		p.Log.Warn("cut by the drain deadline or a second signal", "Open", cut)
+		return nil
+	}
+	p.Log.Info("drained")
+	return nil
+}
--- a/internal/wire/line/http.go
+++ b/internal/wire/line/http.go
@@ -17,11 +17,16 @@
 	shutdownMillis = 2000
 )
 
-// ServeHTTP serves handler until ctx ends, then lets open answers end within a
-// bounded time.
-func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+// HTTPServer serves HTTP on one listener. Its fields must be set before Run.
+type HTTPServer struct {
+	Listener net.Listener
+	Handler  http.Handler
+}
+
+// Run serves until ctx ends, then lets open answers end within a bounded time.
+func (s HTTPServer) Run(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           s.Handler,
 		ReadHeaderTimeout: headerMillis * time.Millisecond,
 	}
 	group, ctx := errgroup.WithContext(ctx)
@@ -35,7 +40,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		err := server.Serve(listener)
+		err := server.Serve(s.Listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
