test: measure deployments of the sizes of today

TestSizesOfToday starts both companies' deployments as separate processes, spread over their availability zones, and puts open-loop load on them: held and streamed generations of heavy-tailed lengths, urgent checks, plain calls with and without keys. Six scenarios check lost answers, doubled executions and refusals that are not true, and print times by class.

--- a/internal/trial/openday/main_test.go
+++ b/internal/trial/openday/main_test.go
@@ -29,7 +29,7 @@
 	defer func() { _ = os.RemoveAll(directory) }()
 	flag.Parse()
 	binary = filepath.Join(directory, "fulmarvalve")
-	if err := build(binary, !*slopes); err != nil {
+	if err := build(binary, !*slopes && !*sizes); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- /dev/null
+++ b/internal/trial/openday/sizes_request_test.go
@@ -0,0 +1,242 @@
+package openday
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+)
+
+// sizesRetryMillis is a caller's pause before it turns to another entry host.
+const sizesRetryMillis = 100
+
+// sizedRequest is one request of a caller, with what came of it.
+type sizedRequest struct {
+	arrivals *arrivals
+	kind     kind
+	question question
+	streamed bool
+	flood    bool
+	random   *rand.Rand
+
+	begunAt, firstAt, lastAt, endedAt time.Time
+	gaps                              []time.Duration
+	tokens                            int
+	code                              receipt.Code
+	reason                            string
+	// requests names every identity that the request had.
+	requests []string
+	// turns counts the changes of the entry host.
+	turns int
+	// fault is a wrong or missing answer.
+	fault error
+}
+
+func (a *arrivals) request(k kind, from string, number int, random *rand.Rand) *sizedRequest {
+	r := &sizedRequest{arrivals: a, kind: k, flood: from != "", random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
+	if from == "" {
+		from = draw(a.customers, k.class, random)
+	}
+	r.question = question{account: from, class: k.class}
+	if !k.repeatable {
+		r.question.key = newKey()
+	}
+	if k.method == "" {
+		r.question.prompt = fmt.Sprintf("tokens=%d %s %d", k.length(random), k.class, random.Uint64())
+		r.streamed = k.urgent || number%2 == 0
+	}
+	return r
+}
+
+// carry sends the request, and again to another entry host where the
+// connection breaks.
+func (r *sizedRequest) carry(ctx context.Context) {
+	r.begunAt = time.Now()
+	defer func() { r.endedAt = time.Now() }()
+	answer := newTranscript(nil)
+	for {
+		err := r.attempt(ctx, newCaller(r.arrivals.balance(r.random)), answer)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil || !errors.Is(err, errBrokenOff) {
+			r.fault = err
+			return
+		}
+		r.turns++
+		time.Sleep(sizesRetryMillis * time.Millisecond)
+	}
+}
+
+func (r *sizedRequest) attempt(ctx context.Context, c *caller, answer *transcript) error {
+	switch {
+	case r.kind.method != "":
+		return r.call(ctx, c)
+	case r.streamed:
+		return r.stream(ctx, c, answer)
+	default:
+		return r.whole(ctx, c)
+	}
+}
+
+// read sends a request and reads its whole answer.
+func (r *sizedRequest) read(ctx context.Context, c *caller, method, path string, body []byte) (reply, error) {
+	response, err := c.send(ctx, method, path, r.question.header(), body)
+	if err != nil {
+		return reply{}, errors.Mark(err, errBrokenOff)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}, errors.Mark(err, errBrokenOff)
+	}
+	r.note(response.Header.Get(intake.HeaderRequest))
+	return reply{status: response.StatusCode, header: response.Header, body: text}, nil
+}
+
+// note remembers an identity of the request.
+func (r *sizedRequest) note(id string) {
+	if id == "" || len(r.requests) > 0 && r.requests[len(r.requests)-1] == id {
+		return
+	}
+	r.requests = append(r.requests, id)
+}
+
+func (r *sizedRequest) call(ctx context.Context, c *caller) error {
+	service := r.arrivals.company.plainService
+	got, err := r.read(ctx, c, r.kind.method, "/v1/services/"+service+r.kind.path, nil)
+	if err != nil {
+		return err
+	}
+	code, err := strconv.Atoi(got.header.Get(intake.HeaderResult))
+	if err != nil {
+		return errors.Wrapf(err, "status %d: %s", got.status, got.body)
+	}
+	r.code = receipt.Code(code)
+	if r.code == receipt.OK && got.status != http.StatusOK {
+		return errors.Newf("status %d: %s", got.status, got.body)
+	}
+	return nil
+}
+
+func (r *sizedRequest) whole(ctx context.Context, c *caller) error {
+	got, err := r.read(ctx, c, http.MethodPost, "/v1/completions", r.question.body(false))
+	if err != nil {
+		return err
+	}
+	p, err := got.part()
+	if err != nil {
+		return err
+	}
+	r.code, r.reason = receipt.Code(p.Fulmarvalve.Code), p.Fulmarvalve.Reason
+	if r.code.Info().Outcome != receipt.Complete {
+		return nil
+	}
+	r.note(p.Fulmarvalve.RequestID)
+	o := r.outputs(p.Fulmarvalve.Backend)
+	r.tokens = len(o[p.Fulmarvalve.Backend])
+	_, err = checkWholeReply(got, o)
+	return err
+}
+
+// outputs holds what the engine of one backend server produces.
+func (r *sizedRequest) outputs(backend string) outputs {
+	b := r.arrivals.d.backend(backend)
+	if b == nil || b.engine == nil {
+		return nil
+	}
+	return outputs{backend: b.engine.Output(r.question.prompt)}
+}
+
+// stream reads events; it resumes where an earlier attempt left a ticket.
+func (r *sizedRequest) stream(ctx context.Context, c *caller, answer *transcript) error {
+	response, err := r.open(ctx, c, answer)
+	if err != nil {
+		return errors.Mark(err, errBrokenOff)
+	}
+	s := newSizedStream(response)
+	defer s.close()
+	r.note(response.Header.Get(intake.HeaderRequest))
+	if response.StatusCode != http.StatusOK {
+		return r.refused(response)
+	}
+	for {
+		e, err := s.next()
+		s.raw.Reset()
+		if errors.Is(err, io.EOF) {
+			return r.endOfStream(answer)
+		}
+		if err != nil {
+			return err
+		}
+		if e.Fulmarvalve.Ticket != "" {
+			answer.outputs = r.outputs(e.Fulmarvalve.Backend)
+		}
+		before := answer.position
+		if err := answer.take(e); err != nil {
+			return err
+		}
+		r.timeTokens(answer.position - before)
+	}
+}
+
+func (r *sizedRequest) open(ctx context.Context, c *caller, answer *transcript) (*http.Response, error) {
+	if len(answer.tickets) == 0 {
+		return c.send(ctx, http.MethodPost, "/v1/completions", r.question.header(), r.question.body(true))
+	}
+	header := map[string]string{
+		intake.HeaderAccount: r.question.account,
+		"Last-Event-ID":      strconv.FormatUint(answer.position, 10),
+	}
+	return c.send(ctx, http.MethodGet, "/v1/completions/"+answer.ticket(), header, nil)
+}
+
+// refused reads the result of a stream that did not begin.
+func (r *sizedRequest) refused(response *http.Response) error {
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Mark(err, errBrokenOff)
+	}
+	p, err := reply{body: text}.part()
+	r.code = receipt.Code(p.Fulmarvalve.Code)
+	return err
+}
+
+func (r *sizedRequest) endOfStream(answer *transcript) error {
+	if err := answer.checkEnded(); err != nil {
+		return err
+	}
+	r.code, r.reason = receipt.Code(answer.end.Fulmarvalve.Code), answer.end.Fulmarvalve.Reason
+	r.note(answer.request)
+	if r.code.Info().Outcome != receipt.Complete {
+		return nil
+	}
+	r.tokens = int(answer.position)
+	return answer.checkWhole()
+}
+
+func (r *sizedRequest) timeTokens(count uint64) {
+	if count == 0 {
+		return
+	}
+	now := time.Now()
+	if r.firstAt.IsZero() {
+		r.firstAt = now
+	} else {
+		r.gaps = append(r.gaps, now.Sub(r.lastAt))
+	}
+	r.lastAt = now
+}
+
+func newSizedStream(response *http.Response) *stream {
+	return &stream{response: response, reader: bufio.NewReader(response.Body), stop: func() {}}
+}
--- /dev/null
+++ b/internal/trial/openday/sizes_tally_test.go
@@ -0,0 +1,206 @@
+package openday
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+)
+
+const (
+	// longestMicros is the longest time that a histogram holds.
+	longestMicros = 120_000_000
+	// histogramDigits is the precision of a histogram.
+	histogramDigits = 3
+	// faultsShown bounds the faults that are printed.
+	faultsShown = 5
+)
+
+// times is a histogram of times in microseconds.
+type times struct{ *hdrhistogram.Histogram }
+
+func (h times) add(d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), longestMicros))
+}
+
+func (h times) millis(quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
+
+func (h times) String() string {
+	return fmt.Sprintf("n %d, p50 %.1f ms, p95 %.1f ms, p99 %.1f ms", h.TotalCount(), h.millis(50), h.millis(95), h.millis(99))
+}
+
+// tally counts what came of the requests of a scenario.
+type tally struct {
+	mu sync.Mutex
+	// series holds times by name.
+	series  map[string]times
+	codes   map[string]int
+	faults  []error
+	asked   int
+	omitted int
+	turns   int
+	// tokens counts those of complete answers.
+	tokens   int
+	requests []*sizedRequest
+}
+
+func newTally() *tally {
+	return &tally{series: make(map[string]times), codes: make(map[string]int)}
+}
+
+func (a *tally) omit() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.omitted++
+}
+
+// time adds a time to a series; the caller holds mu.
+func (a *tally) time(name string, d time.Duration) {
+	h, ok := a.series[name]
+	if !ok {
+		h = times{hdrhistogram.New(1, longestMicros, histogramDigits)}
+		a.series[name] = h
+	}
+	h.add(d)
+}
+
+func (a *tally) add(r *sizedRequest) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asked++
+	a.turns += r.turns
+	a.tokens += r.tokens
+	a.requests = append(a.requests, r)
+	if r.fault != nil {
+		a.faults = append(a.faults, errors.Wrapf(r.fault, "%s, requests %v", r.kind.name(), r.requests))
+		return
+	}
+	name := r.kind.name()
+	if r.flood {
+		name += " of the flood"
+	}
+	a.codes[fmt.Sprintf("%s: %s", name, r.code)]++
+	took := r.endedAt.Sub(r.begunAt)
+	if r.code.Info().Outcome == receipt.NotRun {
+		a.time(fmt.Sprintf("refusal %s", r.code), took)
+		return
+	}
+	if r.code.Info().Outcome != receipt.Complete {
+		return
+	}
+	a.time(name+" answer", took)
+	if !r.streamed {
+		return
+	}
+	a.time(name+" first token", r.firstAt.Sub(r.begunAt))
+	for _, gap := range r.gaps {
+		if !r.kind.held {
+			a.time(name+" between tokens", gap)
+		}
+	}
+}
+
+// print writes every figure.
+func (a *tally) print(t *testing.T) {
+	t.Helper()
+	t.Logf("%d asked, %d left out by the bound of open requests, %d turns to another entry host", a.asked, a.omitted, a.turns)
+	for _, name := range slices.Sorted(maps.Keys(a.codes)) {
+		t.Logf("  %s %d", name, a.codes[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.series)) {
+		t.Logf("  %s: %s", name, a.series[name])
+	}
+}
+
+// checkAnswers checks that no whole repeatable answer is lost, and that
+// anything is lost only where a host was.
+func (a *tally) checkAnswers(t *testing.T, hostsLost bool) {
+	t.Helper()
+	wrong, lost, unknown := len(a.faults), 0, 0
+	for _, err := range a.faults[:min(len(a.faults), faultsShown)] {
+		t.Logf("  wrong or no answer: %v", err)
+	}
+	for _, r := range a.requests {
+		if r.fault != nil || r.code.Info().Outcome != receipt.Unknown {
+			continue
+		}
+		unknown++
+		if r.kind.repeatable && (!r.streamed || r.kind.held) {
+			lost++
+			t.Logf("  lost: %s %v ended with %s: %s", r.kind.name(), r.requests, r.code, r.reason)
+		}
+	}
+	t.Logf("wrong or no answer %d, whole repeatable answers lost %d, other answers of unknown outcome %d", wrong, lost, unknown-lost)
+	if wrong+lost > 0 {
+		t.Errorf("%d answers are wrong or missing, %d are lost", wrong, lost)
+	}
+	if unknown > 0 && !hostsLost {
+		t.Errorf("%d answers of unknown outcome while no host was lost", unknown)
+	}
+}
+
+// checkExecutions checks how often each request ran, at engines and desks.
+func (a *tally) checkExecutions(t *testing.T, d *deployment, hostsLost bool) {
+	t.Helper()
+	doubled, again, untrue := 0, 0, 0
+	for _, r := range a.requests {
+		runs := d.runs(r)
+		switch {
+		case r.fault == nil && len(r.requests) > 0 && r.code.Info().Outcome == receipt.NotRun && d.runs(&sizedRequest{requests: r.requests[len(r.requests)-1:]}) > 0:
+			untrue++
+			t.Logf("  said to be not run, but ran: %s %v %s", r.kind.name(), r.requests, r.code)
+		case runs <= 1:
+		case r.kind.repeatable && hostsLost:
+			again++
+		default:
+			doubled++
+			t.Logf("  ran %d times: %s %v %s", runs, r.kind.name(), r.requests, r.code)
+		}
+	}
+	t.Logf("doubled %d, ran though said not to %d, repeatable ones run again after a loss %d", doubled, untrue, again)
+	if doubled+untrue > 0 {
+		t.Errorf("%d doubled executions, %d untrue refusals", doubled, untrue)
+	}
+}
+
+// runs counts the executions of a request under all its identities.
+func (d *deployment) runs(r *sizedRequest) int {
+	count := 0
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(r.requests))) {
+		count += d.executions(id)
+		for _, b := range d.backends {
+			if b.desk != nil {
+				count += b.desk.Executions(id)
+			}
+		}
+	}
+	return count
+}
+
+// checkBookings checks that no more were booked than keys were sent.
+func (a *tally) checkBookings(t *testing.T, booked int) {
+	t.Helper()
+	complete, undecided := 0, 0
+	for _, r := range a.requests {
+		switch {
+		case r.kind.name() != "POST /bookings":
+		case r.fault == nil && r.code == receipt.OK:
+			complete++
+		case r.fault != nil || r.code.Info().Outcome == receipt.Unknown:
+			undecided++
+		}
+	}
+	t.Logf("bookings at the desks %d, answered %d, of unknown outcome %d", booked, complete, undecided)
+	if booked < complete || booked > complete+undecided {
+		t.Errorf("%d bookings at the desks for %d answered and %d undecided keys", booked, complete, undecided)
+	}
+}
