test: tell apart what a flooding account asks, and send lost held streams anew

A caller that comes back with a ticket holds no prompt at its new entry host. Where the owner of a held stream is gone as well, the caller is told so with code OwnerSilent and sends the repeatable request again, as the table of result codes allows. The measurement does so too and counts it; a loss at an entry host that lives still fails it.

--- a/internal/trial/openday/sizes_load_test.go
+++ b/internal/trial/openday/sizes_load_test.go
@@ -108,6 +108,8 @@
 	customers []customer
 	random    *rand.Rand
 	tally     *tally
+	// flooded tells that one client account floods.
+	flooded bool
 	// away tells which entry hosts the balancer passes over.
 	away []atomic.Bool
 	open atomic.Int64
--- a/internal/trial/openday/sizes_request_test.go
+++ b/internal/trial/openday/sizes_request_test.go
@@ -37,6 +37,9 @@
 	requests []string
 	// turns counts the changes of the entry host.
 	turns int
+	// sentAnew tells that the caller sent the request again after a loss of both
+	// its entry host and its owner.
+	sentAnew bool
 	// fault is a wrong or missing answer.
 	fault error
 }
@@ -65,6 +68,11 @@
 	answer := newTranscript(nil)
 	for {
 		err := r.attempt(ctx, newCaller(r.arrivals.balance(r.random)), answer)
+		if err == nil && r.lostOnReturn(answer) {
+			r.sentAnew = true
+			answer = newTranscript(nil)
+			continue
+		}
 		if err == nil {
 			return
 		}
@@ -77,6 +85,14 @@
 	}
 }
 
+// lostOnReturn tells that a caller came back with a ticket, holds no token and
+// is told that the owner is gone as well. The ticket names no prompt, so the
+// caller sends the repeatable request anew, as the result code allows.
+func (r *sizedRequest) lostOnReturn(answer *transcript) bool {
+	unknown := r.code.Info().Outcome == receipt.Unknown
+	return unknown && r.kind.repeatable && r.turns > 0 && len(answer.tickets) > 0 && answer.position == 0 && !r.sentAnew
+}
+
 func (r *sizedRequest) attempt(ctx context.Context, c *caller, answer *transcript) error {
 	switch {
 	case r.kind.method != "":
--- a/internal/trial/openday/sizes_test.go
+++ b/internal/trial/openday/sizes_test.go
@@ -140,6 +140,7 @@
 
 func (s *study) measure(t *testing.T, sc scenario) {
 	a := s.newArrivals(t)
+	a.flooded = sc.floodPerSecond > 0
 	bookedBefore := a.d.bookings()
 	begin := time.Now()
 	third := time.Duration(*sizesSeconds) * time.Second / 3
