fix: a refusal holds for its client account and class alone

Cause: an entry host took the QueueFull of an owner for a mark on the backend server that held for every request until the time to come back. The owner decides by client account (AccountLimit) and place in the queue, so the refusals of one flooding account kept the urgent checks and the other accounts away, which were then refused with NoBackend though their owner would have taken them.

Ruled out: full queues at the owners (11 QueueFull beside 340 NoBackend); the retry budget, by reading: a request that it ends keeps the code of its last refusal, so it gives no NoBackend; lost hosts (there were none).

Change: the mark is kept for backend server, account and class; marks that have ended are dropped once a second.

--- a/internal/routing/referral/feedback.go
+++ b/internal/routing/referral/feedback.go
@@ -1,6 +1,7 @@
 package referral
 
 import (
+	"maps"
 	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
@@ -23,16 +24,41 @@
 	delete(r.sent, name)
 }
 
+// pruneMillis is the period at which refusals that have ended are dropped.
+const pruneMillis = 1000
+
+// refusal names what the refusal of an owner holds for. An owner decides by
+// client account and class, so it says nothing about the requests of others.
+type refusal struct {
+	backend string
+	account string
+	class   string
+}
+
+func refusalOf(s visit.Selection, backend string) refusal {
+	return refusal{backend: backend, account: s.Account, class: s.Class}
+}
+
 // Refused takes a refusal by the owner. A full queue holds for other requests
-// too, until the time to come back.
-func (r *Referral) Refused(target visit.Target, result *receipt.Result, _ time.Time) {
+// of the same client account and class too, until the time to come back.
+func (r *Referral) Refused(s visit.Selection, target visit.Target, result *receipt.Result, now time.Time) {
 	if result.Code != receipt.QueueFull && result.Code != receipt.EngineRefused {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.adopt()
-	r.refusingUntil[target.Backend] = result.RetryAt
+	r.prune(now)
+	r.refusingUntil[refusalOf(s, target.Backend)] = result.RetryAt
+}
+
+// prune drops refusals that have ended. The caller holds the mutex.
+func (r *Referral) prune(now time.Time) {
+	if now.Before(r.pruneAt) {
+		return
+	}
+	r.pruneAt = now.Add(pruneMillis * time.Millisecond)
+	maps.DeleteFunc(r.refusingUntil, func(_ refusal, until time.Time) bool { return !until.After(now) })
 }
 
 // Unreachable takes a failure to reach the owner.
--- /dev/null
+++ b/internal/routing/referral/feedback_test.go
@@ -0,0 +1,45 @@
+package referral
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/visit"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+// TestRefusalHoldsForAccountAndClass checks that the refusal of one client
+// account's class keeps neither its other classes nor other accounts away.
+func TestRefusalHoldsForAccountAndClass(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := &Referral{
+		Name: "entry-1", Zone: "zone-1", Candidates: 8, Roster: &roster.Roster{},
+		Configuration: func() *agreement.Document { return nil },
+	}
+	is.NoErr(r.Roster.ApplyList(listOf(1, 1), now))
+	refused := visit.Selection{Service: "s", Model: "model-0", Account: "large-hall", Class: "programme"}
+	target, none := r.Pick(refused, now)
+	is.True(none == nil)
+	full := receipt.New(receipt.QueueFull, "AccountLimit").WithRetryAt(now.Add(time.Second))
+	r.Refused(refused, target, full, now)
+
+	_, none = r.Pick(refused, now)
+	is.Equal(none.Code, receipt.NoBackend)
+	urgent, other := refused, refused
+	urgent.Class, urgent.Urgent = "session-check", true
+	other.Account = "small-hall"
+	for _, s := range []visit.Selection{urgent, other} {
+		_, none = r.Pick(s, now)
+		is.True(none == nil)
+	}
+	later := now.Add(2 * time.Second)
+	_, none = r.Pick(refused, later)
+	is.True(none == nil)
+	r.Refused(other, target, full, later)
+	is.Equal(len(r.refusingUntil), 1)
+}
--- a/internal/routing/referral/referral.go
+++ b/internal/routing/referral/referral.go
@@ -54,8 +54,11 @@
 	random *rand.Rand
 	// sent counts what was sent to each backend server since its last load.
 	sent map[string]int
-	// refusingUntil holds the ends of refusals that hold for other requests too.
-	refusingUntil map[string]time.Time
+	// refusingUntil holds the ends of refusals that hold for other requests of
+	// their client account and class too. Those that have ended are dropped at
+	// pruneAt.
+	refusingUntil map[refusal]time.Time
+	pruneAt       time.Time
 	budget        *allowance.Budget
 	// applied is the document that the rules were taken from.
 	applied *agreement.Document
@@ -124,7 +127,7 @@
 		Leaving:          !m.Eligible(now),
 		HoldsPrefix:      prefix != 0 && holds(m.Load.Prefixes, prefix),
 		Refused:          s.Refused[name],
-		RefusingUntil:    r.refusingUntil[name],
+		RefusingUntil:    r.refusingUntil[refusalOf(s, name)],
 	}
 }
 
@@ -183,7 +186,7 @@
 	if r.random == nil {
 		r.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		r.sent = make(map[string]int)
-		r.refusingUntil = make(map[string]time.Time)
+		r.refusingUntil = make(map[refusal]time.Time)
 		r.rules = choice.DefaultRules()
 		r.budget = &allowance.Budget{Rules: allowance.DefaultRules()}
 		r.budget.Fill()
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -161,7 +161,7 @@
 		result := receipt.New(receipt.Code(reply.GetCode()), "%s", reply.GetReason()).
 			WithRetryAt(timeFromNanos(reply.GetRetryAtUnixNanos()))
 		j.disturbed("refused: " + result.Error())
-		j.Picker.Refused(j.target, result, time.Now())
+		j.Picker.Refused(j.selection(), j.target, result, time.Now())
 		return Reply{}, j.bindingAfter(result, reply.GetLoad().GetIncarnation(), reply.GetRecorded())
 	}
 	return Reply{
--- a/internal/routing/visit/fixture_test.go
+++ b/internal/routing/visit/fixture_test.go
@@ -190,10 +190,10 @@
 	return Target{}, Unlisted
 }
 
-func (p *picker) Observe(*message.Load, time.Time, time.Time) {}
-func (p *picker) Refused(Target, *receipt.Result, time.Time)  {}
-func (p *picker) Unreachable(Target, time.Time)               {}
-func (p *picker) Succeeded(time.Time)                         {}
+func (p *picker) Observe(*message.Load, time.Time, time.Time)           {}
+func (p *picker) Refused(Selection, Target, *receipt.Result, time.Time) {}
+func (p *picker) Unreachable(Target, time.Time)                         {}
+func (p *picker) Succeeded(time.Time)                                   {}
 func (p *picker) Retry(a allowance.Attempt, now time.Time) allowance.Decision {
 	if a.Count >= 4 {
 		return allowance.GiveUp{Reason: allowance.ReasonAttempts}
--- a/internal/routing/visit/follow.go
+++ b/internal/routing/visit/follow.go
@@ -198,7 +198,7 @@
 	result := receipt.New(receipt.Code(refusal.Code), "%s", refusal.Reason).
 		WithRetryAt(timeFromNanos(refusal.RetryAtUnixNanos))
 	j.disturbed("refused: " + result.Error())
-	j.Picker.Refused(j.target, result, time.Now())
+	j.Picker.Refused(j.selection(), j.target, result, time.Now())
 	if result.Code == receipt.NotHeld && j.delivery.Next() > 0 {
 		return receipt.New(receipt.GenerationLost, "%s", refusal.Reason)
 	}
--- a/internal/routing/visit/journey.go
+++ b/internal/routing/visit/journey.go
@@ -73,16 +73,7 @@
 func (j *journey) nextOwner(ctx context.Context) *receipt.Result {
 	j.attempt++
 	now := time.Now()
-	target, result := j.Picker.Pick(Selection{
-		RequestID: j.request.ID,
-		Service:   j.request.Service,
-		Model:     j.request.Model,
-		Class:     j.request.Class,
-		Account:   j.request.Account,
-		Prompt:    j.request.Prompt,
-		Urgent:    j.request.Urgent,
-		Refused:   j.refused,
-	}, now)
+	target, result := j.Picker.Pick(j.selection(), now)
 	if result != nil {
 		return j.explainNoOwner(result)
 	}
@@ -94,6 +85,20 @@
 	return j.claim(ctx)
 }
 
+// selection describes the request to the picker.
+func (j *journey) selection() Selection {
+	return Selection{
+		RequestID: j.request.ID,
+		Service:   j.request.Service,
+		Model:     j.request.Model,
+		Class:     j.request.Class,
+		Account:   j.request.Account,
+		Prompt:    j.request.Prompt,
+		Urgent:    j.request.Urgent,
+		Refused:   j.refused,
+	}
+}
+
 // explainNoOwner keeps the refusal of an owner where there was one, since it
 // tells the caller more.
 func (j *journey) explainNoOwner(result *receipt.Result) *receipt.Result {
--- a/internal/routing/visit/visit.go
+++ b/internal/routing/visit/visit.go
@@ -71,8 +71,8 @@
 	Locate(backend string, incarnation uint64) (Target, Presence)
 	// Observe takes the load that a reply carried.
 	Observe(load *message.Load, askedAt, now time.Time)
-	// Refused takes a refusal by the owner.
-	Refused(Target, *receipt.Result, time.Time)
+	// Refused takes a refusal of the selection by the owner.
+	Refused(Selection, Target, *receipt.Result, time.Time)
 	// Unreachable takes a failure to reach the owner.
 	Unreachable(Target, time.Time)
 	// Retry decides whether and when a failed attempt is followed by another.
