fix: a drain waits for what a silent path has not delivered

Cause: a backend process took an answer as delivered once it was written. Where the path was silent, the entry host cut it, came back on a fresh connection and found the process gone: a streamed answer ended as GenerationLost, a booking that had run as unknown. A reply of a plain service also counted as done before it was written. Ruled out: the end of the connection as proof of delivery, since an entry host hangs up on a silent path too; an acknowledgement, which costs each request one more message. Unread replies of plain services count like unread answers. Also: whether the process leaves is asked after the request was counted (entry host, plain service) or under the lock of admission (engine), so that a drain either counts a request or refuses it. No test hits that moment; it was found by reading.

--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -78,8 +78,7 @@
 	Log         *slog.Logger
 
 	leaving atomic.Bool
-	// readers counts the open streams to entry hosts.
-	readers atomic.Int64
+	askers  warden.Askers
 
 	// mu guards the book and the fields below.
 	mu sync.Mutex
--- a/internal/backend/keeper/load.go
+++ b/internal/backend/keeper/load.go
@@ -10,9 +10,6 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
-// unreadGraceSeconds is how long after its end an unread answer counts as open.
-const unreadGraceSeconds = 15
-
 // Load returns the current load.
 func (k *Keeper) Load() *message.Load {
 	k.mu.Lock()
@@ -37,17 +34,25 @@
 	return k.Load(), nil
 }
 
-// Open returns the count of generations that have not ended, of streams that
-// still deliver, and of answers that ended a moment ago and were not read yet:
-// a caller whose path broke may be on its way back for them.
+// Open returns the count of generations that have not ended, of askers that have
+// not hung up, and of answers that ended a moment ago and were not read yet: a
+// caller whose path broke may be on its way back for them. While the process
+// leaves, an asker that may return on a fresh connection counts too.
 func (k *Keeper) Open() int {
-	hold := time.Duration(k.Settings.HoldSeconds-unreadGraceSeconds) * time.Second
-	unread := k.Logbook.Unread(time.Now().Add(max(0, hold)))
-	return max(k.Logbook.OpenRequests()+unread, int(k.readers.Load()))
+	now := time.Now()
+	unread := k.Warden.Unread(k.Settings.HoldSeconds, now)
+	open := max(k.Logbook.OpenRequests()+unread, k.askers.Served())
+	if open == 0 && k.leaving.Load() && k.askers.MayReturn(now) {
+		return 1
+	}
+	return open
 }
 
-// Leave stops the admission of new work. Open generations run to their end.
+// Leave stops the admission of new work. Open generations run to their end. An
+// admission that is under way ends before, so that Open counts it.
 func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.leaving.Store(true)
 }
 
--- a/internal/backend/keeper/serve.go
+++ b/internal/backend/keeper/serve.go
@@ -22,7 +22,7 @@
 // Generate starts a generation or attaches to one, and delivers it from the
 // position that the asker needs.
 func (k *Keeper) Generate(in *message.GenerateRequest, out message.DRPCBackend_GenerateStream) error {
-	return k.deliver(in, out)
+	return k.askers.Serve(out.Context(), func() error { return k.deliver(in, out) })
 }
 
 func (k *Keeper) deliver(in *message.GenerateRequest, out Sender) error {
@@ -72,7 +72,6 @@
 
 // enter counts a reader of the generation.
 func (k *Keeper) enter(id string) {
-	k.readers.Add(1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if j, open := k.jobs[id]; open {
@@ -82,7 +81,6 @@
 }
 
 func (k *Keeper) leave(id string) {
-	k.readers.Add(-1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	j, open := k.jobs[id]
--- a/internal/backend/porter/load.go
+++ b/internal/backend/porter/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcerr"
@@ -43,8 +44,18 @@
 	return &message.CancelReply{}, nil
 }
 
-// Open returns the count of calls that run.
-func (p *Porter) Open() int { return int(p.running.Load()) }
+// Open returns the count of calls that run, of askers that have not hung up, and
+// of replies that came a moment ago and were not read yet. While the process
+// leaves, an asker that may return on a fresh connection counts too.
+func (p *Porter) Open() int {
+	now := time.Now()
+	unread := p.Warden.Unread(p.Settings.HoldSeconds, now)
+	open := max(int(p.running.Load())+unread, p.askers.Served())
+	if open == 0 && p.leaving.Load() && p.askers.MayReturn(now) {
+		return 1
+	}
+	return open
+}
 
 // Leave stops the admission of new work.
 func (p *Porter) Leave() { p.leaving.Store(true) }
--- a/internal/backend/porter/porter.go
+++ b/internal/backend/porter/porter.go
@@ -50,6 +50,7 @@
 
 	leaving atomic.Bool
 	running atomic.Int64
+	askers  warden.Askers
 	// crew runs the calls that may not be repeated.
 	crew crew.Crew
 }
@@ -86,6 +87,11 @@
 // holds for the same request. Heartbeats tell the asker that the path is alive.
 func (p *Porter) Call(in *message.CallRequest, out message.DRPCBackend_CallStream) error {
 	p.VersionSeen(in.GetConfigVersion(), in.GetAsker())
+	return p.askers.Serve(out.Context(), func() error { return p.answer(in, out) })
+}
+
+// answer sends heartbeats and the reply.
+func (p *Porter) answer(in *message.CallRequest, out message.DRPCBackend_CallStream) error {
 	group, ctx := errgroup.WithContext(out.Context())
 	replied := make(chan *message.CallReply, 1)
 	group.Go(func() error {
@@ -149,12 +155,8 @@
 
 // callRepeatable runs a call that needs no record.
 func (p *Porter) callRepeatable(ctx context.Context, in *message.CallRequest) (*message.CallReply, *receipt.Result) {
-	now := time.Now()
-	if p.leaving.Load() {
-		return nil, p.Warden.Leaving(now)
-	}
-	if !p.enter() {
-		return nil, receipt.New(receipt.QueueFull, "%d calls run", p.Settings.MaxRunning).WithRetryAt(warden.RetryAt(now))
+	if refusal := p.enter(time.Now()); refusal != nil {
+		return nil, refusal
 	}
 	defer p.running.Add(-1)
 	reply, err := p.ask(ctx, in)
@@ -177,13 +179,18 @@
 	return reply, err
 }
 
-// enter takes a place among the running calls.
-func (p *Porter) enter() bool {
+// enter takes a place among the running calls. Whether the process is leaving is
+// asked afterwards, so that a drain either counts the call or refuses it.
+func (p *Porter) enter(now time.Time) *receipt.Result {
 	if p.running.Add(1) > int64(p.Settings.MaxRunning) {
 		p.running.Add(-1)
-		return false
+		return receipt.New(receipt.QueueFull, "%d calls run", p.Settings.MaxRunning).WithRetryAt(warden.RetryAt(now))
+	}
+	if p.leaving.Load() {
+		p.running.Add(-1)
+		return p.Warden.Leaving(now)
 	}
-	return true
+	return nil
 }
 
 // admit opens a call that may not be repeated. Every refusal is recorded, so
@@ -212,16 +219,10 @@
 
 // check takes a place for the call, or refuses it.
 func (p *Porter) check(in *message.CallRequest, now time.Time) *receipt.Result {
-	if p.leaving.Load() {
-		return p.Warden.Leaving(now)
-	}
 	if !p.Warden.Permits(in.GetRequestId(), in.GetPermit()) {
 		return p.Warden.NotOwner(now)
 	}
-	if !p.enter() {
-		return receipt.New(receipt.QueueFull, "%d calls run", p.Settings.MaxRunning).WithRetryAt(warden.RetryAt(now))
-	}
-	return nil
+	return p.enter(now)
 }
 
 // runOnce runs one call and holds its reply.
--- a/internal/backend/warden/warden.go
+++ b/internal/backend/warden/warden.go
@@ -16,6 +16,9 @@
 // RetryMillis is when another backend server is worth a try.
 const RetryMillis = 500
 
+// unreadGraceSeconds is how long after its end an unread answer counts as open.
+const unreadGraceSeconds = 15
+
 // Warden guards one incarnation. Its fields must be set before use; it is safe
 // for concurrent use.
 type Warden struct {
@@ -40,6 +43,13 @@
 	return time.Unix(seconds, nanos).Add(remembered), nil
 }
 
+// Unread counts the answers that ended a moment ago and were not read yet, when
+// answers are held for so many seconds.
+func (w *Warden) Unread(holdSeconds int, now time.Time) int {
+	hold := time.Duration(holdSeconds-unreadGraceSeconds) * time.Second
+	return w.Logbook.Unread(now.Add(max(0, hold)))
+}
+
 // Permits tells whether the permit is for the request and this incarnation.
 func (w *Warden) Permits(requestID string, permit *message.Permit) bool {
 	return permit.GetRequestId() == requestID &&
--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -130,11 +130,17 @@
 	return document, nil
 }
 
-// enter admits a request at this entry host.
+// enter admits a request at this entry host. Whether the process is leaving is
+// asked afterwards, so that a drain either counts the request or refuses it.
 func (in *Intake) enter(account agreement.Account, class agreement.Class, now time.Time) (func(), *receipt.Result) {
+	leave, refusal := in.Turnstile.Enter(account, class.Urgent, now)
+	if refusal != nil {
+		return nil, refusal
+	}
 	if in.Leaving() {
+		leave()
 		return nil, receipt.New(receipt.Leaving, "the entry host accepts no new work").
 			WithRetryAt(now.Add(retryUnconfiguredMillis * time.Millisecond))
 	}
-	return in.Turnstile.Enter(account, class.Urgent, now)
+	return leave, nil
 }
