test: silent paths that are noticed late during a drain

Cause: a trial without the wait for the hang-up passed, since the entry host of the test came back within the 2 s after it.

--- a/internal/trial/openday/leaving_silence_test.go
+++ b/internal/trial/openday/leaving_silence_test.go
@@ -9,11 +9,12 @@
 )
 
 // TestBackendLeavesOnSilentPath checks that a drain waits for an entry host
-// whose connection went silent before the end of the answer.
+// whose connection went silent before the end of the answer. The entry host
+// notices it later than an asker that hung up is waited for.
 func TestBackendLeavesOnSilentPath(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	d := newDeployment(t, quick(layout{entries: 1, engines: 1, relayed: true}))
+	d := newDeployment(t, layout{entries: 1, engines: 1, relayed: true})
 	prompt := prompts(1, 60)[0]
 	s, err := newCaller(d.entries[0]).stream(ask("programme", prompt))
 	is.NoErr(err)
@@ -33,7 +34,7 @@
 func TestPlainBackendLeavesOnSilentPath(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	d := newDeployment(t, quick(layout{entries: 1, engines: 1, desks: 1, relayed: true}))
+	d := newDeployment(t, layout{entries: 1, engines: 1, desks: 1, relayed: true})
 	d.waitClaims(t)
 	b := d.backends[1]
 	b.desk.Faults.SlowMillis.Store(quickProgressMillis / 2)
