--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -120,7 +120,7 @@
 	h.peers.seeds = h.Settings.Peers
 	h.bulletin = &bulletin.Bulletin{
 		Address: h.Settings.PeerAddress,
-		Log:     diary.For(h.Log, diary.Edition),
+		Log:     h.Log,
 		Peers:   h.peers.addresses,
 	}
 	h.bulletin.Prepare()
--- a/internal/role/entryhost/parts.go
+++ b/internal/role/entryhost/parts.go
@@ -21,7 +21,7 @@
 	b := &bulletin.Bulletin{
 		Address: h.Settings.PeerAddress,
 		Journal: log,
-		Log:     diary.For(h.Log, diary.Edition),
+		Log:     h.Log,
 		Readers: h.entryHostCount,
 		Peers:   h.peerAddresses,
 	}
