--- a/internal/records/diary/part.go
+++ b/internal/records/diary/part.go
@@ -10,13 +10,10 @@
 	Visit    Part = "visit"
 	Roster   Part = "roster"
 	Keeper   Part = "keeper"
-	Engine   Part = "engine"
 	Foreman  Part = "foreman"
 	Desk     Part = "desk"
 	Holder   Part = "holder"
-	Journal  Part = "journal"
 	HostList Part = "hostlist"
-	Weights  Part = "weights"
 	Edition  Part = "edition"
 	Peer     Part = "peer"
 )
