--- a/internal/caller/intake/completion.go
+++ b/internal/caller/intake/completion.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -101,13 +100,12 @@
 
 func (in *Intake) readCompletion(w http.ResponseWriter, r *http.Request) (completionRequest, *receipt.Result) {
 	var body completionRequest
-	reader := http.MaxBytesReader(w, r.Body, int64(in.MaxBodyBytes))
-	decoder := json.NewDecoder(reader)
-	if err := decoder.Decode(&body); err != nil {
-		return body, bodyRefusal(err)
+	text, refusal := in.readBody(w, r)
+	if refusal != nil {
+		return body, refusal
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return body, receipt.New(receipt.InvalidRequest, "the body holds more than one JSON value")
+	if err := json.Unmarshal(text, &body); err != nil {
+		return body, receipt.New(receipt.InvalidRequest, "the body is not valid: %v", err)
 	}
 	if body.Fulmarvalve.Account == "" {
 		body.Fulmarvalve.Account = r.Header.Get(HeaderAccount)
@@ -126,15 +124,6 @@
 	return body, refusal
 }
 
-// bodyRefusal tells a body over the limit from a malformed one.
-func bodyRefusal(err error) *receipt.Result {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return receipt.New(receipt.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
-	}
-	return receipt.New(receipt.InvalidRequest, "the body is not valid: %v", err)
-}
-
 // headerDeadline reads the deadline header; zero means none.
 func headerDeadline(r *http.Request) (time.Time, *receipt.Result) {
 	text := r.Header.Get(HeaderDeadline)
--- /dev/null
+++ b/internal/caller/intake/intake_test.go
@@ -0,0 +1,142 @@
+package intake
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/ticket"
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/turnstile"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/visit"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+)
+
+// runner answers by script.
+type runner struct {
+	generate func(context.Context, visit.Request, visit.Sink) *receipt.Result
+}
+
+func (r runner) Generate(ctx context.Context, q visit.Request, s visit.Sink) *receipt.Result {
+	return r.generate(ctx, q, s)
+}
+
+func (runner) Resume(context.Context, ticket.Ticket, uint64, visit.Sink) *receipt.Result {
+	return receipt.New(receipt.NotHeld, "not held")
+}
+
+func (runner) Call(context.Context, visit.Call) (visit.Reply, *receipt.Result) {
+	return visit.Reply{}, receipt.New(receipt.NoBackend, "none")
+}
+
+// noObserver measures nothing.
+type noObserver struct{}
+
+func (noObserver) Began(string, string, time.Time) Span { return noObserver{} }
+func (noObserver) Tokens(int, time.Time)                {}
+func (noObserver) Ended(*receipt.Result, time.Time)     {}
+
+// serve runs an intake until the test ends.
+func serve(t *testing.T, r runner) *httptest.Server {
+	t.Helper()
+	is := is.New(t)
+	document, err := agreement.Parse([]byte(`{
+		"Services": [{"Name": "coaching", "Kind": "Generation", "Model": "coach"}],
+		"Models": [{"Name": "coach", "Version": "1", "Replicas": 1}],
+		"Classes": [
+			{"Name": "check", "Service": "coaching", "Repeatable": true, "MaxTokens": 50},
+			{"Name": "held", "Service": "coaching", "Repeatable": true, "Whole": true, "MaxTokens": 50}
+		],
+		"Accounts": [{"Name": "club", "Share": 1, "RequestsPerSecond": 100, "Burst": 100}]
+	}`))
+	is.NoErr(err)
+	in := &Intake{
+		Runner:           r,
+		Turnstile:        &turnstile.Turnstile{MaxOpen: 10},
+		Configuration:    func() *agreement.Document { return &document },
+		Observer:         noObserver{},
+		KeyWindowSeconds: 60,
+		MaxBodyBytes:     1024,
+		Leaving:          func() bool { return false },
+	}
+	server := httptest.NewServer(in.Routes())
+	t.Cleanup(server.Close)
+	return server
+}
+
+func post(t *testing.T, server *httptest.Server, class, body string) *http.Response {
+	t.Helper()
+	is := is.New(t)
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/completions", strings.NewReader(body))
+	is.NoErr(err)
+	request.Header.Set(HeaderAccount, "club")
+	request.Header.Set(HeaderClass, class)
+	response, err := server.Client().Do(request)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// TestHeldStreamHidesLostGeneration proves that a stream of a class with Whole
+// carries the tokens of the last generation only.
+func TestHeldStreamHidesLostGeneration(t *testing.T) {
+	is := is.New(t)
+	server := serve(t, runner{func(_ context.Context, q visit.Request, s visit.Sink) *receipt.Result {
+		is.True(q.Whole)
+		s.Begin(ticket.Ticket{RequestID: q.ID, Account: "club", Backend: "a", PeerAddress: "a:1", Incarnation: 1, Sequence: 1})
+		is.NoErr(s.Tokens(0, []string{"lost"}))
+		s.Begin(ticket.Ticket{RequestID: q.ID, Account: "club", Backend: "b", PeerAddress: "b:1", Incarnation: 2, Sequence: 1})
+		is.NoErr(s.Tokens(0, []string{"kept ", "whole"}))
+		return receipt.New(receipt.OK, "")
+	}})
+	response := post(t, server, "held", `{"prompt": "x", "stream": true}`)
+	var text strings.Builder
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		text.WriteString(scanner.Text())
+	}
+	is.True(!strings.Contains(text.String(), "lost"))
+	is.Equal(strings.Count(text.String(), "kept whole"), 1)
+	is.True(strings.Contains(text.String(), `"Result":"OK"`))
+}
+
+// TestRefusalComesAtOnce proves that a refusal carries its code and the time to
+// come back.
+func TestRefusalComesAtOnce(t *testing.T) {
+	is := is.New(t)
+	server := serve(t, runner{func(context.Context, visit.Request, visit.Sink) *receipt.Result {
+		return receipt.New(receipt.QueueFull, "full").WithRetryAt(time.Now().Add(1500 * time.Millisecond))
+	}})
+	response := post(t, server, "check", `{"prompt": "x"}`)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get(HeaderResult), "204")
+	is.Equal(response.Header.Get("Retry-After"), "2")
+}
+
+// TestBodyThatBreaksOff proves that half a body runs nothing.
+func TestBodyThatBreaksOff(t *testing.T) {
+	is := is.New(t)
+	ran := false
+	server := serve(t, runner{func(context.Context, visit.Request, visit.Sink) *receipt.Result {
+		ran = true
+		return receipt.New(receipt.OK, "")
+	}})
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{\"prompt\":"))
+	is.NoErr(err)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, http.StatusBadRequest)
+	is.True(!ran)
+}
--- a/internal/caller/intake/plain.go
+++ b/internal/caller/intake/plain.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -84,9 +83,9 @@
 	if refusal != nil {
 		return none, class, refusal
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(in.MaxBodyBytes)))
-	if err != nil {
-		return none, class, bodyRefusal(err)
+	body, refusal := in.readBody(w, r)
+	if refusal != nil {
+		return none, class, refusal
 	}
 	return visit.Call{
 		ID:         id,
