--- a/internal/trial/openday/process_test.go
+++ b/internal/trial/openday/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -75,6 +76,9 @@
 	defer func() { _ = log.Close() }()
 	command := exec.CommandContext(context.Background(), binary, p.role, "--settings", p.path)
 	command.Stdout, command.Stderr = log, log
+	if *processors > 0 {
+		command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", *processors))
+	}
 	if err := command.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/trial/openday/slopes_test.go
+++ b/internal/trial/openday/slopes_test.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-var slopes = flag.Bool("slopes", false, "measure what each role costs, without the race detector; takes minutes")
+var (
+	slopes     = flag.Bool("slopes", false, "measure what each role costs, without the race detector; takes minutes")
+	processors = flag.Int("processors", 0, "processors that each process under test may use; 0 means all")
+)
 
 const (
 	// answerTokens is the mean length of an answer at the target: 1.2 million
