--- a/internal/trial/season/table_test.go
+++ b/internal/trial/season/table_test.go
@@ -108,3 +108,30 @@
 	rows[0].Policy = fmt.Sprintf("quantile %v, queue %d", quantile, limit)
 	return rows[0], nil
 }
+
+// TestFastPrompts prints the busy and the overload scenario with engines that
+// compute prompts four times as fast, where preemptions cost the baselines less.
+// It runs with -sweep only.
+func TestFastPrompts(t *testing.T) {
+	if !*sweep {
+		t.Skip("runs with -sweep only")
+	}
+	for _, d := range []Deployment{SnagaZajedno(), Fjorukofar()} {
+		d.Engine.PrefillMicros /= 4
+		for _, s := range Scenarios() {
+			if s.Name != "busy" && s.Name != "overload" {
+				continue
+			}
+			is := is.New(t)
+			rows, err := Comparison{
+				Deployment: d,
+				Scenario:   s,
+				Policies:   append(Baselines(), Forecast{Booking: d.Booking}),
+				Seeds:      tableSeeds,
+				Seconds:    tableSeconds,
+			}.Run(tableWorkers)
+			is.NoErr(err)
+			logTable(t, d, s, rows)
+		}
+	}
+}
