feat: control calls keep their connections; hosts register less often in a large fleet

Cause: docs/CAPACITY.md reckons control at 10 KB a second with headers and 1.1 to 1.5 % of a core at the target size, nearly all of it for a connection of each call, and 252 registrations a second at the list of hosts. Ruled out: kept connections for streams and claims, which must not meet a silent one; shorter keep-alive, which costs idle connections 4 KB a second. Change: probes, exchanges and samples use a kept connection, and run again over a fresh one when it gives no answer within 300 ms; the period of registration grows with the list.

--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/precedence"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
@@ -135,7 +136,7 @@
 			Model:      in.GetModel(),
 			Prompt:     in.GetPrompt(),
 			MaxTokens:  int(in.GetMaxTokens()),
-			Priority:   enginePriority(class.Priority, in.GetRepeatable()),
+			Priority:   precedence.EnginePriority(class.Priority, in.GetRepeatable()),
 			PrefixHash: PrefixHash(in.GetPrompt()),
 		},
 		account:     in.GetAccount(),
@@ -153,16 +154,6 @@
 	return nil
 }
 
-// enginePriority orders work at the engine, which preempts the lowest first:
-// within a class's priority, what may not be repeated goes last.
-func enginePriority(priority int, repeatable bool) int {
-	const ranks = 2
-	if repeatable {
-		return priority * ranks
-	}
-	return priority*ranks + 1
-}
-
 // refusalOf maps the book's refusal to a result code.
 func refusalOf(d booking.Refuse) *receipt.Result {
 	code := receipt.QueueFull
--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -25,6 +25,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/role/bulletin"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/rounds"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
@@ -37,8 +38,6 @@
 	firstStepMicros = 30000
 	// registerMillis bounds one registration.
 	registerMillis = 2000
-	// registerAgainSeconds is the period of registration.
-	registerAgainSeconds = 5
 )
 
 // owner is the part that owns the engine or the plain service.
@@ -73,7 +72,7 @@
 // Run serves until the lifetime's drain has ended.
 func (h *Host) Run(life lifetime.Lifetime) error {
 	h.prepare()
-	peers, err := line.Listen(life.Cut, h.Settings.PeerAddress)
+	peers, err := line.ListenPeers(life.Cut, h.Settings.PeerAddress)
 	if err != nil {
 		return err
 	}
@@ -228,18 +227,19 @@
 
 // register keeps the host in the platform's list.
 func (h *Host) register(ctx context.Context) error {
-	ticker := time.NewTicker(registerAgainSeconds * time.Second)
-	defer ticker.Stop()
 	for {
 		state := hostlist.StateLive
 		if h.owner.Load().GetLeaving() {
 			state = hostlist.StateLeaving
 		}
 		h.announce(ctx, state)
+		period := time.Duration(rounds.RegisterPeriodMillis(h.peers.hostCount())) * time.Millisecond
+		timer := time.NewTimer(time.Until(time.Now().Add(period)))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
--- a/internal/role/backendhost/entryhosts.go
+++ b/internal/role/backendhost/entryhosts.go
@@ -31,6 +31,8 @@
 
 	mu    sync.Mutex
 	known []string
+	// hosts counts the hosts of the list read last.
+	hosts int
 }
 
 // addresses returns the peer addresses known now.
@@ -43,6 +45,13 @@
 	return e.known
 }
 
+// hostCount counts the hosts of the list read last.
+func (e *entryHosts) hostCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hosts
+}
+
 // run reads the list now and then until ctx ends. Without an answer the known
 // ones stay.
 func (e *entryHosts) run(ctx context.Context, hosts *hostlist.Client) error {
@@ -78,4 +87,5 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.known = found[:min(len(found), knownLimit)]
+	e.hosts = len(listed)
 }
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return open, err
 	}
-	open.peers, err = line.Listen(ctx, h.Settings.PeerAddress)
+	open.peers, err = line.ListenPeers(ctx, h.Settings.PeerAddress)
 	if err != nil {
 		return open, err
 	}
--- a/internal/routing/rounds/rounds.go
+++ b/internal/routing/rounds/rounds.go
@@ -27,8 +27,12 @@
 	// listBytesPerSecond bounds what reading the list costs on average. What a
 	// long list tells late, refusals and replies tell at once.
 	listBytesPerSecond = 1000
-	// registerMillis is the period at which the host registers.
-	registerMillis = 5000
+	// registerMillis is the shortest period at which a host registers, and
+	// registerHostMillis what each listed host adds to it, so that all hosts
+	// together register at most 20 times a second. Changes of state are told at
+	// once.
+	registerMillis     = 5000
+	registerHostMillis = 50
 	// probeMillis is the period of probes, and the age at which a load is old.
 	probeMillis = 1000
 	// probesPerPeriod bounds the probes of one period: the oldest loads go
@@ -59,7 +63,7 @@
 func (r *Rounds) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, r.listPeriodMillis, r.readList) })
-	group.Go(func() error { return every(ctx, constant(registerMillis), r.Announce) })
+	group.Go(func() error { return every(ctx, r.registerPeriodMillis, r.Announce) })
 	group.Go(func() error { return every(ctx, constant(probeMillis), r.probeOldest) })
 	return group.Wait()
 }
@@ -71,6 +75,16 @@
 	return hosts * listHostBytes * millisPerSecond / bytesPerSecond
 }
 
+// RegisterPeriodMillis returns the period at which a host registers in a list
+// of so many hosts.
+func RegisterPeriodMillis(hosts int) int {
+	return max(registerMillis, hosts*registerHostMillis)
+}
+
+func (r *Rounds) registerPeriodMillis() int {
+	return RegisterPeriodMillis(r.Roster.Snapshot().Len())
+}
+
 func (r *Rounds) listPeriodMillis() int {
 	return max(listMillis, ListPeriodMillis(r.Roster.Snapshot().Len(), listBytesPerSecond))
 }
@@ -171,7 +185,7 @@
 	defer stop()
 	request := &message.ProbeRequest{}
 	r.Asker(request)
-	load, err := line.Call(ctx, m.Host.PeerAddress,
+	load, err := line.CallKept(ctx, m.Host.PeerAddress,
 		func(ctx context.Context, conn drpc.Conn) (*message.Load, error) {
 			return message.NewDRPCBackendClient(conn).Probe(ctx, request)
 		})
--- a/internal/routing/rounds/rounds_test.go
+++ b/internal/routing/rounds/rounds_test.go
@@ -34,4 +34,6 @@
 	is := is.New(t)
 	is.Equal(ListPeriodMillis(20, 1000), 3200)
 	is.Equal(ListPeriodMillis(1260, 1000), 201600)
+	is.Equal(RegisterPeriodMillis(20), 5000)
+	is.Equal(RegisterPeriodMillis(1260), 63000)
 }
--- a/internal/wire/line/line.go
+++ b/internal/wire/line/line.go
@@ -1,7 +1,9 @@
 // Package line serves and dials the connections between own processes.
 //
-// Every call uses a connection of its own. A connection that went silent is
-// therefore never given to a later call, and a retry always takes a new path.
+// Streams and calls that carry callers' data have a connection of their own. A
+// connection that went silent is therefore never given to a later one, and a
+// retry always takes a new path. Short control calls keep their connections;
+// one that gives no answer runs again over a fresh connection.
 package line
 
 import (
@@ -12,7 +14,6 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
@@ -28,8 +29,9 @@
 	dialMillis = 1000
 	// writeMillis bounds one write to a connection that takes no more bytes.
 	writeMillis = 5000
-	// idleMillis bounds the wait of a server for a call on a new connection.
-	idleMillis = 10000
+	// idleSeconds bounds the wait of a server for the next call on a connection.
+	// It is longer than connections are kept.
+	idleSeconds = keptSeconds + 30
 )
 
 // ErrDial marks failures before anything was sent, so that the call certainly
@@ -39,7 +41,7 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
-		InactivityTimeout: idleMillis * time.Millisecond,
+		InactivityTimeout: idleSeconds * time.Second,
 	}
 }
 
@@ -78,18 +80,6 @@
 	return dial(ctx, address, Data)
 }
 
-func dial(ctx context.Context, address string, traffic *Traffic) (drpc.Conn, error) {
-	deadline := time.Now().Add(dialMillis * time.Millisecond)
-	dialer := net.Dialer{Deadline: deadline}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
-	}
-	traffic.calls.Add(1)
-	counted := countedConn{Conn: conn, traffic: traffic}
-	return drpcconn.NewWithOptions(boundedConn{counted}, drpcconn.Options{Manager: managerOptions()}), nil
-}
-
 // Call dials address, runs one call that carries no caller's data, and closes
 // the connection.
 func Call[R any](ctx context.Context, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
