--- a/internal/role/entryhost/parts.go
+++ b/internal/role/entryhost/parts.go
@@ -21,7 +21,7 @@
 	b := &bulletin.Bulletin{
 		Address: h.Settings.PeerAddress,
 		Journal: log,
-		Log:     diary.For(h.Log, diary.Edition),
+		Log:     h.Log,
 		Readers: h.entryHostCount,
 		Peers:   h.peerAddresses,
 	}
@@ -77,7 +77,7 @@
 		Hosts:   h.quotaHosts,
 		LimitOf: h.limitOf,
 		Send: func(ctx context.Context, address string, in *message.MeterRequest) (*message.MeterReply, error) {
-			return line.Call(ctx, address,
+			return line.CallKept(ctx, address,
 				func(ctx context.Context, conn drpc.Conn) (*message.MeterReply, error) {
 					return message.NewDRPCEntryClient(conn).Meter(ctx, in)
 				})
