fix: callers hear from the entry host while an owner is sought; answers name the request that ran

Cause: the intake never got its heartbeat, so a caller heard nothing while the entry host reconnected to an owner; a repeated plain call named its own attempt in the header and the bound request in the body; an explanation of an unknown request was a bad request (400). Change: a quiet stream gets a comment after three heartbeats; the header names the request that ran; an unknown request is answered with 404 and a code of its own.

--- a/internal/caller/intake/completion.go
+++ b/internal/caller/intake/completion.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -73,16 +74,10 @@
 
 // generate runs the request and writes its answer.
 func (in *Intake) generate(w http.ResponseWriter, r *http.Request, request visit.Request, stream bool, span Span) {
-	answer := newAnswer(w, &request, stream, span)
-	result := in.Runner.Generate(r.Context(), request, answer)
-	span.Ended(result, time.Now())
-	answer.end(result)
-}
-
-// answerSink receives an answer and writes its end.
-type answerSink interface {
-	visit.Sink
-	end(*receipt.Result)
+	sink := newAnswer(w, &request, stream, span)
+	in.carry(r.Context(), sink, span, func(ctx context.Context) *receipt.Result {
+		return in.Runner.Generate(ctx, request, sink)
+	})
 }
 
 // newAnswer returns the sink that the caller and the class ask for.
--- a/internal/caller/intake/intake.go
+++ b/internal/caller/intake/intake.go
@@ -105,7 +105,7 @@
 	id := mux.Vars(r)["id"]
 	records, found := in.Explainer(r.Context(), id)
 	if !found {
-		writeRefusal(w, id, receipt.New(receipt.InvalidRequest, "no decision record is held for request %s", id))
+		writeRefusal(w, "", receipt.New(receipt.UnknownRequest, "no decision record of request %s is held here", id))
 		return
 	}
 	w.Header().Set("Content-Type", contentTypeJSON)
--- a/internal/caller/intake/intake_test.go
+++ b/internal/caller/intake/intake_test.go
@@ -64,6 +64,7 @@
 		Observer:         noObserver{},
 		KeyWindowSeconds: 60,
 		MaxBodyBytes:     1024,
+		HeartbeatMillis:  10,
 		Leaving:          func() bool { return false },
 	}
 	server := httptest.NewServer(in.Routes())
@@ -107,6 +108,31 @@
 	is.True(strings.Contains(text.String(), `"Result":"OK"`))
 }
 
+// TestCallerHearsFromAQuietStream proves that a caller hears from the entry host
+// while its owner is sought again.
+func TestCallerHearsFromAQuietStream(t *testing.T) {
+	is := is.New(t)
+	heard := make(chan struct{})
+	server := serve(t, runner{func(_ context.Context, q visit.Request, s visit.Sink) *receipt.Result {
+		s.Begin(ticket.Ticket{RequestID: q.ID, Account: "club", Backend: "a", PeerAddress: "a:1", Incarnation: 1, Sequence: 1})
+		<-heard
+		return receipt.New(receipt.GenerationLost, "lost")
+	}})
+	response := post(t, server, "check", `{"prompt": "x", "stream": true}`)
+	scanner := bufio.NewScanner(response.Body)
+	comments := 0
+	for scanner.Scan() {
+		if scanner.Text() == ": alive" {
+			comments++
+		}
+		if comments == 2 {
+			comments++
+			close(heard)
+		}
+	}
+	is.True(comments >= 2)
+}
+
 // TestRefusalComesAtOnce proves that a refusal carries its code and the time to
 // come back.
 func TestRefusalComesAtOnce(t *testing.T) {
--- a/internal/caller/intake/plain.go
+++ b/internal/caller/intake/plain.go
@@ -41,13 +41,13 @@
 		writeRefusal(w, id, result)
 		return
 	}
-	writeReply(w, id, reply, result)
+	writeReply(w, reply, result)
 }
 
-func writeReply(w http.ResponseWriter, id string, reply visit.Reply, result *receipt.Result) {
+func writeReply(w http.ResponseWriter, reply visit.Reply, result *receipt.Result) {
 	header := w.Header()
 	header.Set("Content-Type", reply.ContentType)
-	header.Set(HeaderRequest, id)
+	header.Set(HeaderRequest, reply.RequestID)
 	header.Set(HeaderResult, strconv.Itoa(int(result.Code)))
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
--- a/internal/caller/intake/stream.go
+++ b/internal/caller/intake/stream.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,9 +36,15 @@
 	requestID  string
 	model      string
 	span       Span
-	begun      bool
-	position   uint64
-	buffer     bytes.Buffer
+	// position counts the tokens of the caller; only the sink's methods use it.
+	position uint64
+
+	// mu guards the writer and what follows, which keepAlive shares.
+	mu     sync.Mutex
+	begun  bool
+	buffer bytes.Buffer
+	// sentAt is when the newest event was written.
+	sentAt time.Time
 }
 
 func newStream(w http.ResponseWriter, requestID, model string, span Span) *stream {
@@ -80,6 +88,8 @@
 
 // open writes the head of the answer.
 func (s *stream) open() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.begun {
 		return
 	}
@@ -103,16 +113,16 @@
 	if s.send(part, "", &reason) != nil {
 		return
 	}
-	_, _ = s.writer.Write([]byte("data: [DONE]\n\n"))
-	_ = s.controller.Flush()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A failure means that the caller is gone, and nothing follows.
+	_ = s.flush([]byte("data: [DONE]\n\n"))
 }
 
-// send writes one event before the write deadline.
+// send writes one event.
 func (s *stream) send(part answerPart, text string, reason *string) error {
-	deadline := time.Now().Add(callerWriteMillis * time.Millisecond)
-	if err := s.controller.SetWriteDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return errors.Wrap(err, "set write deadline")
-	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.buffer.Reset()
 	s.buffer.WriteString("id: ")
 	s.buffer.WriteString(strconv.FormatUint(s.position, 10))
@@ -130,7 +140,18 @@
 		return errors.Wrap(err, "encode event")
 	}
 	s.buffer.WriteByte('\n')
-	if _, err := s.writer.Write(s.buffer.Bytes()); err != nil {
+	return s.flush(s.buffer.Bytes())
+}
+
+// flush writes data at once, before the write deadline. The caller holds the
+// mutex.
+func (s *stream) flush(data []byte) error {
+	s.sentAt = time.Now()
+	deadline := s.sentAt.Add(callerWriteMillis * time.Millisecond)
+	if err := s.controller.SetWriteDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Wrap(err, "set write deadline")
+	}
+	if _, err := s.writer.Write(data); err != nil {
 		return errors.Wrap(err, "write event")
 	}
 	return errors.Wrap(s.controller.Flush(), "flush event")
@@ -165,9 +186,9 @@
 	sink := newStream(w, t.RequestID, "", span)
 	sink.position = from
 	sink.open()
-	result := in.Runner.Resume(r.Context(), t, from, sink)
-	span.Ended(result, time.Now())
-	sink.end(result)
+	in.carry(r.Context(), sink, span, func(ctx context.Context) *receipt.Result {
+		return in.Runner.Resume(ctx, t, from, sink)
+	})
 }
 
 // enterAgain admits a caller that comes back for an answer. It takes a place
--- a/internal/result/receipt/table.go
+++ b/internal/result/receipt/table.go
@@ -43,6 +43,8 @@
 	NotConfigured Code = 214
 	// KeyRequired reports a missing or malformed idempotency key.
 	KeyRequired Code = 215
+	// UnknownRequest reports a question about a request of which no record is held.
+	UnknownRequest Code = 216
 
 	// GenerationLost reports a generation that ended with its owner.
 	GenerationLost Code = 300
@@ -86,6 +88,7 @@
 	{EngineRefused, "EngineRefused", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The engine did not start the request."},
 	{NotConfigured, "NotConfigured", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "No configuration is in force yet."},
 	{KeyRequired, "KeyRequired", NotRun, RepeatNever, http.StatusBadRequest, false, "The request needs an idempotency key that is a UUID of version 7."},
+	{UnknownRequest, "UnknownRequest", NotRun, RepeatNever, http.StatusNotFound, false, "No decision record of the request is held here."},
 
 	{GenerationLost, "GenerationLost", Unknown, RepeatWithKey, http.StatusBadGateway, false, "The generation was lost with its owner; what was delivered is not continued."},
 	{OwnerSilent, "OwnerSilent", Unknown, RepeatWithKey, http.StatusGatewayTimeout, true, "The owner may have run the request and does not answer."},
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -150,6 +150,7 @@
 		Observer:         observer{measure: h.measure},
 		KeyWindowSeconds: h.Settings.KeyWindowSeconds,
 		MaxBodyBytes:     h.Settings.MaxBodyBytes,
+		HeartbeatMillis:  h.Settings.HeartbeatMillis,
 		Leaving:          h.leaving.isSet,
 	}
 }
--- a/internal/routing/visit/call.go
+++ b/internal/routing/visit/call.go
@@ -169,5 +169,6 @@
 		ContentType: reply.GetContentType(),
 		Body:        reply.GetBody(),
 		Backend:     j.target.Backend,
+		RequestID:   j.request.ID,
 	}, receipt.New(receipt.OK, "%s answered", j.target.Backend)
 }
--- a/internal/routing/visit/request.go
+++ b/internal/routing/visit/request.go
@@ -54,6 +54,9 @@
 	Body        []byte
 	// Backend names the backend server that answered.
 	Backend string
+	// RequestID is the request that ran: an earlier one where its key was bound
+	// before.
+	RequestID string
 }
 
 // Sink receives the answer to one request. Its methods are called by one
