--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return open, err
 	}
-	open.peers, err = line.Listen(ctx, h.Settings.PeerAddress)
+	open.peers, err = line.ListenPeers(ctx, h.Settings.PeerAddress)
 	if err != nil {
 		return open, err
 	}
@@ -150,6 +150,7 @@
 		Observer:         observer{measure: h.measure},
 		KeyWindowSeconds: h.Settings.KeyWindowSeconds,
 		MaxBodyBytes:     h.Settings.MaxBodyBytes,
+		HeartbeatMillis:  h.Settings.HeartbeatMillis,
 		Leaving:          h.leaving.isSet,
 	}
 }
