fix: a small batch keeps a place for urgent requests

Cause: 50 thousandths of a batch of 10 were rounded down to no place, so an urgent request waited behind ten others in a flood (docs/SIZES.md). Ruled out: more headroom by default, which would change large batches. Change: at least one place is kept where any headroom is asked for; a batch of 48, with which the policy table was measured, keeps its two. Shown by TestSmallBatchKeepsAnUrgentPlace, which admitted all ten before. The load scenarios refuse to run without a measured capacity: with none they asked without bound.

--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -162,6 +162,20 @@
 	is.True(ok)
 }
 
+// TestSmallBatchKeepsAnUrgentPlace fills a batch of ten, of which 50 in a
+// thousand are less than one place.
+func TestSmallBatchKeepsAnUrgentPlace(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.BatchLimit = 10
+	b.CapacityTokens = 1_000_000
+	is.Equal(fill(b), 9)
+	urgent := request("urgent")
+	urgent.Urgent = true
+	_, admitted := b.Offer(urgent, start).(Admit)
+	is.True(admitted)
+}
+
 func TestSharedPrefixCountsOnce(t *testing.T) {
 	is := is.New(t)
 	alone := fill(newBook())
--- a/internal/backend/booking/offer.go
+++ b/internal/backend/booking/offer.go
@@ -94,7 +94,16 @@
 	if urgent {
 		return b.BatchLimit
 	}
-	return max(1, b.BatchLimit-b.BatchLimit*b.Policy.UrgentHeadroomPermille/1000)
+	return max(1, b.BatchLimit-b.urgentPlaces())
+}
+
+// urgentPlaces returns the places of the batch that only urgent requests may
+// take. A small batch keeps one, where any headroom is asked for.
+func (b *Book) urgentPlaces() int {
+	if b.Policy.UrgentHeadroomPermille <= 0 {
+		return 0
+	}
+	return max(1, b.BatchLimit*b.Policy.UrgentHeadroomPermille/1000)
 }
 
 // start counts a request as running.
--- a/internal/trial/openday/sizes_test.go
+++ b/internal/trial/openday/sizes_test.go
@@ -139,6 +139,9 @@
 }
 
 func (s *study) measure(t *testing.T, sc scenario) {
+	if s.capacity <= 0 {
+		t.Fatal("the capacity was not measured: run the subtest Capacity too")
+	}
 	a := s.newArrivals(t)
 	a.flooded = sc.floodPerSecond > 0
 	bookedBefore := a.d.bookings()
