--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -85,10 +85,9 @@
 
 // Run listens and steps until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	s.listener.Address = s.Address
-	s.listener.Handler = s.Handler()
+	handler := s.Handler()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return s.listener.Run(ctx) })
+	g.Go(func() error { return s.listener.Serve(ctx, s.Address, handler) })
 	g.Go(func() error { return s.Loop(ctx) })
 	return g.Wait()
 }
--- a/internal/standin/serving/serving.go
+++ b/internal/standin/serving/serving.go
@@ -35,6 +35,13 @@
 	return l.bound
 }
 
+// Serve is Run for the given address and handler.
+func (l *Listener) Serve(ctx context.Context, address string, handler http.Handler) error {
+	l.Address = address
+	l.Handler = handler
+	return l.Run(ctx)
+}
+
 // Run listens and serves until ctx ends, then drops all connections.
 func (l *Listener) Run(ctx context.Context) error {
 	l.init()
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -69,9 +69,7 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	s.listener.Address = s.Address
-	s.listener.Handler = s.Handler()
-	return s.listener.Run(ctx)
+	return s.listener.Serve(ctx, s.Address, s.Handler())
 }
 
 // Addr waits until Run listens and returns the address.
