refactor: prefix and length of a prompt reckoned in one place

The entry host and the owner of an engine each had the hash of a prompt's prefix and its length in tokens. They must agree, or prefix affinity finds nothing and no test says so. wire/prompt serves both; behaviour is as before.

--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/booking"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/precedence"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/warden"
@@ -13,22 +11,14 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/prompt"
 )
 
 const (
-	// promptBytesPerToken converts the length of a prompt to tokens.
-	promptBytesPerToken = 4
 	// permille is the number of parts of a whole.
 	permille = 1000
-	// prefixBytes is the part of a prompt that prefix affinity looks at.
-	prefixBytes = 256
 )
 
-// PrefixHash returns the hash that names the prefix of a prompt.
-func PrefixHash(prompt string) uint64 {
-	return xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])
-}
-
 // admit decides on a request that this incarnation does not hold. A nil
 // result means that it is open now. Every refusal is truthful: the request was
 // not run here, and one that may not be repeated never will be.
@@ -90,9 +80,9 @@
 		Priority:     class.Priority,
 		Urgent:       class.Urgent,
 		Repeatable:   in.GetRepeatable(),
-		PromptTokens: len(in.GetPrompt())/promptBytesPerToken + 1,
-		PrefixHash:   PrefixHash(in.GetPrompt()),
-		PrefixTokens: min(len(in.GetPrompt()), prefixBytes) / promptBytesPerToken,
+		PromptTokens: prompt.Tokens(in.GetPrompt()) + 1,
+		PrefixHash:   prompt.PrefixHash(in.GetPrompt()),
+		PrefixTokens: prompt.PrefixTokens(in.GetPrompt()),
 		MaxTokens:    int(in.GetMaxTokens()),
 		Deadline:     warden.TimeFromNanos(in.GetDeadlineUnixNanos()),
 	}
@@ -137,7 +127,7 @@
 			Prompt:     in.GetPrompt(),
 			MaxTokens:  int(in.GetMaxTokens()),
 			Priority:   precedence.EnginePriority(class.Priority, in.GetRepeatable()),
-			PrefixHash: PrefixHash(in.GetPrompt()),
+			PrefixHash: prompt.PrefixHash(in.GetPrompt()),
 		},
 		account:     in.GetAccount(),
 		class:       class.Name,
--- a/internal/routing/referral/referral.go
+++ b/internal/routing/referral/referral.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/allowance"
@@ -17,15 +15,12 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/roster"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/visit"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/prompt"
 )
 
 const (
 	// permille is the number of parts of a whole.
 	permille = 1000
-	// promptBytesPerToken converts the length of a prompt to tokens.
-	promptBytesPerToken = 4
-	// prefixBytes is the part of a prompt that prefix affinity looks at.
-	prefixBytes = 256
 	// noCandidateMillis is when a service without a backend server is worth
 	// another try.
 	noCandidateMillis = 1000
@@ -75,8 +70,8 @@
 		Zone:         r.Zone,
 		Region:       r.Region,
 		Urgent:       s.Urgent,
-		PromptTokens: len(s.Prompt) / promptBytesPerToken,
-		PrefixTokens: min(len(s.Prompt), prefixBytes) / promptBytesPerToken,
+		PromptTokens: prompt.Tokens(s.Prompt),
+		PrefixTokens: prompt.PrefixTokens(s.Prompt),
 	}
 	switch d := choice.Choose(request, candidates, r.rules, r.random, now).(type) {
 	case choice.Chosen:
@@ -96,7 +91,7 @@
 	prefix := uint64(0)
 	if s.Model != "" {
 		of = kind{model: s.Model}
-		prefix = xxhash.Sum64String(s.Prompt[:min(len(s.Prompt), prefixBytes)])
+		prefix = prompt.PrefixHash(s.Prompt)
 	}
 	names := r.subset(snapshot, of)
 	members := make(map[string]roster.Member, len(names))
