--- a/cmd/root.go
+++ b/cmd/root.go
@@ -84,6 +84,7 @@
 			newCheckCommand(),
 			newEntryCommand(),
 			newBackendCommand(),
+			newDirectEntryCommand(),
 			newStatusCommand(),
 			newExplainCommand(),
 			newDrainCommand(),
--- /dev/null
+++ b/internal/caller/frontdesk/read.go
@@ -0,0 +1,164 @@
+package frontdesk
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+)
+
+// errBodyTooLarge says that a body is over the limit.
+var errBodyTooLarge = errors.New("request body is too large")
+
+// headEnd ends the head of a request.
+var headEnd = []byte("\r\n\r\n")
+
+// readHead reads and checks the head of the next request.
+func (c *connection) readHead(limits timetable.Limits) (*http.Request, error) {
+	deadline := time.Now().Add(time.Duration(limits.HeaderMillis) * time.Millisecond)
+	if err := c.conn.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	head, err := c.peekHead(limits.MaxHeaderBytes)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(head); err != nil {
+		return nil, err
+	}
+	request, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "parse request head"), ErrMalformed)
+	}
+	if request.ProtoMajor != 1 {
+		return nil, errors.Wrap(ErrMalformed, "unknown protocol version")
+	}
+	return request, nil
+}
+
+// peekHead returns the head of the next request without consuming it.
+func (c *connection) peekHead(maxBytes int) ([]byte, error) {
+	for {
+		seen, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if end := bytes.Index(seen, headEnd); end >= 0 {
+			if end > maxBytes {
+				return nil, ErrHeadTooLarge
+			}
+			return seen[:end+len(headEnd)], nil
+		}
+		if len(seen) >= maxBytes {
+			return nil, ErrHeadTooLarge
+		}
+		if bytes.Contains(seen, []byte("\n\n")) {
+			return nil, errors.Wrap(ErrMalformed, "bare line feed")
+		}
+		if _, err := c.reader.Peek(len(seen) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readBody reads the whole body of a request.
+func (c *connection) readBody(request *http.Request, limits timetable.Limits) ([]byte, error) {
+	if request.ContentLength > limits.MaxBodyBytes {
+		return nil, errBodyTooLarge
+	}
+	if request.Body == nil || request.ContentLength == 0 {
+		return nil, nil
+	}
+	if err := c.conn.SetReadDeadline(time.Now().Add(bodyMillis * time.Millisecond)); err != nil {
+		return nil, err
+	}
+	if err := c.sendContinue(request); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, limits.MaxBodyBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read request body")
+	}
+	if int64(len(body)) > limits.MaxBodyBytes {
+		return nil, errBodyTooLarge
+	}
+	return body, nil
+}
+
+// sendContinue tells a caller that waits for it to send the body.
+func (c *connection) sendContinue(request *http.Request) error {
+	if request.Header.Get("Expect") == "" {
+		return nil
+	}
+	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// headStatus returns the status for a head that could not be read, or zero
+// when nothing can be answered.
+func headStatus(err error) int {
+	switch {
+	case errors.Is(err, ErrHeadTooLarge):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, ErrMalformed):
+		return http.StatusBadRequest
+	case isTimeout(err):
+		return http.StatusRequestTimeout
+	default:
+		return 0
+	}
+}
+
+// bodyStatus returns the status for a body that could not be read, or zero
+// when nothing can be answered.
+func bodyStatus(err error) int {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case isTimeout(err):
+		return http.StatusRequestTimeout
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return 0
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// refuse answers a request that could not be read; its connection ends.
+func (c *connection) refuse(status int, cause error) {
+	if status == 0 {
+		return
+	}
+	c.server.Log.Info("request not readable", "Status", status, "Error", cause)
+	x := &Exchange{connection: c, closes: true, Request: &http.Request{Method: http.MethodGet}}
+	x.WriteWhole(status, make(http.Header), nil)
+	x.finish()
+}
+
+// setUserTimeout bounds how long a connection waits for acknowledgements.
+func setUserTimeout(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMillis)
+	})
+}
--- /dev/null
+++ b/internal/caller/relay/attempt.go
@@ -0,0 +1,252 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/frontdesk"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// maxDials bounds the servers that are dialled for one request.
+	maxDials = 3
+	// maxWholeBytes is the size up to which an answer is read whole before it
+	// is passed on.
+	maxWholeBytes = 8 << 20
+	// guessedOutputTokens is the output of a generation whose caller gave no
+	// estimate.
+	guessedOutputTokens = 500
+	// lowestPriority is the last rank of an engine's queue.
+	lowestPriority = 9
+)
+
+// attempt is one sending of a request to a backend server.
+type attempt struct {
+	server muster.BackendServer
+	seat   *seating.Seat
+	call   *Call
+}
+
+// close ends the attempt. Failed says that the server failed the request.
+func (a *attempt) close(failed bool) {
+	if a.call != nil {
+		a.call.Close()
+	}
+	a.seat.End(failed, moment.Now())
+}
+
+// run sends the request to backend servers until there is an answer.
+func (q *request) run() {
+	ctx, stop := context.WithDeadline(q.exchange.Context, time.Now().Add(time.Duration(q.leftMillis())*time.Millisecond))
+	defer stop()
+	q.relay.Retries.CountFirst(q.service.Name, moment.Now())
+	var last outcome = unplaced{}
+	for sent, dials := 0, 0; sent < q.route.MaxAttempts && dials < maxDials; dials++ {
+		if sent > 0 && !q.relay.Retries.Allow(q.service.Name, moment.Now()) {
+			break
+		}
+		last = q.attempt(ctx)
+		switch last.(type) {
+		case unplaced:
+			q.finish(ctx, last)
+			return
+		case unreached:
+			continue
+		}
+		sent++
+		if !q.mayRepeat(ctx, last) {
+			break
+		}
+	}
+	q.finish(ctx, last)
+}
+
+// outcome is how an attempt ended.
+type outcome interface{ outcome() }
+
+// unplaced says that no backend server takes the request.
+type unplaced struct{}
+
+// unreached says that the server was not reached; nothing was sent.
+type unreached struct{ err error }
+
+// declined says that the server did not run the request.
+type declined struct{ status int }
+
+// lost says that the request may have run and has no whole answer.
+type lost struct{ err error }
+
+// answered holds a whole answer.
+type answered struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// streamed says that the answer was passed on, or cut, as a stream.
+type streamed struct{}
+
+func (unplaced) outcome()  {}
+func (unreached) outcome() {}
+func (declined) outcome()  {}
+func (lost) outcome()      {}
+func (answered) outcome()  {}
+func (streamed) outcome()  {}
+
+// mayRepeat reports whether the request may be sent to a further server.
+func (q *request) mayRepeat(ctx context.Context, last outcome) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch o := last.(type) {
+	case declined:
+		return true
+	case lost:
+		return q.route.Repeatable()
+	case answered:
+		return q.route.Kind == timetable.Idempotent && o.status >= http.StatusInternalServerError
+	default:
+		return false
+	}
+}
+
+// attempt sends the request to one backend server.
+func (q *request) attempt(ctx context.Context) outcome {
+	a, ok := q.place()
+	if !ok {
+		return unplaced{}
+	}
+	q.tried[a.server.ID] = true
+	call, err := Open(ctx, q.outbound(a.server, platform.ServerRequest{LastEvent: q.caller.LastEvent}))
+	if err != nil {
+		a.close(ctx.Err() == nil)
+		if errors.Is(err, ErrNotSent) {
+			q.log("backend server not reached", "Server", a.server.ID, "Error", err)
+			return unreached{err}
+		}
+		q.log("answer lost", "Server", a.server.ID, "Error", err)
+		return lost{err}
+	}
+	a.call = call
+	if platform.NotRun(call.Answer.StatusCode, call.Answer.Header) {
+		a.close(false)
+		q.log("declined by backend server", "Server", a.server.ID, "Status", call.Answer.StatusCode)
+		return declined{call.Answer.StatusCode}
+	}
+	if q.route.Kind == timetable.Stream && call.Answer.StatusCode == http.StatusOK {
+		return q.stream(ctx, a)
+	}
+	return q.readWhole(a)
+}
+
+// place chooses a backend server. One that ends soon is taken only when there
+// is no other.
+func (q *request) place() (*attempt, bool) {
+	now := moment.Now()
+	ready := q.relay.Courier.Servers().List.Ready(q.service.Name, now)
+	ask := seating.Ask{Service: q.service, Tokens: q.tokens(), Tried: q.tried}
+	server, seat, ok := q.relay.Ledger.Take(ready, ask, now)
+	if !ok {
+		ask.MayLeave = true
+		server, seat, ok = q.relay.Ledger.Take(ready, ask, now)
+	}
+	return &attempt{server: server, seat: seat}, ok
+}
+
+// tokens returns the memory that the request will need, in tokens.
+func (q *request) tokens() int {
+	if q.service.Engine == nil {
+		return 0
+	}
+	output := q.caller.HintTokens
+	if output == 0 {
+		output = guessedOutputTokens
+	}
+	if q.caller.MaxOutputTokens > 0 {
+		output = min(output, q.caller.MaxOutputTokens)
+	}
+	return q.caller.PromptTokens + output
+}
+
+// outbound returns the request as it is sent to a server.
+func (q *request) outbound(server muster.BackendServer, r platform.ServerRequest) Outbound {
+	r.DeadlineMillis = q.leftMillis()
+	r.Account = q.account.Name
+	r.Instance = server.ID
+	r.Priority = q.priority()
+	in := q.exchange.Request
+	return Outbound{
+		ID:      q.caller.ID,
+		Address: server.Address,
+		Method:  in.Method,
+		Target:  in.RequestURI,
+		Host:    in.Host,
+		Header:  platform.ServerHeader(in.Header, r),
+		Body:    q.exchange.Body,
+	}
+}
+
+// priority returns the rank of the request in an engine's queue. The client
+// account's rank goes before the route's.
+func (q *request) priority() int {
+	const ranksPerAccount = 3
+	account := 1
+	if q.account.Ranked {
+		account = q.account.Priority
+	}
+	return min(account*ranksPerAccount+min(q.route.Priority, ranksPerAccount-1), lowestPriority)
+}
+
+// readWhole reads an answer to its end.
+func (q *request) readWhole(a *attempt) outcome {
+	answer := a.call.Answer
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes+1))
+	if err == nil && len(body) > maxWholeBytes {
+		err = errors.Newf("answer is larger than %d bytes", maxWholeBytes)
+	}
+	if err == nil && answer.StatusCode < http.StatusMultipleChoices && !platform.Signed(answer.Header) {
+		err = errors.New("answer has no signature")
+	}
+	a.close(err != nil || answer.StatusCode >= http.StatusInternalServerError)
+	if err != nil {
+		q.log("answer lost", "Server", a.server.ID, "Error", err)
+		return lost{err}
+	}
+	return answered{status: answer.StatusCode, header: platform.CallerHeader(answer.Header), body: body}
+}
+
+// finish gives the caller the final answer.
+func (q *request) finish(ctx context.Context, last outcome) {
+	if errors.Is(context.Cause(q.exchange.Context), frontdesk.ErrCallerLeft) {
+		q.log("caller left")
+		q.exchange.Cut()
+		return
+	}
+	switch o := last.(type) {
+	case answered:
+		q.log("answered", "Status", o.status)
+		q.exchange.WriteWhole(o.status, o.header, o.body)
+	case streamed:
+	case lost:
+		status := http.StatusBadGateway
+		if ctx.Err() != nil {
+			status = http.StatusGatewayTimeout
+		}
+		q.refuse(Refusal{Status: status, Reason: "AnswerLost"})
+	case declined:
+		q.refuse(Refusal{http.StatusServiceUnavailable, "Declined", crowdedRetryMillis})
+	case unreached:
+		q.refuse(Refusal{http.StatusServiceUnavailable, "ServerNotReached", crowdedRetryMillis})
+	default:
+		q.refuse(Refusal{http.StatusServiceUnavailable, "NoServer", crowdedRetryMillis})
+	}
+}
--- /dev/null
+++ b/internal/caller/relay/relay.go
@@ -0,0 +1,198 @@
+// Package relay answers callers by handing their requests to backend servers:
+// it checks the route and the key, chooses a backend server, retries what may
+// be repeated, and passes answers and streams on.
+package relay
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/frontdesk"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/courier"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+// Relay handles the requests of callers. Its exported fields are set before
+// use.
+type Relay struct {
+	Courier *courier.Courier
+	Ledger  *seating.Ledger
+	Moves   *Moves
+	Retries *Retries
+	Log     *slog.Logger
+	// RevokeMillis is the age up to which a configuration vouches for a key.
+	RevokeMillis int64
+	// ApplyMillis is the age up to which a configuration vouches for what it
+	// does not hold.
+	ApplyMillis int64
+}
+
+// request is one request of a caller on its way.
+type request struct {
+	relay    *Relay
+	exchange *frontdesk.Exchange
+	caller   platform.CallerRequest
+	route    timetable.Route
+	service  timetable.Service
+	account  timetable.Account
+	// endsAt is when the caller or the route gives up.
+	endsAt moment.Moment
+	// arrivedAt is when the first byte came.
+	arrivedAt moment.Moment
+	// configuredAt is the version of the configuration that was used.
+	configured int64
+	// tried holds the servers that the request was sent to.
+	tried map[string]bool
+}
+
+// Handle answers one request.
+func (r *Relay) Handle(x *frontdesk.Exchange) {
+	q := &request{
+		relay:     r,
+		exchange:  x,
+		caller:    platform.DecodeCallerRequest(x.Request.Header),
+		arrivedAt: moment.Now(),
+		tried:     make(map[string]bool),
+	}
+	if refusal, ok := q.check(r.Courier.Configuration()); !ok {
+		q.refuse(refusal)
+		return
+	}
+	q.run()
+}
+
+// Refusal is an answer that the system gives itself.
+type Refusal struct {
+	// Status is the HTTP status code.
+	Status int
+	// Reason is a short text for logs.
+	Reason string
+	// RetryMillis is when to come back; zero says nothing of it.
+	RetryMillis int64
+}
+
+const (
+	// unconfiguredRetryMillis is when to come back to a process that knows no
+	// current configuration.
+	unconfiguredRetryMillis = 400
+	// crowdedRetryMillis is when to come back when no backend server takes the
+	// request.
+	crowdedRetryMillis = 500
+	// spreadShare is the share of a time to come back that is drawn at random.
+	spreadShare = 0.5
+	// revokeMarginMillis is kept free before a key must no longer be accepted.
+	revokeMarginMillis = 400
+)
+
+// check finds route, service and client account of the request.
+func (q *request) check(known courier.Configuration) (Refusal, bool) {
+	table := known.Timetable
+	if table == nil {
+		return Refusal{http.StatusServiceUnavailable, "NoConfiguration", unconfiguredRetryMillis}, false
+	}
+	q.configured = table.Version
+	age := q.arrivedAt.MillisSince(known.ConfirmedAt)
+	route, ok := table.Route(q.exchange.Request.Host, pathOf(q.exchange.Request.RequestURI))
+	if !ok {
+		return q.deny(http.StatusNotFound, "NoRoute", age), false
+	}
+	q.route = route
+	if refusal, ok := q.checkKey(table, age); !ok {
+		return refusal, false
+	}
+	q.service, ok = table.Service(route.Draw(rand.Float64()))
+	if !ok {
+		return Refusal{http.StatusServiceUnavailable, "NoService", unconfiguredRetryMillis}, false
+	}
+	if q.caller.ID == "" {
+		return Refusal{http.StatusBadRequest, "NoIdentity", 0}, false
+	}
+	q.endsAt = q.deadline()
+	return Refusal{}, true
+}
+
+// checkKey finds the client account of the request's key.
+func (q *request) checkKey(table *timetable.Timetable, age int64) (Refusal, bool) {
+	if q.route.Public || !table.Keyed {
+		return Refusal{}, true
+	}
+	account, ok := table.Account(q.caller.Key)
+	if !ok {
+		return q.deny(http.StatusUnauthorized, "UnknownKey", age), false
+	}
+	if age > q.relay.RevokeMillis-revokeMarginMillis {
+		return Refusal{http.StatusServiceUnavailable, "ConfigurationTooOld", unconfiguredRetryMillis}, false
+	}
+	q.account = account
+	return Refusal{}, true
+}
+
+// deny refuses what the configuration does not hold. A configuration that is
+// not current cannot tell.
+func (q *request) deny(status int, reason string, age int64) Refusal {
+	if age > q.relay.ApplyMillis {
+		return Refusal{http.StatusServiceUnavailable, "ConfigurationTooOld", unconfiguredRetryMillis}
+	}
+	return Refusal{status, reason, 0}
+}
+
+// deadline returns when the request must have its final answer.
+func (q *request) deadline() moment.Moment {
+	const longestMillis = 120_000
+	left := int64(longestMillis)
+	if q.caller.DeadlineMillis > 0 {
+		left = min(left, q.caller.DeadlineMillis)
+	}
+	if q.route.TimeoutMillis > 0 {
+		left = min(left, q.route.TimeoutMillis)
+	}
+	return q.arrivedAt.AddMillis(left)
+}
+
+// leftMillis returns the time until the deadline.
+func (q *request) leftMillis() int64 {
+	return q.endsAt.MillisSince(moment.Now())
+}
+
+// refuse answers the request without a backend server. The time to come back
+// is spread, and is at most a third of what is left.
+func (q *request) refuse(refusal Refusal) {
+	retry := refusal.RetryMillis
+	if retry > 0 {
+		retry += int64(rand.Float64() * spreadShare * float64(retry))
+		if q.endsAt != 0 {
+			retry = max(min(retry, q.leftMillis()/3), 1)
+		}
+	}
+	q.log("request refused", "Status", refusal.Status, "Reason", refusal.Reason, "RetryMillis", retry)
+	q.exchange.WriteWhole(refusal.Status, platform.OwnAnswerHeader(q.caller.ID, retry), nil)
+}
+
+// log writes one line about the request.
+func (q *request) log(message string, fields ...any) {
+	all := append([]any{
+		"Request", q.caller.ID,
+		"Route", q.route.Name,
+		"Account", q.account.Name,
+		"Version", q.configured,
+		"Millis", moment.Now().MillisSince(q.arrivedAt),
+	}, fields...)
+	q.relay.Log.Info(message, all...)
+}
+
+// pathOf returns the path of a request's target, without its query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	if rest, ok := strings.CutPrefix(path, "http://"); ok {
+		if slash := strings.IndexByte(rest, '/'); slash >= 0 {
+			return rest[slash:]
+		}
+		return "/"
+	}
+	return path
+}
--- /dev/null
+++ b/internal/caller/relay/retries.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"sync"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+)
+
+// Retries bounds how often one entry host sends requests once more, for each
+// service over a sliding window. Its exported fields are set before use.
+type Retries struct {
+	// Ratio is the share of first requests that may be sent once more, and
+	// Slack is the number beyond it that this host may send in a window.
+	Ratio float64
+	Slack float64
+	// WindowMillis is the length of the window.
+	WindowMillis int64
+
+	mu       sync.Mutex
+	services map[string]*retryWindow
+}
+
+// retryWindow counts the requests of one service.
+type retryWindow struct {
+	firsts []moment.Moment
+	spent  []moment.Moment
+}
+
+// CountFirst counts a request that was sent for the first time.
+func (r *Retries) CountFirst(service string, now moment.Moment) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service, now)
+	w.firsts = append(w.firsts, now)
+}
+
+// Allow reports whether a request may be sent once more, and counts it.
+func (r *Retries) Allow(service string, now moment.Moment) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service, now)
+	if float64(len(w.spent)+1) > r.Ratio*float64(len(w.firsts))+r.Slack {
+		return false
+	}
+	w.spent = append(w.spent, now)
+	return true
+}
+
+// window returns the window of a service without what lies before it.
+func (r *Retries) window(service string, now moment.Moment) *retryWindow {
+	if r.services == nil {
+		r.services = make(map[string]*retryWindow)
+	}
+	w, ok := r.services[service]
+	if !ok {
+		w = &retryWindow{}
+		r.services[service] = w
+	}
+	start := now.AddMillis(-r.WindowMillis)
+	w.firsts = after(w.firsts, start)
+	w.spent = after(w.spent, start)
+	return w
+}
+
+// after drops the moments before start from an ordered list.
+func after(list []moment.Moment, start moment.Moment) []moment.Moment {
+	for len(list) > 0 && list[0].Before(start) {
+		list = list[1:]
+	}
+	return list
+}
--- /dev/null
+++ b/internal/caller/relay/stream.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// moveWaitMillis is how long a stream that was cut by a leaving engine
+	// waits for the word of where it goes on.
+	moveWaitMillis = 1200
+	// silenceMillis is the silence after which an engine's stream counts as
+	// dead once it has begun.
+	silenceMillis = 2500
+	// streamBufferBytes is read from an engine at once.
+	streamBufferBytes = 8 << 10
+)
+
+// stream passes events on to the caller.
+type stream struct {
+	request *request
+	attempt *attempt
+	events  splitter
+	expects *Expectation
+	// header is that of the first answer; it is written with the first event.
+	header http.Header
+	// delivered is the number of bytes of events that the caller was sent.
+	delivered atomic.Int64
+	// moves counts how often the stream went on elsewhere.
+	moves int
+}
+
+// errSilent says that an engine sent nothing for too long.
+var errSilent = errors.New("stream went silent")
+
+// errCallerSlow says that the caller took no more events.
+var errCallerGone = errors.New("caller takes no more events")
+
+// stream passes the events of an answer on, and goes on elsewhere when it is
+// cut and may be continued.
+func (q *request) stream(ctx context.Context, a *attempt) outcome {
+	s := &stream{request: q, attempt: a, header: platform.CallerHeader(a.call.Answer.Header)}
+	s.expects = q.relay.Moves.Expect(q.caller.ID, a.server.Address, s.remainingTokens)
+	defer s.expects.End()
+	for {
+		err := s.copy(ctx)
+		if err == nil {
+			return s.complete()
+		}
+		s.events.drop()
+		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
+			return s.abandon(ctx, err)
+		}
+		if !s.goOn(ctx, err) {
+			return s.abandon(ctx, err)
+		}
+	}
+}
+
+// remainingTokens estimates what is still to be generated.
+func (s *stream) remainingTokens() int {
+	const bytesPerToken = 85
+	return max(s.request.tokens()-s.request.caller.PromptTokens-int(s.delivered.Load()/bytesPerToken), 0)
+}
+
+// complete ends the caller's answer.
+func (s *stream) complete() outcome {
+	s.attempt.close(false)
+	s.begin()
+	s.request.exchange.End()
+	s.request.log("streamed", "Server", s.attempt.server.ID, "LastEvent", s.events.lastID, "Moves", s.moves)
+	return streamed{}
+}
+
+// abandon gives up a stream that cannot go on. Before the first event the
+// caller can still be told so.
+func (s *stream) abandon(ctx context.Context, err error) outcome {
+	s.attempt.close(ctx.Err() == nil)
+	s.request.log("stream lost", "Server", s.attempt.server.ID, "LastEvent", s.events.lastID,
+		"Moves", s.moves, "Error", err)
+	if !s.request.exchange.Begun() {
+		return lost{err}
+	}
+	s.request.exchange.Cut()
+	return streamed{}
+}
+
+// begin writes the head of the caller's answer once.
+func (s *stream) begin() {
+	if !s.request.exchange.Begun() {
+		s.request.exchange.Begin(http.StatusOK, s.header)
+	}
+}
+
+// copy passes events on until the answer ends. It returns nil only when the
+// answer is whole.
+func (s *stream) copy(ctx context.Context) error {
+	buffer := make([]byte, streamBufferBytes)
+	body := s.attempt.call.Answer.Body
+	for {
+		if err := s.boundSilence(); err != nil {
+			return err
+		}
+		n, err := body.Read(buffer)
+		if whole := s.events.add(buffer[:n]); len(whole) > 0 {
+			s.begin()
+			if s.request.exchange.Send(whole) != nil {
+				return errCallerGone
+			}
+			s.delivered.Add(int64(len(whole)))
+		}
+		if errors.Is(err, io.EOF) && len(s.events.pending) == 0 {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read stream")
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// boundSilence sets the time by which the next event must come. The wait for
+// the first one is bounded by the request's deadline only.
+func (s *stream) boundSilence() error {
+	if s.delivered.Load() == 0 {
+		return nil
+	}
+	return s.attempt.call.conn.SetReadDeadline(time.Now().Add(silenceMillis * time.Millisecond))
+}
+
+// goOn continues a stream that was cut: at the copy of a moved generation, or,
+// when it is resumable, as a new generation after its last event.
+func (s *stream) goOn(ctx context.Context, cause error) bool {
+	if s.moveOn(ctx, cause) {
+		return true
+	}
+	q := s.request
+	if !q.route.Resumable || len(q.tried) >= q.route.MaxAttempts {
+		return false
+	}
+	if !q.relay.Retries.Allow(q.service.Name, moment.Now()) {
+		return false
+	}
+	next, ok := q.place()
+	if !ok {
+		return false
+	}
+	q.tried[next.server.ID] = true
+	lastEvent := s.events.lastID
+	if lastEvent == "" {
+		lastEvent = q.caller.LastEvent
+	}
+	return s.open(ctx, next, platform.ServerRequest{LastEvent: lastEvent})
+}
+
+// moveOn waits for the word of a move and goes on there. When the copy does
+// not take the generation, the engine that stopped it is asked.
+func (s *stream) moveOn(ctx context.Context, cause error) bool {
+	report, watched := s.request.relay.Ledger.Report(s.attempt.server.Address)
+	move, announced, _ := s.expects.Latest()
+	if !announced && !(watched && report.Leaving) {
+		return false
+	}
+	wait, stop := context.WithDeadline(ctx, time.Now().Add(moveWaitMillis*time.Millisecond))
+	defer stop()
+	if !announced || !move.Stopped {
+		move, announced = s.expects.AwaitStopped(wait)
+	}
+	if !announced {
+		return false
+	}
+	s.request.log("stream goes on", "From", s.attempt.server.Address, "To", move.Destination,
+		"LastEvent", s.events.lastID, "Stopped", move.Stopped, "Cause", cause)
+	handle := platform.ServerRequest{LastEvent: s.events.lastID, ContinueFrom: move.Source}
+	for _, address := range []string{move.Destination, move.Source.Address} {
+		if next, ok := s.attemptAt(address); ok && s.open(ctx, next, handle) {
+			return true
+		}
+	}
+	return false
+}
+
+// attemptAt opens a seat at the engine with an address.
+func (s *stream) attemptAt(address string) (*attempt, bool) {
+	if address == "" {
+		return nil, false
+	}
+	server, ok := s.request.relay.serverAt(address)
+	if !ok {
+		return nil, false
+	}
+	now := moment.Now()
+	return &attempt{server: server, seat: s.request.relay.Ledger.OpenAt(server.ID, s.request.tokens(), now)}, true
+}
+
+// serverAt returns the listed server with an address.
+func (r *Relay) serverAt(address string) (muster.BackendServer, bool) {
+	for _, server := range r.Courier.Servers().List.All() {
+		if server.Address == address {
+			return server, true
+		}
+	}
+	return muster.BackendServer{}, false
+}
+
+// open sends the request to a further server and, when that one goes on with
+// the stream, takes it as the new source.
+func (s *stream) open(ctx context.Context, next *attempt, r platform.ServerRequest) bool {
+	call, err := Open(ctx, s.request.outbound(next.server, r))
+	if err != nil {
+		s.request.log("stream not continued", "Server", next.server.ID, "Error", err)
+		next.close(ctx.Err() == nil)
+		return false
+	}
+	next.call = call
+	if call.Answer.StatusCode != http.StatusOK {
+		s.request.log("stream not continued", "Server", next.server.ID, "Status", call.Answer.StatusCode)
+		next.close(false)
+		return false
+	}
+	s.attempt.close(false)
+	s.attempt = next
+	s.moves++
+	s.expects.MovedTo(next.server.Address)
+	return true
+}
--- /dev/null
+++ b/internal/role/directentry/directentry.go
@@ -0,0 +1,170 @@
+// Package directentry runs an entry host that speaks to backend servers
+// without a process between them.
+package directentry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/frontdesk"
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/courier"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// memoryShare is the share of the memory limit from which on the runtime
+	// collects garbage more often.
+	memoryShare = 0.7
+	// acceptMillis is how long a process that stops still takes requests, until
+	// the platform sends it no more connections.
+	acceptMillis = 2600
+	// lastMillis is kept free at the end of the grace period.
+	lastMillis = 300
+
+	millisPerSecond = 1000
+)
+
+// Host is the process of one entry host. Its fields are set before Run.
+type Host struct {
+	Settings process.DirectEntry
+	Log      *slog.Logger
+
+	courier *courier.Courier
+	ledger  *seating.Ledger
+	server  *frontdesk.Server
+	// stopping says that the process takes no new work for long.
+	stopping atomic.Bool
+}
+
+// Run serves until the lifetime's drain has ended.
+func (h *Host) Run(life lifetime.Lifetime) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(h.Settings.MemoryMegabytes) * (1 << 20)))
+	callers, err := line.Listen(life.Cut, h.Settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := line.Listen(life.Cut, h.Settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	h.prepare(callers)
+	h.Log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress)
+	ctx, end := context.WithCancel(life.Cut)
+	defer end()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return h.courier.Run(ctx) })
+	group.Go(func() error { return h.server.Run(ctx) })
+	group.Go(func() error { return line.HTTPServer{Listener: ready, Handler: h.readiness()}.Run(ctx) })
+	group.Go(func() error {
+		defer end()
+		return h.awaitEnd(life)
+	})
+	err = group.Wait()
+	h.Log.Info("stopped", "Name", h.Settings.Name, "Open", h.server.Open())
+	return err
+}
+
+// prepare builds the parts.
+func (h *Host) prepare(callers net.Listener) {
+	h.courier = &courier.Courier{
+		Store: &platform.Store{Address: h.Settings.StoreAddress, HTTP: platform.NewStoreHTTP()},
+		Log:   h.Log,
+	}
+	h.ledger = &seating.Ledger{Zone: h.Settings.Zone}
+	h.server = &frontdesk.Server{
+		Listener: callers,
+		Log:      h.Log,
+		Limits:   h.limits,
+		Handler: &relay.Relay{
+			Courier:      h.courier,
+			Ledger:       h.ledger,
+			Moves:        &relay.Moves{},
+			Retries:      h.retries(),
+			Log:          h.Log,
+			RevokeMillis: h.Settings.RevokeMillis,
+			ApplyMillis:  h.Settings.ApplyMillis,
+		},
+	}
+}
+
+// retries returns this host's share of the retries of all entry hosts.
+func (h *Host) retries() *relay.Retries {
+	const assumedHosts = 8
+	return &relay.Retries{
+		Ratio:        h.Settings.RetryRatio,
+		Slack:        h.Settings.RetrySlack / assumedHosts,
+		WindowMillis: int64(h.Settings.RetryWindowSeconds * millisPerSecond),
+	}
+}
+
+func (h *Host) limits() timetable.Limits {
+	if table := h.courier.Configuration().Timetable; table != nil {
+		return table.Limits
+	}
+	return timetable.Limits{}
+}
+
+// readiness answers the platform's question whether to send new connections.
+func (h *Host) readiness() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
+
+// ready reports whether the process can serve requests with a key.
+func (h *Host) ready() bool {
+	if h.stopping.Load() {
+		return false
+	}
+	known := h.courier.Configuration()
+	if known.Timetable == nil || h.courier.Servers().ConfirmedAt == 0 {
+		return false
+	}
+	return moment.Now().MillisSince(known.ConfirmedAt) < h.Settings.RevokeMillis/2
+}
+
+// awaitEnd waits for the signal to stop, lets the platform notice, and lets
+// open requests end within the grace period.
+func (h *Host) awaitEnd(life lifetime.Lifetime) error {
+	select {
+	case <-life.Drain.Done():
+	case <-life.Cut.Done():
+		return nil
+	}
+	grace := time.Duration(h.Settings.GraceSeconds * float64(time.Second))
+	deadline := time.Now().Add(grace - lastMillis*time.Millisecond)
+	h.stopping.Store(true)
+	h.server.CloseAfterAnswers()
+	h.Log.Info("stopping", "Open", h.server.Open(), "Deadline", deadline)
+	accept := time.NewTimer(acceptMillis * time.Millisecond)
+	defer accept.Stop()
+	select {
+	case <-accept.C:
+	case <-life.Cut.Done():
+	}
+	h.server.CloseIdle()
+	left := life.Finish(h.server.Open, deadline)
+	if left > 0 {
+		h.Log.Warn("requests cut at the end of the grace period", "Open", left)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/routing/muster/muster.go
@@ -0,0 +1,165 @@
+// Package muster keeps the list of backend servers, as one immutable value
+// that follows the platform's entries. It has no I/O and reads no clock.
+package muster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+)
+
+// State says whether a backend server takes new work.
+type State int
+
+// States of a backend server.
+const (
+	// Ready servers take new work.
+	Ready State = iota + 1
+	// Draining servers finish what they have.
+	Draining
+)
+
+// BackendServer is one entry of the list.
+type BackendServer struct {
+	ID string
+	// BornUnixMillis is the start of this incarnation. Two entries with one ID
+	// and different starts are different incarnations.
+	BornUnixMillis int64
+	Service        string
+	// Address is host and port.
+	Address string
+	Zone    string
+	Slots   int
+	State   State
+	// WarmAt is the moment from which the server works at full speed.
+	WarmAt moment.Moment
+}
+
+// returnMillis is the time after an outage of the store in which entries that
+// lapsed meanwhile may come back.
+const returnMillis = 2200
+
+// member is a server with what the list knows about its entry.
+type member struct {
+	server BackendServer
+	// lapsesAt is zero while the entry stands. Otherwise the entry lapsed
+	// during an outage, and the server counts as gone from that moment on.
+	lapsesAt moment.Moment
+}
+
+// List is the list at one moment. It never changes.
+type List struct {
+	members map[string]member
+}
+
+// Change is one change of the list.
+type Change interface{ change() }
+
+// Registered says that an entry was written.
+type Registered struct{ Server BackendServer }
+
+// Removed says that an entry was deleted or names no server to use.
+type Removed struct{ ID string }
+
+func (Registered) change() {}
+func (Removed) change()    {}
+
+// Event is what the list learns in one read of the store.
+type Event struct {
+	Changes []Change
+	// Whole says that the changes are all entries: servers that they do not
+	// name have none.
+	Whole  bool
+	ReadAt moment.Moment
+	// RegainedAt is the moment at which the store last came back, or zero when
+	// it was never away.
+	RegainedAt moment.Moment
+}
+
+// With returns the list after a read of the store.
+func (l List) With(e Event) List {
+	members := make(map[string]member, len(l.members)+len(e.Changes))
+	maps.Copy(members, l.members)
+	if e.Whole {
+		dropAbsent(members, e)
+	}
+	for _, c := range e.Changes {
+		switch c := c.(type) {
+		case Registered:
+			members[c.Server.ID] = member{server: c.Server}
+		case Removed:
+			remove(members, c.ID, e)
+		}
+	}
+	maps.DeleteFunc(members, func(_ string, m member) bool {
+		return m.lapsesAt != 0 && m.lapsesAt.Before(e.ReadAt)
+	})
+	return List{members: members}
+}
+
+// dropAbsent removes the members that a whole list does not name.
+func dropAbsent(members map[string]member, e Event) {
+	named := make(map[string]bool, len(e.Changes))
+	for _, c := range e.Changes {
+		if r, ok := c.(Registered); ok {
+			named[r.Server.ID] = true
+		}
+	}
+	for id := range members {
+		if !named[id] {
+			remove(members, id, e)
+		}
+	}
+}
+
+// remove drops a member, or lets it lapse later when its entry may have gone
+// only because the store was away.
+func remove(members map[string]member, id string, e Event) {
+	m, ok := members[id]
+	if !ok {
+		return
+	}
+	mayReturnUntil := e.RegainedAt.AddMillis(returnMillis)
+	if e.RegainedAt == 0 || !e.ReadAt.Before(mayReturnUntil) || m.server.State == Draining {
+		delete(members, id)
+		return
+	}
+	if m.lapsesAt == 0 {
+		m.lapsesAt = mayReturnUntil
+		members[id] = m
+	}
+}
+
+// Ready returns the servers of a service that take new work, in order of ID.
+func (l List) Ready(service string, now moment.Moment) []BackendServer {
+	var ready []BackendServer
+	for _, m := range l.members {
+		if m.server.Service != service || m.server.State != Ready {
+			continue
+		}
+		if m.lapsesAt != 0 && m.lapsesAt.Before(now) {
+			continue
+		}
+		ready = append(ready, m.server)
+	}
+	slices.SortFunc(ready, func(a, b BackendServer) int { return cmp.Compare(a.ID, b.ID) })
+	return ready
+}
+
+// All returns every server, in order of ID.
+func (l List) All() []BackendServer {
+	all := make([]BackendServer, 0, len(l.members))
+	for _, m := range l.members {
+		all = append(all, m.server)
+	}
+	slices.SortFunc(all, func(a, b BackendServer) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Find returns the server with an ID.
+func (l List) Find(id string) (BackendServer, bool) {
+	m, ok := l.members[id]
+	return m.server, ok
+}
--- /dev/null
+++ b/internal/routing/seating/ledger.go
@@ -0,0 +1,209 @@
+package seating
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+)
+
+const (
+	// failureWeight is the weight of the newest answer in the share of
+	// failures.
+	failureWeight = 0.15
+	// failureForgetMillis is the time after which failures are forgotten, so
+	// that a backend server is tried again.
+	failureForgetMillis = 4000
+	// reportMillis is the age up to which a report of load counts.
+	reportMillis = 2500
+)
+
+// Report is the load of an engine as the process beside it reported it.
+type Report struct {
+	Running    int
+	Queued     int
+	UsedTokens int
+	// Leaving says that the engine ends soon.
+	Leaving bool
+	// LeavesAt is when it ends, by this host's clock; zero when not known.
+	LeavesAt   moment.Moment
+	ReceivedAt moment.Moment
+}
+
+// Ledger holds what one entry host knows of the load of backend servers. It is
+// safe for concurrent use.
+type Ledger struct {
+	// Zone is the entry host's availability zone. It is set before use.
+	Zone string
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	// reports by the address of the engine.
+	reports map[string]Report
+}
+
+// account is what this entry host did at one backend server.
+type account struct {
+	// seats are the open requests.
+	seats        map[*Seat]struct{}
+	failureShare float64
+	failedAt     moment.Moment
+}
+
+// Seat is one open request at a backend server.
+type Seat struct {
+	ledger *Ledger
+	server string
+	tokens int
+	sentAt moment.Moment
+}
+
+// Ask is a request that needs a backend server.
+type Ask struct {
+	Service timetable.Service
+	// Tokens is the memory that it will need; zero for a plain service.
+	Tokens int
+	// Tried holds the IDs of servers that it was sent to.
+	Tried map[string]bool
+	// MayLeave allows a server that ends soon, when there is no other.
+	MayLeave bool
+}
+
+// Take chooses a backend server among those that are ready and opens a seat
+// there.
+func (l *Ledger) Take(ready []muster.BackendServer, ask Ask, now moment.Moment) (muster.BackendServer, *Seat, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	candidates := make([]Candidate, len(ready))
+	points := make([]float64, len(ready))
+	for i, server := range ready {
+		candidates[i] = l.candidate(server, ask, now)
+		points[i] = rand.Float64()
+	}
+	best, ok := Choose(candidates, ask.Tokens, points)
+	if !ok {
+		return muster.BackendServer{}, nil, false
+	}
+	return ready[best], l.open(ready[best].ID, ask.Tokens, now), true
+}
+
+// OpenAt opens a seat at a server that was chosen otherwise.
+func (l *Ledger) OpenAt(server string, tokens int, now moment.Moment) *Seat {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open(server, tokens, now)
+}
+
+func (l *Ledger) open(server string, tokens int, now moment.Moment) *Seat {
+	seat := &Seat{ledger: l, server: server, tokens: tokens, sentAt: now}
+	l.account(server).seats[seat] = struct{}{}
+	return seat
+}
+
+// End closes a seat. Failed says that the server failed the request.
+func (s *Seat) End(failed bool, now moment.Moment) {
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	a := s.ledger.account(s.server)
+	delete(a.seats, s)
+	value := 0.0
+	if failed {
+		value = 1
+		a.failedAt = now
+	}
+	a.failureShare += failureWeight * (value - a.failureShare)
+}
+
+// Learn takes over a report of the engine at an address.
+func (l *Ledger) Learn(address string, report Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reports == nil {
+		l.reports = make(map[string]Report)
+	}
+	l.reports[address] = report
+}
+
+// Forget drops the report of an engine that is no longer watched.
+func (l *Ledger) Forget(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.reports, address)
+}
+
+// Report returns the newest report of the engine at an address.
+func (l *Ledger) Report(address string) (Report, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report, ok := l.reports[address]
+	return report, ok
+}
+
+// Prune drops the accounts of servers that are no longer listed and have no
+// open request.
+func (l *Ledger) Prune(list muster.List) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, a := range l.accounts {
+		if _, listed := list.Find(id); !listed && len(a.seats) == 0 {
+			delete(l.accounts, id)
+		}
+	}
+}
+
+func (l *Ledger) account(server string) *account {
+	if l.accounts == nil {
+		l.accounts = make(map[string]*account)
+	}
+	a, ok := l.accounts[server]
+	if !ok {
+		a = &account{seats: make(map[*Seat]struct{})}
+		l.accounts[server] = a
+	}
+	return a
+}
+
+// candidate joins what was reported of a server with what this host sent
+// there since.
+func (l *Ledger) candidate(server muster.BackendServer, ask Ask, now moment.Moment) Candidate {
+	a := l.account(server.ID)
+	c := Candidate{
+		Server:   server,
+		SameZone: server.Zone == l.Zone,
+		Cold:     now.Before(server.WarmAt),
+		Tried:    ask.Tried[server.ID],
+		Slots:    server.Slots,
+		Running:  len(a.seats),
+	}
+	if a.failedAt.AddMillis(failureForgetMillis) > now {
+		c.FailureShare = a.failureShare
+	}
+	if ask.Service.Engine == nil {
+		return c
+	}
+	c.MemoryTokens = ask.Service.Engine.MemoryTokens
+	for seat := range a.seats {
+		c.UsedTokens += seat.tokens
+	}
+	report, reported := l.reports[server.Address]
+	if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
+		return c
+	}
+	return c.withReport(report, a, ask)
+}
+
+func (c Candidate) withReport(report Report, a *account, ask Ask) Candidate {
+	c.Leaving = report.Leaving && !ask.MayLeave
+	c.Running = report.Running
+	c.Queued = report.Queued
+	c.UsedTokens = report.UsedTokens
+	for seat := range a.seats {
+		if report.ReceivedAt.Before(seat.sentAt) {
+			c.UsedTokens += seat.tokens
+			c.Running++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/routing/seating/seating.go
@@ -0,0 +1,89 @@
+// Package seating chooses the backend server for a request, from what is known
+// of the load of each. It has no I/O and reads no clock.
+package seating
+
+import (
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+)
+
+const (
+	// otherZoneCost is the cost of a backend server in another availability
+	// zone, in shares of its capacity.
+	otherZoneCost = 0.08
+	// coldCost is the cost of a backend server that has just started.
+	coldCost = 0.3
+	// queuedCost is the cost of one request that waits in its queue.
+	queuedCost = 0.05
+	// failureCost is the cost of a backend server that fails every request.
+	failureCost = 3.0
+	// spreadCost is the greatest cost that is drawn at random, so that entry
+	// hosts that know the same do not choose the same.
+	spreadCost = 0.04
+	// fullShare is the share of an engine's memory from which on a new
+	// generation would probably be preempted.
+	fullShare = 0.9
+	// fullCost is the cost of an engine that is full.
+	fullCost = 1.0
+)
+
+// Candidate is a backend server with what is known of it.
+type Candidate struct {
+	Server muster.BackendServer
+	// SameZone says that it stands in the entry host's availability zone.
+	SameZone bool
+	// Cold says that it has just started.
+	Cold bool
+	// Leaving says that it will end soon.
+	Leaving bool
+	// Tried says that this request was sent there before.
+	Tried bool
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Running and Queued are the requests there, from all entry hosts.
+	Running int
+	Queued  int
+	// MemoryTokens is the engine's memory; zero for a plain service.
+	MemoryTokens int
+	// UsedTokens is the memory that is taken, now and by what was sent there
+	// since it was reported.
+	UsedTokens int
+	// FailureShare is the recent share of requests that it failed.
+	FailureShare float64
+}
+
+// Choose returns the index of the best candidate, or false when there is none.
+// Points are drawn from [0, 1) by the caller, one for each candidate.
+func Choose(candidates []Candidate, tokens int, points []float64) (int, bool) {
+	best, found := 0, false
+	bestCost := 0.0
+	for i, c := range candidates {
+		if c.Leaving || c.Tried {
+			continue
+		}
+		cost := c.cost(tokens) + spreadCost*points[i]
+		if !found || cost < bestCost {
+			best, bestCost, found = i, cost, true
+		}
+	}
+	return best, found
+}
+
+// cost returns what it costs to place a request of that many tokens there.
+func (c Candidate) cost(tokens int) float64 {
+	cost := failureCost * c.FailureShare
+	if !c.SameZone {
+		cost += otherZoneCost
+	}
+	if c.Cold {
+		cost += coldCost
+	}
+	cost += queuedCost * float64(c.Queued)
+	if c.MemoryTokens == 0 {
+		return cost + float64(c.Running)/float64(max(c.Slots, 1))
+	}
+	share := float64(c.UsedTokens+tokens) / float64(c.MemoryTokens)
+	if share > fullShare || c.Running >= c.Slots {
+		cost += fullCost
+	}
+	return cost + share
+}
--- /dev/null
+++ b/internal/settings/courier/courier.go
@@ -0,0 +1,235 @@
+// Package courier follows the platform's store: it keeps the newest
+// configuration and the list of backend servers, each with the moment up to
+// which it is known to hold.
+package courier
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// configurationWaitMillis is how long the store holds a read of the
+	// configuration until there is a change.
+	configurationWaitMillis = 1000
+	// replyMillis bounds a call to the store beyond the wait it asks for.
+	replyMillis = 1000
+	// listMillis is the pause between reads of the list. Entries change with
+	// every heartbeat, so that a read that waits returns at once.
+	listMillis = 600
+	// retryMillis is the pause after a call that failed.
+	retryMillis = 300
+)
+
+// Configuration is a configuration and its age.
+type Configuration struct {
+	// Timetable is nil while no configuration is known.
+	Timetable *timetable.Timetable
+	// ConfirmedAt is a moment at which it was the newest one.
+	ConfirmedAt moment.Moment
+}
+
+// Servers is the list of backend servers and its age.
+type Servers struct {
+	List muster.List
+	// ConfirmedAt is zero while the list was never read.
+	ConfirmedAt moment.Moment
+}
+
+// Courier follows the store. Its exported fields are set before Run.
+type Courier struct {
+	Store *platform.Store
+	Log   *slog.Logger
+
+	configuration atomic.Pointer[Configuration]
+	servers       atomic.Pointer[Servers]
+}
+
+// Configuration returns the newest configuration that is known.
+func (c *Courier) Configuration() Configuration {
+	if known := c.configuration.Load(); known != nil {
+		return *known
+	}
+	return Configuration{}
+}
+
+// Servers returns the newest list that is known.
+func (c *Courier) Servers() Servers {
+	if known := c.servers.Load(); known != nil {
+		return *known
+	}
+	return Servers{}
+}
+
+// Run follows the store until ctx ends.
+func (c *Courier) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		f := follower{topic: platform.ConfigurationTopic, waitMillis: configurationWaitMillis, courier: c}
+		return f.run(ctx, c.learnConfiguration)
+	})
+	group.Go(func() error {
+		f := follower{topic: platform.ServersTopic, pauseMillis: listMillis, courier: c}
+		return f.run(ctx, c.learnServers)
+	})
+	return group.Wait()
+}
+
+// reading is what one read of a topic returned.
+type reading struct {
+	records []platform.Record
+	// whole says that the records are the newest of all keys.
+	whole      bool
+	startedAt  moment.Moment
+	regainedAt moment.Moment
+}
+
+// learnConfiguration takes over a newer configuration. An older one, which a
+// stale read may return, changes nothing.
+func (c *Courier) learnConfiguration(r reading) {
+	known := c.Configuration()
+	read, err := platform.Configuration(r.records)
+	if err != nil {
+		c.Log.Error("configuration cannot be read", "Error", err)
+		return
+	}
+	if read != nil && known.Timetable != nil && read.Version < known.Timetable.Version {
+		c.Log.Warn("older configuration ignored", "Version", read.Version, "Known", known.Timetable.Version)
+		return
+	}
+	if read != nil && (known.Timetable == nil || read.Version > known.Timetable.Version) {
+		c.Log.Info("configuration in force", "Version", read.Version, "Routes", read.Size())
+		known.Timetable = read
+	}
+	known.ConfirmedAt = max(known.ConfirmedAt, r.startedAt)
+	c.configuration.Store(&known)
+}
+
+// learnServers takes over the changes of the list.
+func (c *Courier) learnServers(r reading) {
+	changes, faults := platform.Servers(r.records, r.startedAt)
+	for _, err := range faults {
+		c.Log.Warn("entry of a backend server ignored", "Error", err)
+	}
+	before := c.Servers().List
+	after := before.With(muster.Event{
+		Changes:    changes,
+		Whole:      r.whole,
+		ReadAt:     r.startedAt,
+		RegainedAt: r.regainedAt,
+	})
+	c.logDifferences(before, after)
+	c.servers.Store(&Servers{List: after, ConfirmedAt: r.startedAt})
+}
+
+// logDifferences writes one line for each server that came, left, or changed
+// its state or incarnation.
+func (c *Courier) logDifferences(before, after muster.List) {
+	for _, server := range after.All() {
+		old, known := before.Find(server.ID)
+		if known && old.State == server.State && old.BornUnixMillis == server.BornUnixMillis {
+			continue
+		}
+		c.Log.Info("backend server listed", "Server", server.ID, "Service", server.Service,
+			"Address", server.Address, "Zone", server.Zone, "Draining", server.State == muster.Draining)
+	}
+	for _, server := range before.All() {
+		if _, stays := after.Find(server.ID); !stays {
+			c.Log.Info("backend server gone", "Server", server.ID, "Address", server.Address)
+		}
+	}
+}
+
+// follower reads one topic over and over.
+type follower struct {
+	topic string
+	// waitMillis is how long a read waits in the store for a change.
+	waitMillis int64
+	// pauseMillis is the pause between reads.
+	pauseMillis int64
+	courier     *Courier
+
+	// listed says that all keys were read, and that next is where to go on.
+	listed bool
+	next   int64
+	// away says that the last call failed.
+	away       bool
+	regainedAt moment.Moment
+}
+
+func (f *follower) run(ctx context.Context, learn func(reading)) error {
+	for ctx.Err() == nil {
+		startedAt := moment.Now()
+		records, err := f.read(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			f.lose(err)
+			pause(ctx, retryMillis)
+			continue
+		}
+		f.regain()
+		learn(reading{records: records.List, whole: !f.listed, startedAt: startedAt, regainedAt: f.regainedAt})
+		f.listed = true
+		f.next = records.Next
+		pause(ctx, f.pauseMillis)
+	}
+	return nil
+}
+
+func (f *follower) read(ctx context.Context) (platform.Records, error) {
+	deadline := time.Now().Add(time.Duration(f.waitMillis+replyMillis) * time.Millisecond)
+	ctx, stop := context.WithDeadline(ctx, deadline)
+	defer stop()
+	if !f.listed {
+		return f.courier.Store.Newest(ctx, f.topic)
+	}
+	return f.courier.Store.Read(ctx, f.topic, f.next, f.waitMillis)
+}
+
+// lose notes a failed call. Deleted history is read anew and is no outage.
+func (f *follower) lose(err error) {
+	if errors.Is(err, platform.ErrHistoryGone) {
+		f.courier.Log.Warn("history of the store was deleted", "Topic", f.topic)
+		f.listed = false
+		return
+	}
+	f.courier.Store.HTTP.CloseIdleConnections()
+	if !f.away {
+		f.courier.Log.Warn("store lost", "Topic", f.topic, "Error", err)
+	}
+	f.away = true
+}
+
+func (f *follower) regain() {
+	if !f.away {
+		return
+	}
+	f.away = false
+	f.regainedAt = moment.Now()
+	f.courier.Log.Info("store regained", "Topic", f.topic)
+}
+
+// pause waits, or returns early when ctx ends.
+func pause(ctx context.Context, millis int64) {
+	if millis <= 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/settings/inspection/text.go
+++ b/internal/settings/inspection/text.go
@@ -29,7 +29,7 @@
 
 func numberFits(value json.Number, kind reflect.Kind) bool {
 	switch kind {
-	case reflect.Int:
+	case reflect.Int, reflect.Int64:
 		_, err := strconv.Atoi(value.String())
 		return err == nil
 	case reflect.Float64:
@@ -46,7 +46,7 @@
 		return "a string"
 	case reflect.Bool:
 		return "true or false"
-	case reflect.Int:
+	case reflect.Int, reflect.Int64:
 		return "a whole number"
 	case reflect.Float64:
 		return "a number"
