feat: processes beside engines move running generations away at the notice

Change: the process beside an engine polls it, tells entry hosts of load and notice, copies each run ahead and then stops it; the entry host that holds the caller's connection goes on at the copy.

--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/directbackend"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/directentry"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
@@ -29,16 +31,38 @@
 		Usage: "run an entry host that speaks to backend servers directly; the first signal drains it",
 		Flags: directFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			log, err := diary.New(c.Root().Writer, diary.Settings{Level: c.String("log-level"), Format: c.String("log-format")})
-			if err != nil {
-				return withCode(ExitUsage, err)
-			}
-			settings, err := process.LoadDirectEntry(c.String("settings"))
-			if err != nil {
-				return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
-			}
-			host := &directentry.Host{Settings: settings, Log: log}
-			return withCode(ExitFailure, lifetime.WithSignals(ctx, host.Run))
+			return runDirect(ctx, c, process.LoadDirectEntry, func(s process.DirectEntry, log *slog.Logger) roleRunner {
+				return (&directentry.Host{Settings: s, Log: log}).Run
+			})
 		},
 	}
 }
+
+func newDirectBackendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "direct-backend",
+		Usage: "run the process beside an engine that entry hosts speak to directly",
+		Flags: directFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runDirect(ctx, c, process.LoadDirectBackend, func(s process.DirectBackend, log *slog.Logger) roleRunner {
+				return (&directbackend.Host{Settings: s, Log: log}).Run
+			})
+		},
+	}
+}
+
+// roleRunner runs a role until its lifetime ends.
+type roleRunner func(lifetime.Lifetime) error
+
+// runDirect loads the settings of a role and runs it.
+func runDirect[T any](ctx context.Context, c *cli.Command, load func(string) (T, error), role func(T, *slog.Logger) roleRunner) error {
+	log, err := diary.New(c.Root().Writer, diary.Settings{Level: c.String("log-level"), Format: c.String("log-format")})
+	if err != nil {
+		return withCode(ExitUsage, err)
+	}
+	settings, err := load(c.String("settings"))
+	if err != nil {
+		return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
+	}
+	return withCode(ExitFailure, lifetime.WithSignals(ctx, role(settings, log)))
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -85,6 +85,7 @@
 			newEntryCommand(),
 			newBackendCommand(),
 			newDirectEntryCommand(),
+			newDirectBackendCommand(),
 			newStatusCommand(),
 			newExplainCommand(),
 			newDrainCommand(),
--- /dev/null
+++ b/internal/backend/lookout/moves.go
@@ -0,0 +1,169 @@
+package lookout
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// adviceMillis is the wait for the advice of entry hosts, and for notices
+	// of other engines to reach them.
+	adviceMillis = 60
+	// lastMoveMillis is the time before the engine's end in which no move
+	// begins.
+	lastMoveMillis = 20
+	// replanMillis is the pause before the runs are looked at again when none
+	// can move.
+	replanMillis = 40
+	// maxTries bounds the moves that are tried for one run.
+	maxTries = 3
+)
+
+// advice is what the entry hosts said since the notice.
+type advice struct {
+	// remaining tokens by request identity.
+	remaining map[string]int
+	// destinations by address.
+	destinations map[string]handover.Destination
+}
+
+// takeAdvice adds the advice of one entry host. Of two that differ about an
+// engine, the one that sees less room counts.
+func (l *Lookout) takeAdvice(message *sighting.Advice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.advice.remaining == nil {
+		l.advice = advice{
+			remaining:    make(map[string]int),
+			destinations: make(map[string]handover.Destination),
+		}
+	}
+	for _, run := range message.GetRuns() {
+		l.advice.remaining[run.GetRequestId()] = int(run.GetRemainingTokens())
+	}
+	for _, d := range message.GetDestinations() {
+		known, seen := l.advice.destinations[d.GetAddress()]
+		if seen && known.FreeTokens <= int(d.GetFreeTokens()) {
+			continue
+		}
+		l.advice.destinations[d.GetAddress()] = handover.Destination{
+			Address:    d.GetAddress(),
+			FreeTokens: int(d.GetFreeTokens()),
+			FreeSlots:  int(d.GetFreeSlots()),
+			SameZone:   d.GetSameZone(),
+			Assigned:   known.Assigned,
+		}
+	}
+}
+
+// moveAll moves runs away, one after the other, until the engine ends.
+func (l *Lookout) moveAll(ctx context.Context, leavesAt moment.Moment) {
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(leavesAt.MillisSince(moment.Now()))*time.Millisecond))
+	defer stop()
+	wait(ctx, adviceMillis)
+	tries := make(map[string]int)
+	for ctx.Err() == nil {
+		left := leavesAt.MillisSince(moment.Now())
+		if left < lastMoveMillis {
+			return
+		}
+		step, ok := l.next(tries, left)
+		if !ok {
+			wait(ctx, replanMillis)
+			continue
+		}
+		tries[step.Run.RequestID]++
+		l.move(ctx, step, left)
+	}
+}
+
+// next returns the move that is due, by the engine's newest report.
+func (l *Lookout) next(tries map[string]int, left int64) (handover.Step, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var runs []handover.Run
+	for _, run := range l.latest.Runs {
+		if tries[run.RequestID] >= maxTries {
+			continue
+		}
+		remaining, advised := l.advice.remaining[run.RequestID]
+		if !advised {
+			remaining = -1
+		}
+		runs = append(runs, handover.Run{RequestID: run.RequestID, Tokens: run.Tokens, Remaining: remaining})
+	}
+	destinations := make([]handover.Destination, 0, len(l.advice.destinations))
+	for _, d := range l.advice.destinations {
+		destinations = append(destinations, d)
+	}
+	step, ok := handover.Next(runs, destinations, left)
+	if ok {
+		l.assign(step)
+	}
+	return step, ok
+}
+
+// assign notes that a run was given to its destination.
+func (l *Lookout) assign(step handover.Step) {
+	d := l.advice.destinations[step.Destination.Address]
+	d.Assigned++
+	d.FreeSlots--
+	d.FreeTokens -= step.Run.Tokens
+	l.advice.destinations[d.Address] = d
+}
+
+// move copies a run, then stops it and copies what is new, and tells the entry
+// hosts where it can go on.
+func (l *Lookout) move(ctx context.Context, step handover.Step, left int64) {
+	started := moment.Now()
+	ahead := step.CopiesAhead(left)
+	if ahead {
+		if !l.copyAndTell(ctx, step, false) {
+			return
+		}
+	}
+	aheadMillis := moment.Now().MillisSince(started)
+	moved := l.copyAndTell(ctx, step, true)
+	l.Log.Info("run moved", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
+		"Tokens", step.Run.Tokens, "Remaining", step.Run.Remaining, "SameZone", step.Destination.SameZone,
+		"LeftMillis", left, "Ahead", ahead, "AheadMillis", aheadMillis,
+		"Millis", moment.Now().MillisSince(started), "Moved", moved)
+}
+
+// copyAndTell copies a run and tells the entry hosts. It reports whether the
+// copy is complete.
+func (l *Lookout) copyAndTell(ctx context.Context, step handover.Step, stop bool) bool {
+	reply, err := l.Engines.Copy(ctx, l.EngineAddress, step.Run.RequestID, step.Destination.Address, stop)
+	if err != nil || !reply.Done {
+		l.Log.Warn("run not copied", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
+			"Stop", stop, "Status", reply.Status, "Error", err)
+	}
+	if reply.Handle == "" {
+		return false
+	}
+	l.publish(moveSighting(step, reply, stop))
+	return reply.Done
+}
+
+func moveSighting(step handover.Step, reply platform.Copy, stop bool) *sighting.Sighting {
+	move := &sighting.Move{RequestId: step.Run.RequestID, Stopped: stop, Handle: reply.Handle}
+	if reply.Done {
+		move.Destination = step.Destination.Address
+	}
+	return &sighting.Sighting{Move: move}
+}
+
+// wait pauses, or returns early when ctx ends.
+func wait(ctx context.Context, millis int64) {
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -167,9 +167,9 @@
 // moveOn waits for the word of a move and goes on there. When the copy does
 // not take the generation, the engine that stopped it is asked.
 func (s *stream) moveOn(ctx context.Context, cause error) bool {
-	report, watched := s.request.relay.Ledger.Report(s.attempt.server.Address)
+	leaving := s.request.relay.Ledger.Leaving(s.attempt.server.ID)
 	move, announced, _ := s.expects.Latest()
-	if !announced && !(watched && report.Leaving) {
+	if !announced && !leaving {
 		return false
 	}
 	wait, stop := context.WithDeadline(ctx, time.Now().Add(moveWaitMillis*time.Millisecond))
--- /dev/null
+++ b/internal/role/directbackend/directbackend.go
@@ -0,0 +1,51 @@
+// Package directbackend runs the process beside an engine that entry hosts
+// speak to directly.
+package directbackend
+
+import (
+	"context"
+	"log/slog"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/lookout"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+// Host is the process beside one engine. Its fields are set before Run.
+type Host struct {
+	Settings process.DirectBackend
+	Log      *slog.Logger
+}
+
+// Run serves until the lifetime's drain begins.
+func (h *Host) Run(life lifetime.Lifetime) error {
+	peers, err := line.ListenPeers(life.Cut, h.Settings.PeerAddress())
+	if err != nil {
+		return err
+	}
+	out := &lookout.Lookout{
+		EngineAddress: h.Settings.EngineAddress,
+		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP()},
+		Log:           h.Log,
+	}
+	handler := drpcmux.New()
+	if err := sighting.DRPCRegisterLookout(handler, out); err != nil {
+		return err
+	}
+	server := &line.Server{Listener: peers, Handler: handler}
+	h.Log.Info("serving", "Name", h.Settings.Name, "Engine", h.Settings.EngineAddress)
+	ctx, stop := context.WithCancel(life.Drain)
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return out.Run(ctx) })
+	group.Go(func() error { return server.Run(ctx) })
+	err = group.Wait()
+	h.Log.Info("stopped", "Name", h.Settings.Name)
+	return err
+}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/watch"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/courier"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
@@ -47,6 +48,7 @@
 	courier *courier.Courier
 	ledger  *seating.Ledger
 	server  *frontdesk.Server
+	watch   *watch.Watch
 	// stopping says that the process takes no new work for long.
 	stopping atomic.Bool
 }
@@ -69,6 +71,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return h.courier.Run(ctx) })
 	group.Go(func() error { return h.server.Run(ctx) })
+	group.Go(func() error { return h.watch.Run(ctx) })
 	group.Go(func() error { return line.HTTPServer{Listener: ready, Handler: h.readiness()}.Run(ctx) })
 	group.Go(func() error {
 		defer end()
@@ -86,6 +89,15 @@
 		Log:   h.Log,
 	}
 	h.ledger = &seating.Ledger{Zone: h.Settings.Zone}
+	moves := &relay.Moves{}
+	h.watch = &watch.Watch{
+		Courier:  h.courier,
+		Ledger:   h.ledger,
+		Moves:    moves,
+		Log:      h.Log,
+		Zone:     h.Settings.Zone,
+		PeerPort: h.Settings.PeerPort,
+	}
 	h.server = &frontdesk.Server{
 		Listener: callers,
 		Log:      h.Log,
@@ -93,7 +105,7 @@
 		Handler: &relay.Relay{
 			Courier:      h.courier,
 			Ledger:       h.ledger,
-			Moves:        &relay.Moves{},
+			Moves:        moves,
 			Retries:      h.retries(),
 			Log:          h.Log,
 			RevokeMillis: h.Settings.RevokeMillis,
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -25,10 +25,6 @@
 	Running    int
 	Queued     int
 	UsedTokens int
-	// Leaving says that the engine ends soon.
-	Leaving bool
-	// LeavesAt is when it ends, by this host's clock; zero when not known.
-	LeavesAt   moment.Moment
 	ReceivedAt moment.Moment
 }
 
@@ -40,8 +36,10 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	// reports by the address of the engine.
+	// reports by the ID of the engine.
 	reports map[string]Report
+	// leaving holds when engines end, by ID.
+	leaving map[string]moment.Moment
 }
 
 // account is what this entry host did at one backend server.
@@ -116,29 +114,72 @@
 	a.failureShare += failureWeight * (value - a.failureShare)
 }
 
-// Learn takes over a report of the engine at an address.
-func (l *Ledger) Learn(address string, report Report) {
+// Learn takes over a report of an engine.
+func (l *Ledger) Learn(server string, report Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.reports == nil {
 		l.reports = make(map[string]Report)
 	}
-	l.reports[address] = report
+	l.reports[server] = report
 }
 
-// Forget drops the report of an engine that is no longer watched.
-func (l *Ledger) Forget(address string) {
+// LearnLeaving takes over when an engine ends.
+func (l *Ledger) LearnLeaving(server string, at moment.Moment) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.reports, address)
+	if l.leaving == nil {
+		l.leaving = make(map[string]moment.Moment)
+	}
+	l.leaving[server] = at
+}
+
+// Leaving reports whether an engine is known to end soon.
+func (l *Ledger) Leaving(server string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, leaving := l.leaving[server]
+	return leaving
 }
 
-// Report returns the newest report of the engine at an address.
-func (l *Ledger) Report(address string) (Report, bool) {
+// Forget drops what was reported of an engine that is no longer watched.
+func (l *Ledger) Forget(server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report, ok := l.reports[address]
-	return report, ok
+	delete(l.reports, server)
+	delete(l.leaving, server)
+}
+
+// Room is the room of one engine.
+type Room struct {
+	Server     muster.BackendServer
+	FreeTokens int
+	FreeSlots  int
+}
+
+// Room returns the room of the servers that stay and of which there is a
+// recent report.
+func (l *Ledger) Room(ready []muster.BackendServer, service timetable.Service) []Room {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := moment.Now()
+	var rooms []Room
+	for _, server := range ready {
+		report, reported := l.reports[server.ID]
+		if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
+			continue
+		}
+		c := l.candidate(server, Ask{Service: service}, now)
+		if c.Leaving {
+			continue
+		}
+		rooms = append(rooms, Room{
+			Server:     server,
+			FreeTokens: c.MemoryTokens - c.UsedTokens,
+			FreeSlots:  c.Slots - c.Running - c.Queued,
+		})
+	}
+	return rooms
 }
 
 // Prune drops the accounts of servers that are no longer listed and have no
@@ -187,15 +228,19 @@
 	for seat := range a.seats {
 		c.UsedTokens += seat.tokens
 	}
-	report, reported := l.reports[server.Address]
+	if _, leaving := l.leaving[server.ID]; leaving && !ask.MayLeave {
+		c.Leaving = true
+	}
+	report, reported := l.reports[server.ID]
 	if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
 		return c
 	}
-	return c.withReport(report, a, ask)
+	return c.withReport(report, a)
 }
 
-func (c Candidate) withReport(report Report, a *account, ask Ask) Candidate {
-	c.Leaving = report.Leaving && !ask.MayLeave
+// withReport returns the candidate with the load that was reported, and what
+// was sent there since.
+func (c Candidate) withReport(report Report, a *account) Candidate {
 	c.Running = report.Running
 	c.Queued = report.Queued
 	c.UsedTokens = report.UsedTokens
--- /dev/null
+++ b/internal/routing/watch/watch.go
@@ -0,0 +1,237 @@
+// Package watch follows the processes beside engines: an entry host learns the
+// load of each engine and of moves, and advises engines that end.
+package watch
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/courier"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// rosterMillis is the pause between looks at the list of backend servers.
+	rosterMillis = 200
+	// redialMillis is the pause before a stream that ended is opened anew.
+	redialMillis = 500
+	// silenceMillis is the silence after which a stream counts as dead. It is
+	// longer than the pause between reports.
+	silenceMillis = 3000
+)
+
+// Watch follows the engines of the list. Its exported fields are set before
+// Run.
+type Watch struct {
+	Courier *courier.Courier
+	Ledger  *seating.Ledger
+	Moves   *relay.Moves
+	Log     *slog.Logger
+	// Zone is the entry host's availability zone.
+	Zone string
+	// PeerPort is the port of the processes beside engines.
+	PeerPort int
+}
+
+// identity names one incarnation of an engine.
+type identity struct {
+	id   string
+	born int64
+}
+
+// Run follows the engines until ctx ends.
+func (w *Watch) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		w.follow(ctx, group)
+		return nil
+	})
+	return group.Wait()
+}
+
+// follow keeps one stream open to each engine that is listed.
+func (w *Watch) follow(ctx context.Context, group *errgroup.Group) {
+	watched := make(map[identity]context.CancelFunc)
+	ticker := time.NewTicker(rosterMillis * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		listed := w.engines()
+		for key, server := range listed {
+			if _, ok := watched[key]; ok {
+				continue
+			}
+			each, stop := context.WithCancel(ctx)
+			watched[key] = stop
+			group.Go(func() error {
+				w.keepWatching(each, server)
+				return nil
+			})
+		}
+		for key, stop := range watched {
+			if _, ok := listed[key]; !ok {
+				stop()
+				delete(watched, key)
+			}
+		}
+		w.Ledger.Prune(w.Courier.Servers().List)
+		select {
+		case <-ctx.Done():
+			for _, stop := range watched {
+				stop()
+			}
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// engines returns the listed servers of services with engines.
+func (w *Watch) engines() map[identity]muster.BackendServer {
+	engines := make(map[identity]muster.BackendServer)
+	table := w.Courier.Configuration().Timetable
+	if table == nil {
+		return engines
+	}
+	for _, server := range w.Courier.Servers().List.All() {
+		service, ok := table.Service(server.Service)
+		if ok && service.Engine != nil {
+			engines[identity{server.ID, server.BornUnixMillis}] = server
+		}
+	}
+	return engines
+}
+
+// keepWatching watches one engine, over fresh connections, until ctx ends.
+func (w *Watch) keepWatching(ctx context.Context, server muster.BackendServer) {
+	defer w.Ledger.Forget(server.ID)
+	lost := false
+	for ctx.Err() == nil {
+		err := w.watch(ctx, server, func() {
+			if lost {
+				w.Log.Info("engine's process regained", "Server", server.ID)
+			}
+			lost = false
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			w.Log.Warn("engine's process lost", "Server", server.ID, "Address", server.Address, "Error", err)
+		}
+		lost = true
+		timer := time.NewTimer(redialMillis * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// watch opens one stream and takes over what it brings.
+func (w *Watch) watch(ctx context.Context, server muster.BackendServer, opened func()) error {
+	host, _, err := net.SplitHostPort(server.Address)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	conn, err := line.Dial(ctx, net.JoinHostPort(host, strconv.Itoa(w.PeerPort)))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := sighting.NewDRPCLookoutClient(conn).Watch(ctx)
+	if err != nil {
+		return err
+	}
+	if err := stream.Send(&sighting.Advice{}); err != nil {
+		return err
+	}
+	silence := time.AfterFunc(silenceMillis*time.Millisecond, stop)
+	defer silence.Stop()
+	for {
+		s, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silence.Reset(silenceMillis * time.Millisecond)
+		opened()
+		if err := w.take(stream, server, s); err != nil {
+			return err
+		}
+	}
+}
+
+// take acts on one report of an engine.
+func (w *Watch) take(stream sighting.DRPCLookout_WatchClient, server muster.BackendServer, s *sighting.Sighting) error {
+	now := moment.Now()
+	switch {
+	case s.GetLoad() != nil:
+		load := s.GetLoad()
+		w.Ledger.Learn(server.ID, seating.Report{
+			Running:    int(load.GetRunning()),
+			Queued:     int(load.GetQueued()),
+			UsedTokens: int(load.GetUsedTokens()),
+			ReceivedAt: now,
+		})
+	case s.GetNotice() != nil:
+		left := int64(s.GetNotice().GetLeavesInMillis())
+		w.Log.Info("engine leaves", "Server", server.ID, "InMillis", left)
+		w.Ledger.LearnLeaving(server.ID, now.AddMillis(left))
+		return stream.Send(w.advise(server))
+	case s.GetMove() != nil:
+		move := s.GetMove()
+		w.Moves.Announce(relay.Move{
+			RequestID:   move.GetRequestId(),
+			Stopped:     move.GetStopped(),
+			Source:      platform.Handle{Address: server.Address, ID: move.GetHandle()},
+			Destination: move.GetDestination(),
+		})
+	}
+	return nil
+}
+
+// advise tells an engine that ends which runs are this host's, and which
+// engines have room.
+func (w *Watch) advise(leaving muster.BackendServer) *sighting.Advice {
+	advice := &sighting.Advice{}
+	for _, run := range w.Moves.On(leaving.Address) {
+		advice.Runs = append(advice.Runs, &sighting.Run{
+			RequestId:       run.RequestID,
+			RemainingTokens: uint32(run.RemainingTokens),
+		})
+	}
+	table := w.Courier.Configuration().Timetable
+	if table == nil {
+		return advice
+	}
+	service, ok := table.Service(leaving.Service)
+	if !ok {
+		return advice
+	}
+	ready := w.Courier.Servers().List.Ready(leaving.Service, moment.Now())
+	for _, room := range w.Ledger.Room(ready, service) {
+		if room.Server.ID == leaving.ID {
+			continue
+		}
+		advice.Destinations = append(advice.Destinations, &sighting.Destination{
+			Address:    room.Server.Address,
+			FreeTokens: uint32(max(room.FreeTokens, 0)),
+			FreeSlots:  uint32(max(room.FreeSlots, 0)),
+			SameZone:   room.Server.Zone == leaving.Zone,
+		})
+	}
+	return advice
+}
