feat: engines that end divide their destinations; prompts spread by what is starting

Cause: copies of two engines that end queued on one destination's link (up to 390 ms between copy and stop), moved runs were tried again, and prompts were placed beside prompts that were still being read. Change: entry hosts divide destinations among engines that end, own zone first; a placement counts requests without an event; runs past their estimate count as going on.

--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -23,10 +23,13 @@
 	guessedRemaining = 500
 	// otherZoneTokens is the free memory that an engine in the own zone may
 	// lack compared with one in another zone.
-	otherZoneTokens = 6000
+	otherZoneTokens = 12_000
+	// contendedTokens is the free memory that an engine may lack compared with
+	// one to which another engine that ends copies its runs.
+	contendedTokens = 15_000
 	// assignedTokens weighs each run that was given to an engine shortly
 	// before, in free tokens, as its copies queue there.
-	assignedTokens = 4000
+	assignedTokens = 2000
 )
 
 // Run is a generation on the engine that ends.
@@ -45,6 +48,8 @@
 	FreeTokens int
 	FreeSlots  int
 	SameZone   bool
+	// Contended says that another engine that ends copies its runs there.
+	Contended bool
 	// Assigned is the number of runs that were given to it by this engine.
 	Assigned int
 }
@@ -110,6 +115,9 @@
 	if !d.SameZone {
 		room -= otherZoneTokens
 	}
+	if d.Contended {
+		room -= contendedTokens
+	}
 	return room
 }
 
--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -22,7 +22,7 @@
 	// askMillis bounds one question.
 	askMillis = 500
 	// reportMillis is the pause between reports of a load that changes.
-	reportMillis = 200
+	reportMillis = 120
 	// idleReportMillis is the pause between reports of a load that stays.
 	idleReportMillis = 1000
 	// outboxLength bounds the reports that wait for a slow entry host.
@@ -97,7 +97,7 @@
 // due reports whether a load should be sent to the entry hosts.
 func due(reported, report platform.EngineReport, sinceMillis int64) bool {
 	changed := reported.Running != report.Running || reported.Queued != report.Queued ||
-		reported.UsedTokens != report.UsedTokens
+		reported.UsedTokens != report.UsedTokens || starting(reported) != starting(report)
 	if changed {
 		return sinceMillis >= reportMillis
 	}
@@ -152,9 +152,21 @@
 		Queued:      uint32(report.Queued),
 		UsedTokens:  uint32(report.UsedTokens),
 		TotalTokens: uint32(report.TotalTokens),
+		Starting:    uint32(starting(report)),
 	}}
 }
 
+// starting counts the requests that have made no event yet.
+func starting(report platform.EngineReport) int {
+	count := report.Queued
+	for _, run := range report.Runs {
+		if run.Events == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func noticeSighting(leavesAt, now moment.Moment) *sighting.Sighting {
 	left := max(leavesAt.MillisSince(now), 0)
 	return &sighting.Sighting{Notice: &sighting.Notice{LeavesInMillis: uint32(left)}}
--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -32,8 +32,8 @@
 	destinations map[string]handover.Destination
 }
 
-// takeAdvice adds the advice of one entry host. Of two that differ about an
-// engine, the one that sees less room counts.
+// takeAdvice takes over the advice of one entry host. Of two that differ about
+// a destination the newer one counts.
 func (l *Lookout) takeAdvice(message *sighting.Advice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -47,15 +47,13 @@
 		l.advice.remaining[run.GetRequestId()] = int(run.GetRemainingTokens())
 	}
 	for _, d := range message.GetDestinations() {
-		known, seen := l.advice.destinations[d.GetAddress()]
-		if seen && known.FreeTokens <= int(d.GetFreeTokens()) {
-			continue
-		}
+		known := l.advice.destinations[d.GetAddress()]
 		l.advice.destinations[d.GetAddress()] = handover.Destination{
 			Address:    d.GetAddress(),
 			FreeTokens: int(d.GetFreeTokens()),
 			FreeSlots:  int(d.GetFreeSlots()),
 			SameZone:   d.GetSameZone(),
+			Contended:  d.GetContended(),
 			Assigned:   known.Assigned,
 		}
 	}
@@ -78,7 +76,9 @@
 			continue
 		}
 		tries[step.Run.RequestID]++
-		l.move(ctx, step, left)
+		if l.move(ctx, step, left) {
+			tries[step.Run.RequestID] = maxTries
+		}
 	}
 }
 
@@ -118,13 +118,13 @@
 }
 
 // move copies a run, then stops it and copies what is new, and tells the entry
-// hosts where it can go on.
-func (l *Lookout) move(ctx context.Context, step handover.Step, left int64) {
+// hosts where it can go on. It reports whether the run needs no further move.
+func (l *Lookout) move(ctx context.Context, step handover.Step, left int64) bool {
 	started := moment.Now()
 	ahead := step.CopiesAhead(left)
 	if ahead {
 		if !l.copyAndTell(ctx, step, false) {
-			return
+			return false
 		}
 	}
 	aheadMillis := moment.Now().MillisSince(started)
@@ -133,6 +133,7 @@
 		"Tokens", step.Run.Tokens, "Remaining", step.Run.Remaining, "SameZone", step.Destination.SameZone,
 		"LeftMillis", left, "Ahead", ahead, "AheadMillis", aheadMillis,
 		"Millis", moment.Now().MillisSince(started), "Moved", moved)
+	return moved
 }
 
 // copyAndTell copies a run and tells the entry hosts. It reports whether the
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -37,6 +37,12 @@
 	delivered atomic.Int64
 	// moves counts how often the stream went on elsewhere.
 	moves int
+	// lastEventAt is when the newest event came; zero before the first one.
+	lastEventAt moment.Moment
+	// firstMillis is the time to the first event, and pauseMillis the longest
+	// pause between two.
+	firstMillis int64
+	pauseMillis int64
 }
 
 // errSilent says that an engine sent nothing for too long.
@@ -66,10 +72,20 @@
 	}
 }
 
-// remainingTokens estimates what is still to be generated.
+// remainingTokens estimates what is still to be generated. A generation that
+// is past its estimate goes on for a share of what it has made.
 func (s *stream) remainingTokens() int {
-	const bytesPerToken = 85
-	return max(s.request.tokens()-s.request.caller.PromptTokens-int(s.delivered.Load()/bytesPerToken), 0)
+	const (
+		bytesPerToken = 85
+		pastShare     = 2
+	)
+	made := int(s.delivered.Load() / bytesPerToken)
+	caller := s.request.caller
+	remaining := max(s.request.tokens()-caller.PromptTokens-made, made/pastShare)
+	if caller.MaxOutputTokens > 0 {
+		remaining = min(remaining, max(caller.MaxOutputTokens-made, 0))
+	}
+	return remaining
 }
 
 // complete ends the caller's answer.
@@ -77,7 +93,8 @@
 	s.attempt.close(false)
 	s.begin()
 	s.request.exchange.End()
-	s.request.log("streamed", "Server", s.attempt.server.ID, "LastEvent", s.events.lastID, "Moves", s.moves)
+	s.request.log("streamed", "Server", s.attempt.server.ID, "LastEvent", s.events.lastID, "Moves", s.moves,
+		"FirstMillis", s.firstMillis, "PauseMillis", s.pauseMillis)
 	return streamed{}
 }
 
@@ -113,6 +130,7 @@
 		n, err := body.Read(buffer)
 		if whole := s.events.add(buffer[:n]); len(whole) > 0 {
 			s.begin()
+			s.time(moment.Now())
 			if s.request.exchange.Send(whole) != nil {
 				return errCallerGone
 			}
@@ -130,6 +148,17 @@
 	}
 }
 
+// time notes that events came.
+func (s *stream) time(now moment.Moment) {
+	if s.lastEventAt == 0 {
+		s.firstMillis = now.MillisSince(s.request.arrivedAt)
+		s.attempt.seat.Begin()
+	} else {
+		s.pauseMillis = max(s.pauseMillis, now.MillisSince(s.lastEventAt))
+	}
+	s.lastEventAt = now
+}
+
 // boundSilence sets the time by which the next event must come. The wait for
 // the first one is bounded by the request's deadline only.
 func (s *stream) boundSilence() error {
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -25,6 +25,8 @@
 	Running    int
 	Queued     int
 	UsedTokens int
+	// Starting are the requests that have made no event yet.
+	Starting   int
 	ReceivedAt moment.Moment
 }
 
@@ -56,6 +58,8 @@
 	server string
 	tokens int
 	sentAt moment.Moment
+	// begun says that the server has made the first event.
+	begun bool
 }
 
 // Ask is a request that needs a backend server.
@@ -100,6 +104,13 @@
 	return seat
 }
 
+// Begin notes that the server has made the first event.
+func (s *Seat) Begin() {
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	s.begun = true
+}
+
 // End closes a seat. Failed says that the server failed the request.
 func (s *Seat) End(failed bool, now moment.Moment) {
 	s.ledger.mu.Lock()
@@ -150,6 +161,17 @@
 	delete(l.leaving, server)
 }
 
+// Ending returns the IDs of the engines that are known to end soon.
+func (l *Ledger) Ending() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := make([]string, 0, len(l.leaving))
+	for id := range l.leaving {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // Room is the room of one engine.
 type Room struct {
 	Server     muster.BackendServer
@@ -227,6 +249,9 @@
 	c.MemoryTokens = ask.Service.Engine.MemoryTokens
 	for seat := range a.seats {
 		c.UsedTokens += seat.tokens
+		if !seat.begun {
+			c.Starting++
+		}
 	}
 	if _, leaving := l.leaving[server.ID]; leaving && !ask.MayLeave {
 		c.Leaving = true
@@ -244,10 +269,12 @@
 	c.Running = report.Running
 	c.Queued = report.Queued
 	c.UsedTokens = report.UsedTokens
+	c.Starting = report.Starting
 	for seat := range a.seats {
 		if report.ReceivedAt.Before(seat.sentAt) {
 			c.UsedTokens += seat.tokens
 			c.Running++
+			c.Starting++
 		}
 	}
 	return c
--- a/internal/routing/seating/seating.go
+++ b/internal/routing/seating/seating.go
@@ -12,8 +12,9 @@
 	otherZoneCost = 0.08
 	// coldCost is the cost of a backend server that has just started.
 	coldCost = 0.3
-	// queuedCost is the cost of one request that waits in its queue.
-	queuedCost = 0.05
+	// startingCost is the cost of one request there that has made no event yet,
+	// as prompts are read one after the other.
+	startingCost = 0.25
 	// failureCost is the cost of a backend server that fails every request.
 	failureCost = 3.0
 	// spreadCost is the greatest cost that is drawn at random, so that entry
@@ -39,6 +40,8 @@
 	Tried bool
 	// Slots is the number of requests that it runs at once.
 	Slots int
+	// Starting are the requests there that have made no event yet.
+	Starting int
 	// Running and Queued are the requests there, from all entry hosts.
 	Running int
 	Queued  int
@@ -77,10 +80,10 @@
 	if c.Cold {
 		cost += coldCost
 	}
-	cost += queuedCost * float64(c.Queued)
 	if c.MemoryTokens == 0 {
 		return cost + float64(c.Running)/float64(max(c.Slots, 1))
 	}
+	cost += startingCost * float64(c.Starting)
 	share := float64(c.UsedTokens+tokens) / float64(c.MemoryTokens)
 	if share > fullShare || c.Running >= c.Slots {
 		cost += fullCost
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -5,12 +5,16 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
@@ -42,6 +46,53 @@
 	Zone string
 	// PeerPort is the port of the processes beside engines.
 	PeerPort int
+
+	ending streams
+}
+
+// streams holds the streams to engines that end. It is safe for concurrent
+// use.
+type streams struct {
+	mu sync.Mutex
+	// all by the ID of the engine.
+	all map[string]endingEngine
+}
+
+// endingEngine is an engine that ends, with the stream to its process.
+type endingEngine struct {
+	server muster.BackendServer
+	stream sighting.DRPCLookout_WatchClient
+}
+
+func (s *streams) open(server muster.BackendServer, stream sighting.DRPCLookout_WatchClient) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = make(map[string]endingEngine)
+	}
+	s.all[server.ID] = endingEngine{server: server, stream: stream}
+}
+
+func (s *streams) close(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, id)
+}
+
+func (s *streams) list() []endingEngine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.all))
+}
+
+// adviseAll advises every engine that ends, as a further one changes the
+// advice for all.
+func (w *Watch) adviseAll() {
+	for _, e := range w.ending.list() {
+		if err := e.stream.Send(w.advise(e.server)); err != nil {
+			w.Log.Warn("engine that leaves not advised", "Server", e.server.ID, "Error", err)
+		}
+	}
 }
 
 // identity names one incarnation of an engine.
@@ -152,6 +203,7 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
+	defer w.ending.close(server.ID)
 	stream, err := sighting.NewDRPCLookoutClient(conn).Watch(ctx)
 	if err != nil {
 		return err
@@ -184,13 +236,15 @@
 			Running:    int(load.GetRunning()),
 			Queued:     int(load.GetQueued()),
 			UsedTokens: int(load.GetUsedTokens()),
+			Starting:   int(load.GetStarting()),
 			ReceivedAt: now,
 		})
 	case s.GetNotice() != nil:
 		left := int64(s.GetNotice().GetLeavesInMillis())
 		w.Log.Info("engine leaves", "Server", server.ID, "InMillis", left)
 		w.Ledger.LearnLeaving(server.ID, now.AddMillis(left))
-		return stream.Send(w.advise(server))
+		w.ending.open(server, stream)
+		w.adviseAll()
 	case s.GetMove() != nil:
 		move := s.GetMove()
 		w.Moves.Announce(relay.Move{
@@ -221,8 +275,9 @@
 	if !ok {
 		return advice
 	}
-	ready := w.Courier.Servers().List.Ready(leaving.Service, moment.Now())
-	for _, room := range w.Ledger.Room(ready, service) {
+	rooms := w.Ledger.Room(w.Courier.Servers().List.Ready(leaving.Service, moment.Now()), service)
+	owners := w.divide(leaving, rooms)
+	for _, room := range rooms {
 		if room.Server.ID == leaving.ID {
 			continue
 		}
@@ -231,7 +286,23 @@
 			FreeTokens: uint32(max(room.FreeTokens, 0)),
 			FreeSlots:  uint32(max(room.FreeSlots, 0)),
 			SameZone:   room.Server.Zone == leaving.Zone,
+			Contended:  owners[room.Server.ID] != leaving.ID,
 		})
 	}
 	return advice
 }
+
+// divide gives each destination to one of the engines of a service that end.
+func (w *Watch) divide(leaving muster.BackendServer, rooms []seating.Room) map[string]string {
+	var ending, destinations []handover.Place
+	list := w.Courier.Servers().List
+	for _, id := range w.Ledger.Ending() {
+		if server, ok := list.Find(id); ok && server.Service == leaving.Service {
+			ending = append(ending, handover.Place{ID: id, Zone: server.Zone})
+		}
+	}
+	for _, room := range rooms {
+		destinations = append(destinations, handover.Place{ID: room.Server.ID, Zone: room.Server.Zone})
+	}
+	return handover.Divide(ending, destinations)
+}
