feat: placements are announced; processes reload on a hang-up and refuse what they cannot finish

Change: an entry host tells the engine's process of a placement, which tells the others at once; streams to unlisted engines stay open; a signal reads the settings again; a process that stops refuses what it could not finish.

--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -32,7 +32,7 @@
 		Flags: directFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return runDirect(ctx, c, process.LoadDirectEntry, func(s process.DirectEntry, log *slog.Logger) roleRunner {
-				return (&directentry.Host{Settings: s, Log: log}).Run
+				return (&directentry.Host{Settings: s, SettingsPath: c.String("settings"), Log: log}).Run
 			})
 		},
 	}
@@ -45,7 +45,7 @@
 		Flags: directFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return runDirect(ctx, c, process.LoadDirectBackend, func(s process.DirectBackend, log *slog.Logger) roleRunner {
-				return (&directbackend.Host{Settings: s, Log: log}).Run
+				return (&directbackend.Host{Settings: s, SettingsPath: c.String("settings"), Log: log}).Run
 			})
 		},
 	}
--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -23,10 +23,10 @@
 	guessedRemaining = 500
 	// otherZoneTokens is the free memory that an engine in the own zone may
 	// lack compared with one in another zone.
-	otherZoneTokens = 12_000
+	otherZoneTokens = 20_000
 	// contendedTokens is the free memory that an engine may lack compared with
 	// one to which another engine that ends copies its runs.
-	contendedTokens = 15_000
+	contendedTokens = 25_000
 	// assignedTokens weighs each run that was given to an engine shortly
 	// before, in free tokens, as its copies queue there.
 	assignedTokens = 2000
@@ -70,7 +70,7 @@
 		return cmp.Or(cmp.Compare(a.Tokens, b.Tokens), cmp.Compare(a.RequestID, b.RequestID))
 	})
 	for _, run := range leaving {
-		if destination, ok := choose(run, destinations); ok {
+		if destination, ok := choose(run, destinations, leavesInMillis); ok {
 			return Step{Run: run, Destination: destination}, true
 		}
 	}
@@ -94,13 +94,16 @@
 }
 
 // choose returns the destination with the most room, with the own zone
-// preferred.
-func choose(run Run, destinations []Destination) (Destination, bool) {
+// preferred, among those that the copy reaches in time.
+func choose(run Run, destinations []Destination, leavesInMillis int64) (Destination, bool) {
 	best, found := Destination{}, false
 	for _, d := range destinations {
 		if d.FreeSlots < 1 || d.FreeTokens < run.need() {
 			continue
 		}
+		if (Step{Run: run, Destination: d}).CopyMillis() > leavesInMillis {
+			continue
+		}
 		if !found || d.room() > best.room() {
 			best, found = d, true
 		}
--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -44,6 +44,14 @@
 	// leavesAt is the moment at which the engine ends; zero while it stays.
 	leavesAt moment.Moment
 	advice   advice
+	// placed are the requests on their way here since the latest report.
+	placed placements
+}
+
+// placements are requests on their way to the engine.
+type placements struct {
+	count  int
+	tokens int
 }
 
 // watcher is an entry host that watches.
@@ -82,7 +90,7 @@
 		}
 		if err == nil {
 			l.learn(ctx, group, report, now)
-			if due(reported, report, now.MillisSince(reportedAt)) {
+			if l.takePlacements() || due(reported, report, now.MillisSince(reportedAt)) {
 				l.publish(loadSighting(report))
 				reported, reportedAt = report, now
 			}
@@ -172,11 +180,35 @@
 	return &sighting.Sighting{Notice: &sighting.Notice{LeavesInMillis: uint32(left)}}
 }
 
+// takePlacements forgets the requests on their way and reports whether there
+// were any, so that their estimate is replaced by what the engine says.
+func (l *Lookout) takePlacements() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	had := l.placed.count > 0
+	l.placed = placements{}
+	return had
+}
+
+// place tells the entry hosts of a request on its way before the engine shows
+// it.
+func (l *Lookout) place(p *sighting.Placement) {
+	l.mu.Lock()
+	l.placed.count++
+	l.placed.tokens += int(p.GetTokens())
+	report := l.latest
+	report.UsedTokens += l.placed.tokens
+	report.Queued += l.placed.count
+	l.mu.Unlock()
+	l.publish(loadSighting(report))
+}
+
 // publish puts a report into every outbox. An entry host that takes none loses
 // its stream and watches anew.
 func (l *Lookout) publish(s *sighting.Sighting) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s.EngineBornUnixMillis = l.latest.BornUnixMillis
 	for w := range l.watchers {
 		select {
 		case w.outbox <- s:
@@ -199,6 +231,10 @@
 				l.leave(w)
 				return err
 			}
+			if message.GetPlacement() != nil {
+				l.place(message.GetPlacement())
+				continue
+			}
 			l.takeAdvice(message)
 		}
 	})
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -154,12 +154,18 @@
 	now := moment.Now()
 	ready := q.relay.Courier.Servers().List.Ready(q.service.Name, now)
 	ask := seating.Ask{Service: q.service, Tokens: q.tokens(), Tried: q.tried}
-	server, seat, ok := q.relay.Ledger.Take(ready, ask, now)
+	chosen, seat, ok := q.relay.Ledger.Take(ready, ask, now)
 	if !ok {
 		ask.MayLeave = true
-		server, seat, ok = q.relay.Ledger.Take(ready, ask, now)
+		chosen, seat, ok = q.relay.Ledger.Take(ready, ask, now)
 	}
-	return &attempt{server: server, seat: seat}, ok
+	if ok && q.service.Engine != nil {
+		q.relay.Placed(chosen.Server.ID, ask.Tokens)
+		q.log("placed", "Server", chosen.Server.ID, "Candidates", len(ready), "Tokens", ask.Tokens,
+			"Starting", chosen.Starting, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens,
+			"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
+	}
+	return &attempt{server: chosen.Server, seat: seat}, ok
 }
 
 // tokens returns the memory that the request will need, in tokens.
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -24,7 +24,19 @@
 	Ledger  *seating.Ledger
 	Moves   *Moves
 	Retries *Retries
-	Log     *slog.Logger
+	// Placed is called when a request was placed at an engine, with the memory
+	// that it needs, in tokens.
+	Placed func(server string, tokens int)
+	// Bounds returns the bounds in force. They may change between requests.
+	Bounds func() Bounds
+	// EndsAt returns when the process ends that was told to stop; zero while it
+	// was not.
+	EndsAt func() moment.Moment
+	Log    *slog.Logger
+}
+
+// Bounds are the bounds of what a configuration vouches for.
+type Bounds struct {
 	// RevokeMillis is the age up to which a configuration vouches for a key.
 	RevokeMillis int64
 	// ApplyMillis is the age up to which a configuration vouches for what it
@@ -83,6 +95,14 @@
 	// crowdedRetryMillis is when to come back when no backend server takes the
 	// request.
 	crowdedRetryMillis = 500
+	// stoppingRetryMillis is when to come back, to another entry host.
+	stoppingRetryMillis = 50
+	// plainMillis is the time that an answer of a plain service takes at most.
+	plainMillis = 300
+	// promptMillis is the time until the first event of a generation, and
+	// tokenMillis that for each further token, when engines are busy.
+	promptMillis = 1000
+	tokenMillis  = 18
 	// spreadShare is the share of a time to come back that is drawn at random.
 	spreadShare = 0.5
 	// revokeMarginMillis is kept free before a key must no longer be accepted.
@@ -113,7 +133,26 @@
 		return Refusal{http.StatusBadRequest, "NoIdentity", 0}, false
 	}
 	q.endsAt = q.deadline()
-	return Refusal{}, true
+	return q.checkEnd()
+}
+
+// checkEnd refuses what the process could not finish before it ends.
+func (q *request) checkEnd() (Refusal, bool) {
+	endsAt := q.relay.EndsAt()
+	if endsAt == 0 || q.arrivedAt.AddMillis(q.estimatedMillis()) < endsAt {
+		return Refusal{}, true
+	}
+	return Refusal{http.StatusServiceUnavailable, "Stopping", stoppingRetryMillis}, false
+}
+
+// estimatedMillis returns the time until the request probably has its whole
+// answer.
+func (q *request) estimatedMillis() int64 {
+	if q.service.Engine == nil {
+		return plainMillis
+	}
+	output := q.tokens() - q.caller.PromptTokens
+	return promptMillis + int64(output)*tokenMillis
 }
 
 // checkKey finds the client account of the request's key.
@@ -125,7 +164,7 @@
 	if !ok {
 		return q.deny(http.StatusUnauthorized, "UnknownKey", age), false
 	}
-	if age > q.relay.RevokeMillis-revokeMarginMillis {
+	if age > q.relay.Bounds().RevokeMillis-revokeMarginMillis {
 		return Refusal{http.StatusServiceUnavailable, "ConfigurationTooOld", unconfiguredRetryMillis}, false
 	}
 	q.account = account
@@ -135,7 +174,7 @@
 // deny refuses what the configuration does not hold. A configuration that is
 // not current cannot tell.
 func (q *request) deny(status int, reason string, age int64) Refusal {
-	if age > q.relay.ApplyMillis {
+	if age > q.relay.Bounds().ApplyMillis {
 		return Refusal{http.StatusServiceUnavailable, "ConfigurationTooOld", unconfiguredRetryMillis}
 	}
 	return Refusal{status, reason, 0}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -226,6 +226,9 @@
 		return nil, false
 	}
 	server, ok := s.request.relay.serverAt(address)
+	if address == s.attempt.server.Address {
+		server, ok = s.attempt.server, true
+	}
 	if !ok {
 		return nil, false
 	}
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -20,7 +20,9 @@
 // Host is the process beside one engine. Its fields are set before Run.
 type Host struct {
 	Settings process.DirectBackend
-	Log      *slog.Logger
+	// SettingsPath is the file that is read again on request.
+	SettingsPath string
+	Log          *slog.Logger
 }
 
 // Run serves until the lifetime's drain begins.
@@ -45,7 +47,22 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return out.Run(ctx) })
 	group.Go(func() error { return server.Run(ctx) })
+	group.Go(func() error {
+		lifetime.OnReload(ctx, h.reload)
+		return nil
+	})
 	err = group.Wait()
 	h.Log.Info("stopped", "Name", h.Settings.Name)
 	return err
 }
+
+// reload checks the settings anew. All of them hold from the start of the
+// process to its end.
+func (h *Host) reload() {
+	settings, err := process.LoadDirectBackend(h.SettingsPath)
+	if err != nil {
+		h.Log.Error("settings not read again", "Path", h.SettingsPath, "Error", err)
+		return
+	}
+	h.Log.Info("settings read again", "Path", h.SettingsPath, "Restart", settings != h.Settings)
+}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -31,8 +31,8 @@
 	// memoryShare is the share of the memory limit from which on the runtime
 	// collects garbage more often.
 	memoryShare = 0.7
-	// acceptMillis is how long a process that stops still takes requests, until
-	// the platform sends it no more connections.
+	// acceptMillis is how long a process that stops keeps connections that wait
+	// for a request, until the platform sends it no more.
 	acceptMillis = 2600
 	// lastMillis is kept free at the end of the grace period.
 	lastMillis = 300
@@ -43,14 +43,19 @@
 // Host is the process of one entry host. Its fields are set before Run.
 type Host struct {
 	Settings process.DirectEntry
-	Log      *slog.Logger
+	// SettingsPath is the file that is read again on request.
+	SettingsPath string
+	Log          *slog.Logger
 
 	courier *courier.Courier
 	ledger  *seating.Ledger
 	server  *frontdesk.Server
 	watch   *watch.Watch
-	// stopping says that the process takes no new work for long.
-	stopping atomic.Bool
+	// bounds may change when the settings are read again.
+	bounds atomic.Pointer[relay.Bounds]
+	// endsAt is the moment at which a process that was told to stop ends; zero
+	// before.
+	endsAt atomic.Int64
 }
 
 // Run serves until the lifetime's drain has ended.
@@ -73,6 +78,10 @@
 	group.Go(func() error { return h.server.Run(ctx) })
 	group.Go(func() error { return h.watch.Run(ctx) })
 	group.Go(func() error { return line.HTTPServer{Listener: ready, Handler: h.readiness()}.Run(ctx) })
+	group.Go(func() error {
+		lifetime.OnReload(ctx, h.reload)
+		return nil
+	})
 	group.Go(func() error {
 		defer end()
 		return h.awaitEnd(life)
@@ -84,6 +93,7 @@
 
 // prepare builds the parts.
 func (h *Host) prepare(callers net.Listener) {
+	h.setBounds(h.Settings)
 	h.courier = &courier.Courier{
 		Store: &platform.Store{Address: h.Settings.StoreAddress, HTTP: platform.NewStoreHTTP()},
 		Log:   h.Log,
@@ -107,13 +117,32 @@
 			Ledger:       h.ledger,
 			Moves:        moves,
 			Retries:      h.retries(),
+			Placed:       h.watch.Placed,
 			Log:          h.Log,
-			RevokeMillis: h.Settings.RevokeMillis,
-			ApplyMillis:  h.Settings.ApplyMillis,
+			Bounds:       func() relay.Bounds { return *h.bounds.Load() },
+			EndsAt:       func() moment.Moment { return moment.Moment(h.endsAt.Load()) },
 		},
 	}
 }
 
+// setBounds takes over the bounds of settings.
+func (h *Host) setBounds(s process.DirectEntry) {
+	h.bounds.Store(&relay.Bounds{RevokeMillis: s.RevokeMillis, ApplyMillis: s.ApplyMillis})
+}
+
+// reload reads the settings again. Addresses and limits of the host stay as
+// they were at the start; the bounds change.
+func (h *Host) reload() {
+	settings, err := process.LoadDirectEntry(h.SettingsPath)
+	if err != nil {
+		h.Log.Error("settings not read again", "Path", h.SettingsPath, "Error", err)
+		return
+	}
+	h.setBounds(settings)
+	h.Log.Info("settings read again", "Path", h.SettingsPath,
+		"RevokeMillis", settings.RevokeMillis, "ApplyMillis", settings.ApplyMillis)
+}
+
 // retries returns this host's share of the retries of all entry hosts.
 func (h *Host) retries() *relay.Retries {
 	const assumedHosts = 8
@@ -144,14 +173,14 @@
 
 // ready reports whether the process can serve requests with a key.
 func (h *Host) ready() bool {
-	if h.stopping.Load() {
+	if h.endsAt.Load() != 0 {
 		return false
 	}
 	known := h.courier.Configuration()
 	if known.Timetable == nil || h.courier.Servers().ConfirmedAt == 0 {
 		return false
 	}
-	return moment.Now().MillisSince(known.ConfirmedAt) < h.Settings.RevokeMillis/2
+	return moment.Now().MillisSince(known.ConfirmedAt) < h.bounds.Load().RevokeMillis/2
 }
 
 // awaitEnd waits for the signal to stop, lets the platform notice, and lets
@@ -162,9 +191,9 @@
 	case <-life.Cut.Done():
 		return nil
 	}
-	grace := time.Duration(h.Settings.GraceSeconds * float64(time.Second))
-	deadline := time.Now().Add(grace - lastMillis*time.Millisecond)
-	h.stopping.Store(true)
+	graceMillis := int64(h.Settings.GraceSeconds*millisPerSecond) - lastMillis
+	deadline := time.Now().Add(time.Duration(graceMillis) * time.Millisecond)
+	h.endsAt.Store(int64(moment.Now().AddMillis(graceMillis)))
 	h.server.CloseAfterAnswers()
 	h.Log.Info("stopping", "Open", h.server.Open(), "Deadline", deadline)
 	accept := time.NewTimer(acceptMillis * time.Millisecond)
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -75,7 +75,7 @@
 
 // Take chooses a backend server among those that are ready and opens a seat
 // there.
-func (l *Ledger) Take(ready []muster.BackendServer, ask Ask, now moment.Moment) (muster.BackendServer, *Seat, bool) {
+func (l *Ledger) Take(ready []muster.BackendServer, ask Ask, now moment.Moment) (Candidate, *Seat, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	candidates := make([]Candidate, len(ready))
@@ -86,9 +86,9 @@
 	}
 	best, ok := Choose(candidates, ask.Tokens, points)
 	if !ok {
-		return muster.BackendServer{}, nil, false
+		return Candidate{}, nil, false
 	}
-	return ready[best], l.open(ready[best].ID, ask.Tokens, now), true
+	return candidates[best], l.open(ready[best].ID, ask.Tokens, now), true
 }
 
 // OpenAt opens a seat at a server that was chosen otherwise.
@@ -258,8 +258,10 @@
 	}
 	report, reported := l.reports[server.ID]
 	if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
+		c.ReportMillis = -1
 		return c
 	}
+	c.ReportMillis = now.MillisSince(report.ReceivedAt)
 	return c.withReport(report, a)
 }
 
--- a/internal/routing/seating/seating.go
+++ b/internal/routing/seating/seating.go
@@ -19,7 +19,7 @@
 	failureCost = 3.0
 	// spreadCost is the greatest cost that is drawn at random, so that entry
 	// hosts that know the same do not choose the same.
-	spreadCost = 0.04
+	spreadCost = 0.1
 	// fullShare is the share of an engine's memory from which on a new
 	// generation would probably be preempted.
 	fullShare = 0.9
@@ -52,6 +52,9 @@
 	UsedTokens int
 	// FailureShare is the recent share of requests that it failed.
 	FailureShare float64
+	// ReportMillis is the age of the report of its load; negative when there is
+	// none.
+	ReportMillis int64
 }
 
 // Choose returns the index of the best candidate, or false when there is none.
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -10,8 +10,10 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
@@ -47,30 +49,46 @@
 	// PeerPort is the port of the processes beside engines.
 	PeerPort int
 
-	ending streams
+	streams streams
 }
 
-// streams holds the streams to engines that end. It is safe for concurrent
-// use.
+// streams holds the streams to the processes beside engines. It is safe for
+// concurrent use.
 type streams struct {
 	mu sync.Mutex
 	// all by the ID of the engine.
-	all map[string]endingEngine
+	all map[string]*openStream
 }
 
-// endingEngine is an engine that ends, with the stream to its process.
-type endingEngine struct {
+// openStream is a stream to the process beside an engine.
+type openStream struct {
 	server muster.BackendServer
+
+	mu     sync.Mutex
 	stream sighting.DRPCLookout_WatchClient
 }
 
+// send sends a message. Streams take one message at a time.
+func (o *openStream) send(message *sighting.Advice) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stream.Send(message)
+}
+
 func (s *streams) open(server muster.BackendServer, stream sighting.DRPCLookout_WatchClient) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.all == nil {
-		s.all = make(map[string]endingEngine)
+		s.all = make(map[string]*openStream)
 	}
-	s.all[server.ID] = endingEngine{server: server, stream: stream}
+	s.all[server.ID] = &openStream{server: server, stream: stream}
+}
+
+func (s *streams) find(id string) (*openStream, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.all[id]
+	return o, ok
 }
 
 func (s *streams) close(id string) {
@@ -79,7 +97,7 @@
 	delete(s.all, id)
 }
 
-func (s *streams) list() []endingEngine {
+func (s *streams) list() []*openStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Collect(maps.Values(s.all))
@@ -88,10 +106,25 @@
 // adviseAll advises every engine that ends, as a further one changes the
 // advice for all.
 func (w *Watch) adviseAll() {
-	for _, e := range w.ending.list() {
-		if err := e.stream.Send(w.advise(e.server)); err != nil {
-			w.Log.Warn("engine that leaves not advised", "Server", e.server.ID, "Error", err)
+	for _, o := range w.streams.list() {
+		if !w.Ledger.Leaving(o.server.ID) {
+			continue
 		}
+		if err := o.send(w.advise(o.server)); err != nil {
+			w.Log.Warn("engine that leaves not advised", "Server", o.server.ID, "Error", err)
+		}
+	}
+}
+
+// Placed tells the process beside an engine that a request is on its way, so
+// that the other entry hosts learn of it at once.
+func (w *Watch) Placed(server string, tokens int) {
+	o, ok := w.streams.find(server)
+	if !ok {
+		return
+	}
+	if err := o.send(&sighting.Advice{Placement: &sighting.Placement{Tokens: uint32(tokens)}}); err != nil {
+		w.Log.Warn("engine not told of a request", "Server", server, "Error", err)
 	}
 }
 
@@ -113,7 +146,7 @@
 
 // follow keeps one stream open to each engine that is listed.
 func (w *Watch) follow(ctx context.Context, group *errgroup.Group) {
-	watched := make(map[identity]context.CancelFunc)
+	watched := make(map[identity]*engine)
 	ticker := time.NewTicker(rosterMillis * time.Millisecond)
 	defer ticker.Stop()
 	for {
@@ -122,31 +155,42 @@
 			if _, ok := watched[key]; ok {
 				continue
 			}
-			each, stop := context.WithCancel(ctx)
-			watched[key] = stop
+			e := &engine{server: server}
+			watched[key] = e
 			group.Go(func() error {
-				w.keepWatching(each, server)
+				w.keepWatching(ctx, e)
 				return nil
 			})
 		}
-		for key, stop := range watched {
-			if _, ok := listed[key]; !ok {
-				stop()
+		for key, e := range watched {
+			if _, ok := listed[key]; !ok && e.unlist() {
 				delete(watched, key)
 			}
 		}
 		w.Ledger.Prune(w.Courier.Servers().List)
 		select {
 		case <-ctx.Done():
-			for _, stop := range watched {
-				stop()
-			}
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
+// engine is one engine that is watched.
+type engine struct {
+	server muster.BackendServer
+	// unlisted says that its entry is gone. Its stream stays open, as the engine
+	// may still serve and move its runs, and is not opened anew.
+	unlisted atomic.Bool
+	ended    atomic.Bool
+}
+
+// unlist notes that the entry is gone, and reports whether the watch has ended.
+func (e *engine) unlist() bool {
+	e.unlisted.Store(true)
+	return e.ended.Load()
+}
+
 // engines returns the listed servers of services with engines.
 func (w *Watch) engines() map[identity]muster.BackendServer {
 	engines := make(map[identity]muster.BackendServer)
@@ -163,14 +207,15 @@
 	return engines
 }
 
-// keepWatching watches one engine, over fresh connections, until ctx ends.
-func (w *Watch) keepWatching(ctx context.Context, server muster.BackendServer) {
-	defer w.Ledger.Forget(server.ID)
+// keepWatching watches one engine, over fresh connections while it is listed.
+func (w *Watch) keepWatching(ctx context.Context, e *engine) {
+	defer e.ended.Store(true)
+	defer w.Ledger.Forget(e.server.ID)
 	lost := false
-	for ctx.Err() == nil {
-		err := w.watch(ctx, server, func() {
+	for ctx.Err() == nil && !e.unlisted.Load() {
+		err := w.watch(ctx, e.server, func() {
 			if lost {
-				w.Log.Info("engine's process regained", "Server", server.ID)
+				w.Log.Info("engine's process regained", "Server", e.server.ID)
 			}
 			lost = false
 		})
@@ -178,15 +223,20 @@
 			return
 		}
 		if !lost {
-			w.Log.Warn("engine's process lost", "Server", server.ID, "Address", server.Address, "Error", err)
+			w.Log.Warn("engine's process lost", "Server", e.server.ID, "Address", e.server.Address, "Error", err)
 		}
 		lost = true
-		timer := time.NewTimer(redialMillis * time.Millisecond)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause(ctx, redialMillis)
+	}
+}
+
+// pause waits, or returns early when ctx ends.
+func pause(ctx context.Context, millis int64) {
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
@@ -203,7 +253,6 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	defer w.ending.close(server.ID)
 	stream, err := sighting.NewDRPCLookoutClient(conn).Watch(ctx)
 	if err != nil {
 		return err
@@ -211,6 +260,8 @@
 	if err := stream.Send(&sighting.Advice{}); err != nil {
 		return err
 	}
+	w.streams.open(server, stream)
+	defer w.streams.close(server.ID)
 	silence := time.AfterFunc(silenceMillis*time.Millisecond, stop)
 	defer silence.Stop()
 	for {
@@ -219,15 +270,25 @@
 			return err
 		}
 		silence.Reset(silenceMillis * time.Millisecond)
-		opened()
-		if err := w.take(stream, server, s); err != nil {
-			return err
+		if otherIncarnation(server, s) {
+			return errOtherIncarnation
 		}
+		opened()
+		w.take(server, s)
 	}
 }
 
+// errOtherIncarnation says that the process stands beside another incarnation
+// of the engine than the one that is listed.
+var errOtherIncarnation = errors.New("the engine has started anew")
+
+func otherIncarnation(server muster.BackendServer, s *sighting.Sighting) bool {
+	born := s.GetEngineBornUnixMillis()
+	return born != 0 && server.BornUnixMillis != 0 && born != server.BornUnixMillis
+}
+
 // take acts on one report of an engine.
-func (w *Watch) take(stream sighting.DRPCLookout_WatchClient, server muster.BackendServer, s *sighting.Sighting) error {
+func (w *Watch) take(server muster.BackendServer, s *sighting.Sighting) {
 	now := moment.Now()
 	switch {
 	case s.GetLoad() != nil:
@@ -243,7 +304,6 @@
 		left := int64(s.GetNotice().GetLeavesInMillis())
 		w.Log.Info("engine leaves", "Server", server.ID, "InMillis", left)
 		w.Ledger.LearnLeaving(server.ID, now.AddMillis(left))
-		w.ending.open(server, stream)
 		w.adviseAll()
 	case s.GetMove() != nil:
 		move := s.GetMove()
@@ -254,7 +314,6 @@
 			Destination: move.GetDestination(),
 		})
 	}
-	return nil
 }
 
 // advise tells an engine that ends which runs are this host's, and which
