fix: servers that are not reached or superseded are avoided

Cause: after all machines were restarted the list still named the replicas of before; each request was sent to up to two of them and answered 421, then refused (10 of 514 after the restart); dials to machines without power took a second each. Ruled out: waiting for the list (entries lapse only after three heartbeats). Change: a server that is not reached gets nothing for 1 s, one that is superseded for 6 s; 421 does not count as an attempt; a dial takes 300 ms at most.

--- a/internal/caller/frontdesk/exchange.go
+++ b/internal/caller/frontdesk/exchange.go
@@ -55,6 +55,11 @@
 	x.writeHead(status, header)
 }
 
+// CallerLeft reports whether the caller closed its connection.
+func (x *Exchange) CallerLeft() bool {
+	return errors.Is(context.Cause(x.Context), errCallerLeft)
+}
+
 // Begun reports whether the head of the answer was written.
 func (x *Exchange) Begun() bool {
 	return x.begun
--- a/internal/caller/frontdesk/frontdesk.go
+++ b/internal/caller/frontdesk/frontdesk.go
@@ -76,7 +76,7 @@
 	group.Go(func() error {
 		for {
 			conn, err := s.Listener.Accept()
-			if ctx.Err() != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			if err != nil {
@@ -222,7 +222,7 @@
 	watch.Go(func() error {
 		_, err := c.reader.Peek(1)
 		if err != nil && !answered.Load() {
-			leave(ErrCallerLeft)
+			leave(errCallerLeft)
 		}
 		return nil
 	})
@@ -246,6 +246,6 @@
 	}
 }
 
-// ErrCallerLeft is the cause of an exchange's context that ended because the
+// errCallerLeft is the cause of an exchange's context that ended because the
 // caller closed its connection.
-var ErrCallerLeft = errors.New("caller closed its connection")
+var errCallerLeft = errors.New("caller closed its connection")
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/caller/frontdesk"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
@@ -18,7 +17,12 @@
 
 const (
 	// maxDials bounds the servers that are dialled for one request.
-	maxDials = 3
+	maxDials = 4
+	// unreachedMillis is how long a server that was not reached gets no request.
+	unreachedMillis = 1000
+	// supersededMillis is how long a server whose address has another one gets
+	// no request. Its entry lapses meanwhile.
+	supersededMillis = 6000
 	// maxWholeBytes is the size up to which an answer is read whole before it
 	// is passed on.
 	maxWholeBytes = 8 << 20
@@ -59,7 +63,7 @@
 		case unplaced:
 			q.finish(ctx, last)
 			return
-		case unreached:
+		case unreached, superseded:
 			continue
 		}
 		sent++
@@ -79,6 +83,9 @@
 // unreached says that the server was not reached; nothing was sent.
 type unreached struct{ err error }
 
+// superseded says that another server has the address now.
+type superseded struct{}
+
 // declined says that the server did not run the request.
 type declined struct{ status int }
 
@@ -95,12 +102,13 @@
 // streamed says that the answer was passed on, or cut, as a stream.
 type streamed struct{}
 
-func (unplaced) outcome()  {}
-func (unreached) outcome() {}
-func (declined) outcome()  {}
-func (lost) outcome()      {}
-func (answered) outcome()  {}
-func (streamed) outcome()  {}
+func (unplaced) outcome()   {}
+func (unreached) outcome()  {}
+func (superseded) outcome() {}
+func (declined) outcome()   {}
+func (lost) outcome()       {}
+func (answered) outcome()   {}
+func (streamed) outcome()   {}
 
 // mayRepeat reports whether the request may be sent to a further server.
 func (q *request) mayRepeat(ctx context.Context, last outcome) bool {
@@ -131,12 +139,19 @@
 		a.close(ctx.Err() == nil)
 		if errors.Is(err, ErrNotSent) {
 			q.log("backend server not reached", "Server", a.server.ID, "Error", err)
+			q.relay.Ledger.Avoid(a.server.ID, moment.Now().AddMillis(unreachedMillis))
 			return unreached{err}
 		}
 		q.log("answer lost", "Server", a.server.ID, "Error", err)
 		return lost{err}
 	}
 	a.call = call
+	if call.Answer.StatusCode == http.StatusMisdirectedRequest {
+		a.close(false)
+		q.log("another server has the address", "Server", a.server.ID, "Address", a.server.Address)
+		q.relay.Ledger.Avoid(a.server.ID, moment.Now().AddMillis(supersededMillis))
+		return superseded{}
+	}
 	if platform.NotRun(call.Answer.StatusCode, call.Answer.Header) {
 		a.close(false)
 		q.log("declined by backend server", "Server", a.server.ID, "Status", call.Answer.StatusCode)
@@ -232,7 +247,7 @@
 
 // finish gives the caller the final answer.
 func (q *request) finish(ctx context.Context, last outcome) {
-	if errors.Is(context.Cause(q.exchange.Context), frontdesk.ErrCallerLeft) {
+	if q.exchange.CallerLeft() {
 		q.log("caller left")
 		q.exchange.Cut()
 		return
@@ -248,7 +263,7 @@
 			status = http.StatusGatewayTimeout
 		}
 		q.refuse(Refusal{Status: status, Reason: "AnswerLost"})
-	case declined:
+	case declined, superseded:
 		q.refuse(Refusal{http.StatusServiceUnavailable, "Declined", crowdedRetryMillis})
 	case unreached:
 		q.refuse(Refusal{http.StatusServiceUnavailable, "ServerNotReached", crowdedRetryMillis})
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -18,7 +18,7 @@
 
 const (
 	// dialMillis bounds the set-up of a connection to a backend server.
-	dialMillis = 1000
+	dialMillis = 300
 	// serverUserTimeoutMillis is how long bytes sent to a backend server may
 	// stay unacknowledged.
 	serverUserTimeoutMillis = 3000
@@ -87,7 +87,7 @@
 		call.Close()
 		return nil, errors.Wrapf(err, "send to %s", out.Address)
 	}
-	call.Answer, err = readAnswer(conn, out)
+	call.Answer, err = readAnswer(conn, out) //nolint:bodyclose // it ends with the call's connection
 	if err != nil {
 		call.Close()
 		return nil, errors.Wrapf(err, "read answer of %s", out.Address)
--- a/internal/caller/relay/events.go
+++ b/internal/caller/relay/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+
+	"github.com/cockroachdb/errors"
 )
 
 // eventEnd ends an event of a stream.
@@ -13,6 +15,9 @@
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
+// errEventTooLarge says that an event is over the limit.
+var errEventTooLarge = errors.New("event is too large")
+
 // splitter gathers the bytes of a stream into whole events.
 type splitter struct {
 	// pending is an event that is not whole yet.
@@ -23,11 +28,14 @@
 
 // add takes the next bytes of the stream and returns those that make up whole
 // events. The result is valid until the next call.
-func (s *splitter) add(data []byte) []byte {
+func (s *splitter) add(data []byte) ([]byte, error) {
 	s.pending = append(s.pending, data...)
 	end := bytes.LastIndex(s.pending, eventEnd)
+	if end < 0 && len(s.pending) > maxEventBytes {
+		return nil, errEventTooLarge
+	}
 	if end < 0 {
-		return nil
+		return nil, nil
 	}
 	end += len(eventEnd)
 	whole := s.pending[:end:end]
@@ -36,7 +44,7 @@
 		s.lastID = id
 	}
 	s.pending = append([]byte(nil), rest...)
-	return whole
+	return whole, nil
 }
 
 // drop forgets an event that was cut.
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -45,10 +45,7 @@
 	pauseMillis int64
 }
 
-// errSilent says that an engine sent nothing for too long.
-var errSilent = errors.New("stream went silent")
-
-// errCallerSlow says that the caller took no more events.
+// errCallerGone says that the caller took no more events.
 var errCallerGone = errors.New("caller takes no more events")
 
 // stream passes the events of an answer on, and goes on elsewhere when it is
@@ -128,13 +125,8 @@
 			return err
 		}
 		n, err := body.Read(buffer)
-		if whole := s.events.add(buffer[:n]); len(whole) > 0 {
-			s.begin()
-			s.time(moment.Now())
-			if s.request.exchange.Send(whole) != nil {
-				return errCallerGone
-			}
-			s.delivered.Add(int64(len(whole)))
+		if sendErr := s.pass(buffer[:n]); sendErr != nil {
+			return sendErr
 		}
 		if errors.Is(err, io.EOF) && len(s.events.pending) == 0 {
 			return nil
@@ -148,6 +140,21 @@
 	}
 }
 
+// pass sends the whole events among the next bytes to the caller.
+func (s *stream) pass(data []byte) error {
+	whole, err := s.events.add(data)
+	if err != nil || len(whole) == 0 {
+		return err
+	}
+	s.begin()
+	s.time(moment.Now())
+	if err := s.request.exchange.Send(whole); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	s.delivered.Add(int64(len(whole)))
+	return nil
+}
+
 // time notes that events came.
 func (s *stream) time(now moment.Moment) {
 	if s.lastEventAt == 0 {
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -113,14 +113,14 @@
 		Log:      h.Log,
 		Limits:   h.limits,
 		Handler: &relay.Relay{
-			Courier:      h.courier,
-			Ledger:       h.ledger,
-			Moves:        moves,
-			Retries:      h.retries(),
-			Placed:       h.watch.Placed,
-			Log:          h.Log,
-			Bounds:       func() relay.Bounds { return *h.bounds.Load() },
-			EndsAt:       func() moment.Moment { return moment.Moment(h.endsAt.Load()) },
+			Courier: h.courier,
+			Ledger:  h.ledger,
+			Moves:   moves,
+			Retries: h.retries(),
+			Placed:  h.watch.Placed,
+			Log:     h.Log,
+			Bounds:  func() relay.Bounds { return *h.bounds.Load() },
+			EndsAt:  func() moment.Moment { return moment.Moment(h.endsAt.Load()) },
 		},
 	}
 }
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -1,6 +1,7 @@
 package seating
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 
@@ -42,6 +43,8 @@
 	reports map[string]Report
 	// leaving holds when engines end, by ID.
 	leaving map[string]moment.Moment
+	// avoided holds until when servers get no request, by ID.
+	avoided map[string]moment.Moment
 }
 
 // account is what this entry host did at one backend server.
@@ -153,6 +156,16 @@
 	return leaving
 }
 
+// Avoid keeps requests away from a server until a moment.
+func (l *Ledger) Avoid(server string, until moment.Moment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.avoided == nil {
+		l.avoided = make(map[string]moment.Moment)
+	}
+	l.avoided[server] = until
+}
+
 // Forget drops what was reported of an engine that is no longer watched.
 func (l *Ledger) Forget(server string) {
 	l.mu.Lock()
@@ -214,6 +227,10 @@
 			delete(l.accounts, id)
 		}
 	}
+	maps.DeleteFunc(l.avoided, func(id string, _ moment.Moment) bool {
+		_, listed := list.Find(id)
+		return !listed
+	})
 }
 
 func (l *Ledger) account(server string) *account {
@@ -236,7 +253,7 @@
 		Server:   server,
 		SameZone: server.Zone == l.Zone,
 		Cold:     now.Before(server.WarmAt),
-		Tried:    ask.Tried[server.ID],
+		Tried:    ask.Tried[server.ID] || now.Before(l.avoided[server.ID]),
 		Slots:    server.Slots,
 		Running:  len(a.seats),
 	}
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -169,25 +169,26 @@
 
 func (f *follower) run(ctx context.Context, learn func(reading)) error {
 	for ctx.Err() == nil {
-		startedAt := moment.Now()
-		records, err := f.read(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			f.lose(err)
-			pause(ctx, retryMillis)
-			continue
-		}
-		f.regain()
-		learn(reading{records: records.List, whole: !f.listed, startedAt: startedAt, regainedAt: f.regainedAt})
-		f.listed = true
-		f.next = records.Next
-		pause(ctx, f.pauseMillis)
+		pause(ctx, f.readOnce(ctx, learn))
 	}
 	return nil
 }
 
+// readOnce reads the topic once and returns the pause before the next read.
+func (f *follower) readOnce(ctx context.Context, learn func(reading)) int64 {
+	startedAt := moment.Now()
+	records, err := f.read(ctx)
+	if err != nil {
+		f.lose(ctx, err)
+		return retryMillis
+	}
+	f.regain()
+	learn(reading{records: records.List, whole: !f.listed, startedAt: startedAt, regainedAt: f.regainedAt})
+	f.listed = true
+	f.next = records.Next
+	return f.pauseMillis
+}
+
 func (f *follower) read(ctx context.Context) (platform.Records, error) {
 	deadline := time.Now().Add(time.Duration(f.waitMillis+replyMillis) * time.Millisecond)
 	ctx, stop := context.WithDeadline(ctx, deadline)
@@ -199,7 +200,10 @@
 }
 
 // lose notes a failed call. Deleted history is read anew and is no outage.
-func (f *follower) lose(err error) {
+func (f *follower) lose(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.courier.Log.Warn("history of the store was deleted", "Topic", f.topic)
 		f.listed = false
