--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -163,17 +163,12 @@
 	return q.readWhole(a)
 }
 
-// place chooses a backend server. One that ends soon is taken only when there
-// is no other.
+// place chooses a backend server and opens a seat there.
 func (q *request) place() (*attempt, bool) {
 	now := moment.Now()
 	ready := q.relay.Courier.Servers().List.Ready(q.service.Name, now)
 	ask := seating.Ask{Service: q.service, Tokens: q.tokens(), Tried: q.tried}
 	chosen, seat, ok := q.relay.Ledger.Take(ready, ask, now)
-	if !ok {
-		ask.MayLeave = true
-		chosen, seat, ok = q.relay.Ledger.Take(ready, ask, now)
-	}
 	if ok && q.service.Engine != nil {
 		q.relay.Placed(chosen.Server.ID, ask.Tokens)
 		q.log("placed", "Server", chosen.Server.ID, "Candidates", len(ready), "Tokens", ask.Tokens,
--- /dev/null
+++ b/internal/caller/relay/events_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestSplitter(t *testing.T) {
+	cases := []struct {
+		name   string
+		parts  []string
+		whole  string
+		lastID string
+	}{
+		{"one event", []string{"id: 1\ndata: x\n\n"}, "id: 1\ndata: x\n\n", "1"},
+		{"split anywhere", []string{"id: 1\nda", "ta: x\n", "\nid: 2\n"}, "id: 1\ndata: x\n\n", "1"},
+		{"several at once", []string{"id: 1\n\nid: 2\n\nid"}, "id: 1\n\nid: 2\n\n", "2"},
+		{"event with a first line before its number", []string{"weights: 2\nid: 7\ndata: x\n\n"}, "weights: 2\nid: 7\ndata: x\n\n", "7"},
+		{"number inside of data", []string{"id: 3\ndata: id: 9\n\n"}, "id: 3\ndata: id: 9\n\n", "3"},
+		{"torn", []string{"id: 1\ndata: x\n"}, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var s splitter
+			var whole strings.Builder
+			for _, part := range c.parts {
+				got, err := s.add([]byte(part))
+				is.NoErr(err)
+				whole.Write(got)
+			}
+			is.Equal(whole.String(), c.whole)
+			is.Equal(s.lastID, c.lastID)
+		})
+	}
+}
+
+func TestSplitterBoundsAnEvent(t *testing.T) {
+	is := is.New(t)
+	var s splitter
+	_, err := s.add(bytes.Repeat([]byte("x"), maxEventBytes+1))
+	is.True(err != nil)
+}
+
+// Whatever the sizes in which a stream arrives, its whole events come out
+// unchanged and in order.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3"), uint8(5))
+	f.Add([]byte("\n\n\n\n"), uint8(1))
+	f.Add([]byte("id:\n\nid: 4\r\n\r\n"), uint8(2))
+	f.Fuzz(func(t *testing.T, stream []byte, size uint8) {
+		var s splitter
+		var out []byte
+		for rest := stream; len(rest) > 0; {
+			n := min(int(size)+1, len(rest))
+			whole, err := s.add(rest[:n])
+			if err != nil {
+				t.Fatal(err)
+			}
+			out = append(out, whole...)
+			rest = rest[n:]
+		}
+		want := stream[:bytes.LastIndex(stream, eventEnd)+1]
+		if len(want) > 0 {
+			want = stream[:len(want)-1+len(eventEnd)]
+		}
+		if !bytes.Equal(out, want) {
+			t.Fatalf("events %q, want %q", out, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/caller/relay/retries_test.go
@@ -0,0 +1,30 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+)
+
+// A service of which every answer fails gets no more repeats than its budget.
+func TestRetriesBoundAFailingService(t *testing.T) {
+	is := is.New(t)
+	r := &Retries{Ratio: 0.2, Slack: 7, WindowMillis: 10_000}
+	now := moment.Moment(1_000_000_000)
+	allowed := 0
+	for n := range 400 {
+		r.CountFirst("s", now.AddMillis(int64(n)*25))
+		if r.Allow("s", now.AddMillis(int64(n)*25)) {
+			allowed++
+		}
+	}
+	is.True(allowed >= 70 && allowed <= 87) // a fifth of 400, and 7
+	is.True(r.Allow("other", now))          // services do not share
+	later := now.AddMillis(30_000)
+	for range 7 {
+		is.True(r.Allow("s", later)) // the window has passed
+	}
+	is.True(!r.Allow("s", later))
+}
--- /dev/null
+++ b/internal/routing/muster/muster_test.go
@@ -0,0 +1,74 @@
+package muster
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+)
+
+const start = moment.Moment(10_000_000_000)
+
+func entry(id string, state State) Registered {
+	return Registered{Server: BackendServer{ID: id, Service: "s", State: state, BornUnixMillis: 1}}
+}
+
+func ids(servers []BackendServer) []string {
+	all := []string{}
+	for _, s := range servers {
+		all = append(all, s.ID)
+	}
+	return all
+}
+
+func TestWith(t *testing.T) {
+	whole := Event{Changes: []Change{entry("a", Ready), entry("b", Ready), entry("c", Draining)}, Whole: true, ReadAt: start}
+	cases := []struct {
+		name   string
+		events []Event
+		at     moment.Moment
+		want   []string
+	}{
+		{"whole list", nil, start, []string{"a", "b"}},
+		{"removed while the store is there", []Event{
+			{Changes: []Change{Removed{ID: "a"}}, ReadAt: start},
+		}, start, []string{"b"}},
+		{"drains", []Event{{Changes: []Change{entry("a", Draining)}, ReadAt: start}}, start, []string{"b"}},
+		{"lapsed during an outage, soon after", []Event{
+			{Changes: []Change{Removed{ID: "a"}}, ReadAt: start, RegainedAt: start},
+		}, start.AddMillis(1000), []string{"a", "b"}},
+		{"lapsed during an outage and not back", []Event{
+			{Changes: []Change{Removed{ID: "a"}}, ReadAt: start, RegainedAt: start},
+		}, start.AddMillis(returnMillis + 1), []string{"b"}},
+		{"lapsed during an outage and back", []Event{
+			{Changes: []Change{Removed{ID: "a"}}, ReadAt: start, RegainedAt: start},
+			{Changes: []Change{entry("a", Ready)}, ReadAt: start.AddMillis(1500), RegainedAt: start},
+		}, start.AddMillis(9000), []string{"a", "b"}},
+		{"removed long after an outage", []Event{
+			{Changes: []Change{Removed{ID: "a"}}, ReadAt: start.AddMillis(5000), RegainedAt: start},
+		}, start.AddMillis(5000), []string{"b"}},
+		{"absent from a whole list after an outage", []Event{
+			{Changes: []Change{entry("b", Ready)}, Whole: true, ReadAt: start, RegainedAt: start},
+		}, start.AddMillis(returnMillis + 1), []string{"b"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			list := List{}.With(whole)
+			for _, e := range c.events {
+				list = list.With(e)
+			}
+			is.Equal(ids(list.Ready("s", c.at)), c.want)
+		})
+	}
+}
+
+// A list never changes once it was made.
+func TestWithLeavesTheOldList(t *testing.T) {
+	is := is.New(t)
+	before := List{}.With(Event{Changes: []Change{entry("a", Ready)}, ReadAt: start})
+	after := before.With(Event{Changes: []Change{Removed{ID: "a"}, entry("b", Ready)}, ReadAt: start})
+	is.Equal(ids(before.All()), []string{"a"})
+	is.Equal(ids(after.All()), []string{"b"})
+}
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -72,8 +72,6 @@
 	Tokens int
 	// Tried holds the IDs of servers that it was sent to.
 	Tried map[string]bool
-	// MayLeave allows a server that ends soon, when there is no other.
-	MayLeave bool
 }
 
 // Take chooses a backend server among those that are ready and opens a seat
@@ -205,7 +203,7 @@
 			continue
 		}
 		c := l.candidate(server, Ask{Service: service}, now)
-		if c.Leaving {
+		if c.Leaving || c.Avoided {
 			continue
 		}
 		rooms = append(rooms, Room{
@@ -253,7 +251,8 @@
 		Server:   server,
 		SameZone: server.Zone == l.Zone,
 		Cold:     now.Before(server.WarmAt),
-		Tried:    ask.Tried[server.ID] || now.Before(l.avoided[server.ID]),
+		Tried:    ask.Tried[server.ID],
+		Avoided:  now.Before(l.avoided[server.ID]),
 		Slots:    server.Slots,
 		Running:  len(a.seats),
 	}
@@ -270,9 +269,7 @@
 			c.Starting++
 		}
 	}
-	if _, leaving := l.leaving[server.ID]; leaving && !ask.MayLeave {
-		c.Leaving = true
-	}
+	_, c.Leaving = l.leaving[server.ID]
 	report, reported := l.reports[server.ID]
 	if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
 		c.ReportMillis = -1
--- a/internal/routing/seating/seating.go
+++ b/internal/routing/seating/seating.go
@@ -17,6 +17,9 @@
 	startingCost = 0.25
 	// failureCost is the cost of a backend server that fails every request.
 	failureCost = 3.0
+	// leavingCost and avoidedCost exceed the sum of all other costs.
+	leavingCost = 1000.0
+	avoidedCost = 2000.0
 	// spreadCost is the greatest cost that is drawn at random, so that entry
 	// hosts that know the same do not choose the same.
 	spreadCost = 0.1
@@ -36,6 +39,8 @@
 	Cold bool
 	// Leaving says that it will end soon.
 	Leaving bool
+	// Avoided says that it was not reached a short while ago.
+	Avoided bool
 	// Tried says that this request was sent there before.
 	Tried bool
 	// Slots is the number of requests that it runs at once.
@@ -58,12 +63,14 @@
 }
 
 // Choose returns the index of the best candidate, or false when there is none.
-// Points are drawn from [0, 1) by the caller, one for each candidate.
+// A server that ends soon, or that was not reached, is chosen only when there
+// is no other. Points are drawn from [0, 1) by the caller, one for each
+// candidate.
 func Choose(candidates []Candidate, tokens int, points []float64) (int, bool) {
 	best, found := 0, false
 	bestCost := 0.0
 	for i, c := range candidates {
-		if c.Leaving || c.Tried {
+		if c.Tried {
 			continue
 		}
 		cost := c.cost(tokens) + spreadCost*points[i]
@@ -77,6 +84,12 @@
 // cost returns what it costs to place a request of that many tokens there.
 func (c Candidate) cost(tokens int) float64 {
 	cost := failureCost * c.FailureShare
+	if c.Leaving {
+		cost += leavingCost
+	}
+	if c.Avoided {
+		cost += avoidedCost
+	}
 	if !c.SameZone {
 		cost += otherZoneCost
 	}
--- /dev/null
+++ b/internal/routing/seating/seating_test.go
@@ -0,0 +1,111 @@
+package seating
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+)
+
+// engineCandidate is an engine in the own zone without load.
+func engineCandidate(id string) Candidate {
+	return Candidate{Server: muster.BackendServer{ID: id}, SameZone: true, Slots: 24, MemoryTokens: 34_000}
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(first, second *Candidate)
+		want   int
+	}{
+		{"prompt being read", func(a, _ *Candidate) { a.Starting = 1 }, 1},
+		{"prompt being read in the own zone against another zone", func(a, b *Candidate) {
+			a.Starting = 1
+			b.SameZone = false
+		}, 1},
+		{"more memory taken", func(a, _ *Candidate) { a.UsedTokens = 20_000 }, 1},
+		{"full memory against a prompt being read", func(a, b *Candidate) {
+			a.UsedTokens = 33_000
+			b.Starting = 2
+		}, 1},
+		{"other zone", func(a, _ *Candidate) { a.SameZone = false }, 1},
+		{"cold", func(a, _ *Candidate) { a.Cold = true }, 1},
+		{"fails its requests", func(a, _ *Candidate) { a.FailureShare = 0.4 }, 1},
+		{"ends soon against a full one", func(a, b *Candidate) {
+			a.Leaving = true
+			b.UsedTokens = 34_000
+			b.Starting = 9
+		}, 1},
+		{"not reached against one that ends soon", func(a, b *Candidate) {
+			a.Avoided = true
+			b.Leaving = true
+		}, 1},
+		{"tried", func(a, b *Candidate) {
+			a.Tried = true
+			b.Avoided = true
+		}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			first, second := engineCandidate("first"), engineCandidate("second")
+			c.change(&first, &second)
+			got, ok := Choose([]Candidate{first, second}, 3000, []float64{0, 0})
+			is.True(ok)
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// A server that was not reached is still better than none.
+func TestChooseTakesTheLastResort(t *testing.T) {
+	is := is.New(t)
+	only := engineCandidate("only")
+	only.Avoided = true
+	only.Leaving = true
+	_, ok := Choose([]Candidate{only}, 3000, []float64{0})
+	is.True(ok)
+	only.Tried = true
+	_, ok = Choose([]Candidate{only}, 3000, []float64{0})
+	is.True(!ok)
+}
+
+// Requests that arrive before the next report must not all go to the engine
+// that the last report showed to be empty.
+func TestLedgerSpreadsABurst(t *testing.T) {
+	is := is.New(t)
+	l := &Ledger{Zone: "a"}
+	service := timetable.Service{Engine: &timetable.Engine{MemoryTokens: 34_000}}
+	now := moment.Moment(1_000_000_000)
+	var ready []muster.BackendServer
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		ready = append(ready, muster.BackendServer{ID: id, Zone: "a", Slots: 24, State: muster.Ready})
+		l.Learn(id, Report{UsedTokens: 8000, ReceivedAt: now})
+	}
+	l.Learn("e1", Report{ReceivedAt: now})
+	placed := make(map[string]int)
+	for n := range 8 {
+		chosen, _, ok := l.Take(ready, Ask{Service: service, Tokens: 4000}, now.AddMillis(int64(n)+1))
+		is.True(ok)
+		placed[chosen.Server.ID]++
+	}
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		is.True(placed[id] >= 1 && placed[id] <= 3) // spread over all
+	}
+}
+
+func TestLedgerForgetsFailures(t *testing.T) {
+	is := is.New(t)
+	l := &Ledger{Zone: "a"}
+	now := moment.Moment(1_000_000_000)
+	server := muster.BackendServer{ID: "e", Zone: "a", Slots: 6}
+	for range 10 {
+		l.OpenAt("e", 0, now).End(true, now)
+	}
+	is.True(l.candidate(server, Ask{}, now).FailureShare > 0.5)
+	later := now.AddMillis(failureForgetMillis + 1)
+	is.Equal(l.candidate(server, Ask{}, later).FailureShare, 0.0) // it is tried again
+}
--- /dev/null
+++ b/internal/routing/timetable/timetable_test.go
@@ -0,0 +1,46 @@
+package timetable
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRoute(t *testing.T) {
+	table := New(Draft{Routes: []Route{
+		{Name: "root", Host: "a.example", PathPrefix: "/"},
+		{Name: "outer", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "inner", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+	}})
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "inner"},
+		{"a.example", "/x/y/", "inner"},
+		{"a.example", "/x/y", "outer"},
+		{"a.example", "/x", "root"},
+		{"a.example", "/x//y/", "outer"},
+		{"a.example", "/x/../y/", "outer"},
+		{"A.EXAMPLE:8080", "/x/q", "outer"},
+		{"b.example", "/x/y/z", "other"},
+		{"b.example", "/q", ""},
+		{"c.example", "/x/", ""},
+		{"b.example", "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.host+c.path, func(t *testing.T) {
+			is := is.New(t)
+			route, ok := table.Route(c.host, c.path)
+			is.Equal(route.Name, c.want)
+			is.Equal(ok, c.want != "")
+		})
+	}
+}
+
+func TestDraw(t *testing.T) {
+	is := is.New(t)
+	route := Route{Shares: []Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	is.Equal(route.Draw(0), "a")
+	is.Equal(route.Draw(0.89), "a")
+	is.Equal(route.Draw(0.91), "b")
+	is.Equal(route.Draw(0.999999), "b")
+}
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		c.Log.Info("backend server listed", "Server", server.ID, "Service", server.Service,
-			"Address", server.Address, "Zone", server.Zone, "Draining", server.State == muster.Draining)
+			"Address", server.Address, "Zone", server.Zone, "Born", server.BornUnixMillis, "Draining", server.State == muster.Draining)
 	}
 	for _, server := range before.All() {
 		if _, stays := after.Find(server.ID); !stays {
--- /dev/null
+++ b/internal/standin/replica/answer.go
@@ -0,0 +1,133 @@
+package replica
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// answer runs one request.
+func (r *Replica) answer(w http.ResponseWriter, q *http.Request) {
+	body, _ := io.ReadAll(q.Body)
+	arrival := &Arrival{Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body)}
+	r.mu.Lock()
+	r.arrivals = append(r.arrivals, arrival)
+	faults := r.faults
+	r.mu.Unlock()
+	w.Header().Set("Fulmarvalve-Request-Id", q.Header.Get("Fulmarvalve-Request-Id"))
+	if expected := q.Header.Get("Fulmarvalve-Expect-Instance"); expected != "" && expected != r.ID {
+		w.Header().Set("Fulmarvalve-Replica-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if faults.Decline || !r.mayContinue(q) {
+		w.Header().Set("Fulmarvalve-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.mu.Lock()
+	arrival.Ran = true
+	r.mu.Unlock()
+	w.Header().Set("Fulmarvalve-Response-Signature", r.ID)
+	if q.Header.Get("Fulmarvalve-Token-Usage") != "" {
+		r.stream(w, q, arrival, faults)
+		return
+	}
+	r.plain(w, faults)
+}
+
+// mayContinue reports whether a request that goes on from a copy names one.
+func (r *Replica) mayContinue(q *http.Request) bool {
+	from := q.Header.Get("Kv-From")
+	return from == "" || r.Group.redeem(from, q.Header.Get("Fulmarvalve-Request-Id"))
+}
+
+// plain answers as a plain service.
+func (r *Replica) plain(w http.ResponseWriter, faults Faults) {
+	const body = "whole answer of a plain service"
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	status := http.StatusOK
+	if faults.Status != 0 {
+		status = faults.Status
+	}
+	if faults.Foreign {
+		_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nFulmarvalve-Request-Id: another\r\n" +
+			"Fulmarvalve-Response-Signature: other\r\nContent-Length: 5\r\n\r\nother")
+	}
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = w.Header().Write(buffer)
+	if !faults.Unframed {
+		_, _ = fmt.Fprintf(buffer, "Content-Length: %d\r\n", len(body))
+	}
+	sent := body
+	if faults.CutWhole {
+		sent = body[:len(body)/2]
+	}
+	_, _ = buffer.WriteString("\r\n" + sent)
+	_ = buffer.Flush()
+}
+
+// stream generates events after the last one that the request names.
+func (r *Replica) stream(w http.ResponseWriter, q *http.Request, arrival *Arrival, faults Faults) {
+	id := q.Header.Get("Fulmarvalve-Request-Id")
+	prompt, most, _ := strings.Cut(q.Header.Get("Fulmarvalve-Token-Usage"), ",")
+	promptTokens, _ := strconv.Atoi(prompt)
+	outputTokens, _ := strconv.Atoi(most)
+	running := &run{tokens: promptTokens, stop: make(chan struct{})}
+	r.begin(id, running)
+	defer r.end(id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for event := number(q.Header, "Last-Event-Id") + 1; event <= outputTokens/eventTokens; event++ {
+		select {
+		case <-running.stop:
+			panic(http.ErrAbortHandler)
+		case <-q.Context().Done():
+			r.mu.Lock()
+			arrival.LeftAt = time.Now()
+			r.mu.Unlock()
+			return
+		case <-time.After(eventMillis * time.Millisecond):
+		}
+		r.sendEvent(w, running, event, faults)
+	}
+}
+
+// sendEvent sends one event, or breaks the stream off.
+func (r *Replica) sendEvent(w http.ResponseWriter, running *run, event int, faults Faults) {
+	text := fmt.Sprintf("id: %d\ndata: tokens of event %d\n\n", event, event)
+	if faults.CutAfter != 0 && event > faults.CutAfter {
+		if faults.TornCut {
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			_ = http.NewResponseController(w).Flush()
+		}
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, text)
+	_ = http.NewResponseController(w).Flush()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running.events++
+	running.tokens += eventTokens
+}
+
+func (r *Replica) begin(id string, running *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs == nil {
+		r.runs = make(map[string]*run)
+	}
+	r.runs[id] = running
+}
+
+func (r *Replica) end(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.runs, id)
+}
--- /dev/null
+++ b/internal/trial/openday/platform_beliefs_test.go
@@ -0,0 +1,83 @@
+package openday
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/keyedlog"
+)
+
+// plainAsk is a request of a plain service that may be repeated.
+func plainAsk(id, key string) callerAsk {
+	return callerAsk{method: http.MethodGet, target: plainPath, id: id, key: key}
+}
+
+func TestPlatformKeysWithoutStore(t *testing.T) {
+	t.Parallel()
+	for name, faults := range map[string]keyedlog.Faults{
+		"refused": {Refuse: http.StatusTooManyRequests},
+		"silent":  {Silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newPlatformSite(t, 0, 1)
+			s.log.SetFaults(faults)
+			lost := time.Now()
+			s.configure("another key") // the key is taken away where this host cannot see it
+			for n := 0; time.Since(lost) < 2*platformRevokeMillis*time.Millisecond; n++ {
+				sent := time.Now()
+				got := s.send(context.Background(), plainAsk("revoked", platformKey))
+				if sent.Sub(lost) > platformRevokeMillis*time.Millisecond {
+					is.Equal(got.status, http.StatusServiceUnavailable) // nothing vouches for the key
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			is.True(s.ready() != nil)
+			s.log.SetFaults(keyedlog.Faults{})
+			eventually(t, "ready again", s.ready)
+			is.Equal(s.send(context.Background(), plainAsk("old", platformKey)).status, http.StatusUnauthorized)
+			is.Equal(s.send(context.Background(), plainAsk("new", "another key")).status, http.StatusOK)
+		})
+	}
+}
+
+func TestPlatformConfigurationNeverOlder(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 0, 1)
+	s.configure("newer key")
+	eventually(t, "newer key in force", func() error {
+		if s.send(context.Background(), plainAsk("n", "newer key")).status != http.StatusOK {
+			return errStillRunning
+		}
+		return nil
+	})
+	s.log.Put("keyed.op", "config", []byte(platformConfiguration(1, []string{platformKey})))
+	s.log.DeleteHistory("keyed.op")
+	s.log.DeleteHistory("keyed.servers")
+	time.Sleep(1500 * time.Millisecond)
+	is.Equal(s.send(context.Background(), plainAsk("old", platformKey)).status, http.StatusUnauthorized)
+	is.Equal(s.send(context.Background(), plainAsk("new", "newer key")).status, http.StatusOK)
+}
+
+func TestPlatformStartsWithoutStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 0, 1)
+	s.log.SetFaults(keyedlog.Faults{Refuse: http.StatusServiceUnavailable})
+	s.entry.kill()
+	s.startEntry()
+	eventually(t, "answers", func() error { return s.send(context.Background(), plainAsk("a", platformKey)).err })
+	got := s.send(context.Background(), plainAsk("b", platformKey))
+	is.Equal(got.status, http.StatusServiceUnavailable) // it knows no configuration
+	is.True(got.header.Get("Retry-After") != "")
+	is.True(s.ready() != nil)
+	s.log.SetFaults(keyedlog.Faults{})
+	eventually(t, "ready", s.ready)
+	is.Equal(s.send(context.Background(), plainAsk("c", platformKey)).status, http.StatusOK)
+}
--- /dev/null
+++ b/internal/trial/openday/platform_moves_test.go
@@ -0,0 +1,118 @@
+package openday
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
+)
+
+var errStillRunning = errors.New("still running")
+
+// leaveMillis is the notice of an engine that ends.
+const leaveMillis = 1500
+
+// moveCase is a stream of which the engine ends.
+type moveCase struct {
+	name string
+	// before is done at the notice.
+	before func(*platformSite, *platformEngine)
+	whole  bool
+}
+
+func TestPlatformMoves(t *testing.T) {
+	t.Parallel()
+	cases := []moveCase{
+		{name: "with notice", before: func(*platformSite, *platformEngine) {}, whole: true},
+		{name: "entry removed at the notice", before: func(s *platformSite, e *platformEngine) {
+			s.log.Put("keyed.servers", e.ID, nil)
+		}, whole: true},
+		{name: "entry draining at the notice", before: func(s *platformSite, e *platformEngine) {
+			s.register(e.Replica, "engines", "draining")
+		}, whole: true},
+		{name: "store away at the notice", before: func(s *platformSite, _ *platformEngine) {
+			s.log.Put("keyed.op", "other", []byte("{}"))
+		}, whole: true},
+		{name: "no room elsewhere", before: func(_ *platformSite, e *platformEngine) {
+			e.SetFaults(replica.Faults{NoCopy: true})
+		}, whole: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newPlatformSite(t, 2, 0)
+			const events = 250
+			var group errgroup.Group
+			var got callerReply
+			group.Go(func() error {
+				got = s.send(context.Background(), streamAsk("moves", events))
+				return nil
+			})
+			e := s.runner()
+			e.Leave(time.Now().Add(leaveMillis * time.Millisecond))
+			c.before(s, e)
+			_ = group.Wait()
+			is.NoErr(got.err)
+			is.Equal(got.events(), numbers(events)) // each event once, in order
+			started := 0
+			for _, a := range s.arrivals() {
+				is.Equal(a.Header.Get("Fulmarvalve-Request-Id"), "moves")
+				if a.Header.Get("Kv-From") == "" {
+					started++
+				}
+			}
+			is.Equal(started, 1) // all further ones go on with the same run
+		})
+	}
+}
+
+func TestPlatformCutStreams(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t, 2, 0)
+	for name, faults := range map[string]replica.Faults{
+		"cut between events": {CutAfter: 10},
+		"cut in an event":    {CutAfter: 10, TornCut: true},
+	} {
+		t.Run("once, "+name, func(t *testing.T) {
+			is := is.New(t)
+			s.setEngineFaults(faults)
+			before := len(s.arrivals())
+			got := s.send(context.Background(), streamAsk("once "+name, 50))
+			is.True(got.err != nil)               // a cut answer looks cut
+			is.Equal(got.events(), numbers(10))   // and holds whole events only
+			is.Equal(len(s.arrivals())-before, 1) // it did not run again
+			is.Equal(got.status, http.StatusOK)   // it had begun
+		})
+		t.Run("resumable, "+name, func(t *testing.T) {
+			is := is.New(t)
+			s.setEngineFaults(faults)
+			before := len(s.arrivals())
+			ask := streamAsk("resumable "+name, 10+5)
+			ask.target = resumablePath
+			got := s.send(context.Background(), ask)
+			is.True(len(s.arrivals())-before == 2) // it went on elsewhere
+			arrivals := s.arrivals()
+			resumed := 0
+			for _, a := range arrivals {
+				if a.Header.Get("Fulmarvalve-Request-Id") == ask.id && a.Header.Get("Last-Event-Id") == "10" {
+					resumed++
+				}
+			}
+			is.Equal(resumed, 1) // after the last whole event
+			is.Equal(got.events()[:10], numbers(10))
+		})
+	}
+}
+
+func (s *platformSite) setEngineFaults(f replica.Faults) {
+	for _, e := range s.engines {
+		e.SetFaults(f)
+	}
+}
--- /dev/null
+++ b/internal/trial/openday/platform_site_test.go
@@ -0,0 +1,318 @@
+package openday
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/keyedlog"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
+)
+
+const (
+	// platformRevokeMillis and platformApplyMillis are the bounds of the
+	// deployments of these tests.
+	platformRevokeMillis = 2500
+	platformApplyMillis  = 2000
+	// platformPeerPort is the port of the processes beside engines.
+	platformPeerPort = 19500
+
+	platformKey   = "key-of-jarun-hall"
+	platformHost  = "desk.example"
+	streamPath    = "/draft/"
+	resumablePath = "/check/"
+	oncePath      = "/book/"
+	plainPath     = "/look/"
+)
+
+// platformSite is a deployment on the stand-in of the users' platform.
+type platformSite struct {
+	t         *testing.T
+	directory string
+	pool      *addressPool
+	log       *keyedlog.Log
+	entry     *program
+	settings  process.DirectEntry
+	engines   []*platformEngine
+	desks     []*replica.Replica
+	group     replica.Group
+	version   int
+}
+
+// platformEngine is an engine with the process beside it.
+type platformEngine struct {
+	*replica.Replica
+	beside *program
+	number int
+}
+
+// newPlatformSite starts a deployment with one entry host and waits until it
+// is ready.
+func newPlatformSite(t *testing.T, engines, desks int) *platformSite {
+	t.Helper()
+	count := int64(1 + engines)
+	if err := places.Acquire(context.Background(), count); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { places.Release(count) })
+	s := &platformSite{t: t, directory: t.TempDir(), pool: newAddressPool(t), log: &keyedlog.Log{}}
+	address := s.pool.next()
+	s.serve(func(ctx context.Context) error { return s.log.Serve(ctx, address, s.log.Routes()) })
+	s.log.Addr()
+	for n := range engines {
+		s.addEngine(n)
+	}
+	for n := range desks {
+		desk := s.newReplica(fmt.Sprintf("desk-%d", n), s.pool.next())
+		s.desks = append(s.desks, desk)
+		s.register(desk, "plain", "ready")
+	}
+	s.configure(platformKey)
+	s.startEntry()
+	eventually(t, "entry host ready", s.ready)
+	return s
+}
+
+// serve runs a stand-in until the test ends.
+func (s *platformSite) serve(run func(context.Context) error) {
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return run(ctx) })
+	s.t.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+}
+
+func (s *platformSite) newReplica(id, address string) *replica.Replica {
+	r := &replica.Replica{ID: id, Group: &s.group}
+	s.serve(func(ctx context.Context) error { return r.Serve(ctx, address, r.Routes()) })
+	r.Addr()
+	return r
+}
+
+// addEngine starts an engine on an IP number of its own, with its process.
+func (s *platformSite) addEngine(number int) *platformEngine {
+	pool := newAddressPool(s.t)
+	e := &platformEngine{Replica: s.newReplica(fmt.Sprintf("engine-%d", number), pool.next()), number: number}
+	settings := process.DirectBackend{
+		Name:            e.ID,
+		Zone:            "a",
+		HostAddress:     pool.ip,
+		PeerPort:        platformPeerPort,
+		MetricsPort:     platformPeerPort + 1,
+		EngineAddress:   e.Addr(),
+		MemoryMegabytes: 200,
+	}
+	e.beside = newProgram(s.t, "beside-"+e.ID, "direct-backend", s.write("beside-"+e.ID, settings))
+	e.beside.start()
+	s.engines = append(s.engines, e)
+	s.register(e.Replica, "engines", "ready")
+	return e
+}
+
+func (s *platformSite) write(name string, settings any) string {
+	data, err := json.Marshal(settings)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.directory, name+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// register writes the entry of a backend server.
+func (s *platformSite) register(r *replica.Replica, service, state string) {
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":24,"state":%q,"cold_ms":0,"seq":1,"born":1}`,
+		service, r.Addr(), state)
+	s.log.Put("keyed.servers", r.ID, []byte(entry))
+}
+
+// configure writes the next version of the configuration, with the given keys.
+func (s *platformSite) configure(keys ...string) {
+	s.version++
+	s.log.Put("keyed.op", "config", []byte(platformConfiguration(s.version, keys)))
+}
+
+func platformConfiguration(version int, keys []string) string {
+	route := func(path, kind, service string, attempts int, resumable bool) string {
+		return fmt.Sprintf(`{"name":"r%s","host":%q,"path_prefix":%q,"kind":%q,"timeout_ms":8000,"slo_ms":1500,`+
+			`"priority":0,"service":%q,"max_attempts":%d,"public":false,"resumable":%t,"gap_aim_ms":180}`,
+			strings.Trim(path, "/"), platformHost, path, kind, service, attempts, resumable)
+	}
+	routes := strings.Join([]string{
+		route(streamPath, "streaming", "engines", 1, false),
+		route(resumablePath, "streaming", "engines", 2, true),
+		route(oncePath, "unsafe", "plain", 1, false),
+		route(plainPath, "safe", "plain", 2, false),
+	}, ",")
+	list, _ := json.Marshal(keys)
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[`+
+		`{"name":"engines","engine":{"slots":24,"kv_capacity":34000,"kv_token_bytes":131072,"moves":true}},{"name":"plain"}],`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},`+
+		`"tenants":[{"name":"jarun-hall","api_keys":%s,"priority":1}]}`, version, routes, list)
+}
+
+// startEntry starts the entry host, or starts it again.
+func (s *platformSite) startEntry() {
+	s.t.Helper()
+	if s.entry == nil {
+		s.settings = process.DirectEntry{
+			Name:               "entry",
+			Zone:               "a",
+			CallerAddress:      s.pool.next(),
+			ReadyAddress:       s.pool.next(),
+			HostAddress:        s.pool.ip,
+			PeerPort:           platformPeerPort,
+			MetricsPort:        platformPeerPort + 1,
+			StoreAddress:       s.log.Addr(),
+			MemoryMegabytes:    200,
+			GraceSeconds:       4,
+			RevokeMillis:       platformRevokeMillis,
+			ApplyMillis:        platformApplyMillis,
+			RetryRatio:         0.2,
+			RetrySlack:         50,
+			RetryWindowSeconds: 10,
+		}
+		s.entry = newProgram(s.t, "entry", "direct-entry", s.write("entry", s.settings))
+	}
+	s.entry.start()
+}
+
+// ready returns an error while the entry host does not say that it is ready.
+func (s *platformSite) ready() error {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+s.settings.ReadyAddress+"/ready", http.NoBody)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("ready answers %d", answer.StatusCode)
+	}
+	return nil
+}
+
+// callerAsk is a request of a caller.
+type callerAsk struct {
+	method string
+	target string
+	id     string
+	key    string
+	// tokens is the output of a stream.
+	tokens int
+	body   string
+	header http.Header
+}
+
+// callerReply is what a caller received.
+type callerReply struct {
+	status int
+	header http.Header
+	body   string
+	// err tells that the answer is not whole.
+	err error
+}
+
+// events returns the numbers of the events in a reply.
+func (r callerReply) events() []string {
+	var ids []string
+	for line := range strings.Lines(r.body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, strings.TrimSpace(id))
+		}
+	}
+	return ids
+}
+
+// send sends a request to the entry host over a connection of its own.
+func (s *platformSite) send(ctx context.Context, a callerAsk) callerReply {
+	s.t.Helper()
+	request, err := http.NewRequestWithContext(ctx, a.method, "http://"+s.settings.CallerAddress+a.target, strings.NewReader(a.body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = platformHost
+	request.Close = true
+	for name, values := range a.header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Fulmarvalve-Request-Id", a.id)
+	request.Header.Set("Fulmarvalve-Deadline-Ms", "8000")
+	if a.key != "" {
+		request.Header.Set("X-Api-Key", a.key)
+	}
+	if a.tokens > 0 {
+		request.Header.Set("Fulmarvalve-Token-Usage", fmt.Sprintf("400,%d", a.tokens))
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return callerReply{err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return callerReply{status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
+}
+
+// sendRaw sends bytes as they are and returns all that comes back until the
+// entry host closes the connection, or a second passes.
+func (s *platformSite) sendRaw(text string) string {
+	s.t.Helper()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(context.Background(), "tcp", s.settings.CallerAddress)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, text); err != nil {
+		s.t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, _ := io.ReadAll(bufio.NewReader(conn))
+	return string(answer)
+}
+
+// arrivals returns what reached all engines and desks.
+func (s *platformSite) arrivals() []replica.Arrival {
+	var all []replica.Arrival
+	for _, e := range s.engines {
+		all = append(all, e.Arrivals()...)
+	}
+	for _, d := range s.desks {
+		all = append(all, d.Arrivals()...)
+	}
+	return all
+}
+
+// runner returns the engine on which a stream runs.
+func (s *platformSite) runner() *platformEngine {
+	s.t.Helper()
+	var found *platformEngine
+	eventually(s.t, "a running stream", func() error {
+		for _, e := range s.engines {
+			if e.Running() > 0 {
+				found = e
+				return nil
+			}
+		}
+		return fmt.Errorf("no engine runs a stream")
+	})
+	return found
+}
