feat: result codes, metrics and a bounded log on the users' platform

Cause: an on-call engineer has only logs and metrics; a log that is read slowly would have held up requests; the share of the retry budget assumed eight entry hosts, which a larger site breaks. Change: refusals carry the numbered result codes, two of them new; figures for each client account and route on the metrics address; the log has a bounded outlet that drops and counts; processes beside engines tell how many entry hosts watch, and the slack of the retry budget is divided by that.

--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/diary"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/directbackend"
@@ -56,7 +57,8 @@
 
 // runDirect loads the settings of a role and runs it.
 func runDirect[T any](ctx context.Context, c *cli.Command, load func(string) (T, error), role func(T, *slog.Logger) roleRunner) error {
-	log, err := diary.New(c.Root().Writer, diary.Settings{Level: c.String("log-level"), Format: c.String("log-format")})
+	outlet := diary.NewOutlet(c.Root().Writer)
+	log, err := diary.New(outlet, diary.Settings{Level: c.String("log-level"), Format: c.String("log-format")})
 	if err != nil {
 		return withCode(ExitUsage, err)
 	}
@@ -64,5 +66,13 @@
 	if err != nil {
 		return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
 	}
-	return withCode(ExitFailure, lifetime.WithSignals(ctx, role(settings, log)))
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error {
+		outlet.Run(writing)
+		return nil
+	})
+	err = lifetime.WithSignals(ctx, role(settings, log))
+	stop()
+	return withCode(ExitFailure, errors.CombineErrors(err, group.Wait()))
 }
--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -209,6 +209,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.EngineBornUnixMillis = l.latest.BornUnixMillis
+	if s.GetLoad() != nil {
+		s.Load.Watchers = uint32(len(l.watchers))
+	}
 	for w := range l.watchers {
 		select {
 		case w.outbox <- s:
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -8,7 +8,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
@@ -67,6 +69,9 @@
 			continue
 		}
 		sent++
+		if sent > 1 {
+			q.relay.Measure.CountRetry()
+		}
 		if !q.mayRepeat(ctx, last) {
 			break
 		}
@@ -240,29 +245,41 @@
 	return answered{status: answer.StatusCode, header: platform.CallerHeader(answer.Header), body: body}
 }
 
+// count counts a request that was answered by a backend server.
+func (q *request) count() {
+	q.relay.Measure.CountResult(uint32(receipt.OK))
+	millis := moment.Now().MillisSince(q.arrivedAt)
+	q.series().FirstToken(time.Duration(millis) * time.Millisecond)
+}
+
+// series returns the figures of the request's client account and route.
+func (q *request) series() *measure.Series {
+	return q.relay.Measure.Series(q.account.Name, q.route.Name)
+}
+
 // finish gives the caller the final answer.
 func (q *request) finish(ctx context.Context, last outcome) {
 	if q.exchange.CallerLeft() {
 		q.log("caller left")
+		q.relay.Measure.CountResult(uint32(receipt.Cancelled))
 		q.exchange.Cut()
 		return
 	}
 	switch o := last.(type) {
 	case answered:
 		q.log("answered", "Status", o.status)
+		q.count()
 		q.exchange.WriteWhole(o.status, o.header, o.body)
 	case streamed:
 	case lost:
-		status := http.StatusBadGateway
+		code := receipt.ReplyLost
 		if ctx.Err() != nil {
-			status = http.StatusGatewayTimeout
+			code = receipt.DeadlineCut
 		}
-		q.refuse(Refusal{Status: status, Reason: "AnswerLost"})
-	case declined, superseded:
-		q.refuse(Refusal{http.StatusServiceUnavailable, "Declined", crowdedRetryMillis})
-	case unreached:
-		q.refuse(Refusal{http.StatusServiceUnavailable, "ServerNotReached", crowdedRetryMillis})
+		q.refuse(Refusal{Code: code})
+	case declined:
+		q.refuse(Refusal{receipt.EngineRefused, crowdedRetryMillis})
 	default:
-		q.refuse(Refusal{http.StatusServiceUnavailable, "NoServer", crowdedRetryMillis})
+		q.refuse(Refusal{receipt.NoBackend, crowdedRetryMillis})
 	}
 }
--- a/internal/caller/relay/events_test.go
+++ b/internal/caller/relay/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
 
@@ -46,7 +47,7 @@
 }
 
 // Whatever the sizes in which a stream arrives, its whole events come out
-// unchanged and in order.
+// unchanged and in order, and nothing is lost.
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3"), uint8(5))
 	f.Add([]byte("\n\n\n\n"), uint8(1))
@@ -60,15 +61,17 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if len(whole) > 0 && !bytes.HasSuffix(whole, eventEnd) {
+				t.Fatalf("%q does not end with an event", whole)
+			}
 			out = append(out, whole...)
 			rest = rest[n:]
 		}
-		want := stream[:bytes.LastIndex(stream, eventEnd)+1]
-		if len(want) > 0 {
-			want = stream[:len(want)-1+len(eventEnd)]
+		if bytes.Contains(s.pending, eventEnd) {
+			t.Fatalf("whole event held back: %q", s.pending)
 		}
-		if !bytes.Equal(out, want) {
-			t.Fatalf("events %q, want %q", out, want)
+		if all := slices.Concat(out, s.pending); !bytes.Equal(all, stream) {
+			t.Fatalf("events %q, want %q", all, stream)
 		}
 	})
 }
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -6,11 +6,12 @@
 import (
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/frontdesk"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/courier"
@@ -31,8 +32,9 @@
 	Bounds func() Bounds
 	// EndsAt returns when the process ends that was told to stop; zero while it
 	// was not.
-	EndsAt func() moment.Moment
-	Log    *slog.Logger
+	EndsAt  func() moment.Moment
+	Measure *measure.Measure
+	Log     *slog.Logger
 }
 
 // Bounds are the bounds of what a configuration vouches for.
@@ -56,8 +58,10 @@
 	endsAt moment.Moment
 	// arrivedAt is when the first byte came.
 	arrivedAt moment.Moment
-	// configuredAt is the version of the configuration that was used.
-	configured int64
+	// configured is the version of the configuration that was used, and
+	// confirmedMillis its age.
+	configured      int64
+	confirmedMillis int64
 	// tried holds the servers that the request was sent to.
 	tried map[string]bool
 }
@@ -80,10 +84,8 @@
 
 // Refusal is an answer that the system gives itself.
 type Refusal struct {
-	// Status is the HTTP status code.
-	Status int
-	// Reason is a short text for logs.
-	Reason string
+	// Code is the result code; it decides the HTTP status.
+	Code receipt.Code
 	// RetryMillis is when to come back; zero says nothing of it.
 	RetryMillis int64
 }
@@ -113,13 +115,14 @@
 func (q *request) check(known courier.Configuration) (Refusal, bool) {
 	table := known.Timetable
 	if table == nil {
-		return Refusal{http.StatusServiceUnavailable, "NoConfiguration", unconfiguredRetryMillis}, false
+		return Refusal{receipt.NotConfigured, unconfiguredRetryMillis}, false
 	}
 	q.configured = table.Version
 	age := q.arrivedAt.MillisSince(known.ConfirmedAt)
+	q.confirmedMillis = age
 	route, ok := table.Route(q.exchange.Request.Host, pathOf(q.exchange.Request.RequestURI))
 	if !ok {
-		return q.deny(http.StatusNotFound, "NoRoute", age), false
+		return q.deny(receipt.UnknownService, age), false
 	}
 	q.route = route
 	if refusal, ok := q.checkKey(table, age); !ok {
@@ -127,10 +130,10 @@
 	}
 	q.service, ok = table.Service(route.Draw(rand.Float64()))
 	if !ok {
-		return Refusal{http.StatusServiceUnavailable, "NoService", unconfiguredRetryMillis}, false
+		return Refusal{receipt.NoBackend, unconfiguredRetryMillis}, false
 	}
 	if q.caller.ID == "" {
-		return Refusal{http.StatusBadRequest, "NoIdentity", 0}, false
+		return Refusal{receipt.InvalidRequest, 0}, false
 	}
 	q.endsAt = q.deadline()
 	return q.checkEnd()
@@ -142,7 +145,7 @@
 	if endsAt == 0 || q.arrivedAt.AddMillis(q.estimatedMillis()) < endsAt {
 		return Refusal{}, true
 	}
-	return Refusal{http.StatusServiceUnavailable, "Stopping", stoppingRetryMillis}, false
+	return Refusal{receipt.Leaving, stoppingRetryMillis}, false
 }
 
 // estimatedMillis returns the time until the request probably has its whole
@@ -162,10 +165,10 @@
 	}
 	account, ok := table.Account(q.caller.Key)
 	if !ok {
-		return q.deny(http.StatusUnauthorized, "UnknownKey", age), false
+		return q.deny(receipt.KeyUnknown, age), false
 	}
 	if age > q.relay.Bounds().RevokeMillis-revokeMarginMillis {
-		return Refusal{http.StatusServiceUnavailable, "ConfigurationTooOld", unconfiguredRetryMillis}, false
+		return Refusal{receipt.ConfigurationStale, unconfiguredRetryMillis}, false
 	}
 	q.account = account
 	return Refusal{}, true
@@ -173,11 +176,11 @@
 
 // deny refuses what the configuration does not hold. A configuration that is
 // not current cannot tell.
-func (q *request) deny(status int, reason string, age int64) Refusal {
+func (q *request) deny(code receipt.Code, age int64) Refusal {
 	if age > q.relay.Bounds().ApplyMillis {
-		return Refusal{http.StatusServiceUnavailable, "ConfigurationTooOld", unconfiguredRetryMillis}
+		return Refusal{receipt.ConfigurationStale, unconfiguredRetryMillis}
 	}
-	return Refusal{status, reason, 0}
+	return Refusal{code, 0}
 }
 
 // deadline returns when the request must have its final answer.
@@ -208,8 +211,11 @@
 			retry = max(min(retry, q.leftMillis()/3), 1)
 		}
 	}
-	q.log("request refused", "Status", refusal.Status, "Reason", refusal.Reason, "RetryMillis", retry)
-	q.exchange.WriteWhole(refusal.Status, platform.OwnAnswerHeader(q.caller.ID, retry), nil)
+	info := refusal.Code.Info()
+	q.relay.Measure.CountResult(uint32(refusal.Code))
+	q.log("request refused", "Code", refusal.Code, "Reason", info.Name, "Status", info.HTTPStatus,
+		"RetryMillis", retry, "ConfirmedMillis", q.confirmedMillis)
+	q.exchange.WriteWhole(info.HTTPStatus, platform.OwnAnswerHeader(q.caller.ID, retry), nil)
 }
 
 // log writes one line about the request.
--- a/internal/caller/relay/retries.go
+++ b/internal/caller/relay/retries.go
@@ -10,9 +10,11 @@
 // service over a sliding window. Its exported fields are set before use.
 type Retries struct {
 	// Ratio is the share of first requests that may be sent once more, and
-	// Slack is the number beyond it that this host may send in a window.
+	// Slack is the number beyond it that all entry hosts may send in a window.
 	Ratio float64
 	Slack float64
+	// Hosts returns the number of entry hosts that share Slack.
+	Hosts func() int
 	// WindowMillis is the length of the window.
 	WindowMillis int64
 
@@ -39,7 +41,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service, now)
-	if float64(len(w.spent)+1) > r.Ratio*float64(len(w.firsts))+r.Slack {
+	if float64(len(w.spent)+1) > r.Ratio*float64(len(w.firsts))+r.Slack/float64(max(r.Hosts(), 1)) {
 		return false
 	}
 	w.spent = append(w.spent, now)
--- a/internal/caller/relay/retries_test.go
+++ b/internal/caller/relay/retries_test.go
@@ -11,7 +11,7 @@
 // A service of which every answer fails gets no more repeats than its budget.
 func TestRetriesBoundAFailingService(t *testing.T) {
 	is := is.New(t)
-	r := &Retries{Ratio: 0.2, Slack: 7, WindowMillis: 10_000}
+	r := &Retries{Ratio: 0.2, Slack: 56, Hosts: func() int { return 8 }, WindowMillis: 10_000}
 	now := moment.Moment(1_000_000_000)
 	allowed := 0
 	for n := range 400 {
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -9,7 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -43,6 +45,8 @@
 	// pause between two.
 	firstMillis int64
 	pauseMillis int64
+	// series is set with the first event.
+	series *measure.Series
 }
 
 // errCallerGone says that the caller took no more events.
@@ -90,6 +94,7 @@
 	s.attempt.close(false)
 	s.begin()
 	s.request.exchange.End()
+	s.request.relay.Measure.CountResult(uint32(receipt.OK))
 	s.request.log("streamed", "Server", s.attempt.server.ID, "LastEvent", s.events.lastID, "Moves", s.moves,
 		"FirstMillis", s.firstMillis, "PauseMillis", s.pauseMillis)
 	return streamed{}
@@ -104,6 +109,7 @@
 	if !s.request.exchange.Begun() {
 		return lost{err}
 	}
+	s.request.relay.Measure.CountResult(uint32(receipt.GenerationLost))
 	s.request.exchange.Cut()
 	return streamed{}
 }
@@ -158,10 +164,14 @@
 // time notes that events came.
 func (s *stream) time(now moment.Moment) {
 	if s.lastEventAt == 0 {
+		s.series = s.request.series()
 		s.firstMillis = now.MillisSince(s.request.arrivedAt)
+		s.series.FirstToken(time.Duration(s.firstMillis) * time.Millisecond)
 		s.attempt.seat.Begin()
 	} else {
-		s.pauseMillis = max(s.pauseMillis, now.MillisSince(s.lastEventAt))
+		pause := now.MillisSince(s.lastEventAt)
+		s.series.BetweenTokens(time.Duration(pause) * time.Millisecond)
+		s.pauseMillis = max(s.pauseMillis, pause)
 	}
 	s.lastEventAt = now
 }
--- /dev/null
+++ b/internal/records/diary/outlet.go
@@ -0,0 +1,111 @@
+package diary
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// outletLines bounds the lines that wait for a slow reader.
+	outletLines = 2048
+	// linesPerSecond bounds the lines of a process; burstLines is how many may
+	// come at once.
+	linesPerSecond = 1000
+	burstLines     = 4000
+	// lossReportMillis is the pause between reports of dropped lines.
+	lossReportMillis = 1000
+)
+
+// Outlet is the writer of a log that never blocks its callers and whose volume
+// is bounded. Lines beyond the bounds are dropped and counted.
+type Outlet struct {
+	// Writer receives the lines. It is set before the first use.
+	Writer io.Writer
+
+	lines   chan []byte
+	limiter *rate.Limiter
+	dropped atomic.Int64
+}
+
+// NewOutlet returns an outlet to a writer.
+func NewOutlet(w io.Writer) *Outlet {
+	return &Outlet{
+		Writer:  w,
+		lines:   make(chan []byte, outletLines),
+		limiter: rate.NewLimiter(linesPerSecond, burstLines),
+	}
+}
+
+// Write takes one line, or drops it. It never fails.
+func (o *Outlet) Write(line []byte) (int, error) {
+	if !o.limiter.Allow() {
+		o.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case o.lines <- append([]byte(nil), line...):
+	default:
+		o.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped so far.
+func (o *Outlet) Dropped() int64 {
+	return o.dropped.Load()
+}
+
+// Run writes lines until ctx ends, then those that wait. It reports dropped
+// lines in the log itself.
+func (o *Outlet) Run(ctx context.Context) {
+	ticker := time.NewTicker(lossReportMillis * time.Millisecond)
+	defer ticker.Stop()
+	var reported int64
+	for {
+		select {
+		case line := <-o.lines:
+			o.emit(line)
+		case <-ticker.C:
+			reported = o.reportLoss(reported)
+		case <-ctx.Done():
+			o.drain()
+			o.reportLoss(reported)
+			return
+		}
+	}
+}
+
+// drain writes the lines that wait.
+func (o *Outlet) drain() {
+	for {
+		select {
+		case line := <-o.lines:
+			o.emit(line)
+		default:
+			return
+		}
+	}
+}
+
+// emit writes one line. A line that cannot be written counts as dropped.
+func (o *Outlet) emit(line []byte) {
+	if _, err := o.Writer.Write(line); err != nil {
+		o.dropped.Add(1)
+	}
+}
+
+// reportLoss writes how many lines were dropped in all, when that has changed.
+func (o *Outlet) reportLoss(reported int64) int64 {
+	dropped := o.Dropped()
+	if dropped == reported {
+		return reported
+	}
+	o.emit(fmt.Appendf(nil, "{\"Time\":%q,\"Level\":\"WARN\",\"Message\":\"log lines dropped\",\"Total\":%d}\n",
+		time.Now().Format(time.RFC3339Nano), dropped))
+	return dropped
+}
--- a/internal/result/receipt/table.go
+++ b/internal/result/receipt/table.go
@@ -45,6 +45,11 @@
 	KeyRequired Code = 215
 	// UnknownRequest reports a question about a request of which no record is held.
 	UnknownRequest Code = 216
+	// KeyUnknown reports a key that no client account holds.
+	KeyUnknown Code = 217
+	// ConfigurationStale reports a configuration that is too old to vouch for
+	// the request.
+	ConfigurationStale Code = 218
 
 	// GenerationLost reports a generation that ended with its owner.
 	GenerationLost Code = 300
@@ -89,6 +94,8 @@
 	{NotConfigured, "NotConfigured", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "No configuration is in force yet."},
 	{KeyRequired, "KeyRequired", NotRun, RepeatNever, http.StatusBadRequest, false, "The request needs an idempotency key that is a UUID of version 7."},
 	{UnknownRequest, "UnknownRequest", NotRun, RepeatNever, http.StatusNotFound, false, "No decision record of the request is held here."},
+	{KeyUnknown, "KeyUnknown", NotRun, RepeatNever, http.StatusUnauthorized, false, "No client account holds the key."},
+	{ConfigurationStale, "ConfigurationStale", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The configuration is too old to vouch for the request."},
 
 	{GenerationLost, "GenerationLost", Unknown, RepeatWithKey, http.StatusBadGateway, false, "The generation was lost with its owner; what was delivered is not continued."},
 	{OwnerSilent, "OwnerSilent", Unknown, RepeatWithKey, http.StatusGatewayTimeout, true, "The owner may have run the request and does not answer."},
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -16,6 +16,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/frontdesk"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
@@ -51,6 +52,7 @@
 	ledger  *seating.Ledger
 	server  *frontdesk.Server
 	watch   *watch.Watch
+	measure *measure.Measure
 	// bounds may change when the settings are read again.
 	bounds atomic.Pointer[relay.Bounds]
 	// endsAt is the moment at which a process that was told to stop ends; zero
@@ -69,6 +71,10 @@
 	if err != nil {
 		return err
 	}
+	metrics, err := line.Listen(life.Cut, h.Settings.MetricsAddress())
+	if err != nil {
+		return err
+	}
 	h.prepare(callers)
 	h.Log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress)
 	ctx, end := context.WithCancel(life.Cut)
@@ -77,6 +83,8 @@
 	group.Go(func() error { return h.courier.Run(ctx) })
 	group.Go(func() error { return h.server.Run(ctx) })
 	group.Go(func() error { return h.watch.Run(ctx) })
+	group.Go(func() error { return h.measure.Run(ctx) })
+	group.Go(func() error { return line.HTTPServer{Listener: metrics, Handler: h.measure.Handler()}.Run(ctx) })
 	group.Go(func() error { return line.HTTPServer{Listener: ready, Handler: h.readiness()}.Run(ctx) })
 	group.Go(func() error {
 		lifetime.OnReload(ctx, h.reload)
@@ -98,6 +106,7 @@
 		Store: &platform.Store{Address: h.Settings.StoreAddress, HTTP: platform.NewStoreHTTP()},
 		Log:   h.Log,
 	}
+	h.measure = &measure.Measure{}
 	h.ledger = &seating.Ledger{Zone: h.Settings.Zone}
 	moves := &relay.Moves{}
 	h.watch = &watch.Watch{
@@ -118,6 +127,7 @@
 			Moves:   moves,
 			Retries: h.retries(),
 			Placed:  h.watch.Placed,
+			Measure: h.measure,
 			Log:     h.Log,
 			Bounds:  func() relay.Bounds { return *h.bounds.Load() },
 			EndsAt:  func() moment.Moment { return moment.Moment(h.endsAt.Load()) },
@@ -143,12 +153,12 @@
 		"RevokeMillis", settings.RevokeMillis, "ApplyMillis", settings.ApplyMillis)
 }
 
-// retries returns this host's share of the retries of all entry hosts.
+// retries returns the budget for sending requests once more.
 func (h *Host) retries() *relay.Retries {
-	const assumedHosts = 8
 	return &relay.Retries{
 		Ratio:        h.Settings.RetryRatio,
-		Slack:        h.Settings.RetrySlack / assumedHosts,
+		Slack:        h.Settings.RetrySlack,
+		Hosts:        h.ledger.EntryHosts,
 		WindowMillis: int64(h.Settings.RetryWindowSeconds * millisPerSecond),
 	}
 }
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -27,7 +27,9 @@
 	Queued     int
 	UsedTokens int
 	// Starting are the requests that have made no event yet.
-	Starting   int
+	Starting int
+	// Watchers are the entry hosts that watch the engine.
+	Watchers   int
 	ReceivedAt moment.Moment
 }
 
@@ -172,6 +174,23 @@
 	delete(l.leaving, server)
 }
 
+// unknownHosts is assumed while no engine says how many entry hosts there are.
+const unknownHosts = 32
+
+// EntryHosts returns the number of entry hosts, as the engines see it.
+func (l *Ledger) EntryHosts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := 0
+	for _, report := range l.reports {
+		most = max(most, report.Watchers)
+	}
+	if most == 0 {
+		return unknownHosts
+	}
+	return most
+}
+
 // Ending returns the IDs of the engines that are known to end soon.
 func (l *Ledger) Ending() []string {
 	l.mu.Lock()
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -298,6 +298,7 @@
 			Queued:     int(load.GetQueued()),
 			UsedTokens: int(load.GetUsedTokens()),
 			Starting:   int(load.GetStarting()),
+			Watchers:   int(load.GetWatchers()),
 			ReceivedAt: now,
 		})
 	case s.GetNotice() != nil:
