--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -57,7 +57,7 @@
 	q.relay.Retries.CountFirst(q.service.Name, moment.Now())
 	var last outcome = unplaced{}
 	for sent, dials := 0, 0; sent < q.route.MaxAttempts && dials < maxDials; dials++ {
-		if sent > 0 && !q.relay.Retries.Allow(q.service.Name, moment.Now()) {
+		if dials > 0 && !q.relay.Retries.Allow(q.service.Name, moment.Now()) {
 			break
 		}
 		last = q.attempt(ctx)
@@ -280,6 +280,6 @@
 	case declined:
 		q.refuse(Refusal{receipt.EngineRefused, crowdedRetryMillis})
 	default:
-		q.refuse(Refusal{receipt.NoBackend, crowdedRetryMillis})
+		q.refuse(Refusal{receipt.NoBackend, absentRetryMillis})
 	}
 }
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -97,6 +97,9 @@
 	// crowdedRetryMillis is when to come back when no backend server takes the
 	// request.
 	crowdedRetryMillis = 500
+	// absentRetryMillis is when to come back when no backend server is reached.
+	// It exceeds the usual pause between heartbeats.
+	absentRetryMillis = 1300
 	// stoppingRetryMillis is when to come back, to another entry host.
 	stoppingRetryMillis = 50
 	// plainMillis is the time that an answer of a plain service takes at most.
