--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -107,7 +107,7 @@
 		Log:   h.Log,
 	}
 	h.measure = &measure.Measure{}
-	h.ledger = &seating.Ledger{Zone: h.Settings.Zone, HeartbeatMillis: h.Settings.HeartbeatMillis}
+	h.ledger = &seating.Ledger{Zone: h.Settings.Zone}
 	moves := &relay.Moves{}
 	h.watch = &watch.Watch{
 		Courier:  h.courier,
--- a/internal/routing/muster/muster.go
+++ b/internal/routing/muster/muster.go
@@ -35,9 +35,6 @@
 	State   State
 	// WarmAt is the moment from which the server works at full speed.
 	WarmAt moment.Moment
-	// HeardAt is the read that brought the newest heartbeat; zero while only the
-	// entry is known, which a server that is gone leaves behind for a while.
-	HeardAt moment.Moment
 }
 
 // returnMillis is the time after an outage of the store in which entries that
@@ -91,11 +88,7 @@
 	for _, c := range e.Changes {
 		switch c := c.(type) {
 		case Registered:
-			server := c.Server
-			if !e.Whole {
-				server.HeardAt = e.ReadAt
-			}
-			members[server.ID] = member{server: server}
+			members[c.Server.ID] = member{server: c.Server}
 		case Removed:
 			remove(members, c.ID, e)
 		}
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -17,9 +17,6 @@
 	// failureForgetMillis is the time after which failures are forgotten, so
 	// that a backend server is tried again.
 	failureForgetMillis = 4000
-	// silentHeartbeats is the number of heartbeats after which a server counts
-	// as silent. Entries lapse after three.
-	silentHeartbeats = 2
 	// reportMillis is the age up to which a report of load counts.
 	reportMillis = 2500
 )
@@ -41,9 +38,6 @@
 type Ledger struct {
 	// Zone is the entry host's availability zone. It is set before use.
 	Zone string
-	// HeartbeatMillis is the pause between heartbeats of backend servers. It is
-	// set before use.
-	HeartbeatMillis int64
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -278,7 +272,6 @@
 		Cold:     now.Before(server.WarmAt),
 		Tried:    ask.Tried[server.ID],
 		Avoided:  now.Before(l.avoided[server.ID]),
-		Silent:   now.MillisSince(server.HeardAt) > silentHeartbeats*l.HeartbeatMillis,
 		Slots:    server.Slots,
 		Running:  len(a.seats),
 	}
--- a/internal/routing/seating/seating.go
+++ b/internal/routing/seating/seating.go
@@ -17,9 +17,7 @@
 	startingCost = 0.25
 	// failureCost is the cost of a backend server that fails every request.
 	failureCost = 3.0
-	// silentCost, leavingCost and avoidedCost each exceed the sum of all costs
-	// before.
-	silentCost  = 100.0
+	// leavingCost and avoidedCost exceed the sum of all other costs.
 	leavingCost = 1000.0
 	avoidedCost = 2000.0
 	// spreadCost is the greatest cost that is drawn at random, so that entry
@@ -41,8 +39,6 @@
 	Cold bool
 	// Leaving says that it will end soon.
 	Leaving bool
-	// Silent says that no heartbeat of it was heard lately.
-	Silent bool
 	// Avoided says that it was not reached a short while ago.
 	Avoided bool
 	// Tried says that this request was sent there before.
@@ -88,9 +84,6 @@
 // cost returns what it costs to place a request of that many tokens there.
 func (c Candidate) cost(tokens int) float64 {
 	cost := failureCost * c.FailureShare
-	if c.Silent {
-		cost += silentCost
-	}
 	if c.Leaving {
 		cost += leavingCost
 	}
--- a/internal/settings/process/direct.go
+++ b/internal/settings/process/direct.go
@@ -37,8 +37,6 @@
 	RevokeMillis int64 `validate:"min=500,max=3600000"`
 	// ApplyMillis is the time after which a configuration is in force.
 	ApplyMillis int64 `validate:"min=100,max=3600000"`
-	// HeartbeatMillis is the pause between heartbeats of backend servers.
-	HeartbeatMillis int64 `validate:"min=100,max=600000"`
 	// RetryRatio is the share of a service's requests that all entry hosts
 	// together may send once more; RetrySlack is the number beyond it.
 	RetryRatio float64 `validate:"min=0,max=10"`
