perf: reads of the list wait for changes; engines are identified by their processes

Cause: the list was polled every 600 ms though entries are written only when they change; after a restart entry hosts found each superseded engine by a request; after a failed read the next one waited again, so that a path that went silent left the configuration unconfirmed for up to 5.5 s. Change: reads of the list wait in the store; the process beside an engine asks it once for its identity and tells entry hosts; a read after a failure returns at once; ready until 0.6 of the time for which a configuration vouches.

--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -41,6 +41,8 @@
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
 	latest   platform.EngineReport
+	// engineID is the identity of the engine; empty while it is not known.
+	engineID string
 	// leavesAt is the moment at which the engine ends; zero while it stays.
 	leavesAt moment.Moment
 	advice   advice
@@ -84,11 +86,13 @@
 		case err != nil && !lost:
 			l.Log.Warn("engine lost", "Engine", l.EngineAddress, "Error", err)
 			lost = true
+			l.setIdentity("")
 		case err == nil && lost:
 			l.Log.Info("engine regained", "Engine", l.EngineAddress)
 			lost = false
 		}
 		if err == nil {
+			l.identify(ctx)
 			l.learn(ctx, group, report, now)
 			if l.takePlacements() || due(reported, report, now.MillisSince(reportedAt)) {
 				l.publish(loadSighting(report))
@@ -118,12 +122,40 @@
 	return l.Engines.Report(ctx, l.EngineAddress)
 }
 
+// identify asks the engine for its identity once after each start.
+func (l *Lookout) identify(ctx context.Context) {
+	l.mu.Lock()
+	known := l.engineID != ""
+	l.mu.Unlock()
+	if known {
+		return
+	}
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(askMillis*time.Millisecond))
+	defer stop()
+	id, err := l.Engines.Identity(ctx, l.EngineAddress)
+	if err != nil {
+		l.Log.Warn("identity of engine not known", "Engine", l.EngineAddress, "Error", err)
+		return
+	}
+	l.Log.Info("engine identified", "Engine", l.EngineAddress, "Server", id)
+	l.setIdentity(id)
+}
+
+func (l *Lookout) setIdentity(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.engineID = id
+}
+
 // learn takes over a report. The first one that says that the engine leaves
 // starts the moves.
 func (l *Lookout) learn(ctx context.Context, group *errgroup.Group, report platform.EngineReport, now moment.Moment) {
 	l.mu.Lock()
 	restarted := report.BornUnixMillis != l.latest.BornUnixMillis
 	l.latest = report
+	if restarted {
+		l.engineID = ""
+	}
 	if restarted || !report.Leaving {
 		l.leavesAt = 0
 	}
@@ -209,6 +241,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.EngineBornUnixMillis = l.latest.BornUnixMillis
+	s.EngineId = l.engineID
 	if s.GetLoad() != nil {
 		s.Load.Watchers = uint32(len(l.watchers))
 	}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -32,6 +32,10 @@
 	// memoryShare is the share of the memory limit from which on the runtime
 	// collects garbage more often.
 	memoryShare = 0.7
+	// readyShare is the share of the time for which a configuration vouches for
+	// keys in which the process counts as ready, so that callers are sent
+	// elsewhere before it must refuse them.
+	readyShare = 0.6
 	// acceptMillis is how long a process that stops keeps connections that wait
 	// for a request, until the platform sends it no more.
 	acceptMillis = 2600
@@ -190,7 +194,8 @@
 	if known.Timetable == nil || h.courier.Servers().ConfirmedAt == 0 {
 		return false
 	}
-	return moment.Now().MillisSince(known.ConfirmedAt) < h.bounds.Load().RevokeMillis/2
+	readyMillis := int64(readyShare * float64(h.bounds.Load().RevokeMillis))
+	return moment.Now().MillisSince(known.ConfirmedAt) < readyMillis
 }
 
 // awaitEnd waits for the signal to stop, lets the platform notice, and lets
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -32,6 +32,9 @@
 	rosterMillis = 200
 	// redialMillis is the pause before a stream that ended is opened anew.
 	redialMillis = 500
+	// supersededMillis is how long an engine gets no request after another one
+	// was found in its place.
+	supersededMillis = 2000
 	// silenceMillis is the silence after which a stream counts as dead. It is
 	// longer than the pause between reports.
 	silenceMillis = 3000
@@ -271,6 +274,7 @@
 		}
 		silence.Reset(silenceMillis * time.Millisecond)
 		if otherIncarnation(server, s) {
+			w.Ledger.Avoid(server.ID, moment.Now().AddMillis(supersededMillis))
 			return errOtherIncarnation
 		}
 		opened()
@@ -283,6 +287,9 @@
 var errOtherIncarnation = errors.New("the engine has started anew")
 
 func otherIncarnation(server muster.BackendServer, s *sighting.Sighting) bool {
+	if s.GetEngineId() != "" && s.GetEngineId() != server.ID {
+		return true
+	}
 	born := s.GetEngineBornUnixMillis()
 	return born != 0 && server.BornUnixMillis != 0 && born != server.BornUnixMillis
 }
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -19,14 +19,14 @@
 )
 
 const (
-	// configurationWaitMillis is how long the store holds a read of the
-	// configuration until there is a change.
-	configurationWaitMillis = 1000
+	// changeWaitMillis is how long the store holds a read until there is a
+	// change. Knowledge is up to that old while nothing changes.
+	changeWaitMillis = 1000
 	// replyMillis bounds a call to the store beyond the wait it asks for.
-	replyMillis = 1000
-	// listMillis is the pause between reads of the list. Entries change with
-	// every heartbeat, so that a read that waits returns at once.
-	listMillis = 600
+	replyMillis = 700
+	// listMillis is the pause between reads of the list, as its changes come
+	// several at a time.
+	listMillis = 250
 	// retryMillis is the pause after a call that failed.
 	retryMillis = 300
 )
@@ -75,11 +75,11 @@
 func (c *Courier) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		f := follower{topic: platform.ConfigurationTopic, waitMillis: configurationWaitMillis, courier: c}
+		f := follower{topic: platform.ConfigurationTopic, waitMillis: changeWaitMillis, courier: c}
 		return f.run(ctx, c.learnConfiguration)
 	})
 	group.Go(func() error {
-		f := follower{topic: platform.ServersTopic, pauseMillis: listMillis, courier: c}
+		f := follower{topic: platform.ServersTopic, waitMillis: changeWaitMillis, pauseMillis: listMillis, courier: c}
 		return f.run(ctx, c.learnServers)
 	})
 	return group.Wait()
@@ -190,13 +190,18 @@
 }
 
 func (f *follower) read(ctx context.Context) (platform.Records, error) {
-	deadline := time.Now().Add(time.Duration(f.waitMillis+replyMillis) * time.Millisecond)
+	waitMillis := f.waitMillis
+	if f.away {
+		// An answer at once ends the time in which nothing is confirmed.
+		waitMillis = 0
+	}
+	deadline := time.Now().Add(time.Duration(waitMillis+replyMillis) * time.Millisecond)
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
 	if !f.listed {
 		return f.courier.Store.Newest(ctx, f.topic)
 	}
-	return f.courier.Store.Read(ctx, f.topic, f.next, f.waitMillis)
+	return f.courier.Store.Read(ctx, f.topic, f.next, waitMillis)
 }
 
 // lose notes a failed call. Deleted history is read anew and is no outage.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -130,6 +130,9 @@
 			r.report(w)
 		case "/kv-move":
 			r.copyRun(w, q)
+		case "/":
+			w.Header().Set("Fulmarvalve-Replica-Id", r.ID)
+			w.WriteHeader(http.StatusMisdirectedRequest)
 		default:
 			r.answer(w, q)
 		}
