--- a/cmd/check.go
+++ b/cmd/check.go
@@ -17,9 +17,11 @@
 
 // Kinds of file that can be checked.
 const (
-	checkKindEntry    = "Entry"
-	checkKindBackend  = "Backend"
-	checkKindServices = "Services"
+	checkKindEntry         = "Entry"
+	checkKindBackend       = "Backend"
+	checkKindDirectEntry   = "DirectEntry"
+	checkKindDirectBackend = "DirectBackend"
+	checkKindServices      = "Services"
 )
 
 func newCheckCommand() *cli.Command {
@@ -30,7 +32,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{
 				Name:      "kind",
-				Usage:     "kind of all files: Entry, Backend or Services; by default each file's fields decide",
+				Usage:     "kind of all files: Entry, Backend, DirectEntry, DirectBackend or Services; by default each file's fields decide",
 				Validator: validateCheckKind,
 			},
 		},
@@ -40,7 +42,7 @@
 
 func validateCheckKind(kind string) error {
 	switch kind {
-	case checkKindEntry, checkKindBackend, checkKindServices:
+	case checkKindEntry, checkKindBackend, checkKindDirectEntry, checkKindDirectBackend, checkKindServices:
 		return nil
 	default:
 		return errors.Newf("no such kind of file: %q", kind)
@@ -98,6 +100,10 @@
 		_, err = process.ParseEntry(data)
 	case checkKindBackend:
 		_, err = process.ParseBackend(data)
+	case checkKindDirectEntry:
+		_, err = process.ParseDirectEntry(data)
+	case checkKindDirectBackend:
+		_, err = process.ParseDirectBackend(data)
 	default:
 		_, err = agreement.Parse(data)
 	}
@@ -111,11 +117,17 @@
 		CallerAddress json.RawMessage
 		Kind          json.RawMessage
 		PeerAddress   json.RawMessage
+		StoreAddress  json.RawMessage
+		PeerPort      json.RawMessage
 	}
 	if err := json.Unmarshal(data, &marks); err != nil {
 		return checkKindServices
 	}
 	switch {
+	case marks.StoreAddress != nil:
+		return checkKindDirectEntry
+	case marks.PeerPort != nil:
+		return checkKindDirectBackend
 	case marks.CallerAddress != nil:
 		return checkKindEntry
 	case marks.Kind != nil, marks.PeerAddress != nil:
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -88,6 +88,7 @@
 			newDirectBackendCommand(),
 			newStatusCommand(),
 			newExplainCommand(),
+			newTraceCommand(),
 			newDrainCommand(),
 			newDemoCommand(),
 			newStandinsCommand(),
--- /dev/null
+++ b/cmd/trace.go
@@ -0,0 +1,84 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/story"
+)
+
+func newTraceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "tell one request's story from the logs of all processes, or count failures by cause",
+		ArgsUsage: "[FILE...]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "identity of the request; without it failures are counted"},
+			&cli.TimestampFlag{Name: "from", Usage: "count failures from this time on, as in the logs", Config: timestampConfig()},
+			&cli.TimestampFlag{Name: "until", Usage: "count failures until this time, as in the logs", Config: timestampConfig()},
+		},
+		Action: runTrace,
+	}
+}
+
+func timestampConfig() cli.TimestampConfig {
+	return cli.TimestampConfig{Layouts: []string{time.RFC3339Nano, time.RFC3339}}
+}
+
+// runTrace reads the named files, or standard input.
+func runTrace(_ context.Context, c *cli.Command) error {
+	lines, err := readLogs(c.Root().Reader, c.Args().Slice())
+	if err != nil {
+		return withCode(ExitFailure, err)
+	}
+	request := c.String("request")
+	if request == "" {
+		return withCode(ExitFailure, writeCauses(c.Root().Writer, story.Causes(lines, c.Timestamp("from"), c.Timestamp("until"))))
+	}
+	found := story.Of(lines, request)
+	if len(found) == 0 {
+		return withCode(ExitFailure, errors.Newf("no line names request %s", request))
+	}
+	return withCode(ExitFailure, story.Write(c.Root().Writer, found))
+}
+
+func readLogs(stdin io.Reader, paths []string) ([]story.Line, error) {
+	if len(paths) == 0 {
+		lines, _, err := story.Read(stdin)
+		return lines, err
+	}
+	var all []story.Line
+	for _, path := range paths {
+		lines, err := readLog(path)
+		if err != nil {
+			return nil, errors.Wrap(err, path)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readLog(path string) ([]story.Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	lines, _, err := story.Read(file)
+	return lines, err
+}
+
+func writeCauses(w io.Writer, causes []story.Cause) error {
+	for _, c := range causes {
+		if _, err := fmt.Fprintf(w, "%6d  %s, first %s\n", c.Count, c.Text, c.Request); err != nil {
+			return errors.Wrap(err, "write causes")
+		}
+	}
+	return nil
+}
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -21,7 +21,7 @@
 const (
 	// changeWaitMillis is how long the store holds a read until there is a
 	// change. Knowledge is up to that old while nothing changes.
-	changeWaitMillis = 1000
+	changeWaitMillis = 800
 	// replyMillis bounds a call to the store beyond the wait it asks for.
 	replyMillis = 700
 	// listMillis is the pause between reads of the list, as its changes come
--- a/internal/settings/process/direct.go
+++ b/internal/settings/process/direct.go
@@ -67,21 +67,38 @@
 // LoadDirectEntry reads the settings of a DirectEntry. The error is a *Faults
 // when the file can be read and is invalid.
 func LoadDirectEntry(path string) (DirectEntry, error) {
-	return loadDirect[DirectEntry](path)
+	return loadDirect(path, ParseDirectEntry)
+}
+
+// ParseDirectEntry decodes and validates the settings of a DirectEntry. The
+// error is a *Faults.
+func ParseDirectEntry(data []byte) (DirectEntry, error) {
+	return parseDirect[DirectEntry](data)
+}
+
+// ParseDirectBackend decodes and validates the settings of a DirectBackend.
+// The error is a *Faults.
+func ParseDirectBackend(data []byte) (DirectBackend, error) {
+	return parseDirect[DirectBackend](data)
 }
 
 // LoadDirectBackend reads the settings of a DirectBackend. The error is a
 // *Faults when the file can be read and is invalid.
 func LoadDirectBackend(path string) (DirectBackend, error) {
-	return loadDirect[DirectBackend](path)
+	return loadDirect(path, ParseDirectBackend)
 }
 
-func loadDirect[T any](path string) (T, error) {
-	var settings, none T
+func loadDirect[T any](path string, parse func([]byte) (T, error)) (T, error) {
+	var none T
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return none, errors.Wrap(err, "read settings")
 	}
+	return parse(data)
+}
+
+func parseDirect[T any](data []byte) (T, error) {
+	var settings, none T
 	in := inspection.New()
 	if !in.Decode(data, &settings) {
 		return none, in.Err()
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -178,7 +178,10 @@
 		close(running.stop)
 	}
 	time.Sleep(copyMillis * time.Millisecond)
-	reply := map[string]any{"handle": r.Group.issue(message.ID), "created": running.events}
+	r.mu.Lock()
+	created := running.events
+	r.mu.Unlock()
+	reply := map[string]any{"handle": r.Group.issue(message.ID), "created": created}
 	if refused {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
