fix: a caller that is still sending gets the refusal of its body

Ruled out: load; TestRefusalReachesASendingCaller fails each time without it. Change: after a refusal the sending side is closed and what still comes is read for a bounded time.

--- /dev/null
+++ b/internal/caller/frontdesk/frontdesk_test.go
@@ -0,0 +1,118 @@
+package frontdesk
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+)
+
+// echo answers with the request's body.
+type echo struct{}
+
+func (echo) Handle(x *Exchange) {
+	x.WriteWhole(http.StatusOK, make(http.Header), x.Body)
+}
+
+// startServer serves echo until the test ends and returns its address.
+func startServer(t *testing.T, limits timetable.Limits) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{
+		Listener: listener,
+		Handler:  echo{},
+		Log:      slog.New(slog.DiscardHandler),
+		Limits:   func() timetable.Limits { return limits },
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return s.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// A caller that is still sending gets the refusal of its body, not a reset.
+func TestRefusalReachesASendingCaller(t *testing.T) {
+	is := is.New(t)
+	const limit = 1 << 20
+	conn := dial(t, startServer(t, timetable.Limits{MaxBodyBytes: limit}))
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", 4*limit)
+	is.NoErr(err)
+	for range 4 {
+		_, err = io.WriteString(conn, strings.Repeat("b", limit))
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusRequestEntityTooLarge)
+	is.NoErr(answer.Body.Close())
+}
+
+// A connection serves several requests, also when they were sent at once.
+func TestKeptConnection(t *testing.T) {
+	is := is.New(t)
+	conn := dial(t, startServer(t, timetable.Limits{}))
+	request := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+	chunked := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+	_, err := io.WriteString(conn, request+chunked+request)
+	is.NoErr(err)
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		answer, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "abc")
+	}
+}
+
+// A head that comes too slowly or is too large ends the connection.
+func TestHeadLimits(t *testing.T) {
+	address := startServer(t, timetable.Limits{HeaderMillis: 100, MaxHeaderBytes: 1000})
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"slow":  {"GET / HTTP/1.1\r\nHost: a\r\n", http.StatusRequestTimeout},
+		"large": {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 2000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn := dial(t, address)
+			_, err := io.WriteString(conn, c.text)
+			is.NoErr(err)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, c.status)
+			is.NoErr(answer.Body.Close())
+		})
+	}
+}
--- a/internal/caller/frontdesk/read.go
+++ b/internal/caller/frontdesk/read.go
@@ -13,6 +13,13 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
 )
 
+const (
+	// lingerMillis and lingerBytes bound what is read from a caller whose
+	// request was refused unread.
+	lingerMillis = 1000
+	lingerBytes  = 16 << 20
+)
+
 // errBodyTooLarge says that a body is over the limit.
 var errBodyTooLarge = errors.New("request body is too large")
 
@@ -145,7 +152,23 @@
 	c.server.Log.Info("request not readable", "Status", status, "Error", cause)
 	x := &Exchange{connection: c, closes: true, Request: &http.Request{Method: http.MethodGet}}
 	x.WriteWhole(status, make(http.Header), nil)
-	x.finish()
+	if x.finish() {
+		c.linger()
+	}
+}
+
+// linger reads and drops what the caller still sends, so that closing the
+// connection does not reset it before the caller has read its answer.
+func (c *connection) linger() {
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	if tcp.SetReadDeadline(time.Now().Add(lingerMillis*time.Millisecond)) != nil {
+		return
+	}
+	// Whatever ends the reading, the connection is closed next.
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.reader, lingerBytes))
 }
 
 // setUserTimeout bounds how long a connection waits for acknowledgements.
