feat: moves order by what is lost, own zone first; full destinations are closed

Change: runs go by worth for each token copied; destinations by tiers (contended, other zone, room); a refused destination gets no further run of this engine; a run that is not there any more is not tried again.

--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -21,15 +21,12 @@
 	// guessedRemaining is assumed of a run of which no entry host said how much
 	// is still to be generated.
 	guessedRemaining = 500
-	// otherZoneTokens is the free memory that an engine in the own zone may
-	// lack compared with one in another zone.
-	otherZoneTokens = 20_000
-	// contendedTokens is the free memory that an engine may lack compared with
-	// one to which another engine that ends copies its runs.
-	contendedTokens = 25_000
 	// assignedTokens weighs each run that was given to an engine shortly
 	// before, in free tokens, as its copies queue there.
 	assignedTokens = 2000
+	// guessedWorth is assumed of a run of which no entry host said what it is
+	// worth.
+	guessedWorth = 8000
 )
 
 // Run is a generation on the engine that ends.
@@ -40,6 +37,9 @@
 	// Remaining is the estimate of what is still to be generated; negative
 	// when it is not known.
 	Remaining int
+	// Worth is what the whole answer is worth, in a unit that all runs share;
+	// zero when it is not known.
+	Worth int64
 }
 
 // Destination is an engine that can take runs.
@@ -67,7 +67,7 @@
 		return r.endsBefore(leavesInMillis)
 	})
 	slices.SortFunc(leaving, func(a, b Run) int {
-		return cmp.Or(cmp.Compare(a.Tokens, b.Tokens), cmp.Compare(a.RequestID, b.RequestID))
+		return cmp.Or(cmp.Compare(b.density(), a.density()), cmp.Compare(a.RequestID, b.RequestID))
 	})
 	for _, run := range leaving {
 		if destination, ok := choose(run, destinations, leavesInMillis); ok {
@@ -85,6 +85,15 @@
 	return int64(r.Remaining)*tokenMillis+endMarginMillis < leavesInMillis
 }
 
+// density returns what is saved for each token that is copied.
+func (r Run) density() float64 {
+	worth := r.Worth
+	if worth == 0 {
+		worth = guessedWorth
+	}
+	return float64(worth) / float64(max(r.Tokens, 1))
+}
+
 // need returns the memory that the run will take at a destination.
 func (r Run) need() int {
 	if r.Remaining < 0 {
@@ -93,8 +102,8 @@
 	return r.Tokens + r.Remaining
 }
 
-// choose returns the destination with the most room, with the own zone
-// preferred, among those that the copy reaches in time.
+// choose returns the best destination among those that the copy reaches in
+// time and that have room for all of the run.
 func choose(run Run, destinations []Destination, leavesInMillis int64) (Destination, bool) {
 	best, found := Destination{}, false
 	for _, d := range destinations {
@@ -104,24 +113,24 @@
 		if (Step{Run: run, Destination: d}).CopyMillis() > leavesInMillis {
 			continue
 		}
-		if !found || d.room() > best.room() {
+		if !found || d.betterThan(best) {
 			best, found = d, true
 		}
 	}
 	return best, found
 }
 
-// room returns the free memory of a destination, less what makes it a worse
-// choice.
-func (d Destination) room() int {
-	room := d.FreeTokens - assignedTokens*d.Assigned
-	if !d.SameZone {
-		room -= otherZoneTokens
+// betterThan reports whether a run should rather go to d. A link that another
+// engine's copies use delays both, and a copy to another zone takes twice as
+// long; among equals the room decides.
+func (d Destination) betterThan(other Destination) bool {
+	if d.Contended != other.Contended {
+		return !d.Contended
 	}
-	if d.Contended {
-		room -= contendedTokens
+	if d.SameZone != other.SameZone {
+		return d.SameZone
 	}
-	return room
+	return d.FreeTokens-assignedTokens*d.Assigned > other.FreeTokens-assignedTokens*other.Assigned
 }
 
 // CopyMillis estimates the time in which the run's memory is copied.
--- a/internal/backend/handover/handover_test.go
+++ b/internal/backend/handover/handover_test.go
@@ -27,6 +27,10 @@
 		{"ends before its engine", []Run{{RequestID: "short", Tokens: 2000, Remaining: 20}}, []Destination{own}, 2000, "", ""},
 		{"not known to end", []Run{{RequestID: "unknown", Tokens: 2000, Remaining: -1}}, []Destination{own}, 2000, "unknown", "own"},
 		{"shortest copy first", []Run{long, {RequestID: "small", Tokens: 2000, Remaining: 900}}, []Destination{own}, 2000, "small", "own"},
+		{"most to lose for its copy first", []Run{
+			{RequestID: "small", Tokens: 2000, Remaining: 900, Worth: 9000},
+			{RequestID: "dear", Tokens: 4000, Remaining: 900, Worth: 30_000},
+		}, []Destination{own}, 2000, "dear", "own"},
 		{"spread over engines", []Run{long}, []Destination{
 			{Address: "used", FreeTokens: 10_000, FreeSlots: 5, SameZone: true, Assigned: 2},
 			{Address: "fresh", FreeTokens: 8000, FreeSlots: 5, SameZone: true},
--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
@@ -26,25 +27,34 @@
 
 // advice is what the entry hosts said since the notice.
 type advice struct {
-	// remaining tokens by request identity.
-	remaining map[string]int
+	// runs by request identity.
+	runs map[string]advisedRun
 	// destinations by address.
 	destinations map[string]handover.Destination
 }
 
+// advisedRun is what an entry host said of a run.
+type advisedRun struct {
+	remaining int
+	worth     int64
+}
+
 // takeAdvice takes over the advice of one entry host. Of two that differ about
 // a destination the newer one counts.
 func (l *Lookout) takeAdvice(message *sighting.Advice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.advice.remaining == nil {
+	if l.advice.runs == nil {
 		l.advice = advice{
-			remaining:    make(map[string]int),
+			runs:         make(map[string]advisedRun),
 			destinations: make(map[string]handover.Destination),
 		}
 	}
 	for _, run := range message.GetRuns() {
-		l.advice.remaining[run.GetRequestId()] = int(run.GetRemainingTokens())
+		l.advice.runs[run.GetRequestId()] = advisedRun{
+			remaining: int(run.GetRemainingTokens()),
+			worth:     int64(run.GetWorth()),
+		}
 	}
 	for _, d := range message.GetDestinations() {
 		known := l.advice.destinations[d.GetAddress()]
@@ -91,11 +101,20 @@
 		if tries[run.RequestID] >= maxTries {
 			continue
 		}
-		remaining, advised := l.advice.remaining[run.RequestID]
-		if !advised {
-			remaining = -1
+		if run.Events == 0 {
+			// A run can be copied only after its first event.
+			continue
+		}
+		advised, ok := l.advice.runs[run.RequestID]
+		if !ok {
+			advised.remaining = -1
 		}
-		runs = append(runs, handover.Run{RequestID: run.RequestID, Tokens: run.Tokens, Remaining: remaining})
+		runs = append(runs, handover.Run{
+			RequestID: run.RequestID,
+			Tokens:    run.Tokens,
+			Remaining: advised.remaining,
+			Worth:     advised.worth,
+		})
 	}
 	destinations := make([]handover.Destination, 0, len(l.advice.destinations))
 	for _, d := range l.advice.destinations {
@@ -123,32 +142,42 @@
 	started := moment.Now()
 	ahead := step.CopiesAhead(left)
 	if ahead {
-		if !l.copyAndTell(ctx, step, false) {
-			return false
+		if reply := l.copyAndTell(ctx, step, false); !reply.Done {
+			return reply.Status == http.StatusNotFound
 		}
 	}
 	aheadMillis := moment.Now().MillisSince(started)
-	moved := l.copyAndTell(ctx, step, true)
+	reply := l.copyAndTell(ctx, step, true)
 	l.Log.Info("run moved", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 		"Tokens", step.Run.Tokens, "Remaining", step.Run.Remaining, "SameZone", step.Destination.SameZone,
 		"LeftMillis", left, "Ahead", ahead, "AheadMillis", aheadMillis,
-		"Millis", moment.Now().MillisSince(started), "Moved", moved)
-	return moved
+		"Millis", moment.Now().MillisSince(started), "Moved", reply.Done)
+	return reply.Done || reply.Status == http.StatusNotFound
 }
 
-// copyAndTell copies a run and tells the entry hosts. It reports whether the
-// copy is complete.
-func (l *Lookout) copyAndTell(ctx context.Context, step handover.Step, stop bool) bool {
+// copyAndTell copies a run and tells the entry hosts.
+func (l *Lookout) copyAndTell(ctx context.Context, step handover.Step, stop bool) platform.Copy {
 	reply, err := l.Engines.Copy(ctx, l.EngineAddress, step.Run.RequestID, step.Destination.Address, stop)
 	if err != nil || !reply.Done {
 		l.Log.Warn("run not copied", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 			"Stop", stop, "Status", reply.Status, "Error", err)
 	}
-	if reply.Handle == "" {
-		return false
+	if reply.Status == http.StatusServiceUnavailable {
+		l.close(step.Destination.Address)
 	}
-	l.publish(moveSighting(step, reply, stop))
-	return reply.Done
+	if reply.Handle != "" {
+		l.publish(moveSighting(step, reply, stop))
+	}
+	return reply
+}
+
+// close gives a destination no further run.
+func (l *Lookout) close(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.advice.destinations[address]
+	d.FreeSlots = 0
+	l.advice.destinations[address] = d
 }
 
 func moveSighting(step handover.Step, reply platform.Copy, stop bool) *sighting.Sighting {
--- a/internal/caller/relay/moves.go
+++ b/internal/caller/relay/moves.go
@@ -35,8 +35,8 @@
 	id    string
 	// Engine is the address of the engine that the stream comes from now.
 	engine string
-	// RemainingTokens is the estimate of what is still to be generated.
-	remaining func() int
+	// estimate returns what is still to be generated, and the worth.
+	estimate func() Estimate
 
 	latest *Move
 	// changed is closed when latest changes.
@@ -44,13 +44,13 @@
 }
 
 // Expect registers an open stream. End removes it.
-func (m *Moves) Expect(id, engine string, remaining func() int) *Expectation {
+func (m *Moves) Expect(id, engine string, estimate func() Estimate) *Expectation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.expected == nil {
 		m.expected = make(map[string]*Expectation)
 	}
-	e := &Expectation{moves: m, id: id, engine: engine, remaining: remaining, changed: make(chan struct{})}
+	e := &Expectation{moves: m, id: id, engine: engine, estimate: estimate, changed: make(chan struct{})}
 	m.expected[id] = e
 	return e
 }
@@ -115,8 +115,15 @@
 // Run is an open stream on an engine.
 type Run struct {
 	RequestID string
-	// RemainingTokens is the estimate of what is still to be generated.
+	Estimate  Estimate
+}
+
+// Estimate is what is expected of a stream.
+type Estimate struct {
+	// RemainingTokens is what is still to be generated.
 	RemainingTokens int
+	// Worth grows with the size of the whole answer.
+	Worth int64
 }
 
 // On returns the open streams on an engine that cannot be run again.
@@ -126,7 +133,7 @@
 	var runs []Run
 	for _, e := range m.expected {
 		if e.engine == engine {
-			runs = append(runs, Run{RequestID: e.id, RemainingTokens: e.remaining()})
+			runs = append(runs, Run{RequestID: e.id, Estimate: e.estimate()})
 		}
 	}
 	return runs
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -56,7 +56,7 @@
 // cut and may be continued.
 func (q *request) stream(ctx context.Context, a *attempt) outcome {
 	s := &stream{request: q, attempt: a, header: platform.CallerHeader(a.call.Answer.Header)}
-	s.expects = q.relay.Moves.Expect(q.caller.ID, a.server.Address, s.remainingTokens)
+	s.expects = q.relay.Moves.Expect(q.caller.ID, a.server.Address, s.estimate)
 	defer s.expects.End()
 	for {
 		err := s.copy(ctx)
@@ -73,12 +73,14 @@
 	}
 }
 
-// remainingTokens estimates what is still to be generated. A generation that
-// is past its estimate goes on for a share of what it has made.
-func (s *stream) remainingTokens() int {
+// estimate tells what is expected of the stream. A generation that is past its
+// caller's hint goes on for a share of what it has made.
+func (s *stream) estimate() Estimate {
 	const (
 		bytesPerToken = 85
 		pastShare     = 2
+		// outputWorth is what a generated token is worth in prompt tokens.
+		outputWorth = 10
 	)
 	made := int(s.delivered.Load() / bytesPerToken)
 	caller := s.request.caller
@@ -86,7 +88,10 @@
 	if caller.MaxOutputTokens > 0 {
 		remaining = min(remaining, max(caller.MaxOutputTokens-made, 0))
 	}
-	return remaining
+	return Estimate{
+		RemainingTokens: remaining,
+		Worth:           int64(caller.PromptTokens + outputWorth*(made+remaining)),
+	}
 }
 
 // complete ends the caller's answer.
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -331,7 +331,8 @@
 	for _, run := range w.Moves.On(leaving.Address) {
 		advice.Runs = append(advice.Runs, &sighting.Run{
 			RequestId:       run.RequestID,
-			RemainingTokens: uint32(run.RemainingTokens),
+			RemainingTokens: uint32(run.Estimate.RemainingTokens),
+			Worth:           uint64(run.Estimate.Worth),
 		})
 	}
 	table := w.Courier.Configuration().Timetable
