--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/frontdesk"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
@@ -23,7 +25,9 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/watch"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/courier"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/mirror"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/digest"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -53,6 +57,7 @@
 	Log          *slog.Logger
 
 	courier *courier.Courier
+	mirror  *mirror.Mirror
 	ledger  *seating.Ledger
 	server  *frontdesk.Server
 	watch   *watch.Watch
@@ -79,12 +84,19 @@
 	if err != nil {
 		return err
 	}
+	var control net.Listener
+	if h.Settings.ControlAddress != "" {
+		if control, err = line.ListenPeers(life.Cut, h.Settings.ControlAddress); err != nil {
+			return err
+		}
+	}
 	h.prepare(callers)
 	h.Log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress)
 	ctx, end := context.WithCancel(life.Cut)
 	defer end()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return h.courier.Run(ctx) })
+	group.Go(func() error { return h.serveControl(ctx, control) })
 	group.Go(func() error { return h.server.Run(ctx) })
 	group.Go(func() error { return h.watch.Run(ctx) })
 	group.Go(func() error { return h.measure.Run(ctx) })
@@ -106,9 +118,12 @@
 // prepare builds the parts.
 func (h *Host) prepare(callers net.Listener) {
 	h.setBounds(h.Settings)
+	h.mirror = &mirror.Mirror{}
 	h.courier = &courier.Courier{
-		Store: &platform.Store{Address: h.Settings.StoreAddress, HTTP: platform.NewStoreHTTP()},
-		Log:   h.Log,
+		Store:   &platform.Store{Address: h.Settings.StoreAddress, HTTP: platform.NewStoreHTTP()},
+		Readers: h.readers(),
+		Mirror:  h.mirror,
+		Log:     h.Log,
 	}
 	h.measure = &measure.Measure{}
 	h.ledger = &seating.Ledger{Zone: h.Settings.Zone}
@@ -139,6 +154,28 @@
 	}
 }
 
+// readers returns the entry hosts that read the store for this one; none when
+// it is one of them.
+func (h *Host) readers() []string {
+	if slices.Contains(h.Settings.Readers, h.Settings.ControlAddress) {
+		return nil
+	}
+	return h.Settings.Readers
+}
+
+// serveControl serves other entry hosts.
+func (h *Host) serveControl(ctx context.Context, listener net.Listener) error {
+	if listener == nil {
+		return nil
+	}
+	handler := drpcmux.New()
+	if err := digest.DRPCRegisterDigest(handler, h.mirror); err != nil {
+		return err
+	}
+	server := &line.Server{Listener: listener, Handler: handler}
+	return server.Run(ctx)
+}
+
 // setBounds takes over the bounds of settings.
 func (h *Host) setBounds(s process.DirectEntry) {
 	h.bounds.Store(&relay.Bounds{RevokeMillis: s.RevokeMillis, ApplyMillis: s.ApplyMillis})
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -15,13 +15,14 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/mirror"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
 const (
 	// changeWaitMillis is how long the store holds a read until there is a
-	// change. Knowledge is up to that old while nothing changes.
-	changeWaitMillis = 800
+	// change. Knowledge is up to twice that old while nothing changes.
+	changeWaitMillis = 600
 	// replyMillis bounds a call to the store beyond the wait it asks for.
 	replyMillis = 700
 	// listMillis is the pause between reads of the list, as its changes come
@@ -49,7 +50,12 @@
 // Courier follows the store. Its exported fields are set before Run.
 type Courier struct {
 	Store *platform.Store
-	Log   *slog.Logger
+	// Readers are the addresses of entry hosts that read the store for all;
+	// empty when this host reads it itself.
+	Readers []string
+	// Mirror takes over what this host reads from the store.
+	Mirror *mirror.Mirror
+	Log    *slog.Logger
 
 	configuration atomic.Pointer[Configuration]
 	servers       atomic.Pointer[Servers]
@@ -87,18 +93,19 @@
 
 // reading is what one read of a topic returned.
 type reading struct {
-	records []platform.Record
+	records platform.Records
 	// whole says that the records are the newest of all keys.
-	whole      bool
-	startedAt  moment.Moment
-	regainedAt moment.Moment
+	whole bool
+	// confirmedAt is the moment up to which the records are known to hold.
+	confirmedAt moment.Moment
+	regainedAt  moment.Moment
 }
 
 // learnConfiguration takes over a newer configuration. An older one, which a
 // stale read may return, changes nothing.
 func (c *Courier) learnConfiguration(r reading) {
 	known := c.Configuration()
-	read, err := platform.Configuration(r.records)
+	read, err := platform.Configuration(r.records.List)
 	if err != nil {
 		c.Log.Error("configuration cannot be read", "Error", err)
 		return
@@ -111,13 +118,13 @@
 		c.Log.Info("configuration in force", "Version", read.Version, "Routes", read.Size())
 		known.Timetable = read
 	}
-	known.ConfirmedAt = max(known.ConfirmedAt, r.startedAt)
+	known.ConfirmedAt = max(known.ConfirmedAt, r.confirmedAt)
 	c.configuration.Store(&known)
 }
 
 // learnServers takes over the changes of the list.
 func (c *Courier) learnServers(r reading) {
-	changes, faults := platform.Servers(r.records, r.startedAt)
+	changes, faults := platform.Servers(r.records.List, r.confirmedAt)
 	for _, err := range faults {
 		c.Log.Warn("entry of a backend server ignored", "Error", err)
 	}
@@ -125,11 +132,11 @@
 	after := before.With(muster.Event{
 		Changes:    changes,
 		Whole:      r.whole,
-		ReadAt:     r.startedAt,
+		ReadAt:     moment.Now(),
 		RegainedAt: r.regainedAt,
 	})
 	c.logDifferences(before, after)
-	c.servers.Store(&Servers{List: after, ConfirmedAt: r.startedAt})
+	c.servers.Store(&Servers{List: after, ConfirmedAt: r.confirmedAt})
 }
 
 // logDifferences writes one line for each server that came, left, or changed
@@ -165,9 +172,11 @@
 	// away says that the last call failed.
 	away       bool
 	regainedAt moment.Moment
+	peers      peers
 }
 
 func (f *follower) run(ctx context.Context, learn func(reading)) error {
+	defer f.peers.hangUp()
 	for ctx.Err() == nil {
 		pause(ctx, f.readOnce(ctx, learn))
 	}
@@ -176,20 +185,31 @@
 
 // readOnce reads the topic once and returns the pause before the next read.
 func (f *follower) readOnce(ctx context.Context, learn func(reading)) int64 {
-	startedAt := moment.Now()
-	records, err := f.read(ctx)
+	r, err := f.read(ctx)
 	if err != nil {
 		f.lose(ctx, err)
 		return retryMillis
 	}
 	f.regain()
-	learn(reading{records: records.List, whole: !f.listed, startedAt: startedAt, regainedAt: f.regainedAt})
+	r.regainedAt = f.regainedAt
+	learn(r)
 	f.listed = true
-	f.next = records.Next
+	f.next = r.records.Next
 	return f.pauseMillis
 }
 
-func (f *follower) read(ctx context.Context) (platform.Records, error) {
+// read asks another entry host, or the store when none answers with fresh
+// knowledge.
+func (f *follower) read(ctx context.Context) (reading, error) {
+	if r, ok := f.readPeers(ctx); ok {
+		return r, nil
+	}
+	return f.readStore(ctx)
+}
+
+// readStore reads the store and shares what it returned.
+func (f *follower) readStore(ctx context.Context) (reading, error) {
+	startedAt := moment.Now()
 	waitMillis := f.waitMillis
 	if f.away {
 		// An answer at once ends the time in which nothing is confirmed.
@@ -198,6 +218,20 @@
 	deadline := time.Now().Add(time.Duration(waitMillis+replyMillis) * time.Millisecond)
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
+	records, err := f.readRecords(ctx, waitMillis)
+	if err != nil {
+		return reading{}, err
+	}
+	f.courier.Mirror.Learn(mirror.Reading{
+		Topic:       f.topic,
+		Records:     records,
+		Whole:       !f.listed,
+		ConfirmedAt: startedAt,
+	})
+	return reading{records: records, whole: !f.listed, confirmedAt: startedAt}, nil
+}
+
+func (f *follower) readRecords(ctx context.Context, waitMillis int64) (platform.Records, error) {
 	if !f.listed {
 		return f.courier.Store.Newest(ctx, f.topic)
 	}
--- /dev/null
+++ b/internal/settings/courier/peers.go
@@ -0,0 +1,122 @@
+package courier
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/digest"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// peerWaitMillis is how long another entry host holds a read until there is
+	// a change.
+	peerWaitMillis = 300
+	// peerReplyMillis bounds a call to another entry host beyond that wait.
+	peerReplyMillis = 400
+	// maxPeerAgeMillis is the age up to which another entry host's knowledge is
+	// taken over.
+	maxPeerAgeMillis = 2000
+	// directMillis is how long the store is read when no entry host answers.
+	directMillis = 3000
+)
+
+// errNoKnowledge says that another entry host has nothing fresh to tell.
+var errNoKnowledge = errors.New("entry host has no fresh knowledge")
+
+// peers is the connection to one of the entry hosts that read the store.
+type peers struct {
+	// conn is nil while there is no connection.
+	conn drpc.Conn
+	// address is that of conn.
+	address string
+	// directUntil is the moment until which the store is read.
+	directUntil moment.Moment
+}
+
+// readPeers asks the entry hosts that read the store, until one answers with
+// fresh knowledge. It reports false when none did.
+func (f *follower) readPeers(ctx context.Context) (reading, bool) {
+	readers := f.courier.Readers
+	if len(readers) == 0 || moment.Now().Before(f.peers.directUntil) {
+		return reading{}, false
+	}
+	first := rand.IntN(len(readers))
+	for i := range readers {
+		r, err := f.askPeer(ctx, readers[(first+i)%len(readers)])
+		if err == nil {
+			return r, true
+		}
+		f.courier.Log.Warn("entry host gave no knowledge", "Topic", f.topic, "Peer", f.peers.address, "Error", err)
+		f.peers.hangUp()
+	}
+	f.peers.directUntil = moment.Now().AddMillis(directMillis)
+	return reading{}, false
+}
+
+// askPeer reads over the open connection, or over a new one to address.
+func (f *follower) askPeer(ctx context.Context, address string) (reading, error) {
+	startedAt := moment.Now()
+	deadline := time.Now().Add((peerWaitMillis + peerReplyMillis) * time.Millisecond)
+	ctx, stop := context.WithDeadline(ctx, deadline)
+	defer stop()
+	if err := f.peers.connect(ctx, address); err != nil {
+		return reading{}, err
+	}
+	from := int64(-1)
+	if f.listed {
+		from = f.next
+	}
+	reply, err := digest.NewDRPCDigestClient(f.peers.conn).Read(ctx, &digest.ReadRequest{
+		Topic:      f.topic,
+		From:       from,
+		WaitMillis: peerWaitMillis,
+	})
+	if err != nil {
+		return reading{}, errors.Wrap(err, "read at an entry host")
+	}
+	if !reply.GetKnown() || reply.GetAgeMillis() > maxPeerAgeMillis {
+		return reading{}, errNoKnowledge
+	}
+	// The age holds at the reply, which came after the start.
+	return reading{
+		records:     decodeReply(reply),
+		whole:       reply.GetWhole(),
+		confirmedAt: startedAt.AddMillis(-reply.GetAgeMillis()),
+	}, nil
+}
+
+func (p *peers) connect(ctx context.Context, address string) error {
+	if p.conn != nil {
+		return nil
+	}
+	p.address = address
+	conn, err := line.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.conn = conn
+	return nil
+}
+
+// hangUp closes the connection, if there is one.
+func (p *peers) hangUp() {
+	if p.conn != nil {
+		_ = p.conn.Close()
+	}
+	p.conn = nil
+}
+
+func decodeReply(reply *digest.ReadReply) platform.Records {
+	records := platform.Records{Next: reply.GetNext()}
+	for _, r := range reply.GetRecords() {
+		records.List = append(records.List, platform.Record{Key: r.GetKey(), Value: r.GetValue()})
+	}
+	return records
+}
--- /dev/null
+++ b/internal/settings/mirror/mirror.go
@@ -0,0 +1,160 @@
+// Package mirror keeps what an entry host has read of the store's topics, so
+// that other entry hosts can read them there.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/digest"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// recentRecords bounds the changes that are kept of a topic. An asker that
+	// lacks older ones gets the newest record of each key.
+	recentRecords = 256
+	// maxWaitMillis bounds the wait of one read.
+	maxWaitMillis = 2000
+)
+
+// Mirror holds topics. Its zero value is ready; it is safe for concurrent use.
+type Mirror struct {
+	digest.DRPCDigestUnimplementedServer
+
+	mu     sync.Mutex
+	topics map[string]*topic
+}
+
+// topic is what is known of one topic.
+type topic struct {
+	// newest holds the value of each key that is not deleted.
+	newest map[string][]byte
+	// recent holds the last changes; next is the offset after the last one.
+	recent      []platform.Record
+	next        int64
+	confirmedAt moment.Moment
+	// changed is closed and replaced when there are new records.
+	changed chan struct{}
+}
+
+// Reading is what one read of the store returned.
+type Reading struct {
+	Topic   string
+	Records platform.Records
+	// Whole says that the records are the newest ones of all keys.
+	Whole bool
+	// ConfirmedAt is the moment up to which they are known to hold.
+	ConfirmedAt moment.Moment
+}
+
+// Learn takes over a read of the store.
+func (m *Mirror) Learn(r Reading) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.topic(r.Topic)
+	t.confirmedAt = max(t.confirmedAt, r.ConfirmedAt)
+	if r.Whole {
+		clear(t.newest)
+		t.recent = nil
+	}
+	for _, record := range r.Records.List {
+		t.add(record)
+	}
+	if !r.Whole {
+		t.recent = append(t.recent, r.Records.List...)
+		t.recent = t.recent[max(0, len(t.recent)-recentRecords):]
+	}
+	if t.next != r.Records.Next {
+		t.next = r.Records.Next
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+func (m *Mirror) topic(name string) *topic {
+	if m.topics == nil {
+		m.topics = make(map[string]*topic)
+	}
+	t, ok := m.topics[name]
+	if !ok {
+		t = &topic{newest: make(map[string][]byte), changed: make(chan struct{})}
+		m.topics[name] = t
+	}
+	return t
+}
+
+func (t *topic) add(record platform.Record) {
+	if len(record.Value) == 0 {
+		delete(t.newest, record.Key)
+		return
+	}
+	t.newest[record.Key] = record.Value
+}
+
+// Read serves another entry host.
+func (m *Mirror) Read(ctx context.Context, request *digest.ReadRequest) (*digest.ReadReply, error) {
+	waitMillis := min(request.GetWaitMillis(), maxWaitMillis)
+	timer := time.NewTimer(time.Duration(waitMillis) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		reply, changed := m.reply(request)
+		if len(reply.GetRecords()) > 0 || !reply.GetKnown() {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			reply, _ = m.reply(request)
+			return reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// reply returns what the asker lacks, and a channel that is closed when there
+// is more.
+func (m *Mirror) reply(request *digest.ReadRequest) (*digest.ReadReply, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.topic(request.GetTopic())
+	if t.confirmedAt == 0 || request.GetFrom() > t.next {
+		// This host has nothing, or less than the asker has.
+		return &digest.ReadReply{}, t.changed
+	}
+	reply := &digest.ReadReply{
+		Known:     true,
+		Next:      t.next,
+		AgeMillis: moment.Now().MillisSince(t.confirmedAt),
+	}
+	records, ok := t.since(request.GetFrom())
+	if !ok {
+		reply.Whole = true
+		records = t.all()
+	}
+	for _, record := range records {
+		reply.Records = append(reply.Records, &digest.Record{Key: record.Key, Value: record.Value})
+	}
+	return reply, t.changed
+}
+
+// since returns the changes from an offset on, or false when they are not all
+// held.
+func (t *topic) since(from int64) ([]platform.Record, bool) {
+	missing := t.next - from
+	if from < 0 || missing > int64(len(t.recent)) {
+		return nil, false
+	}
+	return t.recent[len(t.recent)-int(missing):], true
+}
+
+func (t *topic) all() []platform.Record {
+	all := make([]platform.Record, 0, len(t.newest))
+	for key, value := range t.newest {
+		all = append(all, platform.Record{Key: key, Value: value})
+	}
+	return all
+}
--- a/internal/settings/process/direct.go
+++ b/internal/settings/process/direct.go
@@ -23,6 +23,12 @@
 	ReadyAddress string `validate:"required,ipport"`
 	// HostAddress is the IP address of the host.
 	HostAddress string `validate:"required,ip"`
+	// ControlAddress serves other entry hosts; it is empty when none asks.
+	ControlAddress string `validate:"omitempty,ipport"`
+	// Readers are the control addresses of the entry hosts that read the store
+	// for all. When it is empty, or none of them answers, this host reads it
+	// itself.
+	Readers []string `validate:"max=64,dive,ipport"`
 	// PeerPort is the port of the processes beside engines, equal on all hosts.
 	PeerPort int `validate:"min=1,max=65535"`
 	// MetricsPort serves metrics on HostAddress.
--- a/internal/trial/openday/platform_beliefs_test.go
+++ b/internal/trial/openday/platform_beliefs_test.go
@@ -81,3 +81,33 @@
 	eventually(t, "ready", s.ready)
 	is.Equal(s.send(context.Background(), plainAsk("c", platformKey)).status, http.StatusOK)
 }
+
+// A host that the store turns away learns from one that reaches it, with the
+// age of what it learns, also when it has just started.
+func TestPlatformLearnsFromPeers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 0, 1)
+	reader := s.entry
+	cut := s.settings
+	cut.Name = "cut"
+	cut.CallerAddress, cut.ReadyAddress, cut.ControlAddress = s.pool.next(), s.pool.next(), s.pool.next()
+	cut.MetricsPort = platformPeerPort + 2
+	cut.StoreAddress = s.pool.next() // nobody listens there
+	cut.Readers = []string{s.pool.next(), s.settings.ControlAddress}
+	second := newProgram(t, "cut", "direct-entry", s.write("cut", cut))
+	second.start()
+	s.settings = cut // requests go to the second host from here on
+	eventually(t, "the host that is cut off is ready", s.ready)
+	is.Equal(s.send(context.Background(), plainAsk("a", platformKey)).status, http.StatusOK)
+
+	s.configure("newer key")
+	time.Sleep(platformApplyMillis * time.Millisecond)
+	is.Equal(s.send(context.Background(), plainAsk("b", platformKey)).status, http.StatusUnauthorized)
+	is.Equal(s.send(context.Background(), plainAsk("c", "newer key")).status, http.StatusOK)
+
+	reader.kill()
+	time.Sleep(platformRevokeMillis * time.Millisecond)
+	is.Equal(s.send(context.Background(), plainAsk("d", "newer key")).status, http.StatusServiceUnavailable)
+	is.True(s.ready() != nil) // nobody confirms the key any longer
+}
--- a/internal/trial/openday/platform_site_test.go
+++ b/internal/trial/openday/platform_site_test.go
@@ -176,6 +176,8 @@
 			Zone:               "a",
 			CallerAddress:      s.pool.next(),
 			ReadyAddress:       s.pool.next(),
+			ControlAddress:     s.pool.next(),
+			Readers:            []string{},
 			HostAddress:        s.pool.ip,
 			PeerPort:           platformPeerPort,
 			MetricsPort:        platformPeerPort + 1,
