--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -24,6 +24,12 @@
 	// assignedTokens weighs each run that was given to an engine shortly
 	// before, in free tokens, as its copies queue there.
 	assignedTokens = 2000
+	// slackTokens is how much of a run may exceed what stays free at its
+	// destination, as not all runs there grow to the end at the same time.
+	slackTokens = 1000
+	// copyMarginTokens is the memory beyond that of a copy that a destination
+	// must have free.
+	copyMarginTokens = 200
 	// guessedWorth is assumed of a run of which no entry host said what it is
 	// worth.
 	guessedWorth = 8000
@@ -44,10 +50,13 @@
 
 // Destination is an engine that can take runs.
 type Destination struct {
-	Address    string
-	FreeTokens int
-	FreeSlots  int
-	SameZone   bool
+	Address string
+	// FreeTokens is the memory that is free now; SpareTokens is what stays free
+	// once all runs there have grown.
+	FreeTokens  int
+	SpareTokens int
+	FreeSlots   int
+	SameZone    bool
 	// Contended says that another engine that ends copies its runs there.
 	Contended bool
 	// Assigned is the number of runs that were given to it by this engine.
@@ -103,11 +112,11 @@
 }
 
 // choose returns the best destination among those that the copy reaches in
-// time and that have room for all of the run.
+// time and that have room for it.
 func choose(run Run, destinations []Destination, leavesInMillis int64) (Destination, bool) {
 	best, found := Destination{}, false
 	for _, d := range destinations {
-		if d.FreeSlots < 1 || d.FreeTokens < run.need() {
+		if d.FreeSlots < 1 || d.FreeTokens < run.Tokens+copyMarginTokens || d.SpareTokens+slackTokens < run.need() {
 			continue
 		}
 		if (Step{Run: run, Destination: d}).CopyMillis() > leavesInMillis {
@@ -130,7 +139,7 @@
 	if d.SameZone != other.SameZone {
 		return d.SameZone
 	}
-	return d.FreeTokens-assignedTokens*d.Assigned > other.FreeTokens-assignedTokens*other.Assigned
+	return d.SpareTokens-assignedTokens*d.Assigned > other.SpareTokens-assignedTokens*other.Assigned
 }
 
 // CopyMillis estimates the time in which the run's memory is copied.
--- a/internal/backend/handover/handover_test.go
+++ b/internal/backend/handover/handover_test.go
@@ -7,9 +7,9 @@
 )
 
 func TestNext(t *testing.T) {
-	own := Destination{Address: "own", FreeTokens: 10_000, FreeSlots: 5, SameZone: true}
-	far := Destination{Address: "far", FreeTokens: 28_000, FreeSlots: 5}
-	contended := Destination{Address: "contended", FreeTokens: 20_000, FreeSlots: 5, SameZone: true, Contended: true}
+	own := Destination{Address: "own", FreeTokens: 10_000, SpareTokens: 10_000, FreeSlots: 5, SameZone: true}
+	far := Destination{Address: "far", FreeTokens: 28_000, SpareTokens: 28_000, FreeSlots: 5}
+	contended := Destination{Address: "contended", FreeTokens: 20_000, SpareTokens: 20_000, FreeSlots: 5, SameZone: true, Contended: true}
 	long := Run{RequestID: "long", Tokens: 4000, Remaining: 1000}
 	cases := []struct {
 		name         string
@@ -21,8 +21,9 @@
 		{"own zone before more room", []Run{long}, []Destination{far, own}, 2000, "long", "own"},
 		{"another zone before a contended engine", []Run{long}, []Destination{far, contended}, 2000, "long", "far"},
 		{"a contended engine when the copy to another zone is late", []Run{long}, []Destination{far, contended}, 400, "long", "contended"},
-		{"no room", []Run{long}, []Destination{{Address: "small", FreeTokens: 4500, FreeSlots: 1}}, 2000, "", ""},
-		{"no place", []Run{long}, []Destination{{Address: "full", FreeTokens: 9000}}, 2000, "", ""},
+		{"no room", []Run{long}, []Destination{{Address: "small", FreeTokens: 4100, SpareTokens: 4100, FreeSlots: 1}}, 2000, "", ""},
+		{"room for the copy, but not for the rest", []Run{long}, []Destination{{Address: "small", FreeTokens: 9000, SpareTokens: 3900, FreeSlots: 1}}, 2000, "", ""},
+		{"no place", []Run{long}, []Destination{{Address: "full", FreeTokens: 9000, SpareTokens: 9000}}, 2000, "", ""},
 		{"no copy in time", []Run{long}, []Destination{own}, 100, "", ""},
 		{"ends before its engine", []Run{{RequestID: "short", Tokens: 2000, Remaining: 20}}, []Destination{own}, 2000, "", ""},
 		{"not known to end", []Run{{RequestID: "unknown", Tokens: 2000, Remaining: -1}}, []Destination{own}, 2000, "unknown", "own"},
@@ -32,8 +33,8 @@
 			{RequestID: "dear", Tokens: 4000, Remaining: 900, Worth: 30_000},
 		}, []Destination{own}, 2000, "dear", "own"},
 		{"spread over engines", []Run{long}, []Destination{
-			{Address: "used", FreeTokens: 10_000, FreeSlots: 5, SameZone: true, Assigned: 2},
-			{Address: "fresh", FreeTokens: 8000, FreeSlots: 5, SameZone: true},
+			{Address: "used", FreeTokens: 10_000, SpareTokens: 10_000, FreeSlots: 5, SameZone: true, Assigned: 2},
+			{Address: "fresh", FreeTokens: 8000, SpareTokens: 8000, FreeSlots: 5, SameZone: true},
 		}, 2000, "long", "fresh"},
 	}
 	for _, c := range cases {
@@ -56,8 +57,8 @@
 		runs = append(runs, Run{RequestID: string(rune('a' + n)), Tokens: tokens, Remaining: 600})
 	}
 	destinations := []Destination{
-		{Address: "x", FreeTokens: 20_000, FreeSlots: 20, SameZone: true},
-		{Address: "y", FreeTokens: 18_000, FreeSlots: 20, SameZone: true},
+		{Address: "x", FreeTokens: 20_000, SpareTokens: 20_000, FreeSlots: 20, SameZone: true},
+		{Address: "y", FreeTokens: 18_000, SpareTokens: 18_000, FreeSlots: 20, SameZone: true},
 	}
 	left := int64(1900)
 	for len(runs) > 0 {
@@ -69,6 +70,7 @@
 			if destinations[i].Address == step.Destination.Address {
 				destinations[i].Assigned++
 				destinations[i].FreeTokens -= step.Run.Tokens
+				destinations[i].SpareTokens -= step.Run.Tokens + step.Run.Remaining
 			}
 		}
 		for i := range runs {
--- /dev/null
+++ b/internal/backend/lookout/forecast.go
@@ -0,0 +1,76 @@
+package lookout
+
+import (
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// arrivalMillis is the time in which a request that was placed shows in the
+	// engine's report.
+	arrivalMillis = 1500
+	// unknownGrowthTokens is the growth of a run of which no entry host said
+	// how large it will be.
+	unknownGrowthTokens = 300
+	// lateGrowthTokens is the growth of a run that is at its expected size.
+	lateGrowthTokens = 60
+)
+
+// forecasts are the sizes that entry hosts expect of requests.
+type forecasts struct {
+	// all by request identity.
+	all map[string]forecast
+}
+
+// forecast is what is expected of one request.
+type forecast struct {
+	tokens   int
+	placedAt moment.Moment
+}
+
+// add takes over what an entry host expects.
+func (f *forecasts) add(id string, tokens int, now moment.Moment) {
+	if f.all == nil {
+		f.all = make(map[string]forecast)
+	}
+	f.all[id] = forecast{tokens: tokens, placedAt: now}
+}
+
+// prune forgets requests that neither run nor are on their way.
+func (f *forecasts) prune(report platform.EngineReport, now moment.Moment) {
+	running := make(map[string]bool, len(report.Runs))
+	for _, run := range report.Runs {
+		running[run.RequestID] = true
+	}
+	for id, expected := range f.all {
+		if !running[id] && now.MillisSince(expected.placedAt) > arrivalMillis {
+			delete(f.all, id)
+		}
+	}
+}
+
+// expected returns the memory that will be taken once all requests have grown
+// to their expected size.
+func (f *forecasts) expected(report platform.EngineReport, now moment.Moment) int {
+	total := report.UsedTokens
+	running := make(map[string]bool, len(report.Runs))
+	for _, run := range report.Runs {
+		running[run.RequestID] = true
+		total += f.growth(run)
+	}
+	for id, expected := range f.all {
+		if !running[id] && now.MillisSince(expected.placedAt) <= arrivalMillis {
+			total += expected.tokens
+		}
+	}
+	return total
+}
+
+// growth returns the memory that a run will still take.
+func (f *forecasts) growth(run platform.EngineRun) int {
+	expected, ok := f.all[run.RequestID]
+	if !ok {
+		return unknownGrowthTokens
+	}
+	return max(expected.tokens-run.Tokens, lateGrowthTokens)
+}
--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -46,14 +46,9 @@
 	// leavesAt is the moment at which the engine ends; zero while it stays.
 	leavesAt moment.Moment
 	advice   advice
-	// placed are the requests on their way here since the latest report.
-	placed placements
-}
-
-// placements are requests on their way to the engine.
-type placements struct {
-	count  int
-	tokens int
+	// placed counts the requests on their way here since the latest report.
+	placed    int
+	forecasts forecasts
 }
 
 // watcher is an entry host that watches.
@@ -95,7 +90,7 @@
 			l.identify(ctx)
 			l.learn(ctx, group, report, now)
 			if l.takePlacements() || due(reported, report, now.MillisSince(reportedAt)) {
-				l.publish(loadSighting(report))
+				l.publish(l.lockedLoad(report))
 				reported, reportedAt = report, now
 			}
 		}
@@ -153,6 +148,7 @@
 	l.mu.Lock()
 	restarted := report.BornUnixMillis != l.latest.BornUnixMillis
 	l.latest = report
+	l.forecasts.prune(report, now)
 	if restarted {
 		l.engineID = ""
 	}
@@ -186,13 +182,23 @@
 	return report.LeavesInMillis
 }
 
-func loadSighting(report platform.EngineReport) *sighting.Sighting {
+// lockedLoad is load for callers that do not hold the lock.
+func (l *Lookout) lockedLoad(report platform.EngineReport) *sighting.Sighting {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.load(report)
+}
+
+// load returns the load of the engine. The lock is held.
+func (l *Lookout) load(report platform.EngineReport) *sighting.Sighting {
 	return &sighting.Sighting{Load: &sighting.Load{
 		Running:     uint32(report.Running),
 		Queued:      uint32(report.Queued),
 		UsedTokens:  uint32(report.UsedTokens),
 		TotalTokens: uint32(report.TotalTokens),
 		Starting:    uint32(starting(report)),
+
+		ExpectedTokens: uint32(l.forecasts.expected(report, moment.Now())),
 	}}
 }
 
@@ -217,8 +223,8 @@
 func (l *Lookout) takePlacements() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	had := l.placed.count > 0
-	l.placed = placements{}
+	had := l.placed > 0
+	l.placed = 0
 	return had
 }
 
@@ -226,13 +232,13 @@
 // it.
 func (l *Lookout) place(p *sighting.Placement) {
 	l.mu.Lock()
-	l.placed.count++
-	l.placed.tokens += int(p.GetTokens())
+	l.placed++
+	l.forecasts.add(p.GetRequestId(), int(p.GetTokens()), moment.Now())
 	report := l.latest
-	report.UsedTokens += l.placed.tokens
-	report.Queued += l.placed.count
+	report.Queued += l.placed
+	load := l.load(report)
 	l.mu.Unlock()
-	l.publish(loadSighting(report))
+	l.publish(load)
 }
 
 // publish puts a report into every outbox. An entry host that takes none loses
@@ -301,7 +307,7 @@
 		l.watchers = make(map[*watcher]struct{})
 	}
 	l.watchers[w] = struct{}{}
-	w.outbox <- loadSighting(l.latest)
+	w.outbox <- l.load(l.latest)
 	if l.leavesAt != 0 {
 		w.outbox <- noticeSighting(l.leavesAt, moment.Now())
 	}
--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -59,12 +59,13 @@
 	for _, d := range message.GetDestinations() {
 		known := l.advice.destinations[d.GetAddress()]
 		l.advice.destinations[d.GetAddress()] = handover.Destination{
-			Address:    d.GetAddress(),
-			FreeTokens: int(d.GetFreeTokens()),
-			FreeSlots:  int(d.GetFreeSlots()),
-			SameZone:   d.GetSameZone(),
-			Contended:  d.GetContended(),
-			Assigned:   known.Assigned,
+			Address:     d.GetAddress(),
+			FreeTokens:  int(d.GetFreeTokens()),
+			SpareTokens: int(d.GetSpareTokens()),
+			FreeSlots:   int(d.GetFreeSlots()),
+			SameZone:    d.GetSameZone(),
+			Contended:   d.GetContended(),
+			Assigned:    known.Assigned,
 		}
 	}
 }
@@ -133,6 +134,7 @@
 	d.Assigned++
 	d.FreeSlots--
 	d.FreeTokens -= step.Run.Tokens
+	d.SpareTokens -= step.Run.Tokens + max(step.Run.Remaining, 0)
 	l.advice.destinations[d.Address] = d
 }
 
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -26,8 +26,8 @@
 	Moves   *Moves
 	Retries *Retries
 	// Placed is called when a request was placed at an engine, with the memory
-	// that it needs, in tokens.
-	Placed func(server string, tokens int)
+	// that it will need, in tokens.
+	Placed func(server, request string, tokens int)
 	// Bounds returns the bounds in force. They may change between requests.
 	Bounds func() Bounds
 	// EndsAt returns when the process ends that was told to stop; zero while it
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -203,7 +203,7 @@
 	if !q.relay.Retries.Allow(q.service.Name, moment.Now()) {
 		return false
 	}
-	next, ok := q.place()
+	next, ok := q.place(ctx)
 	if !ok {
 		return false
 	}
@@ -255,6 +255,7 @@
 		return nil, false
 	}
 	now := moment.Now()
+	s.request.relay.Placed(server.ID, s.request.caller.ID, s.request.tokens())
 	return &attempt{server: server, seat: s.request.relay.Ledger.OpenAt(server.ID, s.request.tokens(), now)}, true
 }
 
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -26,6 +26,9 @@
 	Running    int
 	Queued     int
 	UsedTokens int
+	// Expected is the memory that will be taken once all requests there have
+	// grown to their expected size, in tokens.
+	Expected int
 	// Starting are the requests that have made no event yet.
 	Starting int
 	// Watchers are the entry hosts that watch the engine.
@@ -74,11 +77,24 @@
 	Tokens int
 	// Tried holds the IDs of servers that it was sent to.
 	Tried map[string]bool
+	// Patient says that it rather waits than goes to an engine whose memory
+	// would not hold it to its end.
+	Patient bool
+}
+
+// Seating is the answer to an Ask.
+type Seating struct {
+	// Chosen is the backend server, as it was known.
+	Chosen Candidate
+	// Seat is open at the chosen server; it is nil when there is none.
+	Seat *Seat
+	// Full says that only engines without room are left, and the request waits.
+	Full bool
 }
 
 // Take chooses a backend server among those that are ready and opens a seat
 // there.
-func (l *Ledger) Take(ready []muster.BackendServer, ask Ask, now moment.Moment) (Candidate, *Seat, bool) {
+func (l *Ledger) Take(ready []muster.BackendServer, ask Ask, now moment.Moment) Seating {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	candidates := make([]Candidate, len(ready))
@@ -89,9 +105,12 @@
 	}
 	best, ok := Choose(candidates, ask.Tokens, points)
 	if !ok {
-		return Candidate{}, nil, false
+		return Seating{}
+	}
+	if ask.Patient && candidates[best].full(ask.Tokens) {
+		return Seating{Full: true}
 	}
-	return candidates[best], l.open(ready[best].ID, ask.Tokens, now), true
+	return Seating{Chosen: candidates[best], Seat: l.open(ready[best].ID, ask.Tokens, now)}
 }
 
 // OpenAt opens a seat at a server that was chosen otherwise.
@@ -206,7 +225,10 @@
 type Room struct {
 	Server     muster.BackendServer
 	FreeTokens int
-	FreeSlots  int
+	// SpareTokens is what stays free once all requests there have grown; it may
+	// be negative.
+	SpareTokens int
+	FreeSlots   int
 }
 
 // Room returns the room of the servers that stay and of which there is a
@@ -226,9 +248,10 @@
 			continue
 		}
 		rooms = append(rooms, Room{
-			Server:     server,
-			FreeTokens: c.MemoryTokens - c.UsedTokens,
-			FreeSlots:  c.Slots - c.Running - c.Queued,
+			Server:      server,
+			FreeTokens:  c.MemoryTokens - c.UsedTokens,
+			SpareTokens: c.MemoryTokens - c.ExpectedTokens,
+			FreeSlots:   c.Slots - c.Running - c.Queued,
 		})
 	}
 	return rooms
@@ -284,6 +307,7 @@
 	c.MemoryTokens = ask.Service.Engine.MemoryTokens
 	for seat := range a.seats {
 		c.UsedTokens += seat.tokens
+		c.ExpectedTokens += seat.tokens
 		if !seat.begun {
 			c.Starting++
 		}
@@ -304,10 +328,12 @@
 	c.Running = report.Running
 	c.Queued = report.Queued
 	c.UsedTokens = report.UsedTokens
+	c.ExpectedTokens = report.Expected
 	c.Starting = report.Starting
 	for seat := range a.seats {
 		if report.ReceivedAt.Before(seat.sentAt) {
 			c.UsedTokens += seat.tokens
+			c.ExpectedTokens += seat.tokens
 			c.Running++
 			c.Starting++
 		}
--- a/internal/routing/seating/seating.go
+++ b/internal/routing/seating/seating.go
@@ -25,7 +25,7 @@
 	spreadCost = 0.1
 	// fullShare is the share of an engine's memory from which on a new
 	// generation would probably be preempted.
-	fullShare = 0.9
+	fullShare = 0.95
 	// fullCost is the cost of an engine that is full.
 	fullCost = 1.0
 )
@@ -53,8 +53,10 @@
 	// MemoryTokens is the engine's memory; zero for a plain service.
 	MemoryTokens int
 	// UsedTokens is the memory that is taken, now and by what was sent there
-	// since it was reported.
-	UsedTokens int
+	// since it was reported. ExpectedTokens is what will be taken once all of
+	// them have grown.
+	UsedTokens     int
+	ExpectedTokens int
 	// FailureShare is the recent share of requests that it failed.
 	FailureShare float64
 	// ReportMillis is the age of the report of its load; negative when there is
@@ -100,9 +102,17 @@
 		return cost + float64(c.Running)/float64(max(c.Slots, 1))
 	}
 	cost += startingCost * float64(c.Starting)
-	share := float64(c.UsedTokens+tokens) / float64(c.MemoryTokens)
-	if share > fullShare || c.Running >= c.Slots {
+	if c.full(tokens) || c.Running >= c.Slots {
 		cost += fullCost
 	}
-	return cost + share
+	return cost + float64(c.ExpectedTokens+tokens)/float64(c.MemoryTokens)
+}
+
+// full reports whether an engine's memory would not hold a further request of
+// that many tokens to its end.
+func (c Candidate) full(tokens int) bool {
+	if c.MemoryTokens == 0 {
+		return false
+	}
+	return float64(c.ExpectedTokens+tokens) > fullShare*float64(c.MemoryTokens)
 }
--- a/internal/routing/seating/seating_test.go
+++ b/internal/routing/seating/seating_test.go
@@ -26,9 +26,9 @@
 			a.Starting = 1
 			b.SameZone = false
 		}, 1},
-		{"more memory taken", func(a, _ *Candidate) { a.UsedTokens = 20_000 }, 1},
+		{"more memory taken", func(a, _ *Candidate) { a.ExpectedTokens = 20_000 }, 1},
 		{"full memory against a prompt being read", func(a, b *Candidate) {
-			a.UsedTokens = 33_000
+			a.ExpectedTokens = 33_000
 			b.Starting = 2
 		}, 1},
 		{"other zone", func(a, _ *Candidate) { a.SameZone = false }, 1},
@@ -36,7 +36,7 @@
 		{"fails its requests", func(a, _ *Candidate) { a.FailureShare = 0.4 }, 1},
 		{"ends soon against a full one", func(a, b *Candidate) {
 			a.Leaving = true
-			b.UsedTokens = 34_000
+			b.ExpectedTokens = 34_000
 			b.Starting = 9
 		}, 1},
 		{"not reached against one that ends soon", func(a, b *Candidate) {
@@ -83,20 +83,39 @@
 	var ready []muster.BackendServer
 	for _, id := range []string{"e1", "e2", "e3", "e4"} {
 		ready = append(ready, muster.BackendServer{ID: id, Zone: "a", Slots: 24, State: muster.Ready})
-		l.Learn(id, Report{UsedTokens: 8000, ReceivedAt: now})
+		l.Learn(id, Report{Expected: 8000, ReceivedAt: now})
 	}
 	l.Learn("e1", Report{ReceivedAt: now})
 	placed := make(map[string]int)
 	for n := range 8 {
-		chosen, _, ok := l.Take(ready, Ask{Service: service, Tokens: 4000}, now.AddMillis(int64(n)+1))
-		is.True(ok)
-		placed[chosen.Server.ID]++
+		got := l.Take(ready, Ask{Service: service, Tokens: 4000}, now.AddMillis(int64(n)+1))
+		is.True(got.Seat != nil)
+		placed[got.Chosen.Server.ID]++
 	}
 	for _, id := range []string{"e1", "e2", "e3", "e4"} {
 		is.True(placed[id] >= 1 && placed[id] <= 3) // spread over all
 	}
 }
 
+// When every engine is full of runs that still grow, a patient request waits
+// instead of pushing one of them aside, and an impatient one does not.
+func TestLedgerHoldsBackWhenFull(t *testing.T) {
+	is := is.New(t)
+	l := &Ledger{Zone: "a"}
+	service := timetable.Service{Engine: &timetable.Engine{MemoryTokens: 20_000}}
+	now := moment.Moment(1_000_000_000)
+	ready := []muster.BackendServer{{ID: "e1", Zone: "a", Slots: 24}, {ID: "e2", Zone: "a", Slots: 24}}
+	for _, server := range ready {
+		l.Learn(server.ID, Report{UsedTokens: 12_000, Expected: 17_000, ReceivedAt: now})
+	}
+	later := now.AddMillis(1)
+	is.True(l.Take(ready, Ask{Service: service, Tokens: 4000, Patient: true}, later).Full)
+	is.True(l.Take(ready, Ask{Service: service, Tokens: 4000}, later).Seat != nil)
+	l.Learn("e2", Report{UsedTokens: 9000, Expected: 12_000, ReceivedAt: later})
+	got := l.Take(ready, Ask{Service: service, Tokens: 4000, Patient: true}, later.AddMillis(1))
+	is.Equal(got.Chosen.Server.ID, "e2") // a run has ended there
+}
+
 func TestLedgerForgetsFailures(t *testing.T) {
 	is := is.New(t)
 	l := &Ledger{Zone: "a"}
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -121,12 +121,12 @@
 
 // Placed tells the process beside an engine that a request is on its way, so
 // that the other entry hosts learn of it at once.
-func (w *Watch) Placed(server string, tokens int) {
+func (w *Watch) Placed(server, request string, tokens int) {
 	o, ok := w.streams.find(server)
 	if !ok {
 		return
 	}
-	if err := o.send(&sighting.Advice{Placement: &sighting.Placement{Tokens: uint32(tokens)}}); err != nil {
+	if err := o.send(&sighting.Advice{Placement: &sighting.Placement{Tokens: uint32(tokens), RequestId: request}}); err != nil {
 		w.Log.Warn("engine not told of a request", "Server", server, "Error", err)
 	}
 }
@@ -304,6 +304,7 @@
 			Running:    int(load.GetRunning()),
 			Queued:     int(load.GetQueued()),
 			UsedTokens: int(load.GetUsedTokens()),
+			Expected:   int(load.GetExpectedTokens()),
 			Starting:   int(load.GetStarting()),
 			Watchers:   int(load.GetWatchers()),
 			ReceivedAt: now,
@@ -350,11 +351,12 @@
 			continue
 		}
 		advice.Destinations = append(advice.Destinations, &sighting.Destination{
-			Address:    room.Server.Address,
-			FreeTokens: uint32(max(room.FreeTokens, 0)),
-			FreeSlots:  uint32(max(room.FreeSlots, 0)),
-			SameZone:   room.Server.Zone == leaving.Zone,
-			Contended:  owners[room.Server.ID] != leaving.ID,
+			Address:     room.Server.Address,
+			FreeTokens:  uint32(max(room.FreeTokens, 0)),
+			SpareTokens: uint32(max(room.SpareTokens, 0)),
+			FreeSlots:   uint32(max(room.FreeSlots, 0)),
+			SameZone:    room.Server.Zone == leaving.Zone,
+			Contended:   owners[room.Server.ID] != leaving.ID,
 		})
 	}
 	return advice
