--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -25,11 +25,6 @@
 	// supersededMillis is how long a server whose address has another one gets
 	// no request. Its entry lapses meanwhile.
 	supersededMillis = 6000
-	// patientShare is the share of the time to a first event that is on time in
-	// which a long generation waits for an engine with room.
-	patientShare = 0.3
-	// roomMillis is the pause before the engines are looked at again.
-	roomMillis = 30
 	// maxWholeBytes is the size up to which an answer is read whole before it
 	// is passed on.
 	maxWholeBytes = 8 << 20
@@ -139,7 +134,7 @@
 
 // attempt sends the request to one backend server.
 func (q *request) attempt(ctx context.Context) outcome {
-	a, ok := q.place(ctx)
+	a, ok := q.place()
 	if !ok {
 		return unplaced{}
 	}
@@ -173,52 +168,18 @@
 	return q.readWhole(a)
 }
 
-// place chooses a backend server and opens a seat there. A long generation
-// waits for a bounded time until an engine has room for all of it.
-func (q *request) place(ctx context.Context) (*attempt, bool) {
-	patientUntil := moment.Now()
-	if q.route.Kind == timetable.Stream && !q.route.Resumable {
-		patientUntil = q.arrivedAt.AddMillis(int64(patientShare * float64(q.route.ObjectiveMillis)))
-	}
-	for {
-		now := moment.Now()
-		ready := q.relay.Courier.Servers().List.Ready(q.service.Name, now)
-		got := q.relay.Ledger.Take(ready, seating.Ask{
-			Service: q.service,
-			Tokens:  q.tokens(),
-			Tried:   q.tried,
-			Patient: now.Before(patientUntil),
-		}, now)
-		if !got.Full {
-			return q.seat(got, len(ready))
-		}
-		if !sleep(ctx, roomMillis) {
-			return nil, false
-		}
-	}
-}
-
-// sleep pauses, and reports false when ctx ends meanwhile.
-func sleep(ctx context.Context, millis int64) bool {
-	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
-// seat takes the chosen server, and tells of it.
-func (q *request) seat(got seating.Seating, candidates int) (*attempt, bool) {
+// place chooses a backend server and opens a seat there.
+func (q *request) place() (*attempt, bool) {
+	now := moment.Now()
+	ready := q.relay.Courier.Servers().List.Ready(q.service.Name, now)
+	got := q.relay.Ledger.Take(ready, seating.Ask{Service: q.service, Tokens: q.tokens(), Tried: q.tried}, now)
 	if got.Seat == nil {
 		return nil, false
 	}
 	chosen := got.Chosen
 	if q.service.Engine != nil {
 		q.relay.Placed(chosen.Server.ID, q.caller.ID, q.tokens())
-		q.log("placed", "Server", chosen.Server.ID, "Candidates", candidates, "Tokens", q.tokens(),
+		q.log("placed", "Server", chosen.Server.ID, "Candidates", len(ready), "Tokens", q.tokens(),
 			"Starting", chosen.Starting, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens,
 			"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
 	}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -203,7 +203,7 @@
 	if !q.relay.Retries.Allow(q.service.Name, moment.Now()) {
 		return false
 	}
-	next, ok := q.place(ctx)
+	next, ok := q.place()
 	if !ok {
 		return false
 	}
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -77,9 +77,6 @@
 	Tokens int
 	// Tried holds the IDs of servers that it was sent to.
 	Tried map[string]bool
-	// Patient says that it rather waits than goes to an engine whose memory
-	// would not hold it to its end.
-	Patient bool
 }
 
 // Seating is the answer to an Ask.
@@ -88,8 +85,6 @@
 	Chosen Candidate
 	// Seat is open at the chosen server; it is nil when there is none.
 	Seat *Seat
-	// Full says that only engines without room are left, and the request waits.
-	Full bool
 }
 
 // Take chooses a backend server among those that are ready and opens a seat
@@ -107,9 +102,6 @@
 	if !ok {
 		return Seating{}
 	}
-	if ask.Patient && candidates[best].full(ask.Tokens) {
-		return Seating{Full: true}
-	}
 	return Seating{Chosen: candidates[best], Seat: l.open(ready[best].ID, ask.Tokens, now)}
 }
 
