--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -26,7 +26,7 @@
 	assignedTokens = 2000
 	// slackTokens is how much of a run may exceed what stays free at its
 	// destination, as not all runs there grow to the end at the same time.
-	slackTokens = 1000
+	slackTokens = 1500
 	// copyMarginTokens is the memory beyond that of a copy that a destination
 	// must have free.
 	copyMarginTokens = 200
