--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -74,7 +74,7 @@
 func (l *Lookout) moveAll(ctx context.Context, leavesAt moment.Moment) {
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(leavesAt.MillisSince(moment.Now()))*time.Millisecond))
 	defer stop()
-	wait(ctx, adviceMillis)
+	moment.Pause(ctx, adviceMillis)
 	tries := make(map[string]int)
 	for ctx.Err() == nil {
 		left := leavesAt.MillisSince(moment.Now())
@@ -83,7 +83,7 @@
 		}
 		step, ok := l.next(tries, left)
 		if !ok {
-			wait(ctx, replanMillis)
+			moment.Pause(ctx, replanMillis)
 			continue
 		}
 		tries[step.Run.RequestID]++
@@ -189,13 +189,3 @@
 	}
 	return &sighting.Sighting{Move: move}
 }
-
-// wait pauses, or returns early when ctx ends.
-func wait(ctx context.Context, millis int64) {
-	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/caller/frontdesk/frontdesk.go
+++ b/internal/caller/frontdesk/frontdesk.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 )
 
 const (
@@ -148,7 +149,9 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	setUserTimeout(conn)
+	if err := line.BoundAcknowledgement(conn, userTimeoutMillis); err != nil {
+		s.Log.Warn("connection of a caller is not bounded", "Error", err)
+	}
 	c := &connection{
 		server: s,
 		conn:   conn,
--- a/internal/caller/frontdesk/read.go
+++ b/internal/caller/frontdesk/read.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
 )
@@ -170,18 +169,3 @@
 	// Whatever ends the reading, the connection is closed next.
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.reader, lingerBytes))
 }
-
-// setUserTimeout bounds how long a connection waits for acknowledgements.
-func setUserTimeout(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMillis)
-	})
-}
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -11,8 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -80,7 +80,10 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", out.Address), ErrNotSent)
 	}
-	boundAcknowledgement(conn)
+	if err := line.BoundAcknowledgement(conn, serverUserTimeoutMillis); err != nil {
+		_ = conn.Close()
+		return nil, errors.Mark(errors.Wrapf(err, "bound %s", out.Address), ErrNotSent)
+	}
 	call := &Call{conn: conn}
 	call.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := call.send(out); err != nil {
@@ -149,18 +152,3 @@
 	}
 	return nil, ErrForeign
 }
-
-// boundAcknowledgement ends a connection whose other side went silent.
-func boundAcknowledgement(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, serverUserTimeoutMillis)
-	})
-}
--- a/internal/records/moment/moment.go
+++ b/internal/records/moment/moment.go
@@ -3,6 +3,7 @@
 package moment
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -35,3 +36,16 @@
 func (m Moment) Before(other Moment) bool {
 	return m < other
 }
+
+// Pause waits that many milliseconds, or returns early when ctx ends.
+func Pause(ctx context.Context, millis int64) {
+	if millis <= 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -21,21 +21,6 @@
 	reportMillis = 2500
 )
 
-// Report is the load of an engine as the process beside it reported it.
-type Report struct {
-	Running    int
-	Queued     int
-	UsedTokens int
-	// Expected is the memory that will be taken once all requests there have
-	// grown to their expected size, in tokens.
-	Expected int
-	// Starting are the requests that have made no event yet.
-	Starting int
-	// Watchers are the entry hosts that watch the engine.
-	Watchers   int
-	ReceivedAt moment.Moment
-}
-
 // Ledger holds what one entry host knows of the load of backend servers. It is
 // safe for concurrent use.
 type Ledger struct {
@@ -139,116 +124,6 @@
 	a.failureShare += failureWeight * (value - a.failureShare)
 }
 
-// Learn takes over a report of an engine.
-func (l *Ledger) Learn(server string, report Report) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.reports == nil {
-		l.reports = make(map[string]Report)
-	}
-	l.reports[server] = report
-}
-
-// LearnLeaving takes over when an engine ends.
-func (l *Ledger) LearnLeaving(server string, at moment.Moment) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.leaving == nil {
-		l.leaving = make(map[string]moment.Moment)
-	}
-	l.leaving[server] = at
-}
-
-// Leaving reports whether an engine is known to end soon.
-func (l *Ledger) Leaving(server string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_, leaving := l.leaving[server]
-	return leaving
-}
-
-// Avoid keeps requests away from a server until a moment.
-func (l *Ledger) Avoid(server string, until moment.Moment) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.avoided == nil {
-		l.avoided = make(map[string]moment.Moment)
-	}
-	l.avoided[server] = until
-}
-
-// Forget drops what was reported of an engine that is no longer watched.
-func (l *Ledger) Forget(server string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.reports, server)
-	delete(l.leaving, server)
-}
-
-// unknownHosts is assumed while no engine says how many entry hosts there are.
-const unknownHosts = 32
-
-// EntryHosts returns the number of entry hosts, as the engines see it.
-func (l *Ledger) EntryHosts() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	most := 0
-	for _, report := range l.reports {
-		most = max(most, report.Watchers)
-	}
-	if most == 0 {
-		return unknownHosts
-	}
-	return most
-}
-
-// Ending returns the IDs of the engines that are known to end soon.
-func (l *Ledger) Ending() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ids := make([]string, 0, len(l.leaving))
-	for id := range l.leaving {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
-// Room is the room of one engine.
-type Room struct {
-	Server     muster.BackendServer
-	FreeTokens int
-	// SpareTokens is what stays free once all requests there have grown; it may
-	// be negative.
-	SpareTokens int
-	FreeSlots   int
-}
-
-// Room returns the room of the servers that stay and of which there is a
-// recent report.
-func (l *Ledger) Room(ready []muster.BackendServer, service timetable.Service) []Room {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := moment.Now()
-	var rooms []Room
-	for _, server := range ready {
-		report, reported := l.reports[server.ID]
-		if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
-			continue
-		}
-		c := l.candidate(server, Ask{Service: service}, now)
-		if c.Leaving || c.Avoided {
-			continue
-		}
-		rooms = append(rooms, Room{
-			Server:      server,
-			FreeTokens:  c.MemoryTokens - c.UsedTokens,
-			SpareTokens: c.MemoryTokens - c.ExpectedTokens,
-			FreeSlots:   c.Slots - c.Running - c.Queued,
-		})
-	}
-	return rooms
-}
-
 // Prune drops the accounts of servers that are no longer listed and have no
 // open request.
 func (l *Ledger) Prune(list muster.List) {
--- /dev/null
+++ b/internal/routing/watch/advice.go
@@ -0,0 +1,74 @@
+package watch
+
+import (
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+)
+
+// adviseAll advises every engine that ends, as a further one changes the
+// advice for all.
+func (w *Watch) adviseAll() {
+	for _, o := range w.streams.list() {
+		if !w.Ledger.Leaving(o.server.ID) {
+			continue
+		}
+		if err := o.send(w.advise(o.server)); err != nil {
+			w.Log.Warn("engine that leaves not advised", "Server", o.server.ID, "Error", err)
+		}
+	}
+}
+
+// advise tells an engine that ends which runs are this host's, and which
+// engines have room.
+func (w *Watch) advise(leaving muster.BackendServer) *sighting.Advice {
+	advice := &sighting.Advice{}
+	for _, run := range w.Moves.On(leaving.Address) {
+		advice.Runs = append(advice.Runs, &sighting.Run{
+			RequestId:       run.RequestID,
+			RemainingTokens: uint32(run.Estimate.RemainingTokens),
+			Worth:           uint64(run.Estimate.Worth),
+		})
+	}
+	table := w.Courier.Configuration().Timetable
+	if table == nil {
+		return advice
+	}
+	service, ok := table.Service(leaving.Service)
+	if !ok {
+		return advice
+	}
+	rooms := w.Ledger.Room(w.Courier.Servers().List.Ready(leaving.Service, moment.Now()), service)
+	owners := w.divide(leaving, rooms)
+	for _, room := range rooms {
+		if room.Server.ID == leaving.ID {
+			continue
+		}
+		advice.Destinations = append(advice.Destinations, &sighting.Destination{
+			Address:     room.Server.Address,
+			FreeTokens:  uint32(max(room.FreeTokens, 0)),
+			SpareTokens: uint32(max(room.SpareTokens, 0)),
+			FreeSlots:   uint32(max(room.FreeSlots, 0)),
+			SameZone:    room.Server.Zone == leaving.Zone,
+			Contended:   owners[room.Server.ID] != leaving.ID,
+		})
+	}
+	return advice
+}
+
+// divide gives each destination to one of the engines of a service that end.
+func (w *Watch) divide(leaving muster.BackendServer, rooms []seating.Room) map[string]string {
+	var ending, destinations []handover.Place
+	list := w.Courier.Servers().List
+	for _, id := range w.Ledger.Ending() {
+		if server, ok := list.Find(id); ok && server.Service == leaving.Service {
+			ending = append(ending, handover.Place{ID: id, Zone: server.Zone})
+		}
+	}
+	for _, room := range rooms {
+		destinations = append(destinations, handover.Place{ID: room.Server.ID, Zone: room.Server.Zone})
+	}
+	return handover.Divide(ending, destinations)
+}
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -5,18 +5,14 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net"
-	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
@@ -55,82 +51,6 @@
 	streams streams
 }
 
-// streams holds the streams to the processes beside engines. It is safe for
-// concurrent use.
-type streams struct {
-	mu sync.Mutex
-	// all by the ID of the engine.
-	all map[string]*openStream
-}
-
-// openStream is a stream to the process beside an engine.
-type openStream struct {
-	server muster.BackendServer
-
-	mu     sync.Mutex
-	stream sighting.DRPCLookout_WatchClient
-}
-
-// send sends a message. Streams take one message at a time.
-func (o *openStream) send(message *sighting.Advice) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.stream.Send(message)
-}
-
-func (s *streams) open(server muster.BackendServer, stream sighting.DRPCLookout_WatchClient) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.all == nil {
-		s.all = make(map[string]*openStream)
-	}
-	s.all[server.ID] = &openStream{server: server, stream: stream}
-}
-
-func (s *streams) find(id string) (*openStream, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, ok := s.all[id]
-	return o, ok
-}
-
-func (s *streams) close(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.all, id)
-}
-
-func (s *streams) list() []*openStream {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Values(s.all))
-}
-
-// adviseAll advises every engine that ends, as a further one changes the
-// advice for all.
-func (w *Watch) adviseAll() {
-	for _, o := range w.streams.list() {
-		if !w.Ledger.Leaving(o.server.ID) {
-			continue
-		}
-		if err := o.send(w.advise(o.server)); err != nil {
-			w.Log.Warn("engine that leaves not advised", "Server", o.server.ID, "Error", err)
-		}
-	}
-}
-
-// Placed tells the process beside an engine that a request is on its way, so
-// that the other entry hosts learn of it at once.
-func (w *Watch) Placed(server, request string, tokens int) {
-	o, ok := w.streams.find(server)
-	if !ok {
-		return
-	}
-	if err := o.send(&sighting.Advice{Placement: &sighting.Placement{Tokens: uint32(tokens), RequestId: request}}); err != nil {
-		w.Log.Warn("engine not told of a request", "Server", server, "Error", err)
-	}
-}
-
 // identity names one incarnation of an engine.
 type identity struct {
 	id   string
@@ -229,17 +149,7 @@
 			w.Log.Warn("engine's process lost", "Server", e.server.ID, "Address", e.server.Address, "Error", err)
 		}
 		lost = true
-		pause(ctx, redialMillis)
-	}
-}
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, millis int64) {
-	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		moment.Pause(ctx, redialMillis)
 	}
 }
 
@@ -324,55 +234,3 @@
 		})
 	}
 }
-
-// advise tells an engine that ends which runs are this host's, and which
-// engines have room.
-func (w *Watch) advise(leaving muster.BackendServer) *sighting.Advice {
-	advice := &sighting.Advice{}
-	for _, run := range w.Moves.On(leaving.Address) {
-		advice.Runs = append(advice.Runs, &sighting.Run{
-			RequestId:       run.RequestID,
-			RemainingTokens: uint32(run.Estimate.RemainingTokens),
-			Worth:           uint64(run.Estimate.Worth),
-		})
-	}
-	table := w.Courier.Configuration().Timetable
-	if table == nil {
-		return advice
-	}
-	service, ok := table.Service(leaving.Service)
-	if !ok {
-		return advice
-	}
-	rooms := w.Ledger.Room(w.Courier.Servers().List.Ready(leaving.Service, moment.Now()), service)
-	owners := w.divide(leaving, rooms)
-	for _, room := range rooms {
-		if room.Server.ID == leaving.ID {
-			continue
-		}
-		advice.Destinations = append(advice.Destinations, &sighting.Destination{
-			Address:     room.Server.Address,
-			FreeTokens:  uint32(max(room.FreeTokens, 0)),
-			SpareTokens: uint32(max(room.SpareTokens, 0)),
-			FreeSlots:   uint32(max(room.FreeSlots, 0)),
-			SameZone:    room.Server.Zone == leaving.Zone,
-			Contended:   owners[room.Server.ID] != leaving.ID,
-		})
-	}
-	return advice
-}
-
-// divide gives each destination to one of the engines of a service that end.
-func (w *Watch) divide(leaving muster.BackendServer, rooms []seating.Room) map[string]string {
-	var ending, destinations []handover.Place
-	list := w.Courier.Servers().List
-	for _, id := range w.Ledger.Ending() {
-		if server, ok := list.Find(id); ok && server.Service == leaving.Service {
-			ending = append(ending, handover.Place{ID: id, Zone: server.Zone})
-		}
-	}
-	for _, room := range rooms {
-		destinations = append(destinations, handover.Place{ID: room.Server.ID, Zone: room.Server.Zone})
-	}
-	return handover.Divide(ending, destinations)
-}
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -178,7 +178,7 @@
 func (f *follower) run(ctx context.Context, learn func(reading)) error {
 	defer f.peers.hangUp()
 	for ctx.Err() == nil {
-		pause(ctx, f.readOnce(ctx, learn))
+		moment.Pause(ctx, f.readOnce(ctx, learn))
 	}
 	return nil
 }
@@ -263,16 +263,3 @@
 	f.regainedAt = moment.Now()
 	f.courier.Log.Info("store regained", "Topic", f.topic)
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, millis int64) {
-	if millis <= 0 {
-		return
-	}
-	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
