--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -108,7 +108,7 @@
 // abandon gives up a stream that cannot go on. Before the first event the
 // caller can still be told so.
 func (s *stream) abandon(ctx context.Context, err error) outcome {
-	s.attempt.close(ctx.Err() == nil)
+	s.attempt.close(failedByServer(ctx, err))
 	s.request.log("stream lost", "Server", s.attempt.server.ID, "LastEvent", s.events.lastID,
 		"Moves", s.moves, "Error", err)
 	if !s.request.exchange.Begun() {
@@ -119,6 +119,12 @@
 	return streamed{}
 }
 
+// failedByServer reports whether it was the backend server that ended a stream,
+// rather than its deadline or its caller.
+func failedByServer(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && !errors.Is(err, errCallerGone)
+}
+
 // begin writes the head of the caller's answer once.
 func (s *stream) begin() {
 	if !s.request.exchange.Begun() {
