fix: silence ends no answer that cannot go on; a stale reader is not waited for

Change: silence ends a stream only when it can go on elsewhere; knowledge of another host counts up to an age that one with a sound path has, and when it is older the store is read at once.

--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -187,11 +187,13 @@
 	s.lastEventAt = now
 }
 
-// boundSilence sets the time by which the next event must come. The wait for
-// the first one is bounded by the request's deadline only.
+// boundSilence sets the time by which the next event must come, when the
+// stream could go on elsewhere. Another one, and the wait for the first event,
+// are bounded by the request's deadline only.
 func (s *stream) boundSilence() error {
-	if s.delivered.Load() == 0 {
-		return nil
+	q := s.request
+	if s.delivered.Load() == 0 || !q.route.Resumable || len(q.tried) >= q.route.MaxAttempts {
+		return s.attempt.call.conn.SetReadDeadline(time.Time{})
 	}
 	return s.attempt.call.conn.SetReadDeadline(time.Now().Add(silenceMillis * time.Millisecond))
 }
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -249,6 +249,7 @@
 		return
 	}
 	f.courier.Store.HTTP.CloseIdleConnections()
+	f.peers.directUntil = 0
 	if !f.away {
 		f.courier.Log.Warn("store lost", "Topic", f.topic, "Error", err)
 	}
--- a/internal/settings/courier/peers.go
+++ b/internal/settings/courier/peers.go
@@ -19,10 +19,10 @@
 	// a change.
 	peerWaitMillis = 300
 	// peerReplyMillis bounds a call to another entry host beyond that wait.
-	peerReplyMillis = 400
+	peerReplyMillis = 250
 	// maxPeerAgeMillis is the age up to which another entry host's knowledge is
-	// taken over.
-	maxPeerAgeMillis = 2000
+	// taken over. It exceeds what a host that reaches the store has.
+	maxPeerAgeMillis = 2*changeWaitMillis + 100
 	// directMillis is how long the store is read when no entry host answers.
 	directMillis = 3000
 )
@@ -40,22 +40,20 @@
 	directUntil moment.Moment
 }
 
-// readPeers asks the entry hosts that read the store, until one answers with
-// fresh knowledge. It reports false when none did.
+// readPeers asks one of the entry hosts that read the store. It reports false
+// when that one gave no fresh knowledge; the store is read next, as a change
+// may be waiting there.
 func (f *follower) readPeers(ctx context.Context) (reading, bool) {
 	readers := f.courier.Readers
 	if len(readers) == 0 || moment.Now().Before(f.peers.directUntil) {
 		return reading{}, false
 	}
-	first := rand.IntN(len(readers))
-	for i := range readers {
-		r, err := f.askPeer(ctx, readers[(first+i)%len(readers)])
-		if err == nil {
-			return r, true
-		}
-		f.courier.Log.Warn("entry host gave no knowledge", "Topic", f.topic, "Peer", f.peers.address, "Error", err)
-		f.peers.hangUp()
+	r, err := f.askPeer(ctx, readers[rand.IntN(len(readers))])
+	if err == nil {
+		return r, true
 	}
+	f.courier.Log.Warn("entry host gave no knowledge", "Topic", f.topic, "Peer", f.peers.address, "Error", err)
+	f.peers.hangUp()
 	f.peers.directUntil = moment.Now().AddMillis(directMillis)
 	return reading{}, false
 }
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -102,6 +102,9 @@
 // sendEvent sends one event, or breaks the stream off.
 func (r *Replica) sendEvent(w http.ResponseWriter, running *run, event int, faults Faults) {
 	text := fmt.Sprintf("id: %d\ndata: tokens of event %d\n\n", event, event)
+	if faults.SilentAfter != 0 && event == faults.SilentAfter {
+		time.Sleep(time.Duration(faults.SilentMillis) * time.Millisecond)
+	}
 	if faults.CutAfter != 0 && event > faults.CutAfter {
 		if faults.TornCut {
 			_, _ = io.WriteString(w, text[:len(text)/2])
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -41,6 +41,10 @@
 	CutAfter int
 	// TornCut says that a stream that is cut ends within an event.
 	TornCut bool
+	// SilentAfter stops every stream for SilentMillis after this many events;
+	// zero never does.
+	SilentAfter  int
+	SilentMillis int
 	// NoCopy refuses copies.
 	NoCopy bool
 }
--- a/internal/trial/openday/platform_beliefs_test.go
+++ b/internal/trial/openday/platform_beliefs_test.go
@@ -111,3 +111,33 @@
 	is.Equal(s.send(context.Background(), plainAsk("d", "newer key")).status, http.StatusServiceUnavailable)
 	is.True(s.ready() != nil) // nobody confirms the key any longer
 }
+
+// A host that reaches the store has a change in force in time although the host
+// that it asks has lost the store.
+func TestPlatformStaleReader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 0, 1)
+	other := &keyedlog.Log{}
+	address := s.pool.next()
+	s.serve(func(ctx context.Context) error { return other.Serve(ctx, address, other.Routes()) })
+	other.Addr()
+	other.Put("keyed.op", "config", []byte(platformConfiguration(1, []string{platformKey})))
+	s.registerIn(other, s.desks[0], "plain", "ready")
+
+	asker := s.settings
+	asker.Name = "asker"
+	asker.CallerAddress, asker.ReadyAddress, asker.ControlAddress = s.pool.next(), s.pool.next(), s.pool.next()
+	asker.MetricsPort = platformPeerPort + 2
+	asker.StoreAddress = address
+	asker.Readers = []string{s.settings.ControlAddress}
+	newProgram(t, "asker", "direct-entry", s.write("asker", asker)).start()
+	s.settings = asker
+	eventually(t, "the asking host is ready", s.ready)
+
+	s.log.SetFaults(keyedlog.Faults{Silent: true}) // the reader's path is lost
+	other.Put("keyed.op", "config", []byte(platformConfiguration(2, []string{"newer key"})))
+	time.Sleep(platformApplyMillis * time.Millisecond)
+	is.Equal(s.send(context.Background(), plainAsk("old", platformKey)).status, http.StatusUnauthorized)
+	is.Equal(s.send(context.Background(), plainAsk("new", "newer key")).status, http.StatusOK)
+}
--- a/internal/trial/openday/platform_moves_test.go
+++ b/internal/trial/openday/platform_moves_test.go
@@ -116,3 +116,15 @@
 		e.SetFaults(f)
 	}
 }
+
+// The silence of an engine is no reason to end an answer that cannot go on
+// elsewhere.
+func TestPlatformSilentStream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 1, 0)
+	s.setEngineFaults(replica.Faults{SilentAfter: 5, SilentMillis: 3500})
+	got := s.send(context.Background(), streamAsk("silent", 20))
+	is.NoErr(got.err)
+	is.Equal(got.events(), numbers(20))
+}
--- a/internal/trial/openday/platform_site_test.go
+++ b/internal/trial/openday/platform_site_test.go
@@ -137,9 +137,14 @@
 
 // register writes the entry of a backend server.
 func (s *platformSite) register(r *replica.Replica, service, state string) {
+	s.registerIn(s.log, r, service, state)
+}
+
+// registerIn is register in another store.
+func (s *platformSite) registerIn(log *keyedlog.Log, r *replica.Replica, service, state string) {
 	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":24,"state":%q,"cold_ms":0,"seq":1,"born":1}`,
 		service, r.Addr(), state)
-	s.log.Put("keyed.servers", r.ID, []byte(entry))
+	log.Put("keyed.servers", r.ID, []byte(entry))
 }
 
 // configure writes the next version of the configuration, with the given keys.
