test: stand-ins take ports that the system gives, and say when they cannot listen

Addresses were tried, closed and bound again. Ruled out: the product; its processes were given an empty address. Change: stand-ins bind port 0 and the test reads the address; an error of a stand-in fails the test. The error of the failed run was not kept, so that the cause is the likely one.

--- a/internal/trial/openday/platform_beliefs_test.go
+++ b/internal/trial/openday/platform_beliefs_test.go
@@ -119,9 +119,8 @@
 	is := is.New(t)
 	s := newPlatformSite(t, 0, 1)
 	other := &keyedlog.Log{}
-	address := s.pool.next()
-	s.serve(func(ctx context.Context) error { return other.Serve(ctx, address, other.Routes()) })
-	other.Addr()
+	s.serve(func(ctx context.Context) error { return other.Serve(ctx, s.pool.ip+":0", other.Routes()) })
+	address := other.Addr()
 	other.Put("keyed.op", "config", []byte(platformConfiguration(1, []string{platformKey})))
 	s.registerIn(other, s.desks[0], "plain", "ready")
 
--- a/internal/trial/openday/platform_site_test.go
+++ b/internal/trial/openday/platform_site_test.go
@@ -68,14 +68,13 @@
 	}
 	t.Cleanup(func() { places.Release(count) })
 	s := &platformSite{t: t, directory: t.TempDir(), pool: newAddressPool(t), log: &keyedlog.Log{}}
-	address := s.pool.next()
-	s.serve(func(ctx context.Context) error { return s.log.Serve(ctx, address, s.log.Routes()) })
+	s.serve(func(ctx context.Context) error { return s.log.Serve(ctx, s.pool.ip+":0", s.log.Routes()) })
 	s.log.Addr()
 	for n := range engines {
 		s.addEngine(n)
 	}
 	for n := range desks {
-		desk := s.newReplica(fmt.Sprintf("desk-%d", n), s.pool.next())
+		desk := s.newReplica(fmt.Sprintf("desk-%d", n), s.pool.ip)
 		s.desks = append(s.desks, desk)
 		s.register(desk, "plain", "ready")
 	}
@@ -92,13 +91,17 @@
 	group.Go(func() error { return run(ctx) })
 	s.t.Cleanup(func() {
 		stop()
-		_ = group.Wait()
+		if err := group.Wait(); err != nil {
+			s.t.Errorf("stand-in: %v", err)
+		}
 	})
 }
 
-func (s *platformSite) newReplica(id, address string) *replica.Replica {
+// newReplica starts a backend server on a port that the system gives, so that
+// no other process can take it first.
+func (s *platformSite) newReplica(id, ip string) *replica.Replica {
 	r := &replica.Replica{ID: id, Group: &s.group}
-	s.serve(func(ctx context.Context) error { return r.Serve(ctx, address, r.Routes()) })
+	s.serve(func(ctx context.Context) error { return r.Serve(ctx, ip+":0", r.Routes()) })
 	r.Addr()
 	return r
 }
@@ -106,7 +109,7 @@
 // addEngine starts an engine on an IP number of its own, with its process.
 func (s *platformSite) addEngine(number int) *platformEngine {
 	pool := newAddressPool(s.t)
-	e := &platformEngine{Replica: s.newReplica(fmt.Sprintf("engine-%d", number), pool.next()), number: number}
+	e := &platformEngine{Replica: s.newReplica(fmt.Sprintf("engine-%d", number), pool.ip), number: number}
 	settings := process.DirectBackend{
 		Name:            e.ID,
 		Zone:            "a",
