test: a leaving plain service is stopped once the service has the call

Cause: the tests waited for OpenRequests > 0, which counts an asker from its arrival, before the call is admitted. A stop in between refuses the call with Leaving, which is true ("not run"), and the booking gets 503. Ruled out: a call that is neither counted nor refused (the place is taken before the process asks whether it leaves). Change: the stand-in counts calls as they arrive, and both tests stop the process when the service has one. Nothing that is checked became less.

--- a/internal/standin/desk/desk.go
+++ b/internal/standin/desk/desk.go
@@ -70,6 +70,8 @@
 	Faults Faults
 
 	listener serving.Listener
+	// received counts the calls that arrived, before any fault applies.
+	received atomic.Int64
 
 	mu sync.Mutex
 	// bookings holds the request's identity of each booking, in order.
@@ -95,10 +97,23 @@
 	calls.HandleFunc("/bookings", s.book).Methods(http.MethodPost)
 	calls.HandleFunc("/tides", s.tides).Methods(http.MethodGet)
 	calls.HandleFunc("/check-ins", s.checkIn).Methods(http.MethodPost)
-	calls.Use(serving.Outage(&s.Faults.Down, &s.Faults.SlowMillis))
+	calls.Use(s.receipts, serving.Outage(&s.Faults.Down, &s.Faults.SlowMillis))
 	return r
 }
 
+// receipts counts each call as it arrives.
+func (s *Server) receipts(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.received.Add(1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Received counts the calls that arrived, whether or not they ran.
+func (s *Server) Received() int {
+	return int(s.received.Load())
+}
+
 // Executions counts how often the request of id ran.
 func (s *Server) Executions(id string) int {
 	s.mu.Lock()
--- a/internal/trial/openday/leaving_silence_test.go
+++ b/internal/trial/openday/leaving_silence_test.go
@@ -44,7 +44,7 @@
 		booking, err = newCaller(d.entries[0]).call(http.MethodPost, "/bookings", newKey())
 		return err
 	})
-	d.busiest(t)
+	d.calling(t)
 	b.relay.silence(toEntry)
 	b.terminate()
 	is.NoErr(group.Wait())
--- a/internal/trial/openday/leaving_test.go
+++ b/internal/trial/openday/leaving_test.go
@@ -101,7 +101,7 @@
 		slow, err = c.call(http.MethodPost, "/bookings", newKey())
 		return err
 	})
-	leaver := d.busiest(t)
+	leaver := d.calling(t)
 	leaver.terminate()
 	waitLeaving(t, leaver.program, leaver.settings.PeerAddress)
 	other, err := c.call(http.MethodPost, "/bookings", newKey())
--- a/internal/trial/openday/owner_loss_test.go
+++ b/internal/trial/openday/owner_loss_test.go
@@ -50,6 +50,24 @@
 	return found
 }
 
+// calling waits until a plain service has a call, and returns its process. An
+// asker counts as open before its call is admitted, so only the service tells
+// that the call was.
+func (d *deployment) calling(t *testing.T) *backendServer {
+	t.Helper()
+	var found *backendServer
+	eventually(t, "a plain service is called", func() error {
+		for _, b := range d.backends {
+			if b.desk != nil && b.desk.Received() > 0 {
+				found = b
+				return nil
+			}
+		}
+		return errors.New("no plain service has a call")
+	})
+	return found
+}
+
 // TestOwnerKilledMidStream checks that a streamed answer ends as lost when its
 // owner dies, whether or not the owner is started again, while the others live.
 func TestOwnerKilledMidStream(t *testing.T) {
