feat: an urgent request takes a place in a full batch

Ruled out: memory (the forecast is held against urgent ones alone), prefill (p50 is one step), the relay (plain calls keep their bound). Change: the book admits urgent requests beyond the batch, up to half of it and while generations of a lower priority run; the keeper queues the urgent one at the engine and then pushes the cheapest of them aside. They count as running, so that they go on before anything new starts.

--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -176,6 +176,48 @@
 	is.True(admitted)
 }
 
+// TestUrgentTakesAPlaceInAFullBatch fills a batch with its urgent place and
+// offers more urgent requests: they start until half of the batch would be
+// pushed aside, and nothing else starts before those go on.
+func TestUrgentTakesAPlaceInAFullBatch(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.BatchLimit = 10
+	b.CapacityTokens = 1_000_000
+	fill(b)
+	starts := 0
+	for n := range 8 {
+		urgent := request(fmt.Sprint("urgent ", n))
+		urgent.Urgent, urgent.Priority = true, 1
+		if _, admitted := b.Offer(urgent, start).(Admit); admitted {
+			starts++
+		}
+	}
+	is.Equal(starts, 6)
+	is.Equal(b.Excess(), 5)
+	b.Release("urgent 0")
+	is.Equal(len(b.Next(start)), 1)
+	is.Equal(b.Excess(), 5)
+}
+
+// TestUrgentSparesHigherPriority fills a batch with requests that the engine
+// would resume before the urgent one.
+func TestUrgentSparesHigherPriority(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	b.BatchLimit = 2
+	b.CapacityTokens = 1_000_000
+	for n := range 2 {
+		high := request(fmt.Sprint("high ", n))
+		high.Urgent, high.Priority = n == 1, 5
+		b.Offer(high, start)
+	}
+	urgent := request("urgent")
+	urgent.Urgent, urgent.Priority = true, 5
+	_, waits := b.Offer(urgent, start).(Wait)
+	is.True(waits)
+}
+
 func TestSharedPrefixCountsOnce(t *testing.T) {
 	is := is.New(t)
 	alone := fill(newBook())
--- a/internal/backend/booking/offer.go
+++ b/internal/backend/booking/offer.go
@@ -8,6 +8,9 @@
 	// hopeQuantile is the quantile of the answer's length with which a deadline
 	// must be within reach; below it the request is refused at once.
 	hopeQuantile = 0.1
+	// displacedDivisor is the part of the batch that may be pushed aside for the
+	// places of urgent requests.
+	displacedDivisor = 2
 )
 
 // Offer decides on a new request. After Admit the generation counts as running;
@@ -68,7 +71,7 @@
 // request is held against the urgent generations alone, since the others can be
 // preempted. On a start the profiles include it.
 func (b *Book) try(w *Waiting, p profiles) (Admit, Reason) {
-	if len(b.running) >= b.batchLimit(w.Urgent) {
+	if len(b.running) >= b.batchLimit(w) {
 		return Admit{}, ReasonBatch
 	}
 	against := p.all
@@ -88,15 +91,27 @@
 	return Admit{RequestID: w.RequestID, QueuedAt: w.QueuedAt, Forecast: f}, 0
 }
 
-// batchLimit returns the places on the engine that requests of the given
-// urgency may use.
-func (b *Book) batchLimit(urgent bool) int {
-	if urgent {
-		return b.BatchLimit
+// batchLimit returns how many generations may run with the request included.
+func (b *Book) batchLimit(w *Waiting) int {
+	if w.Urgent {
+		return b.BatchLimit + b.displaceable(w.Priority)
 	}
 	return max(1, b.BatchLimit-b.urgentPlaces())
 }
 
+// displaceable returns how many generations may be pushed aside in all for the
+// places of urgent ones of the given priority. They count as running until they
+// end, so that nothing new starts before they go on.
+func (b *Book) displaceable(priority int) int {
+	lower := 0
+	for _, r := range b.running {
+		if !r.Urgent && r.Priority < priority {
+			lower++
+		}
+	}
+	return min(lower, max(1, b.BatchLimit/displacedDivisor))
+}
+
 // urgentPlaces returns the places of the batch that only urgent requests may
 // take. A small batch keeps one, where any headroom is asked for.
 func (b *Book) urgentPlaces() int {
--- a/internal/backend/booking/query.go
+++ b/internal/backend/booking/query.go
@@ -34,6 +34,12 @@
 	return b.forecast(b.profiles().all, true)
 }
 
+// Excess returns how many generations run beyond the engine's batch. As many
+// have to be pushed aside.
+func (b *Book) Excess() int {
+	return max(0, len(b.running)-b.BatchLimit)
+}
+
 // Running returns the running generations, the earliest first.
 func (b *Book) Running() []Running {
 	out := make([]Running, 0, len(b.running))
--- a/internal/backend/keeper/admission.go
+++ b/internal/backend/keeper/admission.go
@@ -133,6 +133,7 @@
 		class:       class.Name,
 		repeatable:  in.GetRepeatable(),
 		urgent:      class.Urgent,
+		priority:    class.Priority,
 		deadline:    warden.TimeFromNanos(in.GetDeadlineUnixNanos()),
 		sequence:    entry.Sequence,
 		abandonedAt: time.Now(),
--- a/internal/backend/keeper/drive.go
+++ b/internal/backend/keeper/drive.go
@@ -36,7 +36,6 @@
 		k.finish(j, receipt.Cancelled, "cancelled before the start")
 		return
 	}
-	k.relieve(ctx, j)
 	code, reason := k.generate(ctx, j)
 	k.finish(j, code, reason)
 }
@@ -115,6 +114,8 @@
 	position int
 	// started tells that the engine may hold the generation.
 	started bool
+	// relieved tells that memory and a place were asked for.
+	relieved bool
 	// lastToken is when the newest token came; zero before the first and after
 	// a stall.
 	lastToken time.Time
@@ -151,6 +152,10 @@
 		return engine.Finished{}, errors.CombineErrors(err, context.Cause(ctx))
 	}
 	defer func() { _ = stream.Close() }()
+	if !r.relieved {
+		r.relieved = true
+		r.keeper.relieve(ctx, r.job)
+	}
 	r.started = true
 	for {
 		event, err := stream.Next()
--- a/internal/backend/keeper/keeper.go
+++ b/internal/backend/keeper/keeper.go
@@ -101,10 +101,11 @@
 	class   string
 	// repeatable generations may be cancelled once abandoned.
 	repeatable bool
-	// urgent generations may preempt others to start.
-	urgent bool
-	// preempted tells that the engine has pushed the generation aside, and
-	// preemptions how often it did.
+	// urgent generations may preempt others of a lower priority to start.
+	urgent   bool
+	priority int
+	// preempted tells that the engine has pushed the generation aside or was told
+	// to, and preemptions how often it did.
 	preempted   bool
 	preemptions int
 	// deadline is zero when the caller set none.
--- a/internal/backend/keeper/keeper_test.go
+++ b/internal/backend/keeper/keeper_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -189,6 +190,45 @@
 	is.NoErr(group.Wait())
 }
 
+// TestUrgentRequestTakesAPlace fills the engine's batch, the place for urgent
+// requests among it. One more urgent request pushes a check aside, which goes on
+// afterwards and comes whole.
+func TestUrgentRequestTakesAPlace(t *testing.T) {
+	is := is.New(t)
+	const batch, longTokens = 3, 400
+	server := &standin.Server{StepMillis: 2, Seed: 1, MemoryTokens: 4096, MaxBatch: batch}
+	k := start(t, server)
+	k.Records = explanation.Writer{Ring: &explanation.Ring{}}
+	k.Book.BatchLimit = batch
+	var group errgroup.Group
+	var boxes [batch]inbox
+	var long [batch]*message.GenerateRequest
+	for n := range batch {
+		long[n] = request(fmt.Sprintf("tokens=%d long %d", longTokens, n))
+		if n == batch-1 {
+			long[n].Class = "now"
+		}
+		group.Go(func() error { return ask(k, long[n], &boxes[n]) })
+		waitRunning(t, k, uint32(n+1))
+	}
+	urgent, box := request("tokens=5 now"), &inbox{}
+	urgent.Class = "now"
+	is.NoErr(ask(k, urgent, box))
+	is.Equal(box.tokens(), uint64(5))
+	is.Equal(k.Load().GetRunning(), uint32(batch))
+	pushed := 0
+	for _, in := range long {
+		if preemptedFor(k, in.GetRequestId(), urgent.GetRequestId()) {
+			pushed++
+		}
+	}
+	is.Equal(pushed, 1)
+	is.NoErr(group.Wait())
+	for n := range boxes {
+		is.Equal(boxes[n].tokens(), uint64(longTokens))
+	}
+}
+
 // preemptedFor tells whether a request was preempted in favour of another.
 func preemptedFor(k *Keeper, id, favoured string) bool {
 	for _, record := range k.Records.Ring.Find(id) {
--- a/internal/backend/keeper/relief.go
+++ b/internal/backend/keeper/relief.go
@@ -18,32 +18,33 @@
 	orderMillis = 500
 )
 
-// relieve preempts generations when an urgent one is about to start and the
-// engine's memory does not hold its prompt. Left to itself, the engine would
-// let the urgent prompt wait for memory.
+// relieve preempts generations for an urgent one that the engine has queued when
+// its memory does not hold the prompt or its batch has no place. Left to itself,
+// the engine would let the urgent prompt wait. The urgent one is queued first,
+// since the engine would resume the others at once.
 func (k *Keeper) relieve(ctx context.Context, j *job) {
 	if !j.urgent {
 		return
 	}
-	for _, victim := range k.victims() {
+	for _, victim := range k.victims(j) {
 		k.Records.Record(victim.RequestID, explanation.Preempted{
-			Reason:     "an urgent request needs the memory",
+			Reason:     "an urgent request needs the memory or the place",
 			InFavourOf: j.request.ID,
 		})
 		k.preempt(ctx, victim.RequestID)
 	}
 }
 
-// victims chooses the generations to preempt, none while the memory suffices.
-func (k *Keeper) victims() []precedence.Victim {
+// victims chooses the generations to preempt, none while memory and batch
+// suffice. Those chosen count as pushed aside from then on.
+func (k *Keeper) victims(urgent *job) []precedence.Victim {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	need := precedence.Need{
-		Tokens: k.Book.Forecast().NowTokens - k.Book.CapacityTokens,
-		Urgent: true,
-	}
-	if need.Tokens <= 0 {
-		return nil
+		Tokens:   k.Book.Forecast().NowTokens - k.Book.CapacityTokens,
+		Places:   k.Book.Excess() - k.pushedAsideCount(),
+		Urgent:   true,
+		Priority: urgent.priority,
 	}
 	rules := precedence.Rules{
 		StallWeight:      k.Book.Policy.StallWeight,
@@ -53,9 +54,24 @@
 	if !found {
 		return nil
 	}
+	for _, victim := range decision.Victims {
+		k.jobs[victim.RequestID].preempted = true
+	}
 	return decision.Victims
 }
 
+// pushedAsideCount counts the generations that hold no place in the batch. The
+// caller holds the mutex.
+func (k *Keeper) pushedAsideCount() int {
+	count := 0
+	for _, j := range k.jobs {
+		if j.preempted {
+			count++
+		}
+	}
+	return count
+}
+
 // generations returns the generations that hold memory. The caller holds the
 // mutex.
 func (k *Keeper) generations() []precedence.Generation {
@@ -93,5 +109,15 @@
 	order := engine.Order{Kind: engine.Preempt, RequestID: id, Fence: k.ConfigVersion()}
 	if err := k.Engine.Order(ctx, order); err != nil {
 		k.Log.Warn("generation not preempted", "Request", id, "Cause", err)
+		k.keptInBatch(id)
+	}
+}
+
+// keptInBatch takes back that a generation was pushed aside.
+func (k *Keeper) keptInBatch(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if j, open := k.jobs[id]; open {
+		j.preempted = false
 	}
 }
--- a/internal/backend/precedence/choose.go
+++ b/internal/backend/precedence/choose.go
@@ -23,10 +23,10 @@
 	tierUrgent
 )
 
-// Choose returns the generations to preempt so that the needed memory comes
-// free at the least cost.
+// Choose returns the generations to preempt so that the needed memory and
+// places come free at the least cost.
 func Choose(need Need, running []Generation, rules Rules) Decision {
-	if need.Tokens <= 0 {
+	if need.none() {
 		return Keep{Reason: ReasonNoNeed}
 	}
 	ranked := rank(need, running, rules)
@@ -38,7 +38,7 @@
 	for _, r := range ranked {
 		victims = append(victims, r.victim())
 		freed += r.frees()
-		if freed >= need.Tokens {
+		if need.met(len(victims), freed) {
 			return Preempt{Victims: victims, FreedTokens: freed}
 		}
 	}
@@ -64,7 +64,7 @@
 func rank(need Need, running []Generation, rules Rules) []candidate {
 	ranked := make([]candidate, 0, len(running))
 	for _, g := range running {
-		if g.Urgent && need.Urgent {
+		if need.Urgent && !g.yields(need) {
 			continue
 		}
 		ranked = append(ranked, candidate{Generation: g, tier: tierOf(g), cost: Cost(g, rules)})
@@ -80,6 +80,11 @@
 	return ranked
 }
 
+// yields tells whether a generation may make room for an urgent one.
+func (g Generation) yields(need Need) bool {
+	return !g.Urgent && (need.Places <= 0 || g.Priority < need.Priority)
+}
+
 // single returns the index of the cheapest generation that frees enough alone,
 // within the tier and priority that go first, or -1.
 func single(need Need, ranked []candidate) int {
@@ -87,7 +92,7 @@
 		if r.tier != ranked[0].tier || r.Priority != ranked[0].Priority {
 			return -1
 		}
-		if r.frees() >= need.Tokens {
+		if need.met(1, r.frees()) {
 			return i
 		}
 	}
--- a/internal/backend/precedence/precedence.go
+++ b/internal/backend/precedence/precedence.go
@@ -28,13 +28,27 @@
 	Preemptions int
 }
 
-// Need is the memory that has to be freed.
+// Need is the memory and the places in the batch that have to be freed.
 type Need struct {
 	// Tokens is the memory, in tokens of context.
 	Tokens int
+	// Places is the number of generations that have to leave the batch.
+	Places int
 	// Urgent tells whether an urgent generation needs it, which spares none of
 	// the others.
 	Urgent bool
+	// Priority is the priority of the class that needs it. An urgent generation
+	// takes the place of lower ones only, since the engine would resume any other
+	// first.
+	Priority int
+}
+
+// none tells whether nothing has to be freed.
+func (n Need) none() bool { return n.Tokens <= 0 && n.Places <= 0 }
+
+// met tells whether victims that free so many tokens are enough.
+func (n Need) met(victims, freed int) bool {
+	return freed >= n.Tokens && victims >= n.Places
 }
 
 // Rules weigh the costs of a preemption.
@@ -73,7 +87,7 @@
 
 // Reasons for keeping all generations.
 const (
-	// ReasonNoNeed is given when no memory has to be freed.
+	// ReasonNoNeed is given when nothing has to be freed.
 	ReasonNoNeed Reason = iota + 1
 	// ReasonTooFew is given when all that may be preempted would not free
 	// enough.
--- a/internal/backend/precedence/precedence_test.go
+++ b/internal/backend/precedence/precedence_test.go
@@ -35,6 +35,9 @@
 		{"several when none is enough", Need{Tokens: 1100}, []Generation{young, old}, []string{"young", "old"}},
 		{"nothing needed", Need{}, []Generation{young}, nil},
 		{"not enough to free", Need{Tokens: 5000}, []Generation{young}, nil},
+		{"a place", Need{Places: 1, Urgent: true, Priority: 1}, []Generation{old, young}, []string{"young"}},
+		{"places and memory", Need{Places: 2, Tokens: 50, Urgent: true, Priority: 1}, []Generation{old, young, fresh}, []string{"fresh", "young"}},
+		{"a place is not taken from the same priority", Need{Places: 1, Urgent: true}, []Generation{young}, nil},
 		{"urgent spares urgent", Need{Tokens: 50, Urgent: true}, []Generation{urgent}, nil},
 	}
 	for _, c := range cases {
