test: suspended hosts, slow and broken bodies, callers that do not read

Shown to bite: without the age check of a key, TestPlatformSuspendedHost fails (store silent); without the bound of a write, TestCallerThatDoesNotRead fails. TestSlowBody and TestBrokenBodyIsNotHandled hold the present behaviour. Also: one line for each decision on a retry, with what is spent and allowed (a retry after a failed answer was not logged).

--- a/internal/caller/frontdesk/frontdesk_test.go
+++ b/internal/caller/frontdesk/frontdesk_test.go
@@ -27,6 +27,12 @@
 
 // startServer serves echo until the test ends and returns its address.
 func startServer(t *testing.T, limits timetable.Limits) string {
+	t.Helper()
+	return startHandler(t, echo{}, limits)
+}
+
+// startHandler serves until the test ends and returns its address.
+func startHandler(t *testing.T, handler Handler, limits timetable.Limits) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -34,7 +40,7 @@
 	}
 	s := &Server{
 		Listener: listener,
-		Handler:  echo{},
+		Handler:  handler,
 		Log:      slog.New(slog.DiscardHandler),
 		Limits:   func() timetable.Limits { return limits },
 	}
--- /dev/null
+++ b/internal/caller/frontdesk/slow_test.go
@@ -0,0 +1,142 @@
+package frontdesk
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+)
+
+// pour answers each request without end and reports when that fails. Requests
+// for /short get a whole answer.
+type pour struct {
+	failed chan error
+}
+
+func (p pour) Handle(x *Exchange) {
+	if x.Request.RequestURI == "/short" {
+		x.WriteWhole(http.StatusOK, make(http.Header), []byte("short"))
+		return
+	}
+	x.Begin(http.StatusOK, make(http.Header))
+	part := []byte(strings.Repeat("p", 64<<10))
+	for {
+		if err := x.Send(part); err != nil {
+			p.failed <- err
+			x.Cut()
+			return
+		}
+	}
+}
+
+// A caller that takes no bytes holds its answer up for a bounded time, and no
+// other caller.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	handler := pour{failed: make(chan error, 1)}
+	address := startHandler(t, handler, timetable.Limits{})
+	deaf := dial(t, address)
+	_, err := io.WriteString(deaf, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	const slackMillis = 1500
+	giveUp := time.After((writeMillis + slackMillis) * time.Millisecond)
+	for {
+		other := dial(t, address)
+		sent := time.Now()
+		_, err := io.WriteString(other, "GET /short HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		answer, err := http.ReadResponse(bufio.NewReader(other), nil)
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		is.True(time.Since(sent) < time.Second)
+		select {
+		case err := <-handler.failed:
+			is.True(err != nil)
+			return
+		case <-giveUp:
+			t.Fatal("the answer was not given up")
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// A body that comes in small parts is read whole; one that breaks off never
+// reaches the handler.
+func TestSlowBody(t *testing.T) {
+	t.Parallel()
+	const parts, pause = 20, 50 * time.Millisecond
+	for name, head := range map[string]string{
+		"with a length": "Content-Length: " + strconv.Itoa(parts) + "\r\n\r\n",
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			conn := dial(t, startServer(t, timetable.Limits{HeaderMillis: 300}))
+			_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\n"+head)
+			is.NoErr(err)
+			chunked := strings.Contains(head, "chunked")
+			for range parts {
+				text := "b"
+				if chunked {
+					text = "1\r\nb\r\n"
+				}
+				_, err := io.WriteString(conn, text)
+				is.NoErr(err)
+				time.Sleep(pause)
+			}
+			if chunked {
+				_, err := io.WriteString(conn, "0\r\n\r\n")
+				is.NoErr(err)
+			}
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(answer.Body)
+			is.NoErr(err)
+			is.Equal(string(body), strings.Repeat("b", parts))
+		})
+	}
+}
+
+// counter counts the requests that reach it.
+type counter struct{ handled chan string }
+
+func (c counter) Handle(x *Exchange) {
+	c.handled <- x.Request.RequestURI
+	x.WriteWhole(http.StatusOK, make(http.Header), nil)
+}
+
+func TestBrokenBodyIsNotHandled(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"short of its length": "POST /broken HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf",
+		"in a chunk":          "POST /broken HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nha",
+		"between chunks":      "POST /broken HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nha\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			handler := counter{handled: make(chan string, 2)}
+			address := startHandler(t, handler, timetable.Limits{})
+			broken := dial(t, address)
+			_, err := io.WriteString(broken, text)
+			is.NoErr(err)
+			is.NoErr(broken.Close())
+			whole := dial(t, address)
+			_, err = io.WriteString(whole, "GET /whole HTTP/1.1\r\nHost: a\r\n\r\n")
+			is.NoErr(err)
+			_, err = http.ReadResponse(bufio.NewReader(whole), nil) //nolint:bodyclose // it has none
+			is.NoErr(err)
+			is.Equal(<-handler.handled, "/whole")
+			is.Equal(len(handler.handled), 0)
+		})
+	}
+}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -57,7 +57,7 @@
 	q.relay.Retries.CountFirst(q.service.Name, moment.Now())
 	var last outcome = unplaced{}
 	for sent, dials := 0, 0; sent < q.route.MaxAttempts && dials < maxDials; dials++ {
-		if dials > 0 && !q.relay.Retries.Allow(q.service.Name, moment.Now()) {
+		if dials > 0 && !q.allowRetry(last) {
 			break
 		}
 		last = q.attempt(ctx)
@@ -115,6 +115,33 @@
 func (answered) outcome()   {}
 func (streamed) outcome()   {}
 
+// allowRetry asks the budget whether the request is sent once more.
+func (q *request) allowRetry(last outcome) bool {
+	now := moment.Now()
+	allowed := q.relay.Retries.Allow(q.service.Name, now)
+	spent, budget := q.relay.Retries.State(q.service.Name, now)
+	q.log("retry decided", "Allowed", allowed, "Cause", causeOf(last), "Spent", spent, "Budget", budget)
+	return allowed
+}
+
+// causeOf names the outcome that asks for a retry.
+func causeOf(last outcome) string {
+	switch last.(type) {
+	case unreached:
+		return "Unreached"
+	case superseded:
+		return "Superseded"
+	case declined:
+		return "Declined"
+	case lost:
+		return "Lost"
+	case answered:
+		return "Failed"
+	default:
+		return "Unplaced"
+	}
+}
+
 // mayRepeat reports whether the request may be sent to a further server.
 func (q *request) mayRepeat(ctx context.Context, last outcome) bool {
 	if ctx.Err() != nil {
--- a/internal/caller/relay/retries.go
+++ b/internal/caller/relay/retries.go
@@ -41,13 +41,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service, now)
-	if float64(len(w.spent)+1) > r.Ratio*float64(len(w.firsts))+r.Slack/float64(max(r.Hosts(), 1)) {
+	if float64(len(w.spent)+1) > r.budget(w) {
 		return false
 	}
 	w.spent = append(w.spent, now)
 	return true
 }
 
+// State returns how many retries of a service were spent in the window, and how
+// many may be.
+func (r *Retries) State(service string, now moment.Moment) (spent int, budget float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service, now)
+	return len(w.spent), r.budget(w)
+}
+
+// budget returns how many retries may be spent in a window. The caller holds the
+// mutex.
+func (r *Retries) budget(w *retryWindow) float64 {
+	return r.Ratio*float64(len(w.firsts)) + r.Slack/float64(max(r.Hosts(), 1))
+}
+
 // window returns the window of a service without what lies before it.
 func (r *Retries) window(service string, now moment.Moment) *retryWindow {
 	if r.services == nil {
--- a/internal/trial/openday/platform_beliefs_test.go
+++ b/internal/trial/openday/platform_beliefs_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/keyedlog"
 )
@@ -140,3 +143,47 @@
 	is.Equal(s.send(context.Background(), plainAsk("old", platformKey)).status, http.StatusUnauthorized)
 	is.Equal(s.send(context.Background(), plainAsk("new", "newer key")).status, http.StatusOK)
 }
+
+// A host that was suspended while a key was taken away does not accept it when it
+// goes on: neither on a connection from before, nor while the store is silent.
+func TestPlatformSuspendedHost(t *testing.T) {
+	t.Parallel()
+	for name, faults := range map[string]keyedlog.Faults{
+		"store answers":   {},
+		"store is silent": {Silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const connections, readMillis = 8, 800
+			s := newPlatformSite(t, 0, 1)
+			var group errgroup.Group
+			begin := make(chan struct{})
+			replies := make([]callerReply, connections)
+			for n := range connections {
+				conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", s.settings.CallerAddress)
+				is.NoErr(err)
+				t.Cleanup(func() { _ = conn.Close() })
+				group.Go(func() error {
+					<-begin
+					replies[n] = s.sendOver(conn, plainAsk("suspended", platformKey))
+					return nil
+				})
+			}
+			s.entry.signal(syscall.SIGSTOP)
+			s.log.SetFaults(faults)
+			time.Sleep(readMillis * time.Millisecond) // reads from before end without the change
+			s.configure("another key")
+			time.Sleep((platformRevokeMillis + 300) * time.Millisecond)
+			close(begin)
+			time.Sleep(100 * time.Millisecond) // the requests wait in the host's buffers
+			s.entry.signal(syscall.SIGCONT)
+			is.NoErr(group.Wait())
+			for _, reply := range replies {
+				is.NoErr(reply.err)
+				is.True(reply.status == http.StatusUnauthorized || reply.status == http.StatusServiceUnavailable)
+			}
+			is.Equal(len(s.desks[0].Arrivals()), 0)
+		})
+	}
+}
--- a/internal/trial/openday/platform_site_test.go
+++ b/internal/trial/openday/platform_site_test.go
@@ -254,6 +254,30 @@
 
 // send sends a request to the entry host over a connection of its own.
 func (s *platformSite) send(ctx context.Context, a callerAsk) callerReply {
+	s.t.Helper()
+	answer, err := http.DefaultClient.Do(s.request(ctx, a))
+	if err != nil {
+		return callerReply{err: err}
+	}
+	return readReply(answer)
+}
+
+// sendOver sends a request over a connection that is there already.
+func (s *platformSite) sendOver(conn net.Conn, a callerAsk) callerReply {
+	s.t.Helper()
+	request := s.request(context.Background(), a)
+	if err := request.Write(conn); err != nil {
+		return callerReply{err: err}
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return callerReply{err: err}
+	}
+	return readReply(answer)
+}
+
+// request returns the request as a caller sends it.
+func (s *platformSite) request(ctx context.Context, a callerAsk) *http.Request {
 	s.t.Helper()
 	request, err := http.NewRequestWithContext(ctx, a.method, "http://"+s.settings.CallerAddress+a.target, strings.NewReader(a.body))
 	if err != nil {
@@ -272,10 +296,11 @@
 	if a.tokens > 0 {
 		request.Header.Set("Fulmarvalve-Token-Usage", fmt.Sprintf("400,%d", a.tokens))
 	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return callerReply{err: err}
-	}
+	return request
+}
+
+// readReply reads an answer to its end.
+func readReply(answer *http.Response) callerReply {
 	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(answer.Body)
 	return callerReply{status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
