fix: a run that stays on its leaving engine is given up at once

Ruled out: a shorter wait, as the word of a real move may come that late. Change: at the end of the notice the process beside the engine says which runs stay; the entry host then ends a stream that cannot go on, or resumes it. Before: TestPlatformUnmovedStream fails (1.2 s after the end).

--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -46,6 +46,8 @@
 	// leavesAt is the moment at which the engine ends; zero while it stays.
 	leavesAt moment.Moment
 	advice   advice
+	// moves holds the newest word of each run that was copied since the notice.
+	moves map[string]*sighting.Move
 	// placed counts the requests on their way here since the latest report.
 	placed    int
 	forecasts forecasts
@@ -159,6 +161,7 @@
 	if noticed {
 		l.leavesAt = now.AddMillis(leaveMillis(report))
 		l.advice = advice{}
+		l.moves = nil
 	}
 	leavesAt := l.leavesAt
 	l.mu.Unlock()
--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -74,6 +74,7 @@
 func (l *Lookout) moveAll(ctx context.Context, leavesAt moment.Moment) {
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(leavesAt.MillisSince(moment.Now()))*time.Millisecond))
 	defer stop()
+	defer l.publishFinal()
 	moment.Pause(ctx, adviceMillis)
 	tries := make(map[string]int)
 	for ctx.Err() == nil {
@@ -168,11 +169,51 @@
 		l.close(step.Destination.Address)
 	}
 	if reply.Handle != "" {
-		l.publish(moveSighting(step, reply, stop))
+		l.publishMove(moveOf(step, reply, stop))
 	}
 	return reply
 }
 
+// publishMove tells the entry hosts of a move and keeps it.
+func (l *Lookout) publishMove(move *sighting.Move) {
+	l.mu.Lock()
+	if l.moves == nil {
+		l.moves = make(map[string]*sighting.Move)
+	}
+	l.moves[move.GetRequestId()] = move
+	l.mu.Unlock()
+	l.publish(&sighting.Sighting{Move: move})
+}
+
+// publishFinal tells the entry hosts that the runs that are left are not moved
+// any more, so that none of their callers waits for it.
+func (l *Lookout) publishFinal() {
+	for _, move := range l.unmoved() {
+		l.Log.Info("run stays", "Request", move.GetRequestId(), "Copied", move.GetDestination() != "")
+		l.publish(&sighting.Sighting{Move: move})
+	}
+}
+
+// unmoved returns the final word of the runs that were not stopped for a move.
+func (l *Lookout) unmoved() []*sighting.Move {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []*sighting.Move
+	for _, run := range l.latest.Runs {
+		known := l.moves[run.RequestID]
+		if known.GetStopped() {
+			continue
+		}
+		all = append(all, &sighting.Move{
+			RequestId:   run.RequestID,
+			Handle:      known.GetHandle(),
+			Destination: known.GetDestination(),
+			Final:       true,
+		})
+	}
+	return all
+}
+
 // close gives a destination no further run.
 func (l *Lookout) close(address string) {
 	l.mu.Lock()
@@ -182,10 +223,10 @@
 	l.advice.destinations[address] = d
 }
 
-func moveSighting(step handover.Step, reply platform.Copy, stop bool) *sighting.Sighting {
+func moveOf(step handover.Step, reply platform.Copy, stop bool) *sighting.Move {
 	move := &sighting.Move{RequestId: step.Run.RequestID, Stopped: stop, Handle: reply.Handle}
 	if reply.Done {
 		move.Destination = step.Destination.Address
 	}
-	return &sighting.Sighting{Move: move}
+	return move
 }
--- a/internal/caller/relay/moves.go
+++ b/internal/caller/relay/moves.go
@@ -14,6 +14,8 @@
 	// Stopped says that the engine it ran on has stopped it. Otherwise the copy
 	// lacks what was generated since.
 	Stopped bool
+	// Final says that no newer word of the run follows.
+	Final bool
 	// Source is the engine it ran on, with the handle of its memory there.
 	Source platform.Handle
 	// Destination is the address of the engine that holds the copy; empty when
@@ -21,6 +23,11 @@
 	Destination string
 }
 
+// continues reports whether the run can go on from the move.
+func (m Move) continues() bool {
+	return m.Source.ID != ""
+}
+
 // Moves joins announced moves with the streams that wait for them. It is safe
 // for concurrent use; its zero value is ready.
 type Moves struct {
@@ -96,17 +103,18 @@
 	return *e.latest, true, e.changed
 }
 
-// AwaitStopped waits until the stream's engine has stopped it for a move, or
-// ctx ends, and returns the newest move, if there is one.
+// AwaitStopped waits until the stream's engine has stopped it for a move, nothing
+// newer follows, or ctx ends, and returns the newest move, if there is one that
+// the stream can go on from.
 func (e *Expectation) AwaitStopped(ctx context.Context) (Move, bool) {
 	for {
 		move, ok, changed := e.Latest()
-		if ok && move.Stopped {
-			return move, true
+		if ok && (move.Stopped || move.Final) {
+			return move, move.continues()
 		}
 		select {
 		case <-ctx.Done():
-			return move, ok
+			return move, ok && move.continues()
 		case <-changed:
 		}
 	}
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -229,6 +229,7 @@
 		w.Moves.Announce(relay.Move{
 			RequestID:   move.GetRequestId(),
 			Stopped:     move.GetStopped(),
+			Final:       move.GetFinal(),
 			Source:      platform.Handle{Address: server.Address, ID: move.GetHandle()},
 			Destination: move.GetDestination(),
 		})
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -95,6 +95,9 @@
 			return
 		case <-time.After(eventMillis * time.Millisecond):
 		}
+		if r.cutsRuns() {
+			panic(http.ErrAbortHandler)
+		}
 		r.sendEvent(w, running, event, faults)
 	}
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -47,6 +47,9 @@
 	SilentMillis int
 	// NoCopy refuses copies.
 	NoCopy bool
+	// NoMove refuses copies and lets the run go on until the server ends, which
+	// cuts it.
+	NoMove bool
 }
 
 // Arrival is a request that reached a backend server.
@@ -108,6 +111,13 @@
 	r.leavesAt = at
 }
 
+// cutsRuns reports whether the server has ended with runs that it kept.
+func (r *Replica) cutsRuns() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults.NoMove && !r.leavesAt.IsZero() && time.Now().After(r.leavesAt)
+}
+
 // Arrivals returns the requests that arrived so far.
 func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
@@ -173,11 +183,16 @@
 	r.mu.Lock()
 	running, ok := r.runs[message.ID]
 	refused := r.faults.NoCopy
+	stays := r.faults.NoMove
 	r.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if stays {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if message.Last {
 		close(running.stop)
 	}
--- a/internal/trial/openday/platform_moves_test.go
+++ b/internal/trial/openday/platform_moves_test.go
@@ -128,3 +128,39 @@
 	is.NoErr(got.err)
 	is.Equal(got.events(), numbers(20))
 }
+
+// A stream that its leaving engine cannot move has its end at once, and another
+// engine takes it over when it may be resumed.
+func TestPlatformUnmovedStream(t *testing.T) {
+	t.Parallel()
+	const noticeMillis, atOnceMillis = 700, 500
+	for target, events := range map[string]int{streamPath: 0, resumablePath: 250} {
+		t.Run(target, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newPlatformSite(t, 2, 0)
+			var group errgroup.Group
+			var got callerReply
+			var endedAt time.Time
+			group.Go(func() error {
+				ask := streamAsk("stays", 250)
+				ask.target = target
+				got = s.send(context.Background(), ask)
+				endedAt = time.Now()
+				return nil
+			})
+			e := s.runner()
+			e.SetFaults(replica.Faults{NoMove: true})
+			leavesAt := time.Now().Add(noticeMillis * time.Millisecond)
+			e.Leave(leavesAt)
+			_ = group.Wait()
+			if events > 0 {
+				is.NoErr(got.err)
+				is.Equal(got.events(), numbers(events))
+				return
+			}
+			is.True(got.err != nil)
+			is.True(endedAt.Before(leavesAt.Add(atOnceMillis * time.Millisecond)))
+		})
+	}
+}
