feat: leaving engines hear of room as it changes, shortest copies first

Two engines of nine left at once; a fresh engine that started 0.2 s later was never a destination, so runs went to another zone over a link that the other leaving engine used, which delayed the last part of its own move by 559 ms (late) and left no time for a run (lost). Ruled out: the notice, the time between calls (5 ms), the retry budget.

--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -18,6 +18,9 @@
 	copyTokensPerMilli = 16
 	// otherZoneFactor is how much longer a copy to another zone takes.
 	otherZoneFactor = 2
+	// contendedFactor is how much longer a copy takes that shares its link with
+	// those of another engine.
+	contendedFactor = 2
 	// guessedRemaining is assumed of a run of which no entry host said how much
 	// is still to be generated.
 	guessedRemaining = 500
@@ -75,15 +78,18 @@
 	leaving := slices.DeleteFunc(slices.Clone(runs), func(r Run) bool {
 		return r.endsBefore(leavesInMillis)
 	})
-	slices.SortFunc(leaving, func(a, b Run) int {
-		return cmp.Or(cmp.Compare(b.density(), a.density()), cmp.Compare(a.RequestID, b.RequestID))
-	})
+	var steps []Step
 	for _, run := range leaving {
 		if destination, ok := choose(run, destinations, leavesInMillis); ok {
-			return Step{Run: run, Destination: destination}, true
+			steps = append(steps, Step{Run: run, Destination: destination})
 		}
 	}
-	return Step{}, false
+	if len(steps) == 0 {
+		return Step{}, false
+	}
+	return slices.MinFunc(steps, func(a, b Step) int {
+		return cmp.Or(cmp.Compare(b.density(), a.density()), cmp.Compare(a.Run.RequestID, b.Run.RequestID))
+	}), true
 }
 
 // endsBefore reports whether the run probably ends before its engine does.
@@ -94,13 +100,18 @@
 	return int64(r.Remaining)*tokenMillis+endMarginMillis < leavesInMillis
 }
 
-// density returns what is saved for each token that is copied.
-func (r Run) density() float64 {
-	worth := r.Worth
+// density returns what is saved in each millisecond of the copy, so that short
+// copies go first and those to another zone or over a contended link last.
+func (s Step) density() float64 {
+	worth := s.Run.Worth
 	if worth == 0 {
 		worth = guessedWorth
 	}
-	return float64(worth) / float64(max(r.Tokens, 1))
+	millis := max(s.CopyMillis(), 1)
+	if s.Destination.Contended {
+		millis *= contendedFactor
+	}
+	return float64(worth) / float64(millis)
 }
 
 // need returns the memory that the run will take at a destination.
--- a/internal/backend/handover/handover_test.go
+++ b/internal/backend/handover/handover_test.go
@@ -32,6 +32,14 @@
 			{RequestID: "small", Tokens: 2000, Remaining: 900, Worth: 9000},
 			{RequestID: "dear", Tokens: 4000, Remaining: 900, Worth: 30_000},
 		}, []Destination{own}, 2000, "dear", "own"},
+		{"a copy in the zone before a dearer one to another", []Run{
+			{RequestID: "wide", Tokens: 12_000, Remaining: 900, Worth: 40_000},
+			{RequestID: "near", Tokens: 4000, Remaining: 900, Worth: 9000},
+		}, []Destination{own, far}, 2000, "near", "own"},
+		{"a link of its own before a contended one", []Run{
+			{RequestID: "wide", Tokens: 9000, Remaining: 900, Worth: 22_000},
+			{RequestID: "near", Tokens: 4000, Remaining: 900, Worth: 9000},
+		}, []Destination{{Address: "own", FreeTokens: 6000, SpareTokens: 6000, FreeSlots: 5, SameZone: true}, contended}, 2000, "near", "own"},
 		{"spread over engines", []Run{long}, []Destination{
 			{Address: "used", FreeTokens: 10_000, SpareTokens: 10_000, FreeSlots: 5, SameZone: true, Assigned: 2},
 			{Address: "fresh", FreeTokens: 8000, SpareTokens: 8000, FreeSlots: 5, SameZone: true},
--- /dev/null
+++ b/internal/backend/lookout/advice_test.go
@@ -0,0 +1,58 @@
+package lookout
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+)
+
+const adviceStart = moment.Moment(1_000_000_000)
+
+func adviceOf(address string, free uint32) *sighting.Advice {
+	return &sighting.Advice{Destinations: []*sighting.Destination{
+		{Address: address, FreeTokens: free, SpareTokens: free, FreeSlots: 4},
+	}}
+}
+
+// A run that was given to a destination takes its room there once: from the
+// advice that cannot show it yet, and not from that which does.
+func TestAdviceCountsGivenRunsOnce(t *testing.T) {
+	is := is.New(t)
+	var a advice
+	a.take(adviceOf("x", 20_000), adviceStart)
+	step := handover.Step{Run: handover.Run{Tokens: 4000, Remaining: 1000}, Destination: handover.Destination{Address: "x"}}
+	a.assign(step, adviceStart.AddMillis(10))
+	expect := func(free, spare, slots int) {
+		t.Helper()
+		d := a.destinations()[0]
+		is.Equal(d.FreeTokens, free)
+		is.Equal(d.SpareTokens, spare)
+		is.Equal(d.FreeSlots, slots)
+		is.Equal(d.Assigned, 1)
+	}
+	expect(16_000, 15_000, 3)
+	a.take(adviceOf("x", 20_000), adviceStart.AddMillis(100))
+	expect(16_000, 15_000, 3) // said too early to show the run
+	a.take(adviceOf("x", 15_500), adviceStart.AddMillis(10+shownMillis))
+	expect(15_500, 15_500, 4) // it shows
+}
+
+// A destination that starts after the notice is used, and one that refused a
+// copy only after newer advice.
+func TestAdviceFollowsTheDestinations(t *testing.T) {
+	is := is.New(t)
+	var a advice
+	a.take(adviceOf("x", 20_000), adviceStart)
+	a.close("x", adviceStart.AddMillis(50))
+	is.Equal(a.destinations()[0].FreeSlots, 0)
+	a.take(adviceOf("new", 34_000), adviceStart.AddMillis(200))
+	is.Equal(len(a.destinations()), 2)
+	a.take(adviceOf("x", 20_000), adviceStart.AddMillis(50+shownMillis))
+	for _, d := range a.destinations() {
+		is.Equal(d.FreeSlots, 4)
+	}
+}
--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -25,49 +25,11 @@
 	maxTries = 3
 )
 
-// advice is what the entry hosts said since the notice.
-type advice struct {
-	// runs by request identity.
-	runs map[string]advisedRun
-	// destinations by address.
-	destinations map[string]handover.Destination
-}
-
-// advisedRun is what an entry host said of a run.
-type advisedRun struct {
-	remaining int
-	worth     int64
-}
-
-// takeAdvice takes over the advice of one entry host. Of two that differ about
-// a destination the newer one counts.
+// takeAdvice takes over the advice of one entry host.
 func (l *Lookout) takeAdvice(message *sighting.Advice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.advice.runs == nil {
-		l.advice = advice{
-			runs:         make(map[string]advisedRun),
-			destinations: make(map[string]handover.Destination),
-		}
-	}
-	for _, run := range message.GetRuns() {
-		l.advice.runs[run.GetRequestId()] = advisedRun{
-			remaining: int(run.GetRemainingTokens()),
-			worth:     int64(run.GetWorth()),
-		}
-	}
-	for _, d := range message.GetDestinations() {
-		known := l.advice.destinations[d.GetAddress()]
-		l.advice.destinations[d.GetAddress()] = handover.Destination{
-			Address:     d.GetAddress(),
-			FreeTokens:  int(d.GetFreeTokens()),
-			SpareTokens: int(d.GetSpareTokens()),
-			FreeSlots:   int(d.GetFreeSlots()),
-			SameZone:    d.GetSameZone(),
-			Contended:   d.GetContended(),
-			Assigned:    known.Assigned,
-		}
-	}
+	l.advice.take(message, moment.Now())
 }
 
 // moveAll moves runs away, one after the other, until the engine ends.
@@ -98,45 +60,25 @@
 func (l *Lookout) next(tries map[string]int, left int64) (handover.Step, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var runs []handover.Run
-	for _, run := range l.latest.Runs {
-		if tries[run.RequestID] >= maxTries {
-			continue
-		}
-		if run.Events == 0 {
-			// A run can be copied only after its first event.
-			continue
-		}
-		advised, ok := l.advice.runs[run.RequestID]
-		if !ok {
-			advised.remaining = -1
-		}
-		runs = append(runs, handover.Run{
-			RequestID: run.RequestID,
-			Tokens:    run.Tokens,
-			Remaining: advised.remaining,
-			Worth:     advised.worth,
-		})
-	}
-	destinations := make([]handover.Destination, 0, len(l.advice.destinations))
-	for _, d := range l.advice.destinations {
-		destinations = append(destinations, d)
-	}
-	step, ok := handover.Next(runs, destinations, left)
+	now := moment.Now()
+	step, ok := handover.Next(l.movable(tries), l.advice.destinations(), left)
 	if ok {
-		l.assign(step)
+		l.advice.assign(step, now)
 	}
 	return step, ok
 }
 
-// assign notes that a run was given to its destination.
-func (l *Lookout) assign(step handover.Step) {
-	d := l.advice.destinations[step.Destination.Address]
-	d.Assigned++
-	d.FreeSlots--
-	d.FreeTokens -= step.Run.Tokens
-	d.SpareTokens -= step.Run.Tokens + max(step.Run.Remaining, 0)
-	l.advice.destinations[d.Address] = d
+// movable returns the runs that may still be moved. A run can be copied only
+// after its first event. The caller holds the mutex.
+func (l *Lookout) movable(tries map[string]int) []handover.Run {
+	var runs []handover.Run
+	for _, run := range l.latest.Runs {
+		if tries[run.RequestID] >= maxTries || run.Events == 0 {
+			continue
+		}
+		runs = append(runs, l.advice.run(run))
+	}
+	return runs
 }
 
 // move copies a run, then stops it and copies what is new, and tells the entry
@@ -214,13 +156,11 @@
 	return all
 }
 
-// close gives a destination no further run.
+// close gives a destination no further run until there is newer advice.
 func (l *Lookout) close(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := l.advice.destinations[address]
-	d.FreeSlots = 0
-	l.advice.destinations[address] = d
+	l.advice.close(address, moment.Now())
 }
 
 func moveOf(step handover.Step, reply platform.Copy, stop bool) *sighting.Move {
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -8,8 +8,8 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 )
 
-// adviseAll advises every engine that ends, as a further one changes the
-// advice for all.
+// adviseAll advises every engine that ends, as a further one, or one that has
+// just started, changes the advice for all.
 func (w *Watch) adviseAll() {
 	for _, o := range w.streams.list() {
 		if !w.Ledger.Leaving(o.server.ID) {
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -91,6 +91,7 @@
 			}
 		}
 		w.Ledger.Prune(w.Courier.Servers().List)
+		w.adviseAll()
 		select {
 		case <-ctx.Done():
 			return
