feat: check a deploy file with its templates; rate of copies from the configuration

- The time of a copy follows from the link and token size that the configuration gives, no longer from a constant of one deployment.
- A copy whose run ended meanwhile is released; before, it held its memory until it lapsed (TestCopyOfAnEndedRunIsReleased).
- Fields and headers that nothing read are gone.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/agreement"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/deployment"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/inspection"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 )
@@ -22,8 +24,12 @@
 	checkKindDirectEntry   = "DirectEntry"
 	checkKindDirectBackend = "DirectBackend"
 	checkKindServices      = "Services"
+	checkKindDeploy        = "Deploy"
 )
 
+// deployExtension is that of deploy files.
+const deployExtension = ".toml"
+
 func newCheckCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
@@ -32,7 +38,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{
 				Name:      "kind",
-				Usage:     "kind of all files: Entry, Backend, DirectEntry, DirectBackend or Services; by default each file's fields decide",
+				Usage:     "kind of all files: Entry, Backend, DirectEntry, DirectBackend, Services or Deploy; by default each file's fields decide",
 				Validator: validateCheckKind,
 			},
 		},
@@ -42,7 +48,7 @@
 
 func validateCheckKind(kind string) error {
 	switch kind {
-	case checkKindEntry, checkKindBackend, checkKindDirectEntry, checkKindDirectBackend, checkKindServices:
+	case checkKindEntry, checkKindBackend, checkKindDirectEntry, checkKindDirectBackend, checkKindServices, checkKindDeploy:
 		return nil
 	default:
 		return errors.Newf("no such kind of file: %q", kind)
@@ -73,7 +79,11 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "read file")
 	}
-	if kind == "" {
+	switch {
+	case kind != "":
+	case filepath.Ext(path) == deployExtension:
+		kind = checkKindDeploy
+	default:
 		kind = detectCheckKind(data)
 	}
 	err = parseAs(kind, data)
@@ -104,6 +114,8 @@
 		_, err = process.ParseDirectEntry(data)
 	case checkKindDirectBackend:
 		_, err = process.ParseDirectBackend(data)
+	case checkKindDeploy:
+		err = deployment.Check(data, ".")
 	default:
 		_, err = agreement.Parse(data)
 	}
--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -8,14 +8,17 @@
 )
 
 const (
+	millisPerSecond = 1000
 	// tokenMillis is the time in which an engine generates one token of a run.
 	tokenMillis = 11
 	// endMarginMillis is kept free between the estimated end of a run that
 	// stays and the end of its engine.
 	endMarginMillis = 500
-	// copyTokensPerMilli is how much memory is copied in a millisecond within
-	// an availability zone.
-	copyTokensPerMilli = 16
+	// guessedCopyTokens is assumed to be copied in a second within an
+	// availability zone, where no entry host said how much is.
+	guessedCopyTokens = 16_000
+	// linkShare is the share of a link's rate that a copy reaches.
+	linkShare = 0.9
 	// otherZoneFactor is how much longer a copy to another zone takes.
 	otherZoneFactor = 2
 	// contendedFactor is how much longer a copy takes that shares its link with
@@ -62,6 +65,9 @@
 	SameZone    bool
 	// Contended says that another engine that ends copies its runs there.
 	Contended bool
+	// CopyTokensPerSecond is the memory that is copied there in a second within the
+	// availability zone; zero when it is not known.
+	CopyTokensPerSecond int
 	// Assigned is the number of runs that were given to it by this engine.
 	Assigned int
 }
@@ -155,7 +161,11 @@
 
 // CopyMillis estimates the time in which the run's memory is copied.
 func (s Step) CopyMillis() int64 {
-	millis := int64(s.Run.Tokens / copyTokensPerMilli)
+	perSecond := linkShare * float64(s.Destination.CopyTokensPerSecond)
+	if perSecond == 0 {
+		perSecond = guessedCopyTokens
+	}
+	millis := int64(float64(s.Run.Tokens) / perSecond * millisPerSecond)
 	if !s.Destination.SameZone {
 		millis *= otherZoneFactor
 	}
--- a/internal/backend/handover/handover_test.go
+++ b/internal/backend/handover/handover_test.go
@@ -40,6 +40,12 @@
 			{RequestID: "wide", Tokens: 9000, Remaining: 900, Worth: 22_000},
 			{RequestID: "near", Tokens: 4000, Remaining: 900, Worth: 9000},
 		}, []Destination{{Address: "own", FreeTokens: 6000, SpareTokens: 6000, FreeSlots: 5, SameZone: true}, contended}, 2000, "near", "own"},
+		{"no copy in time over a slow link", []Run{long}, []Destination{
+			{Address: "slow", FreeTokens: 10_000, SpareTokens: 10_000, FreeSlots: 5, SameZone: true, CopyTokensPerSecond: 2000},
+		}, 2000, "", ""},
+		{"a copy in time over a fast link", []Run{long}, []Destination{
+			{Address: "fast", FreeTokens: 10_000, SpareTokens: 10_000, FreeSlots: 5, SameZone: true, CopyTokensPerSecond: 60_000},
+		}, 100, "long", "fast"},
 		{"spread over engines", []Run{long}, []Destination{
 			{Address: "used", FreeTokens: 10_000, SpareTokens: 10_000, FreeSlots: 5, SameZone: true, Assigned: 2},
 			{Address: "fresh", FreeTokens: 8000, SpareTokens: 8000, FreeSlots: 5, SameZone: true},
--- a/internal/backend/lookout/advice.go
+++ b/internal/backend/lookout/advice.go
@@ -64,6 +64,8 @@
 				FreeSlots:   int(d.GetFreeSlots()),
 				SameZone:    d.GetSameZone(),
 				Contended:   d.GetContended(),
+
+				CopyTokensPerSecond: int(d.GetCopyTokensPerSecond()),
 			},
 			saidAt: now,
 		}
--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -86,13 +86,19 @@
 func (l *Lookout) move(ctx context.Context, step handover.Step, left int64) bool {
 	started := moment.Now()
 	ahead := step.CopiesAhead(left)
+	copied := ""
 	if ahead {
-		if reply := l.copyAndTell(ctx, step, false); !reply.Done {
+		reply := l.copyAndTell(ctx, step, false)
+		if !reply.Done {
 			return reply.Status == http.StatusNotFound
 		}
+		copied = reply.Handle
 	}
 	aheadMillis := moment.Now().MillisSince(started)
 	reply := l.copyAndTell(ctx, step, true)
+	if reply.Status == http.StatusNotFound {
+		l.release(ctx, step, copied)
+	}
 	l.Log.Info("run moved", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 		"Tokens", step.Run.Tokens, "Remaining", step.Run.Remaining, "SameZone", step.Destination.SameZone,
 		"LeftMillis", left, "Ahead", ahead, "AheadMillis", aheadMillis,
@@ -100,6 +106,17 @@
 	return reply.Done || reply.Status == http.StatusNotFound
 }
 
+// release frees the copy of a run that has ended meanwhile.
+func (l *Lookout) release(ctx context.Context, step handover.Step, handle string) {
+	if handle == "" {
+		return
+	}
+	err := l.Engines.Release(ctx, platform.Handle{Address: l.EngineAddress, ID: handle})
+	if err != nil {
+		l.Log.Warn("copy not released", "Request", step.Run.RequestID, "Destination", step.Destination.Address, "Error", err)
+	}
+}
+
 // copyAndTell copies a run and tells the entry hosts.
 func (l *Lookout) copyAndTell(ctx context.Context, step handover.Step, stop bool) platform.Copy {
 	reply, err := l.Engines.Copy(ctx, l.EngineAddress, step.Run.RequestID, step.Destination.Address, stop)
--- /dev/null
+++ b/internal/backend/lookout/moves_test.go
@@ -0,0 +1,48 @@
+package lookout
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+// A run that ends while its memory is copied leaves no copy behind.
+func TestCopyOfAnEndedRunIsReleased(t *testing.T) {
+	is := is.New(t)
+	var calls []string
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		calls = append(calls, q.Method+" "+q.URL.Path)
+		if q.Method == http.MethodDelete {
+			return
+		}
+		var message struct{ Last bool }
+		is.NoErr(json.NewDecoder(q.Body).Decode(&message))
+		if message.Last {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		is.NoErr(json.NewEncoder(w).Encode(map[string]any{"handle": "h7", "created": 12}))
+	}))
+	defer engine.Close()
+	l := &Lookout{
+		EngineAddress: strings.TrimPrefix(engine.URL, "http://"),
+		Engines:       &platform.Engines{HTTP: engine.Client()},
+		Log:           slog.New(slog.DiscardHandler),
+	}
+	step := handover.Step{
+		Run:         handover.Run{RequestID: "ends", Tokens: 4000},
+		Destination: handover.Destination{Address: "10.0.0.9:1", SameZone: true},
+	}
+	const plentyMillis = 2000
+	is.True(l.move(context.Background(), step, plentyMillis))
+	is.Equal(calls, []string{"POST /kv-move", "POST /kv-move", "DELETE /kv-handle/h7"})
+}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -133,7 +133,6 @@
 		Ledger:   h.ledger,
 		Moves:    moves,
 		Log:      h.Log,
-		Zone:     h.Settings.Zone,
 		PeerPort: h.Settings.PeerPort,
 	}
 	h.server = &frontdesk.Server{
--- a/internal/routing/timetable/timetable.go
+++ b/internal/routing/timetable/timetable.go
@@ -86,17 +86,21 @@
 	LinkMegabits float64
 	// Moves says that a running generation can be moved to another engine.
 	Moves bool
-	// Backups says that an engine can copy a generation as it grows.
-	Backups bool
+}
+
+// CopyTokensPerSecond returns how much memory a link copies in a second, in
+// tokens; zero when the engine does not say.
+func (e Engine) CopyTokensPerSecond() int {
+	const bitsPerByte, bitsPerMegabit = 8, 1e6
+	if e.TokenBytes <= 0 {
+		return 0
+	}
+	return int(e.LinkMegabits * bitsPerMegabit / bitsPerByte / float64(e.TokenBytes))
 }
 
 // Service is a group of backend servers that run the same program.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections bounds the connections to one backend server from all
-	// callers together.
-	MaxConnections int
+	Name string
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -47,7 +47,9 @@
 			continue
 		}
 		advice.Destinations = append(advice.Destinations, &sighting.Destination{
-			Address:     room.Server.Address,
+			Address:             room.Server.Address,
+			CopyTokensPerSecond: uint32(service.Engine.CopyTokensPerSecond()),
+
 			FreeTokens:  uint32(max(room.FreeTokens, 0)),
 			SpareTokens: uint32(max(room.SpareTokens, 0)),
 			FreeSlots:   uint32(max(room.FreeSlots, 0)),
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -43,8 +43,6 @@
 	Ledger  *seating.Ledger
 	Moves   *relay.Moves
 	Log     *slog.Logger
-	// Zone is the entry host's availability zone.
-	Zone string
 	// PeerPort is the port of the processes beside engines.
 	PeerPort int
 
--- /dev/null
+++ b/internal/settings/deployment/deployment.go
@@ -0,0 +1,168 @@
+// Package deployment checks a deploy file with the templates that it names: each
+// must give valid settings for the program of its role.
+package deployment
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/inspection"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+const (
+	// programDirectory is where the build must place what it makes.
+	programDirectory = "target/"
+	// maxTemplateBytes bounds a template.
+	maxTemplateBytes = 64 << 10
+	// maxPort is the highest port.
+	maxPort = 65535
+)
+
+// parsers read the settings of a program by its subcommand.
+var parsers = map[string]func([]byte) error{
+	"direct-entry": func(data []byte) error {
+		_, err := process.ParseDirectEntry(data)
+		return err
+	},
+	"direct-backend": func(data []byte) error {
+		_, err := process.ParseDirectBackend(data)
+		return err
+	},
+}
+
+// Check checks a deploy file whose templates are found from root. The error is
+// an *inspection.Faults when the file can be read and is invalid.
+func Check(data []byte, root string) error {
+	deploy, err := platform.ParseDeploy(data)
+	in := inspection.New()
+	if err != nil {
+		in.Add("", err.Error())
+		return in.Err()
+	}
+	fields, err := platform.SampleFields()
+	if err != nil {
+		return err
+	}
+	c := &check{inspection: in, root: root, fields: fields}
+	c.file(deploy)
+	return in.Err()
+}
+
+// check collects the faults of one deploy file.
+type check struct {
+	inspection *inspection.Inspection
+	root       string
+	// fields are the values that templates are filled in with.
+	fields map[string]any
+}
+
+func (c *check) file(d platform.Deploy) {
+	for _, key := range d.Unknown {
+		c.inspection.Add(key, "is not known")
+	}
+	if strings.TrimSpace(d.Build) == "" {
+		c.inspection.Add("build", "is required")
+	}
+	if len(d.Roles) == 0 {
+		c.inspection.Add("roles", "at least one is required")
+	}
+	for _, role := range d.Roles {
+		c.role(role, "roles."+role.Name)
+	}
+}
+
+func (c *check) role(r platform.Role, path string) {
+	if r.HostClass == "" {
+		c.inspection.Add(path+".on", "is required")
+	}
+	if r.Share < 0 || r.Share > 1 {
+		c.inspection.Add(path+".share", "must be over 0 and at most 1")
+	}
+	if r.Count < 0 {
+		c.inspection.Add(path+".count", "must not be negative")
+	}
+	if r.Metrics != "" && !validMetrics(r.Metrics) {
+		c.inspection.Add(path+".metrics", "must be PORT/PATH")
+	}
+	parse, ok := c.program(r, path+".run")
+	if ok {
+		c.template(r, path+".template", parse)
+	}
+}
+
+// program checks what a role runs and returns the parser of its settings.
+func (c *check) program(r platform.Role, path string) (func([]byte) error, bool) {
+	if len(r.Program) == 0 || !strings.HasPrefix(r.Program[0], programDirectory) {
+		c.inspection.Add(path, "must name a program under "+programDirectory)
+		return nil, false
+	}
+	if len(r.Program) == 1 {
+		c.inspection.Add(path, "must name a subcommand")
+		return nil, false
+	}
+	parse, known := parsers[r.Program[1]]
+	if !known {
+		c.inspection.Add(path, "no program of this platform: "+strconv.Quote(r.Program[1]))
+	}
+	return parse, known
+}
+
+// template fills in the template of a role and checks the settings that it
+// gives.
+func (c *check) template(r platform.Role, path string, parse func([]byte) error) {
+	if r.Template == "" {
+		c.inspection.Add(path, "is required")
+		return
+	}
+	text, err := os.ReadFile(filepath.Join(c.root, r.Template))
+	if err != nil {
+		c.inspection.Add(path, errors.UnwrapAll(err).Error()+": "+r.Template)
+		return
+	}
+	if len(text) >= maxTemplateBytes {
+		c.inspection.Add(path, "is "+strconv.Itoa(len(text))+" bytes long, at most "+strconv.Itoa(maxTemplateBytes-1)+" are allowed")
+		return
+	}
+	rendered, err := platform.Render(string(text), c.fields)
+	if err != nil {
+		c.inspection.Add(path, err.Error())
+		return
+	}
+	for _, name := range rendered.Missing {
+		c.inspection.Add(path+"."+name, "the platform has no such field")
+	}
+	if len(rendered.Missing) == 0 {
+		c.settings(path, parse([]byte(rendered.Text)))
+	}
+}
+
+// settings adds the faults of the settings that a template gives.
+func (c *check) settings(path string, err error) {
+	var faults *inspection.Faults
+	if !errors.As(err, &faults) {
+		if err != nil {
+			c.inspection.Add(path, err.Error())
+		}
+		return
+	}
+	for _, fault := range faults.List {
+		at := path
+		if fault.Path != "" {
+			at += "." + fault.Path
+		}
+		c.inspection.Add(at, fault.Text)
+	}
+}
+
+// validMetrics reports whether text is PORT/PATH.
+func validMetrics(text string) bool {
+	port, path, found := strings.Cut(text, "/")
+	number, err := strconv.Atoi(port)
+	return found && path != "" && err == nil && number > 0 && number <= maxPort
+}
