--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -34,7 +34,9 @@
 	// EngineAddress is host and port of the engine.
 	EngineAddress string
 	Engines       *platform.Engines
-	Log           *slog.Logger
+	// KeepRuns leaves running generations on an engine that ends.
+	KeepRuns bool
+	Log      *slog.Logger
 
 	sighting.DRPCLookoutUnimplementedServer
 
@@ -170,6 +172,10 @@
 	}
 	l.Log.Info("engine leaves", "Engine", l.EngineAddress, "InMillis", leavesAt.MillisSince(now), "Runs", len(report.Runs))
 	l.publish(noticeSighting(leavesAt, now))
+	if l.KeepRuns {
+		l.publishFinal()
+		return
+	}
 	group.Go(func() error {
 		l.moveAll(ctx, leavesAt)
 		return nil
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -34,6 +34,7 @@
 	out := &lookout.Lookout{
 		EngineAddress: h.Settings.EngineAddress,
 		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP()},
+		KeepRuns:      h.Settings.KeepRuns,
 		Log:           h.Log,
 	}
 	handler := drpcmux.New()
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -126,7 +126,7 @@
 		Log:     h.Log,
 	}
 	h.measure = &measure.Measure{}
-	h.ledger = &seating.Ledger{Zone: h.Settings.Zone}
+	h.ledger = &seating.Ledger{Zone: h.Settings.Zone, Placing: placingOf(h.Settings.Placing)}
 	moves := &relay.Moves{}
 	h.watch = &watch.Watch{
 		Courier:  h.courier,
@@ -153,6 +153,18 @@
 	}
 }
 
+// placingOf returns how servers are chosen.
+func placingOf(name string) seating.Placing {
+	switch name {
+	case process.PlacingRoundRobin:
+		return seating.InTurn{}
+	case process.PlacingLeastOutstanding:
+		return seating.LeastOutstanding{}
+	default:
+		return seating.ByForecast{}
+	}
+}
+
 // readers returns the entry hosts that read the store for this one; none when
 // it is one of them.
 func (h *Host) readers() []string {
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -26,7 +26,11 @@
 type Ledger struct {
 	// Zone is the entry host's availability zone. It is set before use.
 	Zone string
+	// Placing is how servers are chosen; nil means ByForecast.
+	Placing Placing
 
+	// turn counts the choices.
+	turn     int
 	mu       sync.Mutex
 	accounts map[string]*account
 	// reports by the ID of the engine.
@@ -79,11 +83,14 @@
 	defer l.mu.Unlock()
 	candidates := make([]Candidate, len(ready))
 	points := make([]float64, len(ready))
+	own := make([]int, len(ready))
 	for i, server := range ready {
 		candidates[i] = l.candidate(server, ask, now)
+		own[i] = len(l.account(server.ID).seats)
 		points[i] = rand.Float64()
 	}
-	best, ok := Choose(candidates, ask.Tokens, points)
+	l.turn++
+	best, ok := chooseBy(l.Placing, candidates, ask.Tokens, points, l.turn, own)
 	if !ok {
 		return Seating{}
 	}
--- a/internal/settings/process/direct.go
+++ b/internal/settings/process/direct.go
@@ -49,8 +49,18 @@
 	RetrySlack float64 `validate:"min=0,max=1000000"`
 	// RetryWindowSeconds is the window of RetryRatio and RetrySlack.
 	RetryWindowSeconds float64 `validate:"min=0.1,max=3600"`
+	// Placing is how backend servers are chosen; empty means Forecast. The others
+	// are baselines to measure it against.
+	Placing string `validate:"omitempty,oneof=Forecast RoundRobin LeastOutstanding"`
 }
 
+// Values of DirectEntry.Placing.
+const (
+	PlacingForecast         = "Forecast"
+	PlacingRoundRobin       = "RoundRobin"
+	PlacingLeastOutstanding = "LeastOutstanding"
+)
+
 // DirectBackend is the settings of the process beside an engine that entry
 // hosts speak to directly.
 type DirectBackend struct {
@@ -66,6 +76,8 @@
 	MetricsPort int `validate:"min=1,max=65535"`
 	// EngineAddress is the model engine beside the process.
 	EngineAddress string `validate:"required,ipport"`
+	// KeepRuns leaves running generations on an engine that ends, as a baseline.
+	KeepRuns bool
 	// MemoryMegabytes is the memory that the process may use.
 	MemoryMegabytes int `validate:"min=32,max=1048576"`
 }
