fix: moves keep a reserve; what another entry host usually knows is fresh enough

Ruled out: slow readers, a slow store (ages 1,405 to 1,454 ms, no others). Change: contended destinations are told of as their part of the room; 1,500 tokens stay free at a destination; the age that is taken over follows from the waits and the pause between reads; a host that is ahead waits for the other one to catch up while that one is fresh.

--- a/internal/backend/handover/handover.go
+++ b/internal/backend/handover/handover.go
@@ -30,9 +30,9 @@
 	// assignedTokens weighs each run that was given to an engine shortly
 	// before, in free tokens, as its copies queue there.
 	assignedTokens = 2000
-	// slackTokens is how much of a run may exceed what stays free at its
-	// destination, as not all runs there grow to the end at the same time.
-	slackTokens = 1500
+	// reserveTokens stays free at a destination once all runs there have grown, as
+	// estimates fall short and a run that is preempted is read again from its start.
+	reserveTokens = 1500
 	// copyMarginTokens is the memory beyond that of a copy that a destination
 	// must have free.
 	copyMarginTokens = 200
@@ -133,7 +133,7 @@
 func choose(run Run, destinations []Destination, leavesInMillis int64) (Destination, bool) {
 	best, found := Destination{}, false
 	for _, d := range destinations {
-		if d.FreeSlots < 1 || d.FreeTokens < run.Tokens+copyMarginTokens || d.SpareTokens+slackTokens < run.need() {
+		if d.FreeSlots < 1 || d.FreeTokens < run.Tokens+copyMarginTokens || d.SpareTokens < run.need()+reserveTokens {
 			continue
 		}
 		if (Step{Run: run, Destination: d}).CopyMillis() > leavesInMillis {
--- a/internal/backend/handover/handover_test.go
+++ b/internal/backend/handover/handover_test.go
@@ -23,6 +23,7 @@
 		{"a contended engine when the copy to another zone is late", []Run{long}, []Destination{far, contended}, 400, "long", "contended"},
 		{"no room", []Run{long}, []Destination{{Address: "small", FreeTokens: 4100, SpareTokens: 4100, FreeSlots: 1}}, 2000, "", ""},
 		{"room for the copy, but not for the rest", []Run{long}, []Destination{{Address: "small", FreeTokens: 9000, SpareTokens: 1900, FreeSlots: 1}}, 2000, "", ""},
+		{"room for all of it, but no reserve", []Run{long}, []Destination{{Address: "tight", FreeTokens: 9000, SpareTokens: 5500, FreeSlots: 1}}, 2000, "", ""},
 		{"no place", []Run{long}, []Destination{{Address: "full", FreeTokens: 9000, SpareTokens: 9000}}, 2000, "", ""},
 		{"no copy in time", []Run{long}, []Destination{own}, 100, "", ""},
 		{"ends before its engine", []Run{{RequestID: "short", Tokens: 2000, Remaining: 20}}, []Destination{own}, 2000, "", ""},
@@ -39,7 +40,7 @@
 		{"a link of its own before a contended one", []Run{
 			{RequestID: "wide", Tokens: 9000, Remaining: 900, Worth: 22_000},
 			{RequestID: "near", Tokens: 4000, Remaining: 900, Worth: 9000},
-		}, []Destination{{Address: "own", FreeTokens: 6000, SpareTokens: 6000, FreeSlots: 5, SameZone: true}, contended}, 2000, "near", "own"},
+		}, []Destination{{Address: "own", FreeTokens: 7000, SpareTokens: 7000, FreeSlots: 5, SameZone: true}, contended}, 2000, "near", "own"},
 		{"no copy in time over a slow link", []Run{long}, []Destination{
 			{Address: "slow", FreeTokens: 10_000, SpareTokens: 10_000, FreeSlots: 5, SameZone: true, CopyTokensPerSecond: 2000},
 		}, 2000, "", ""},
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -42,19 +42,26 @@
 	}
 	rooms := w.Ledger.Room(w.Courier.Servers().List.Ready(leaving.Service, moment.Now()), service)
 	owners := w.divide(leaving, rooms)
+	ending := max(len(w.Ledger.Ending()), 1)
 	for _, room := range rooms {
 		if room.Server.ID == leaving.ID {
 			continue
 		}
+		contended := owners[room.Server.ID] != leaving.ID
+		if contended {
+			// The others that end are told of the same room.
+			room.FreeTokens /= ending
+			room.SpareTokens /= ending
+		}
 		advice.Destinations = append(advice.Destinations, &sighting.Destination{
-			Address:             room.Server.Address,
-			CopyTokensPerSecond: uint32(service.Engine.CopyTokensPerSecond()),
-
+			Address:     room.Server.Address,
 			FreeTokens:  uint32(max(room.FreeTokens, 0)),
 			SpareTokens: uint32(max(room.SpareTokens, 0)),
 			FreeSlots:   uint32(max(room.FreeSlots, 0)),
 			SameZone:    room.Server.Zone == leaving.Zone,
-			Contended:   owners[room.Server.ID] != leaving.ID,
+			Contended:   contended,
+
+			CopyTokensPerSecond: uint32(service.Engine.CopyTokensPerSecond()),
 		})
 	}
 	return advice
--- a/internal/settings/courier/courier.go
+++ b/internal/settings/courier/courier.go
@@ -222,6 +222,7 @@
 	if err != nil {
 		return reading{}, err
 	}
+	f.peers.ahead = true
 	f.courier.Mirror.Learn(mirror.Reading{
 		Topic:       f.topic,
 		Records:     records,
--- a/internal/settings/courier/peers.go
+++ b/internal/settings/courier/peers.go
@@ -20,9 +20,11 @@
 	peerWaitMillis = 300
 	// peerReplyMillis bounds a call to another entry host beyond that wait.
 	peerReplyMillis = 250
-	// maxPeerAgeMillis is the age up to which another entry host's knowledge is
-	// taken over. It exceeds what a host that reaches the store has.
-	maxPeerAgeMillis = 2*changeWaitMillis + 100
+	// catchUpMillis is that time after the store was read, as the other host may
+	// know less until its next read.
+	catchUpMillis = changeWaitMillis + listMillis + 100
+	// ageSlackMillis is the time that calls take beyond their waits.
+	ageSlackMillis = 100
 	// directMillis is how long the store is read when no entry host answers.
 	directMillis = 3000
 )
@@ -38,6 +40,8 @@
 	address string
 	// directUntil is the moment until which the store is read.
 	directUntil moment.Moment
+	// ahead says that the store was read since an entry host was.
+	ahead bool
 }
 
 // readPeers asks one of the entry hosts that read the store. It reports false
@@ -61,7 +65,11 @@
 // askPeer reads over the open connection, or over a new one to address.
 func (f *follower) askPeer(ctx context.Context, address string) (reading, error) {
 	startedAt := moment.Now()
-	deadline := time.Now().Add((peerWaitMillis + peerReplyMillis) * time.Millisecond)
+	waitMillis := int64(peerWaitMillis)
+	if f.peers.ahead {
+		waitMillis = catchUpMillis
+	}
+	deadline := time.Now().Add(time.Duration(waitMillis+peerReplyMillis) * time.Millisecond)
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
 	if err := f.peers.connect(ctx, address); err != nil {
@@ -74,14 +82,15 @@
 	reply, err := digest.NewDRPCDigestClient(f.peers.conn).Read(ctx, &digest.ReadRequest{
 		Topic:      f.topic,
 		From:       from,
-		WaitMillis: peerWaitMillis,
+		WaitMillis: uint32(waitMillis),
 	})
 	if err != nil {
 		return reading{}, errors.Wrap(err, "read at an entry host")
 	}
-	if !reply.GetKnown() || reply.GetAgeMillis() > maxPeerAgeMillis {
-		return reading{}, errNoKnowledge
+	if !reply.GetKnown() || reply.GetAgeMillis() > f.maxAgeMillis() {
+		return reading{}, errors.Wrapf(errNoKnowledge, "known %t, age %d ms", reply.GetKnown(), reply.GetAgeMillis())
 	}
+	f.peers.ahead = false
 	// The age holds at the reply, which came after the start.
 	return reading{
 		records:     decodeReply(reply),
@@ -90,6 +99,13 @@
 	}, nil
 }
 
+// maxAgeMillis returns the age up to which another entry host's knowledge is taken
+// over. While nothing changes, a host that reaches the store knows of the time
+// before two waits and the pause between them.
+func (f *follower) maxAgeMillis() int64 {
+	return 2*f.waitMillis + f.pauseMillis + ageSlackMillis
+}
+
 func (p *peers) connect(ctx context.Context, address string) error {
 	if p.conn != nil {
 		return nil
--- a/internal/settings/mirror/mirror.go
+++ b/internal/settings/mirror/mirror.go
@@ -16,6 +16,9 @@
 	// recentRecords bounds the changes that are kept of a topic. An asker that
 	// lacks older ones gets the newest record of each key.
 	recentRecords = 256
+	// freshMillis is the age up to which a host that knows less than its asker
+	// probably reaches the store and will soon catch up.
+	freshMillis = 1300
 	// maxWaitMillis bounds the wait of one read.
 	maxWaitMillis = 2000
 )
@@ -94,20 +97,21 @@
 	t.newest[record.Key] = record.Value
 }
 
-// Read serves another entry host.
+// Read serves another entry host. One that has read the store itself may be
+// ahead; while this host's knowledge is fresh, it will soon catch up.
 func (m *Mirror) Read(ctx context.Context, request *digest.ReadRequest) (*digest.ReadReply, error) {
 	waitMillis := min(request.GetWaitMillis(), maxWaitMillis)
 	timer := time.NewTimer(time.Duration(waitMillis) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		reply, changed := m.reply(request)
-		if len(reply.GetRecords()) > 0 || !reply.GetKnown() {
+		reply, changed, behind := m.reply(request)
+		if len(reply.GetRecords()) > 0 || (!reply.GetKnown() && !behind) {
 			return reply, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply, _ = m.reply(request)
+			reply, _, _ = m.reply(request)
 			return reply, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -115,20 +119,20 @@
 	}
 }
 
-// reply returns what the asker lacks, and a channel that is closed when there
-// is more.
-func (m *Mirror) reply(request *digest.ReadRequest) (*digest.ReadReply, <-chan struct{}) {
+// reply returns what the asker lacks, a channel that is closed when there is more,
+// and whether this host is fresh and has less than the asker.
+func (m *Mirror) reply(request *digest.ReadRequest) (reply *digest.ReadReply, changed <-chan struct{}, behind bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.topic(request.GetTopic())
+	ageMillis := moment.Now().MillisSince(t.confirmedAt)
 	if t.confirmedAt == 0 || request.GetFrom() > t.next {
-		// This host has nothing, or less than the asker has.
-		return &digest.ReadReply{}, t.changed
+		return &digest.ReadReply{}, t.changed, t.confirmedAt != 0 && ageMillis <= freshMillis
 	}
-	reply := &digest.ReadReply{
+	reply = &digest.ReadReply{
 		Known:     true,
 		Next:      t.next,
-		AgeMillis: moment.Now().MillisSince(t.confirmedAt),
+		AgeMillis: ageMillis,
 	}
 	records, ok := t.since(request.GetFrom())
 	if !ok {
@@ -138,7 +142,7 @@
 	for _, record := range records {
 		reply.Records = append(reply.Records, &digest.Record{Key: record.Key, Value: record.Value})
 	}
-	return reply, t.changed
+	return reply, t.changed, false
 }
 
 // since returns the changes from an offset on, or false when they are not all
--- a/internal/settings/mirror/mirror_test.go
+++ b/internal/settings/mirror/mirror_test.go
@@ -93,3 +93,29 @@
 	is.Equal(keys(reply), []string{"b"})
 	is.True(time.Since(started) < time.Second)
 }
+
+// A host that has just read the store waits for one that reads it for all to
+// catch up, but not for one that has lost the store.
+func TestReadOfAnAskerThatIsAhead(t *testing.T) {
+	is := is.New(t)
+	m := &Mirror{}
+	m.Learn(Reading{Topic: "t", Records: records(5, "a"), Whole: true, ConfirmedAt: moment.Now()})
+	var group errgroup.Group
+	var reply *digest.ReadReply
+	group.Go(func() error {
+		reply = read(t, m, 7, maxWaitMillis)
+		return nil
+	})
+	time.Sleep(50 * time.Millisecond)
+	m.Learn(Reading{Topic: "t", Records: records(6, "b"), ConfirmedAt: moment.Now()}) // not yet
+	m.Learn(Reading{Topic: "t", Records: records(8, "c", "d"), ConfirmedAt: moment.Now()})
+	_ = group.Wait()
+	is.True(reply.GetKnown())
+	is.Equal(keys(reply), []string{"d"})
+
+	stale := &Mirror{}
+	stale.Learn(Reading{Topic: "t", Records: records(5, "a"), Whole: true, ConfirmedAt: moment.Now().AddMillis(-2 * freshMillis)})
+	started := time.Now()
+	is.True(!read(t, stale, 7, maxWaitMillis).GetKnown())
+	is.True(time.Since(started) < time.Second)
+}
