--- a/internal/backend/lookout/lookout.go
+++ b/internal/backend/lookout/lookout.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -36,6 +37,7 @@
 	Engines       *platform.Engines
 	// KeepRuns leaves running generations on an engine that ends.
 	KeepRuns bool
+	Measure  *measure.Measure
 	Log      *slog.Logger
 
 	sighting.DRPCLookoutUnimplementedServer
@@ -43,6 +45,8 @@
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
 	latest   platform.EngineReport
+	// reportedAt is when latest came; zero before the first report.
+	reportedAt moment.Moment
 	// engineID is the identity of the engine; empty while it is not known.
 	engineID string
 	// leavesAt is the moment at which the engine ends; zero while it stays.
@@ -152,6 +156,7 @@
 	l.mu.Lock()
 	restarted := report.BornUnixMillis != l.latest.BornUnixMillis
 	l.latest = report
+	l.reportedAt = now
 	l.forecasts.prune(report, now)
 	if restarted {
 		l.engineID = ""
--- a/internal/backend/lookout/moves.go
+++ b/internal/backend/lookout/moves.go
@@ -25,6 +25,18 @@
 	maxTries = 3
 )
 
+// Outcomes of moves in the metrics.
+const (
+	// moveDone says that the run can go on at its destination.
+	moveDone = "Done"
+	// moveNeedless says that the run had ended.
+	moveNeedless = "Needless"
+	// moveFailed says that the copy failed.
+	moveFailed = "Failed"
+	// moveStayed says that the run stayed until the engine's end.
+	moveStayed = "Stayed"
+)
+
 // takeAdvice takes over the advice of one entry host.
 func (l *Lookout) takeAdvice(message *sighting.Advice) {
 	l.mu.Lock()
@@ -94,8 +106,10 @@
 		}
 		copied = reply.Handle
 	}
-	aheadMillis := moment.Now().MillisSince(started)
+	stoppedAt := moment.Now()
+	aheadMillis := stoppedAt.MillisSince(started)
 	reply := l.copyAndTell(ctx, step, true)
+	l.count(reply, stoppedAt)
 	if reply.Status == http.StatusNotFound {
 		l.release(ctx, step, copied)
 	}
@@ -106,6 +120,19 @@
 	return reply.Done || reply.Status == http.StatusNotFound
 }
 
+// count counts a run that was stopped for a move.
+func (l *Lookout) count(reply platform.Copy, stoppedAt moment.Moment) {
+	switch {
+	case reply.Done:
+		l.Measure.CountMove(moveDone)
+		l.Measure.MovePause(time.Duration(moment.Now().MillisSince(stoppedAt)) * time.Millisecond)
+	case reply.Status == http.StatusNotFound:
+		l.Measure.CountMove(moveNeedless)
+	default:
+		l.Measure.CountMove(moveFailed)
+	}
+}
+
 // release frees the copy of a run that has ended meanwhile.
 func (l *Lookout) release(ctx context.Context, step handover.Step, handle string) {
 	if handle == "" {
@@ -148,6 +175,7 @@
 // any more, so that none of their callers waits for it.
 func (l *Lookout) publishFinal() {
 	for _, move := range l.unmoved() {
+		l.Measure.CountMove(moveStayed)
 		l.Log.Info("run stays", "Request", move.GetRequestId(), "Copied", move.GetDestination() != "")
 		l.publish(&sighting.Sighting{Move: move})
 	}
--- a/internal/backend/lookout/moves_test.go
+++ b/internal/backend/lookout/moves_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/handover"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -36,6 +37,7 @@
 	l := &Lookout{
 		EngineAddress: strings.TrimPrefix(engine.URL, "http://"),
 		Engines:       &platform.Engines{HTTP: engine.Client()},
+		Measure:       &measure.Measure{},
 		Log:           slog.New(slog.DiscardHandler),
 	}
 	step := handover.Step{
@@ -44,5 +46,6 @@
 	}
 	const plentyMillis = 2000
 	is.True(l.move(context.Background(), step, plentyMillis))
+	is.Equal(l.Measure.Figures().Moves, map[string]int64{moveNeedless: 1})
 	is.Equal(calls, []string{"POST /kv-move", "POST /kv-move", "DELETE /kv-handle/h7"})
 }
--- a/internal/records/measure/measure.go
+++ b/internal/records/measure/measure.go
@@ -38,6 +38,9 @@
 	retries        expvar.Int
 	results        expvar.Map
 	rejectedFrames expvar.Map
+	moves          expvar.Map
+	// movePause holds the times for which moved generations stood still.
+	movePause timer
 }
 
 // Key names a series.
@@ -90,6 +93,17 @@
 	m.retries.Add(1)
 }
 
+// CountMove counts a generation that was to be moved, by how it ended. The outcome
+// must come from a closed set, as each one is kept.
+func (m *Measure) CountMove(outcome string) {
+	m.moves.Add(outcome, 1)
+}
+
+// MovePause records for how long a moved generation stood still at its source.
+func (m *Measure) MovePause(d time.Duration) {
+	m.movePause.record(d)
+}
+
 // CountRejectedFrame counts a frame that was rejected. The reason must come
 // from a closed set, as each one is kept.
 func (m *Measure) CountRejectedFrame(reason string) {
--- a/internal/records/measure/query.go
+++ b/internal/records/measure/query.go
@@ -25,6 +25,10 @@
 	Retries int64
 	// RejectedFrames counts frames by the reason for which they were rejected.
 	RejectedFrames map[string]int64
+	// Moves counts generations that were to be moved, by how it ended.
+	Moves map[string]int64
+	// MovePause are the times, in milliseconds, for which they stood still.
+	MovePause Quantiles
 }
 
 // SeriesFigures are the figures of one client account and class.
@@ -55,6 +59,8 @@
 		Results:        counts(&m.results),
 		Retries:        m.retries.Value(),
 		RejectedFrames: counts(&m.rejectedFrames),
+		Moves:          counts(&m.moves),
+		MovePause:      m.movePause.quantiles(),
 	}
 }
 
--- a/internal/records/measure/rotation.go
+++ b/internal/records/measure/rotation.go
@@ -46,4 +46,5 @@
 	for _, s := range m.series {
 		s.rotate()
 	}
+	m.movePause.rotate()
 }
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -10,9 +10,13 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/lookout"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -31,16 +35,26 @@
 	if err != nil {
 		return err
 	}
+	metrics, err := line.Listen(life.Cut, h.Settings.MetricsAddress())
+	if err != nil {
+		return err
+	}
+	figures := &measure.Measure{}
 	out := &lookout.Lookout{
 		EngineAddress: h.Settings.EngineAddress,
 		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP()},
 		KeepRuns:      h.Settings.KeepRuns,
+		Measure:       figures,
 		Log:           h.Log,
 	}
 	handler := drpcmux.New()
 	if err := sighting.DRPCRegisterLookout(handler, out); err != nil {
 		return err
 	}
+	state := func() peer.Status { return h.status(out.State()) }
+	if err := message.DRPCRegisterPeer(handler, &peer.StatusOnly{State: state}); err != nil {
+		return err
+	}
 	server := &line.Server{Listener: peers, Handler: handler}
 	h.Log.Info("serving", "Name", h.Settings.Name, "Engine", h.Settings.EngineAddress)
 	ctx, stop := context.WithCancel(life.Drain)
@@ -48,6 +62,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return out.Run(ctx) })
 	group.Go(func() error { return server.Run(ctx) })
+	group.Go(func() error { return figures.Run(ctx) })
+	group.Go(func() error { return line.HTTPServer{Listener: metrics, Handler: figures.Handler()}.Run(ctx) })
 	group.Go(func() error {
 		lifetime.OnReload(ctx, h.reload)
 		return nil
@@ -67,3 +83,20 @@
 	}
 	h.Log.Info("settings read again", "Path", h.SettingsPath, "Restart", settings != h.Settings)
 }
+
+// status returns what the process knows of its engine, with the age.
+func (h *Host) status(engine lookout.State) peer.Status {
+	const unknownAge = -1
+	report := peer.Belief{Name: "Engine", Entries: engine.Runs, AgeMillis: unknownAge}
+	if engine.ReportedAt != 0 {
+		report.AgeMillis = moment.Now().MillisSince(engine.ReportedAt)
+	}
+	return peer.Status{
+		Name:         h.Settings.Name,
+		Role:         "DirectBackend",
+		Zone:         h.Settings.Zone,
+		Leaving:      engine.Leaving,
+		OpenRequests: engine.Runs,
+		Beliefs:      []peer.Belief{report, {Name: "Watchers", Entries: engine.Watchers}},
+	}
+}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifetime"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/watch"
@@ -29,6 +30,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/digest"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/line"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -183,6 +185,9 @@
 	if err := digest.DRPCRegisterDigest(handler, h.mirror); err != nil {
 		return err
 	}
+	if err := message.DRPCRegisterPeer(handler, &peer.StatusOnly{State: h.status}); err != nil {
+		return err
+	}
 	server := &line.Server{Listener: listener, Handler: handler}
 	return server.Run(ctx)
 }
--- /dev/null
+++ b/internal/role/directentry/status.go
@@ -0,0 +1,100 @@
+package directentry
+
+import (
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/muster"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/seating"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+)
+
+const (
+	// roleName is the role in a status.
+	roleName = "DirectEntry"
+	permille = 1000
+	// unknownAge stands for the age of what is not known.
+	unknownAge = -1
+)
+
+// States of a backend server in a status.
+const (
+	stateReady    = "Ready"
+	stateDraining = "Draining"
+	stateLeaving  = "Leaving"
+	stateAvoided  = "Avoided"
+)
+
+// status returns what the process knows, with the ages.
+func (h *Host) status() peer.Status {
+	now := moment.Now()
+	configuration, servers := h.courier.Configuration(), h.courier.Servers()
+	status := peer.Status{
+		Name:         h.Settings.Name,
+		Role:         roleName,
+		Zone:         h.Settings.Zone,
+		Leaving:      h.endsAt.Load() != 0,
+		OpenRequests: h.server.Open(),
+		Beliefs: []peer.Belief{
+			{Name: "Configuration", AgeMillis: ageOf(configuration.ConfirmedAt, now)},
+			{Name: "Servers", AgeMillis: ageOf(servers.ConfirmedAt, now), Entries: len(servers.List.All())},
+		},
+	}
+	if table := configuration.Timetable; table != nil {
+		status.ConfigVersion = uint64(table.Version)
+		status.Beliefs[0].Entries = table.Size()
+		status.Hosts = h.hosts(table, servers.List, now)
+	}
+	return status
+}
+
+// hosts returns what is known of each backend server.
+func (h *Host) hosts(table *timetable.Timetable, list muster.List, now moment.Moment) []peer.HostStatus {
+	var all []peer.HostStatus
+	for _, server := range list.All() {
+		service, ok := table.Service(server.Service)
+		if !ok {
+			continue
+		}
+		all = append(all, hostStatus(h.ledger.Look(server, service, now)))
+	}
+	return all
+}
+
+func hostStatus(c seating.Candidate) peer.HostStatus {
+	status := peer.HostStatus{
+		Name:        c.Server.ID,
+		Role:        c.Server.Service,
+		Zone:        c.Server.Zone,
+		PeerAddress: c.Server.Address,
+		State:       stateOf(c),
+		Running:     uint32(c.Running),
+		Waiting:     uint32(c.Queued),
+		AgeMillis:   unknownAge,
+	}
+	if c.MemoryTokens > 0 {
+		status.MemoryPermille = uint32(c.UsedTokens * permille / c.MemoryTokens)
+		status.AgeMillis = c.ReportMillis
+	}
+	return status
+}
+
+func stateOf(c seating.Candidate) string {
+	switch {
+	case c.Avoided:
+		return stateAvoided
+	case c.Leaving:
+		return stateLeaving
+	case c.Server.State == muster.Draining:
+		return stateDraining
+	default:
+		return stateReady
+	}
+}
+
+// ageOf returns the age of what was confirmed at a moment.
+func ageOf(confirmedAt, now moment.Moment) int64 {
+	if confirmedAt == 0 {
+		return unknownAge
+	}
+	return now.MillisSince(confirmedAt)
+}
--- a/internal/role/peer/peer.go
+++ b/internal/role/peer/peer.go
@@ -32,6 +32,9 @@
 	OpenRequests int
 	// Orders is what the engine was ordered; beside engines only.
 	Orders *OrderStatus `json:",omitempty"`
+	// Beliefs lists what the process knows of the platform's store or of its engine;
+	// processes of the direct path only.
+	Beliefs []Belief `json:",omitempty"`
 	// Hosts lists what the process knows of others; entry hosts only.
 	Hosts []HostStatus `json:",omitempty"`
 }
@@ -49,6 +52,15 @@
 	Waiting string `json:",omitempty"`
 }
 
+// Belief is something that a process learnt elsewhere.
+type Belief struct {
+	Name string
+	// Entries counts its parts.
+	Entries int
+	// AgeMillis is the time since it was confirmed; negative while it is unknown.
+	AgeMillis int64
+}
+
 // HostStatus is what one process knows of another.
 type HostStatus struct {
 	Name        string
@@ -75,6 +87,19 @@
 	Leave func()
 }
 
+// StatusOnly serves the status of message.Peer and nothing else. Its field must be
+// set before the first call.
+type StatusOnly struct {
+	message.DRPCPeerUnimplementedServer
+	// State returns the state of the process.
+	State func() Status
+}
+
+// Status returns the state of the process as JSON.
+func (s *StatusOnly) Status(context.Context, *message.StatusRequest) (*message.StatusReply, error) {
+	return encodeStatus(s.State())
+}
+
 // Exchange compares configuration versions.
 func (p *Peer) Exchange(ctx context.Context, in *message.ExchangeRequest) (*message.ExchangeReply, error) {
 	return p.Exchanger.HandleExchange(ctx, in)
@@ -91,7 +116,11 @@
 
 // Status returns the state of the process as JSON.
 func (p *Peer) Status(context.Context, *message.StatusRequest) (*message.StatusReply, error) {
-	text, err := json.Marshal(p.State())
+	return encodeStatus(p.State())
+}
+
+func encodeStatus(status Status) (*message.StatusReply, error) {
+	text, err := json.Marshal(status)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode status")
 	}
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -97,6 +97,13 @@
 	return Seating{Chosen: candidates[best], Seat: l.open(ready[best].ID, ask.Tokens, now)}
 }
 
+// Look returns a server as it is known.
+func (l *Ledger) Look(server muster.BackendServer, service timetable.Service, now moment.Moment) Candidate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.candidate(server, Ask{Service: service}, now)
+}
+
 // OpenAt opens a seat at a server that was chosen otherwise.
 func (l *Ledger) OpenAt(server string, tokens int, now moment.Moment) *Seat {
 	l.mu.Lock()
