--- a/internal/caller/relay/events_test.go
+++ b/internal/caller/relay/events_test.go
@@ -75,3 +75,15 @@
 		}
 	})
 }
+
+// BenchmarkSplitter passes one event on, as engines send it.
+func BenchmarkSplitter(b *testing.B) {
+	event := []byte("id: 17\ndata: " + strings.Repeat("t", 340) + "\n\n")
+	var s splitter
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.add(event); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/relay/outcome.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/measure"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/moment"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/receipt"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/timetable"
+)
+
+// outcome is how an attempt ended.
+type outcome interface{ outcome() }
+
+// unplaced says that no backend server takes the request.
+type unplaced struct{}
+
+// unreached says that the server was not reached; nothing was sent.
+type unreached struct{ err error }
+
+// superseded says that another server has the address now.
+type superseded struct{}
+
+// declined says that the server did not run the request.
+type declined struct{ status int }
+
+// lost says that the request may have run and has no whole answer.
+type lost struct{ err error }
+
+// answered holds a whole answer.
+type answered struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// streamed says that the answer was passed on, or cut, as a stream.
+type streamed struct{}
+
+func (unplaced) outcome()   {}
+func (unreached) outcome()  {}
+func (superseded) outcome() {}
+func (declined) outcome()   {}
+func (lost) outcome()       {}
+func (answered) outcome()   {}
+func (streamed) outcome()   {}
+
+// causeOf names the outcome that asks for a retry.
+func causeOf(last outcome) string {
+	switch last.(type) {
+	case unreached:
+		return "Unreached"
+	case superseded:
+		return "Superseded"
+	case declined:
+		return "Declined"
+	case lost:
+		return "Lost"
+	case answered:
+		return "Failed"
+	default:
+		return "Unplaced"
+	}
+}
+
+// mayRepeat reports whether the request may be sent to a further server.
+func (q *request) mayRepeat(ctx context.Context, last outcome) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch o := last.(type) {
+	case declined:
+		return true
+	case lost:
+		return q.route.Repeatable()
+	case answered:
+		return q.route.Kind == timetable.Idempotent && o.status >= http.StatusInternalServerError
+	default:
+		return false
+	}
+}
+
+// count counts a request that was answered by a backend server.
+func (q *request) count() {
+	q.relay.Measure.CountResult(uint32(receipt.OK))
+	millis := moment.Now().MillisSince(q.arrivedAt)
+	q.series().FirstToken(time.Duration(millis) * time.Millisecond)
+}
+
+// series returns the figures of the request's client account and route.
+func (q *request) series() *measure.Series {
+	return q.relay.Measure.Series(q.account.Name, q.route.Name)
+}
+
+// finish gives the caller the final answer.
+func (q *request) finish(ctx context.Context, last outcome) {
+	if q.exchange.CallerLeft() {
+		q.log("caller left")
+		q.relay.Measure.CountResult(uint32(receipt.Cancelled))
+		q.exchange.Cut()
+		return
+	}
+	switch o := last.(type) {
+	case answered:
+		q.log("answered", "Status", o.status)
+		q.count()
+		q.exchange.WriteWhole(o.status, o.header, o.body)
+	case streamed:
+	case lost:
+		code := receipt.ReplyLost
+		if ctx.Err() != nil {
+			code = receipt.DeadlineCut
+		}
+		q.refuse(Refusal{Code: code})
+	case declined:
+		q.refuse(Refusal{receipt.EngineRefused, crowdedRetryMillis})
+	default:
+		q.refuse(Refusal{receipt.NoBackend, absentRetryMillis})
+	}
+}
--- a/internal/records/diary/outlet_test.go
+++ b/internal/records/diary/outlet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 )
 
 // A reader that stops reading slows nothing, and what is lost is counted.
@@ -51,3 +52,31 @@
 	is.True(strings.HasPrefix(out.String(), "a\nb\nc\n"))
 	is.True(strings.Contains(out.String(), `"Message":"log lines dropped","Total":7`))
 }
+
+// BenchmarkLine writes the line of one request: one that is written, and one that
+// is dropped as the volume is over its bound.
+func BenchmarkLine(b *testing.B) {
+	for name, limit := range map[string]rate.Limit{"written": rate.Inf, "dropped": 0} {
+		b.Run(name, func(b *testing.B) {
+			outlet := NewOutlet(io.Discard)
+			outlet.limiter = rate.NewLimiter(limit, 0)
+			ctx, stop := context.WithCancel(context.Background())
+			var group errgroup.Group
+			group.Go(func() error {
+				outlet.Run(ctx)
+				return nil
+			})
+			log, err := New(outlet, Settings{Level: "Info", Format: FormatJSON})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				log.Info("placed", "Request", "9c41d07be2a35f68", "Route", "r-4gb539y", "Account", "jarun", "Version", 7, "Millis", 12,
+					"Server", "i-7f3a91c2", "Candidates", 11, "Tokens", 3400, "UsedTokens", 21_000, "ReportMillis", 80)
+			}
+			stop()
+			_ = group.Wait()
+		})
+	}
+}
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -186,6 +186,18 @@
 		return c
 	}
 	c.MemoryTokens = ask.Service.Engine.MemoryTokens
+	_, c.Leaving = l.leaving[server.ID]
+	report, reported := l.reports[server.ID]
+	if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
+		return c.withoutReport(a)
+	}
+	c.ReportMillis = now.MillisSince(report.ReceivedAt)
+	return c.withReport(report, a)
+}
+
+// withoutReport returns the candidate with what this host sent there.
+func (c Candidate) withoutReport(a *account) Candidate {
+	c.ReportMillis = -1
 	for seat := range a.seats {
 		c.UsedTokens += seat.tokens
 		c.ExpectedTokens += seat.tokens
@@ -193,14 +205,7 @@
 			c.Starting++
 		}
 	}
-	_, c.Leaving = l.leaving[server.ID]
-	report, reported := l.reports[server.ID]
-	if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
-		c.ReportMillis = -1
-		return c
-	}
-	c.ReportMillis = now.MillisSince(report.ReceivedAt)
-	return c.withReport(report, a)
+	return c
 }
 
 // withReport returns the candidate with the load that was reported, and what
--- a/internal/routing/seating/seating_test.go
+++ b/internal/routing/seating/seating_test.go
@@ -1,6 +1,7 @@
 package seating
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -137,3 +138,28 @@
 		is.True(!ok)
 	}
 }
+
+// BenchmarkTake places a generation among engines that each run ten others of
+// this host.
+func BenchmarkTake(b *testing.B) {
+	for _, engines := range []int{12, 60} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			const open, tokens = 10, 3000
+			l := &Ledger{Zone: "a"}
+			var ready []muster.BackendServer
+			for n := range engines {
+				id := fmt.Sprint("engine-", n)
+				ready = append(ready, muster.BackendServer{ID: id, Zone: "a", Slots: 24})
+				l.Learn(id, Report{Running: open, UsedTokens: open * tokens, Expected: open * tokens, ReceivedAt: moment.Now()})
+				for range open {
+					l.OpenAt(id, tokens, moment.Now())
+				}
+			}
+			ask := Ask{Service: timetable.Service{Engine: &timetable.Engine{MemoryTokens: 34_000}}, Tokens: tokens}
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Take(ready, ask, moment.Now()).Seat.End(false, moment.Now())
+			}
+		})
+	}
+}
