fix: a process that stops takes no generation that may outlast it

Ruled out: the grace period (used up to its last 0.3 s), the moves (the cut came from the entry host). Change: what is taken after SIGTERM must fit with its largest output, or with four times the estimate where the caller names none; else 503 with a time to come back.

--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -108,6 +108,9 @@
 	// tokenMillis that for each further token, when engines are busy.
 	promptMillis = 1000
 	tokenMillis  = 18
+	// estimateFactor is how much longer than its estimate an output may be that has
+	// no bound.
+	estimateFactor = 4
 	// spreadShare is the share of a time to come back that is drawn at random.
 	spreadShare = 0.5
 	// revokeMarginMillis is kept free before a key must no longer be accepted.
@@ -145,19 +148,22 @@
 // checkEnd refuses what the process could not finish before it ends.
 func (q *request) checkEnd() (Refusal, bool) {
 	endsAt := q.relay.EndsAt()
-	if endsAt == 0 || q.arrivedAt.AddMillis(q.estimatedMillis()) < endsAt {
+	if endsAt == 0 || q.arrivedAt.AddMillis(q.longestMillis()) < endsAt {
 		return Refusal{}, true
 	}
 	return Refusal{receipt.Leaving, stoppingRetryMillis}, false
 }
 
-// estimatedMillis returns the time until the request probably has its whole
-// answer.
-func (q *request) estimatedMillis() int64 {
+// longestMillis returns the time in which the request has its whole answer, also
+// when that is far longer than its caller's estimate.
+func (q *request) longestMillis() int64 {
 	if q.service.Engine == nil {
 		return plainMillis
 	}
-	output := q.tokens() - q.caller.PromptTokens
+	output := q.caller.MaxOutputTokens
+	if output == 0 {
+		output = estimateFactor * (q.tokens() - q.caller.PromptTokens)
+	}
 	return promptMillis + int64(output)*tokenMillis
 }
 
--- a/internal/trial/openday/platform_serve_test.go
+++ b/internal/trial/openday/platform_serve_test.go
@@ -228,6 +228,9 @@
 	late := s.send(context.Background(), streamAsk("late", 500))
 	is.Equal(late.status, http.StatusServiceUnavailable) // it could not end in time
 	is.True(late.header.Get("Retry-After") != "")
+	hinted := streamAsk("hinted", 500)
+	hinted.header = http.Header{"Fulmarvalve-Length-Hint": {"20"}}
+	is.Equal(s.send(context.Background(), hinted).status, http.StatusServiceUnavailable) // an estimate is no promise
 	plain := s.send(context.Background(), callerAsk{method: http.MethodPost, target: oncePath, id: "quick", key: platformKey})
 	is.Equal(plain.status, http.StatusOK) // what ends in time is served
 	_ = group.Wait()
