--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -11,6 +11,13 @@
 
 // answer runs one request.
 func (r *Replica) answer(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	early := r.faults.Early
+	r.mu.Unlock()
+	if early {
+		r.answerEarly(w, q)
+		return
+	}
 	body, _ := io.ReadAll(q.Body)
 	arrival := &Arrival{Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body)}
 	r.mu.Lock()
@@ -39,6 +46,24 @@
 	r.plain(w, faults)
 }
 
+// answerEarly answers a request whose body it reads afterwards. The arrival holds
+// what came of it until the caller's end of the connection.
+func (r *Replica) answerEarly(w http.ResponseWriter, q *http.Request) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nFulmarvalve-Request-Id: %s\r\nFulmarvalve-Response-Signature: %s\r\n"+
+		"Content-Length: %d\r\n\r\n%s", q.Header.Get("Fulmarvalve-Request-Id"), r.ID, len(plainBody), plainBody)
+	_ = buffer.Flush()
+	_ = conn.SetReadDeadline(time.Now().Add(lateReadMillis * time.Millisecond))
+	body, _ := io.ReadAll(buffer)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, &Arrival{Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body), Ran: true})
+}
+
 // mayContinue reports whether a request that goes on from a copy names one.
 func (r *Replica) mayContinue(q *http.Request) bool {
 	from := q.Header.Get("Kv-From")
@@ -47,7 +72,7 @@
 
 // plain answers as a plain service.
 func (r *Replica) plain(w http.ResponseWriter, faults Faults) {
-	const body = "whole answer of a plain service"
+	const body = plainBody
 	conn, buffer, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -23,6 +23,10 @@
 	memoryTokens = 34_000
 	// copyMillis is the time of one copy of a run.
 	copyMillis = 20
+	// lateReadMillis is how long a server that answered early reads on.
+	lateReadMillis = 1000
+	// plainBody is the answer of a plain service.
+	plainBody = "whole answer of a plain service"
 )
 
 // Faults of a backend server. The zero value has none.
@@ -31,6 +35,9 @@
 	Status int
 	// Decline answers every request as not run.
 	Decline bool
+	// Early answers a request of a plain service before its body is read, and
+	// reads the rest afterwards.
+	Early bool
 	// Foreign sends an answer to another request first.
 	Foreign bool
 	// CutWhole breaks an answer of a plain service off in its middle.
--- a/internal/trial/openday/platform_serve_test.go
+++ b/internal/trial/openday/platform_serve_test.go
@@ -77,6 +77,33 @@
 	is.Equal(got.status, http.StatusRequestEntityTooLarge)
 }
 
+// A server that answers before it has read a long body gets bytes of that body and
+// no others, though further requests come at once.
+func TestPlatformEarlyAnswer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 0, 1)
+	s.desks[0].SetFaults(replica.Faults{Early: true})
+	const requests = 5
+	bodies := make(map[string]string)
+	for n := range requests {
+		id := "early-" + strconv.Itoa(n)
+		bodies[id] = strings.Repeat(strconv.Itoa(n), 3<<20)
+		got := s.send(context.Background(), callerAsk{method: http.MethodPost, target: oncePath, id: id, key: platformKey, body: bodies[id]})
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+	}
+	eventually(t, "the servers have read on", func() error {
+		if len(s.desks[0].Arrivals()) < requests {
+			return errStillRunning
+		}
+		return nil
+	})
+	for _, a := range s.desks[0].Arrivals() {
+		is.True(strings.HasPrefix(bodies[a.Header.Get("Fulmarvalve-Request-Id")], a.Body))
+	}
+}
+
 func TestPlatformRefusesAmbiguousHeads(t *testing.T) {
 	t.Parallel()
 	s := newPlatformSite(t, 0, 1)
