--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -118,7 +118,7 @@
 			arrival.LeftAt = time.Now()
 			r.mu.Unlock()
 			return
-		case <-time.After(eventMillis * time.Millisecond):
+		case <-time.After(pauseBefore(event, faults)):
 		}
 		if r.cutsRuns() {
 			panic(http.ErrAbortHandler)
@@ -127,12 +127,18 @@
 	}
 }
 
+// pauseBefore returns the pause before an event.
+func pauseBefore(event int, faults Faults) time.Duration {
+	millis := eventMillis
+	if faults.SilentAfter != 0 && event == faults.SilentAfter {
+		millis += faults.SilentMillis
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // sendEvent sends one event, or breaks the stream off.
 func (r *Replica) sendEvent(w http.ResponseWriter, running *run, event int, faults Faults) {
 	text := fmt.Sprintf("id: %d\ndata: tokens of event %d\n\n", event, event)
-	if faults.SilentAfter != 0 && event == faults.SilentAfter {
-		time.Sleep(time.Duration(faults.SilentMillis) * time.Millisecond)
-	}
 	if faults.CutAfter != 0 && event > faults.CutAfter {
 		if faults.TornCut {
 			_, _ = io.WriteString(w, text[:len(text)/2])
--- a/internal/trial/openday/platform_serve_test.go
+++ b/internal/trial/openday/platform_serve_test.go
@@ -212,25 +212,34 @@
 
 func TestPlatformCallerLeaves(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	s := newPlatformSite(t, 1, 0)
-	ctx, leave := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error {
-		s.send(ctx, streamAsk("leaves", 500))
-		return nil
-	})
-	s.runner()
-	leave()
-	left := time.Now()
-	_ = group.Wait()
-	eventually(t, "the run cancelled", func() error {
-		if s.engines[0].Running() > 0 {
-			return errStillRunning
-		}
-		return nil
-	})
-	is.True(time.Since(left) < 500*time.Millisecond)
+	for name, faults := range map[string]replica.Faults{
+		"between events":         {},
+		"before the first event": {SilentAfter: 1, SilentMillis: 5000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newPlatformSite(t, 1, 0)
+			s.setEngineFaults(faults)
+			ctx, leave := context.WithCancel(context.Background())
+			var group errgroup.Group
+			group.Go(func() error {
+				s.send(ctx, streamAsk("leaves", 500))
+				return nil
+			})
+			s.runner()
+			leave()
+			left := time.Now()
+			_ = group.Wait()
+			eventually(t, "the run cancelled", func() error {
+				if s.engines[0].Running() > 0 {
+					return errStillRunning
+				}
+				return nil
+			})
+			is.True(time.Since(left) < 500*time.Millisecond)
+		})
+	}
 }
 
 func TestPlatformStops(t *testing.T) {
