--- a/internal/backend/lookout/load.go
+++ b/internal/backend/lookout/load.go
@@ -16,11 +16,10 @@
 // load returns the load of the engine. The lock is held.
 func (l *Lookout) load(report platform.EngineReport) *sighting.Sighting {
 	return &sighting.Sighting{Load: &sighting.Load{
-		Running:     uint32(report.Running),
-		Queued:      uint32(report.Queued),
-		UsedTokens:  uint32(report.UsedTokens),
-		TotalTokens: uint32(report.TotalTokens),
-		Starting:    uint32(starting(report)),
+		Running:    uint32(report.Running),
+		Queued:     uint32(report.Queued),
+		UsedTokens: uint32(report.UsedTokens),
+		Starting:   uint32(starting(report)),
 
 		ExpectedTokens: uint32(l.forecasts.expected(report, moment.Now())),
 	}}
--- a/internal/caller/frontdesk/exchange.go
+++ b/internal/caller/frontdesk/exchange.go
@@ -14,8 +14,6 @@
 	// Request holds the head; its body was read into Body.
 	Request *http.Request
 	Body    []byte
-	// Arrived is when the first byte of the request came.
-	Arrived time.Time
 	// Context ends when the caller leaves or the process stops.
 	Context context.Context //nolint:containedctx // it belongs to one exchange
 
--- a/internal/caller/frontdesk/frontdesk.go
+++ b/internal/caller/frontdesk/frontdesk.go
@@ -174,8 +174,7 @@
 // follow.
 func (c *connection) serveOne(ctx context.Context) bool {
 	limits := c.server.limits()
-	arrived, err := c.awaitRequest(limits)
-	if err != nil {
+	if err := c.awaitRequest(limits); err != nil {
 		return false
 	}
 	request, err := c.readHead(limits)
@@ -190,29 +189,28 @@
 		c.refuse(bodyStatus(err), err)
 		return false
 	}
-	return c.answer(ctx, request, body, arrived)
+	return c.answer(ctx, request, body)
 }
 
-// awaitRequest waits for the first byte of a request and returns when it came.
-func (c *connection) awaitRequest(limits timetable.Limits) (time.Time, error) {
+// awaitRequest waits for the first byte of a request.
+func (c *connection) awaitRequest(limits timetable.Limits) error {
 	if err := c.conn.SetReadDeadline(time.Now().Add(time.Duration(limits.IdleMillis) * time.Millisecond)); err != nil {
-		return time.Time{}, err
+		return err
 	}
 	c.server.setIdle(c, true)
 	_, err := c.reader.Peek(1)
 	c.server.setIdle(c, false)
-	return time.Now(), err
+	return err
 }
 
 // answer hands the request to the handler while it watches for the caller to
 // leave.
-func (c *connection) answer(ctx context.Context, request *http.Request, body []byte, arrived time.Time) bool {
+func (c *connection) answer(ctx context.Context, request *http.Request, body []byte) bool {
 	ctx, leave := context.WithCancelCause(ctx)
 	defer leave(nil)
 	x := &Exchange{
 		Request:    request,
 		Body:       body,
-		Arrived:    arrived,
 		Context:    ctx,
 		connection: c,
 		closes:     request.Close || c.server.closing.Load(),
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -79,11 +79,9 @@
 
 // allowRetry asks the budget whether the request is sent once more.
 func (q *request) allowRetry(last outcome) bool {
-	now := moment.Now()
-	allowed := q.relay.Retries.Allow(q.service.Name, now)
-	spent, budget := q.relay.Retries.State(q.service.Name, now)
-	q.log("retry decided", "Allowed", allowed, "Cause", causeOf(last), "Spent", spent, "Budget", budget)
-	return allowed
+	d := q.relay.Retries.Allow(q.service.Name, moment.Now())
+	q.log("retry decided", "Allowed", d.Allowed, "Cause", causeOf(last), "Spent", d.Spent, "Budget", d.Budget)
+	return d.Allowed
 }
 
 // attempt sends the request to one backend server.
--- a/internal/caller/relay/moves.go
+++ b/internal/caller/relay/moves.go
@@ -134,7 +134,7 @@
 	Worth int64
 }
 
-// On returns the open streams on an engine that cannot be run again.
+// On returns the open streams on an engine.
 func (m *Moves) On(engine string) []Run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -56,7 +56,7 @@
 	account  timetable.Account
 	// endsAt is when the caller or the route gives up.
 	endsAt moment.Moment
-	// arrivedAt is when the first byte came.
+	// arrivedAt is when the whole request had come.
 	arrivedAt moment.Moment
 	// configured is the version of the configuration that was used, and
 	// confirmedMillis its age.
--- a/internal/caller/relay/retries.go
+++ b/internal/caller/relay/retries.go
@@ -36,25 +36,26 @@
 	w.firsts = append(w.firsts, now)
 }
 
-// Allow reports whether a request may be sent once more, and counts it.
-func (r *Retries) Allow(service string, now moment.Moment) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	w := r.window(service, now)
-	if float64(len(w.spent)+1) > r.budget(w) {
-		return false
-	}
-	w.spent = append(w.spent, now)
-	return true
+// RetryDecision says whether a request is sent once more, and why.
+type RetryDecision struct {
+	Allowed bool
+	// Spent counts the retries of the service in the window, with this one if it
+	// is allowed. Budget is how many there may be.
+	Spent  int
+	Budget float64
 }
 
-// State returns how many retries of a service were spent in the window, and how
-// many may be.
-func (r *Retries) State(service string, now moment.Moment) (spent int, budget float64) {
+// Allow decides whether a request is sent once more, and counts it.
+func (r *Retries) Allow(service string, now moment.Moment) RetryDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service, now)
-	return len(w.spent), r.budget(w)
+	budget := r.budget(w)
+	allowed := float64(len(w.spent)+1) <= budget
+	if allowed {
+		w.spent = append(w.spent, now)
+	}
+	return RetryDecision{Allowed: allowed, Spent: len(w.spent), Budget: budget}
 }
 
 // budget returns how many retries may be spent in a window. The caller holds the
--- a/internal/caller/relay/retries_test.go
+++ b/internal/caller/relay/retries_test.go
@@ -16,15 +16,15 @@
 	allowed := 0
 	for n := range 400 {
 		r.CountFirst("s", now.AddMillis(int64(n)*25))
-		if r.Allow("s", now.AddMillis(int64(n)*25)) {
+		if r.Allow("s", now.AddMillis(int64(n)*25)).Allowed {
 			allowed++
 		}
 	}
 	is.True(allowed >= 70 && allowed <= 87) // a fifth of 400, and 7
-	is.True(r.Allow("other", now))          // services do not share
+	is.True(r.Allow("other", now).Allowed)  // services do not share
 	later := now.AddMillis(30_000)
 	for range 7 {
-		is.True(r.Allow("s", later)) // the window has passed
+		is.True(r.Allow("s", later).Allowed) // the window has passed
 	}
-	is.True(!r.Allow("s", later))
+	is.True(!r.Allow("s", later).Allowed)
 }
--- a/internal/platform/exchange/exchange.go
+++ b/internal/platform/exchange/exchange.go
@@ -15,10 +15,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxBodyBytes bounds the body of an answer.
+// MaxBodyBytes bounds the body of an answer, unless its call says otherwise.
 const MaxBodyBytes = 16 << 20
 
-// ErrTooLarge says that an answer's body is longer than MaxBodyBytes.
+// ErrTooLarge says that an answer's body is longer than its bound.
 var ErrTooLarge = errors.New("answer is too large")
 
 // Call is one HTTP request to a platform service.
@@ -33,6 +33,9 @@
 	Header http.Header
 	// Body is the request's body; it may be nil.
 	Body []byte
+	// MaxBytes bounds the body of the answer that Do reads; zero means
+	// MaxBodyBytes.
+	MaxBytes int
 }
 
 // Answer is a whole HTTP answer.
@@ -41,7 +44,7 @@
 	Status int
 	// Header is the answer's header.
 	Header http.Header
-	// Body is the whole body, at most MaxBodyBytes.
+	// Body is the whole body.
 	Body []byte
 }
 
@@ -90,11 +93,15 @@
 		return Answer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
+	most := c.MaxBytes
+	if most == 0 {
+		most = MaxBodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(most)+1))
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "read answer")
 	}
-	if len(body) > MaxBodyBytes {
+	if len(body) > most {
 		return Answer{}, ErrTooLarge
 	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
--- a/internal/routing/seating/ledger.go
+++ b/internal/routing/seating/ledger.go
@@ -83,14 +83,12 @@
 	defer l.mu.Unlock()
 	candidates := make([]Candidate, len(ready))
 	points := make([]float64, len(ready))
-	own := make([]int, len(ready))
 	for i, server := range ready {
 		candidates[i] = l.candidate(server, ask, now)
-		own[i] = len(l.account(server.ID).seats)
 		points[i] = rand.Float64()
 	}
 	l.turn++
-	best, ok := chooseBy(l.Placing, candidates, ask.Tokens, points, l.turn, own)
+	best, ok := chooseBy(l.Placing, candidates, ask.Tokens, points, l.turn)
 	if !ok {
 		return Seating{}
 	}
@@ -177,6 +175,7 @@
 		Tried:    ask.Tried[server.ID],
 		Avoided:  now.Before(l.avoided[server.ID]),
 		Slots:    server.Slots,
+		Open:     len(a.seats),
 		Running:  len(a.seats),
 	}
 	if a.failedAt.AddMillis(failureForgetMillis) > now {
--- a/internal/routing/seating/placing.go
+++ b/internal/routing/seating/placing.go
@@ -24,66 +24,54 @@
 func (InTurn) placing()           {}
 func (LeastOutstanding) placing() {}
 
-// chooseBy chooses a candidate. Turn counts the choices so far, and own holds the
-// open requests of this host at each candidate.
-func chooseBy(placing Placing, candidates []Candidate, tokens int, points []float64, turn int, own []int) (int, bool) {
+// chooseBy chooses a candidate. Turn counts the choices so far.
+func chooseBy(placing Placing, candidates []Candidate, tokens int, points []float64, turn int) (int, bool) {
 	switch placing.(type) {
 	case InTurn:
 		return chooseInTurn(candidates, turn)
 	case LeastOutstanding:
-		return chooseLeast(candidates, points, own)
+		return chooseLeast(candidates, points)
 	default:
 		return Choose(candidates, tokens, points)
 	}
 }
 
-// untried returns the indexes of the candidates that the request was not sent
-// to, those that were not reached last.
-func untried(candidates []Candidate) []int {
-	var indexes []int
+// usable returns the indexes of the candidates that the request was not sent to:
+// of those that are reached, or of all when none is.
+func usable(candidates []Candidate) []int {
+	var reached, avoided []int
 	for i, c := range candidates {
-		if !c.Tried {
-			indexes = append(indexes, i)
+		switch {
+		case c.Tried:
+		case c.Avoided:
+			avoided = append(avoided, i)
+		default:
+			reached = append(reached, i)
 		}
 	}
-	slices.SortStableFunc(indexes, func(i, j int) int {
-		return cmp.Or(
-			cmp.Compare(rankOf(candidates[i].Avoided), rankOf(candidates[j].Avoided)),
-			strings.Compare(candidates[i].Server.ID, candidates[j].Server.ID),
-		)
-	})
-	return indexes
-}
-
-func rankOf(last bool) int {
-	if last {
-		return 1
+	if len(reached) > 0 {
+		return reached
 	}
-	return 0
+	return avoided
 }
 
 func chooseInTurn(candidates []Candidate, turn int) (int, bool) {
-	indexes := untried(candidates)
-	reached := slices.DeleteFunc(slices.Clone(indexes), func(i int) bool { return candidates[i].Avoided })
-	if len(reached) > 0 {
-		indexes = reached
-	}
+	indexes := usable(candidates)
 	if len(indexes) == 0 {
 		return 0, false
 	}
+	slices.SortFunc(indexes, func(i, j int) int {
+		return strings.Compare(candidates[i].Server.ID, candidates[j].Server.ID)
+	})
 	return indexes[turn%len(indexes)], true
 }
 
-func chooseLeast(candidates []Candidate, points []float64, own []int) (int, bool) {
-	indexes := untried(candidates)
+func chooseLeast(candidates []Candidate, points []float64) (int, bool) {
+	indexes := usable(candidates)
 	if len(indexes) == 0 {
 		return 0, false
 	}
 	return slices.MinFunc(indexes, func(i, j int) int {
-		return cmp.Or(
-			cmp.Compare(rankOf(candidates[i].Avoided), rankOf(candidates[j].Avoided)),
-			cmp.Compare(own[i], own[j]),
-			cmp.Compare(points[i], points[j]),
-		)
+		return cmp.Or(cmp.Compare(candidates[i].Open, candidates[j].Open), cmp.Compare(points[i], points[j]))
 	}), true
 }
--- a/internal/routing/seating/seating.go
+++ b/internal/routing/seating/seating.go
@@ -47,6 +47,8 @@
 	Slots int
 	// Starting are the requests there that have made no event yet.
 	Starting int
+	// Open are the requests there from this host.
+	Open int
 	// Running and Queued are the requests there, from all entry hosts.
 	Running int
 	Queued  int
--- a/internal/routing/seating/seating_test.go
+++ b/internal/routing/seating/seating_test.go
@@ -117,24 +117,26 @@
 	points := []float64{0.5, 0.2, 0.1}
 	var turns []string
 	for turn := range 4 {
-		i, ok := chooseBy(InTurn{}, candidates, 0, points, turn, nil)
+		i, ok := chooseBy(InTurn{}, candidates, 0, points, turn)
 		is.True(ok)
 		turns = append(turns, candidates[i].Server.ID)
 	}
 	is.Equal(turns, []string{"a", "b", "c", "a"})
 
-	least, ok := chooseBy(LeastOutstanding{}, candidates, 0, points, 0, []int{1, 1, 2})
+	candidates[0].Open, candidates[1].Open, candidates[2].Open = 1, 1, 2
+	least, ok := chooseBy(LeastOutstanding{}, candidates, 0, points, 0)
 	is.True(ok)
 	is.Equal(candidates[least].Server.ID, "a") // the fewest, then by lot
 	candidates[1].Avoided = true
-	least, _ = chooseBy(LeastOutstanding{}, candidates, 0, points, 0, []int{1, 0, 2})
+	candidates[1].Open = 0
+	least, _ = chooseBy(LeastOutstanding{}, candidates, 0, points, 0)
 	is.Equal(candidates[least].Server.ID, "b")
 
 	for i := range candidates {
 		candidates[i].Tried = true
 	}
 	for _, placing := range []Placing{ByForecast{}, InTurn{}, LeastOutstanding{}} {
-		_, ok := chooseBy(placing, candidates, 0, points, 0, []int{0, 0, 0})
+		_, ok := chooseBy(placing, candidates, 0, points, 0)
 		is.True(!ok)
 	}
 }
--- a/internal/routing/timetable/timetable.go
+++ b/internal/routing/timetable/timetable.go
@@ -51,8 +51,6 @@
 	Kind       Kind
 	// TimeoutMillis bounds the time until the final answer. Zero means none.
 	TimeoutMillis int64
-	// ObjectiveMillis is the time in which an answer has its full worth.
-	ObjectiveMillis int64
 	// Priority is the rank among routes; zero is the most urgent.
 	Priority int
 	// Shares holds at least one service.
@@ -65,8 +63,6 @@
 	// Resumable streams may go on at another backend server after their last
 	// whole event.
 	Resumable bool
-	// PauseMillis is the longest pause between events that is still on time.
-	PauseMillis int64
 }
 
 // Repeatable reports whether a request may be sent again after it may have
@@ -77,15 +73,12 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots int
 	// MemoryTokens is the engine's memory, in tokens.
 	MemoryTokens int
 	// TokenBytes is the memory of one token, in bytes.
 	TokenBytes int64
 	// LinkMegabits is the rate at which memory is copied, in megabits a second.
 	LinkMegabits float64
-	// Moves says that a running generation can be moved to another engine.
-	Moves bool
 }
 
 // CopyTokensPerSecond returns how much memory a link copies in a second, in
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -37,7 +37,7 @@
 		return advice
 	}
 	service, ok := table.Service(leaving.Service)
-	if !ok {
+	if !ok || service.Engine == nil {
 		return advice
 	}
 	rooms := w.Ledger.Room(w.Courier.Servers().List.Ready(leaving.Service, moment.Now()), service)
--- a/internal/trial/openday/platform_site_test.go
+++ b/internal/trial/openday/platform_site_test.go
@@ -59,32 +59,44 @@
 	held, leaving sync.Mutex
 }
 
-// newPlatformSite starts a deployment with one entry host and waits until it
-// is ready.
-func newPlatformSite(t *testing.T, engines, desks int) *platformSite {
+// newPlatformStore starts the store of a deployment that will run so many
+// processes.
+func newPlatformStore(t *testing.T, processes int64) *platformSite {
 	t.Helper()
-	count := int64(1 + engines)
-	if err := places.Acquire(context.Background(), count); err != nil {
+	if err := places.Acquire(context.Background(), processes); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { places.Release(count) })
+	t.Cleanup(func() { places.Release(processes) })
 	s := &platformSite{t: t, directory: t.TempDir(), pool: newAddressPool(t), log: &keyedlog.Log{}}
 	s.serve(func(ctx context.Context) error { return s.log.Serve(ctx, s.pool.ip+":0", s.log.Routes()) })
 	s.log.Addr()
+	return s
+}
+
+// newPlatformSite starts a deployment with one entry host and waits until it
+// is ready.
+func newPlatformSite(t *testing.T, engines, desks int) *platformSite {
+	t.Helper()
+	s := newPlatformStore(t, int64(1+engines))
 	for n := range engines {
 		s.addEngine(n)
 	}
-	for n := range desks {
-		desk := s.newReplica(fmt.Sprintf("desk-%d", n), s.pool.ip)
-		s.desks = append(s.desks, desk)
-		s.register(desk, "plain", "ready")
-	}
+	s.addDesks(desks)
 	s.configure(platformKey)
 	s.startEntry()
 	eventually(t, "entry host ready", s.ready)
 	return s
 }
 
+// addDesks starts plain services.
+func (s *platformSite) addDesks(count int) {
+	for n := range count {
+		desk := s.newReplica(fmt.Sprintf("desk-%d", n), s.pool.ip)
+		s.desks = append(s.desks, desk)
+		s.register(desk, "plain", "ready")
+	}
+}
+
 // serve runs a stand-in until the test ends.
 func (s *platformSite) serve(run func(context.Context) error) {
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/trial/openday/soak_test.go
+++ b/internal/trial/openday/soak_test.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"github.com/fulmarvalve/fulmarvalve/internal/standin/keyedlog"
 )
 
 var (
@@ -81,22 +79,14 @@
 func newSoak(t *testing.T, seed int64) *soak {
 	t.Helper()
 	const processes = soakEntries + soakEngines
-	if err := places.Acquire(context.Background(), processes); err != nil {
-		t.Fatal(err)
+	s := &soak{
+		platformSite: newPlatformStore(t, processes),
+		random:       rand.New(rand.NewPCG(uint64(seed), 0)),
 	}
-	t.Cleanup(func() { places.Release(processes) })
-	site := &platformSite{t: t, directory: t.TempDir(), pool: newAddressPool(t), log: &keyedlog.Log{}}
-	s := &soak{platformSite: site, random: rand.New(rand.NewPCG(uint64(seed), 0))}
-	site.serve(func(ctx context.Context) error { return s.log.Serve(ctx, s.pool.ip+":0", s.log.Routes()) })
-	s.log.Addr()
 	for n := range soakEngines {
 		s.addEngineBehindProxy(n)
 	}
-	for n := range soakDesks {
-		desk := s.newReplica(fmt.Sprintf("desk-%d", n), s.pool.ip)
-		s.desks = append(s.desks, desk)
-		s.register(desk, "plain", "ready")
-	}
+	s.addDesks(soakDesks)
 	s.configure(platformKey)
 	s.startEntries()
 	for _, e := range s.entries {
