--- a/internal/trial/openday/platform_serve_test.go
+++ b/internal/trial/openday/platform_serve_test.go
@@ -168,6 +168,18 @@
 	}
 }
 
+// A request that ran is not answered as one that did not, also when no further
+// server is there for its retry.
+func TestPlatformRanIsNotDenied(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 0, 1)
+	s.desks[0].SetFaults(replica.Faults{Status: http.StatusInternalServerError})
+	got := s.send(context.Background(), plainAsk("ran", platformKey))
+	is.Equal(len(s.desks[0].Arrivals()), 1)
+	is.Equal(got.status, http.StatusInternalServerError)
+}
+
 func TestPlatformSupersededAddress(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
