fix: a request that ran is not answered as not run

Cause: request.run replaced the outcome of an attempt that had run by that of a later attempt that had not (no further server, declined, not reached), so that a failed, idempotent request got 503 NoBackend or EngineRefused, which say "not run".

Ruled out: the backend server's own answer (its 500 arrived whole and was logged).

Change: the outcome of an attempt that may have run is kept unless a later attempt may have run, too.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -56,15 +56,16 @@
 	ctx, stop := context.WithDeadline(q.exchange.Context, time.Now().Add(time.Duration(q.remainingMillis())*time.Millisecond))
 	defer stop()
 	q.relay.Retries.CountFirst(q.service.Name, boottime.Now())
-	var last outcome = unplaced{}
+	var last, result outcome = unplaced{}, unplaced{}
 	for sent, dials := 0, 0; sent < q.route.MaxAttempts && dials < maxDials; dials++ {
 		if dials > 0 && !q.allowRetry(last) {
 			break
 		}
 		last = q.attempt(ctx)
+		result = conclusive(result, last)
 		switch last.(type) {
 		case unplaced:
-			q.finish(ctx, last)
+			q.finish(ctx, result)
 			return
 		case unreached, superseded:
 			continue
@@ -77,7 +78,7 @@
 			break
 		}
 	}
-	q.finish(ctx, last)
+	q.finish(ctx, result)
 }
 
 // allowRetry reports whether the retry budget allows a further attempt.
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -49,6 +49,26 @@
 func (answered) outcome()   {}
 func (streamed) outcome()   {}
 
+// conclusive returns which of two outcomes of consecutive attempts decides the final
+// answer. An attempt that did not run the request does not replace an earlier one
+// that may have, as the answer would otherwise say that the request did not run.
+func conclusive(earlier, latest outcome) outcome {
+	if mayHaveRun(earlier) && !mayHaveRun(latest) {
+		return earlier
+	}
+	return latest
+}
+
+// mayHaveRun reports whether the server may have run the request in an attempt.
+func mayHaveRun(o outcome) bool {
+	switch o.(type) {
+	case lost, answered, streamed:
+		return true
+	default:
+		return false
+	}
+}
+
 // causeOf names the outcome that a retry follows, for logs.
 func causeOf(last outcome) string {
 	switch last.(type) {
