feat: say why a run was not migrated from an engine that shuts down

The line "run not migrated" carried no reason. It now names the obstacle (no destination, slot, memory, room to grow or time) with the sizes. Behaviour is unchanged: Next uses the same checks.

--- a/internal/backend/migration/migration.go
+++ b/internal/backend/migration/migration.go
@@ -144,10 +144,7 @@
 func chooseDestination(run Run, destinations []Destination, leavesInMillis int64) (Destination, bool) {
 	best, found := Destination{}, false
 	for _, d := range destinations {
-		if d.FreeSlots < 1 || d.FreeTokens < run.Tokens+copyMarginTokens || d.SpareTokens < run.finalTokens()+reserveTokens {
-			continue
-		}
-		if (Step{Run: run, Destination: d}).CopyMillis() > leavesInMillis {
+		if d.obstacle(run, leavesInMillis) != NoObstacle {
 			continue
 		}
 		if !found || d.betterThan(best) {
--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -75,11 +75,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := boottime.Now()
-	step, ok := migration.Next(m.migratable(attempts), m.advice.destinations(), left)
+	runs, destinations := m.migratable(attempts), m.advice.destinations()
+	step, ok := migration.Next(runs, destinations, left)
 	if ok {
 		m.advice.assign(step, now)
+		return step, true
+	}
+	m.recordObstacles(runs, destinations, left)
+	return step, false
+}
+
+// recordObstacles stores why none of the runs can be migrated now. The caller holds
+// the mutex.
+func (m *Monitor) recordObstacles(runs []migration.Run, destinations []migration.Destination, left int64) {
+	for _, run := range runs {
+		if obstacle := migration.ObstacleOf(run, destinations, left); obstacle != migration.NoTime {
+			m.obstacles[run.RequestID] = obstacle
+		}
 	}
-	return step, ok
 }
 
 // migratable returns the runs that may still be migrated. A run can be copied only
@@ -177,30 +190,47 @@
 // publishFinal reports to the entry hosts that the remaining runs will not be
 // migrated, so that the streams of these runs do not wait for a migration.
 func (m *Monitor) publishFinal() {
-	for _, move := range m.unmigrated() {
+	for _, stay := range m.unmigrated() {
 		m.Metrics.CountMigration(migrationStayed)
-		m.Log.Info("run not migrated", "Request", move.GetRequestId(), "Copied", move.GetDestination() != "")
-		m.publish(&sighting.Sighting{Move: move})
+		m.Log.Info("run not migrated", "Request", stay.move.GetRequestId(), "Copied", stay.move.GetDestination() != "",
+			"Obstacle", stay.obstacle.String(), "Tokens", stay.run.Tokens, "Remaining", stay.run.Remaining, "Events", stay.events)
+		m.publish(&sighting.Sighting{Move: stay.move})
 	}
 }
 
-// unmigrated returns the final messages about the runs that were not stopped for a
-// migration. They name the copies that were made while the runs continued, if any.
-func (m *Monitor) unmigrated() []*sighting.Move {
+// stay is a run that was not stopped for a migration.
+type stay struct {
+	move *sighting.Move
+	run  migration.Run
+	// events is the number of events that the run has generated.
+	events int
+	// obstacle is the newest reason other than time why it was not migrated, or
+	// NoTime when there was none.
+	obstacle migration.Obstacle
+}
+
+// unmigrated returns the runs that were not stopped for a migration. Their final
+// messages name the copies that were made while the runs continued, if any.
+func (m *Monitor) unmigrated() []stay {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var all []*sighting.Move
+	var all []stay
 	for _, run := range m.latest.Runs {
 		latest := m.migrations[run.RequestID]
 		if latest.GetStopped() {
 			continue
 		}
-		all = append(all, &sighting.Move{
+		move := &sighting.Move{
 			RequestId:   run.RequestID,
 			Handle:      latest.GetHandle(),
 			Destination: latest.GetDestination(),
 			Final:       true,
-		})
+		}
+		obstacle, ok := m.obstacles[run.RequestID]
+		if !ok {
+			obstacle = migration.NoTime
+		}
+		all = append(all, stay{move: move, run: m.advice.run(run), events: run.Events, obstacle: obstacle})
 	}
 	return all
 }
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/migration"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
@@ -61,6 +62,9 @@
 	// migrations holds the latest message about each run that was copied since the
 	// shutdown notice, by request ID.
 	migrations map[string]*sighting.Move
+	// obstacles holds the newest reason other than a lack of time why a run could not
+	// be migrated since the shutdown notice, by request ID.
+	obstacles map[string]migration.Obstacle
 	// placed is the number of requests that entry hosts have placed since the
 	// latest report.
 	placed    int
@@ -179,6 +183,7 @@
 		m.leavesAt = now.AddMillis(millisToShutdown(report))
 		m.advice = advice{}
 		m.migrations = nil
+		m.obstacles = make(map[string]migration.Obstacle)
 	}
 	leavesAt := m.leavesAt
 	m.mu.Unlock()
