feat: learn output lengths, forecast memory as a peak

Cause: memory was forecast from the callers' hints.

Ruled out: a lack of time at the notice (the obstacle of no run that stayed was NoTime).

Change: each entry host fits output against hint for each route (outputestimate: censored regression, also over the generations that still run, so that a young process doesn't take all outputs for short) and tells the engine's monitor the distribution with the placement. The monitor forecasts the peak of the expected memory plus one standard deviation (memoryforecast) and knows remaining output and worth of its runs itself, so the entry hosts' advice about runs goes. A monitor that was restarted is told the runs again when its watchers connect.

--- /dev/null
+++ b/internal/backend/memoryforecast/memoryforecast.go
@@ -0,0 +1,42 @@
+// Package memoryforecast forecasts the memory that the generations of an engine will
+// take together. Generations grow at the same rate and free their memory when they
+// end, so the most that they take at one time is less than the sum of their final
+// sizes. The package does no I/O and reads no clock.
+package memoryforecast
+
+import (
+	"math"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
+)
+
+// horizons are the points at which memory is forecast, as numbers of further tokens
+// that each generation has produced by then.
+var horizons = [...]int{0, 32, 64, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048}
+
+// Run is a generation on the engine, or one that is about to start there.
+type Run struct {
+	// Tokens is the memory that the run takes now.
+	Tokens int
+	// Produced is the number of output tokens so far.
+	Produced int
+	Output   outputestimate.Estimate
+}
+
+// Peak returns the most memory that the runs will take at one time, beside fixed
+// memory that no run frees. It is the highest value over time of the expected memory
+// plus a number of standard deviations.
+func Peak(runs []Run, fixed int, deviations float64) int {
+	highest := 0.0
+	for _, ahead := range horizons {
+		mean, variance := 0.0, 0.0
+		for _, run := range runs {
+			alive := run.Output.Reaches(run.Produced, ahead)
+			size := float64(run.Tokens + ahead)
+			mean += alive * size
+			variance += alive * (1 - alive) * size * size
+		}
+		highest = max(highest, mean+deviations*math.Sqrt(variance))
+	}
+	return fixed + int(math.Ceil(highest))
+}
--- a/internal/backend/monitor/advice.go
+++ b/internal/backend/monitor/advice.go
@@ -4,7 +4,6 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/migration"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
-	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
 // loadDelayMillis is the time after which the advice of the entry hosts counts a run
@@ -15,8 +14,6 @@
 // runs that were assigned to destinations by it. It is not safe for concurrent use.
 // The zero value is ready to use.
 type advice struct {
-	// runs holds the advice about runs by request ID.
-	runs map[string]advisedRun
 	// byAddress holds the destinations by address.
 	byAddress map[string]advisedDestination
 	// assigned holds the runs that were assigned to destinations, in order.
@@ -25,14 +22,6 @@
 	refusedAt map[string]boottime.Instant
 }
 
-// advisedRun is an entry host's advice about a run.
-type advisedRun struct {
-	// remaining is the estimated number of tokens still to be generated.
-	remaining int
-	// worth is the value of the whole answer.
-	worth int64
-}
-
 // advisedDestination is an entry host's advice about a destination.
 type advisedDestination struct {
 	destination migration.Destination
@@ -45,19 +34,12 @@
 	at   boottime.Instant
 }
 
-// store stores the advice of one entry host. Newer advice about a run or destination
-// replaces older advice of any host.
+// store stores the advice of one entry host. Newer advice about a destination replaces
+// older advice of any host.
 func (a *advice) store(message *sighting.Advice, now boottime.Instant) {
-	if a.runs == nil {
-		a.runs = make(map[string]advisedRun)
+	if a.byAddress == nil {
 		a.byAddress = make(map[string]advisedDestination)
 	}
-	for _, run := range message.GetRuns() {
-		a.runs[run.GetRequestId()] = advisedRun{
-			remaining: int(run.GetRemainingTokens()),
-			worth:     int64(run.GetWorth()),
-		}
-	}
 	for _, d := range message.GetDestinations() {
 		a.byAddress[d.GetAddress()] = advisedDestination{
 			destination: migration.Destination{
@@ -75,20 +57,6 @@
 	}
 }
 
-// run combines a run of the engine with the advice about it.
-func (a *advice) run(run platform.EngineRun) migration.Run {
-	advised, ok := a.runs[run.RequestID]
-	if !ok {
-		advised.remaining = -1
-	}
-	return migration.Run{
-		RequestID: run.RequestID,
-		Tokens:    run.Tokens,
-		Remaining: advised.remaining,
-		Worth:     advised.worth,
-	}
-}
-
 // assign records that a run was assigned to its destination.
 func (a *advice) assign(step migration.Step, now boottime.Instant) {
 	a.assigned = append(a.assigned, assignedRun{step: step, at: now})
--- a/internal/backend/monitor/forecast.go
+++ b/internal/backend/monitor/forecast.go
@@ -1,7 +1,11 @@
 package monitor
 
 import (
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/memoryforecast"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/migration"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -9,71 +13,121 @@
 	// arrivalMillis is the time within which a placed request appears in the
 	// engine's report. After it the request is taken not to arrive.
 	arrivalMillis = 1500
-	// assumedGrowthTokens is the assumed growth of a run whose size no entry host
-	// estimated.
-	assumedGrowthTokens = 300
-	// minGrowthTokens is the assumed growth of a run that has nearly reached or
-	// exceeds its expected size.
-	minGrowthTokens = 60
+	// forecastDeviations is the number of standard deviations above its mean to
+	// which the memory of the engine is forecast.
+	forecastDeviations = 1.0
+	// outputWorth is the worth of an output token in prompt tokens.
+	outputWorth = 10
 )
 
-// forecasts holds the memory that entry hosts expect their requests to take.
+// unknownOutput is the output that is assumed of a run that no entry host announced.
+var unknownOutput = outputestimate.Estimate{MedianTokens: 400, Spread: 1}
+
+// forecasts holds what entry hosts have announced of their requests.
 type forecasts struct {
-	// all holds the forecasts by request ID.
-	all map[string]forecast
+	// all holds the announced requests by request ID.
+	all map[string]announced
 }
 
-// forecast is the expected memory of one request.
-type forecast struct {
-	// tokens is the memory at the end of the run.
-	tokens   int
+// announced is a request that an entry host has announced.
+type announced struct {
+	promptTokens int
+	// produced is the number of output tokens at the time of the announcement.
+	produced int
+	output   outputestimate.Estimate
 	placedAt boottime.Instant
 }
 
-// add stores an entry host's forecast for a request.
-func (f *forecasts) add(id string, tokens int, now boottime.Instant) {
+// add stores an entry host's announcement of a request.
+func (f *forecasts) add(p *sighting.Placement, now boottime.Instant) {
 	if f.all == nil {
-		f.all = make(map[string]forecast)
+		f.all = make(map[string]announced)
+	}
+	f.all[p.GetRequestId()] = announced{
+		promptTokens: int(p.GetPromptTokens()),
+		produced:     int(p.GetProducedTokens()),
+		output: outputestimate.Estimate{
+			MedianTokens: max(p.GetMedianTokens(), 1),
+			Spread:       max(p.GetSpread(), minSpread),
+			MaxTokens:    int(p.GetMaxTokens()),
+		},
+		placedAt: now,
 	}
-	f.all[id] = forecast{tokens: tokens, placedAt: now}
 }
 
-// prune drops the forecasts of requests that do not run and are no longer expected
-// to arrive.
+// minSpread keeps an announcement without a spread from a distribution without width.
+const minSpread = 0.1
+
+// prune drops the requests that do not run and are no longer expected to arrive.
 func (f *forecasts) prune(report platform.EngineReport, now boottime.Instant) {
-	running := make(map[string]bool, len(report.Runs))
-	for _, run := range report.Runs {
-		running[run.RequestID] = true
-	}
-	for id, expected := range f.all {
-		if !running[id] && now.MillisSince(expected.placedAt) > arrivalMillis {
+	running := runningIDs(report)
+	for id, request := range f.all {
+		if !running[id] && now.MillisSince(request.placedAt) > arrivalMillis {
 			delete(f.all, id)
 		}
 	}
 }
 
-// expected returns the memory that will be in use once all running and arriving
-// requests have grown to their expected size.
-func (f *forecasts) expected(report platform.EngineReport, now boottime.Instant) int {
-	total := report.UsedTokens
+func runningIDs(report platform.EngineReport) map[string]bool {
 	running := make(map[string]bool, len(report.Runs))
 	for _, run := range report.Runs {
 		running[run.RequestID] = true
-		total += f.growth(run)
 	}
-	for id, expected := range f.all {
-		if !running[id] && now.MillisSince(expected.placedAt) <= arrivalMillis {
-			total += expected.tokens
+	return running
+}
+
+// expected returns the most memory that all running and arriving requests will take
+// at one time.
+func (f *forecasts) expected(report platform.EngineReport, now boottime.Instant) int {
+	running := runningIDs(report)
+	runs := make([]memoryforecast.Run, 0, len(report.Runs)+len(f.all))
+	fixed := report.UsedTokens
+	for _, run := range report.Runs {
+		runs = append(runs, f.run(run))
+		fixed -= run.Tokens
+	}
+	for id, request := range f.all {
+		if !running[id] && now.MillisSince(request.placedAt) <= arrivalMillis {
+			runs = append(runs, request.arriving())
 		}
 	}
-	return total
+	return memoryforecast.Peak(runs, max(fixed, 0), forecastDeviations)
 }
 
-// growth returns the memory that a run is expected to take in addition.
-func (f *forecasts) growth(run platform.EngineRun) int {
-	expected, ok := f.all[run.RequestID]
+// run returns a run of the engine with its announced output.
+func (f *forecasts) run(run platform.EngineRun) memoryforecast.Run {
+	request, ok := f.all[run.RequestID]
 	if !ok {
-		return assumedGrowthTokens
+		return memoryforecast.Run{Tokens: run.Tokens, Output: unknownOutput}
+	}
+	return memoryforecast.Run{
+		Tokens:   max(run.Tokens, request.promptTokens),
+		Produced: max(run.Tokens-request.promptTokens, 0),
+		Output:   request.output,
+	}
+}
+
+// arriving returns an announced request that the engine does not report yet. The
+// memory of a migrated one is already there, as a copy.
+func (a announced) arriving() memoryforecast.Run {
+	if a.produced > 0 {
+		return memoryforecast.Run{Produced: a.produced, Output: a.output}
+	}
+	return memoryforecast.Run{Tokens: a.promptTokens, Output: a.output}
+}
+
+// migratable returns a run of the engine for the decision whether to migrate it.
+func (f *forecasts) migratable(run platform.EngineRun) migration.Run {
+	request, ok := f.all[run.RequestID]
+	if !ok {
+		return migration.Run{RequestID: run.RequestID, Tokens: run.Tokens, Remaining: -1}
+	}
+	produced := max(run.Tokens-request.promptTokens, 0)
+	remaining := request.output.Remaining(produced)
+	return migration.Run{
+		RequestID: run.RequestID,
+		Tokens:    run.Tokens,
+		Remaining: remaining,
+		Worth:     int64(request.promptTokens + outputWorth*(produced+remaining)),
 	}
-	return max(expected.tokens-run.Tokens, minGrowthTokens)
 }
--- a/internal/backend/monitor/load.go
+++ b/internal/backend/monitor/load.go
@@ -58,7 +58,7 @@
 func (m *Monitor) addPlacement(p *sighting.Placement) {
 	m.mu.Lock()
 	m.placed++
-	m.forecasts.add(p.GetRequestId(), int(p.GetTokens()), boottime.Now())
+	m.forecasts.add(p, boottime.Now())
 	report := m.latest
 	report.Queued += m.placed
 	load := m.load(report)
--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -103,7 +103,7 @@
 		if attempts[run.RequestID] >= maxAttempts || run.Events == 0 {
 			continue
 		}
-		runs = append(runs, m.advice.run(run))
+		runs = append(runs, m.forecasts.migratable(run))
 	}
 	return runs
 }
@@ -230,7 +230,7 @@
 		if !ok {
 			obstacle = migration.NoTime
 		}
-		all = append(all, stay{move: move, run: m.advice.run(run), events: run.Events, obstacle: obstacle})
+		all = append(all, stay{move: move, run: m.forecasts.migratable(run), events: run.Events, obstacle: obstacle})
 	}
 	return all
 }
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -27,9 +27,6 @@
 	// maxBufferedAnswerBytes is the size limit of an answer that is read completely before
 	// it is forwarded.
 	maxBufferedAnswerBytes = 8 << 20
-	// assumedOutputTokens is the assumed output of a generation whose caller gave
-	// no estimate.
-	assumedOutputTokens = 500
 	// lowestPriority is the least urgent priority in an engine's queue.
 	lowestPriority = 9
 )
@@ -135,8 +132,8 @@
 	}
 	chosen := placed.Chosen
 	if q.service.Engine != nil {
-		q.relay.OnPlaced(chosen.Server.ID, q.caller.ID, q.tokens())
-		q.log("placed", "Server", chosen.Server.ID, "Candidates", len(ready), "Tokens", q.tokens(),
+		q.relay.OnPlaced(chosen.Server.ID, q.caller.ID, q.generation(0))
+		q.log("placed", "Server", chosen.Server.ID, "Candidates", len(ready), "Tokens", q.tokens(), "Prompt", q.caller.PromptTokens, "Hint", q.caller.HintTokens,
 			"Starting", chosen.Starting, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens,
 			"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
 	}
@@ -149,14 +146,12 @@
 	if q.service.Engine == nil {
 		return 0
 	}
-	output := q.caller.HintTokens
-	if output == 0 {
-		output = assumedOutputTokens
-	}
-	if q.caller.MaxOutputTokens > 0 {
-		output = min(output, q.caller.MaxOutputTokens)
-	}
-	return q.caller.PromptTokens + output
+	return q.generation(0).ExpectedTokens()
+}
+
+// generation returns the request as a generation that has produced some tokens.
+func (q *request) generation(produced int) placement.Generation {
+	return placement.Generation{PromptTokens: q.caller.PromptTokens, ProducedTokens: produced, Output: q.output}
 }
 
 // outbound returns the request in the form in which it is sent to a server.
--- a/internal/caller/relay/events.go
+++ b/internal/caller/relay/events.go
@@ -24,6 +24,8 @@
 	pending []byte
 	// lastID is the ID of the last complete event; empty before the first one.
 	lastID string
+	// count is the number of complete events.
+	count int
 }
 
 // add adds the next bytes of the stream and returns the bytes of all events that
@@ -43,6 +45,7 @@
 	if id, ok := lastEventID(complete); ok {
 		s.lastID = id
 	}
+	s.count += bytes.Count(complete, eventEnd)
 	s.pending = append([]byte(nil), rest...)
 	return complete, nil
 }
--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -46,8 +47,8 @@
 	id string
 	// engine is the address of the engine that the stream currently comes from.
 	engine string
-	// estimate returns the current estimate for the stream.
-	estimate func() Estimate
+	// generation returns the generation of the stream as it is now.
+	generation func() placement.Generation
 
 	// latest is the newest migration; nil when there is none.
 	latest *Migration
@@ -56,13 +57,13 @@
 }
 
 // Register registers an open stream. Unregister must be called at its end.
-func (m *Migrations) Register(id, engine string, estimate func() Estimate) *Registration {
+func (m *Migrations) Register(id, engine string, generation func() placement.Generation) *Registration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.registered == nil {
 		m.registered = make(map[string]*Registration)
 	}
-	r := &Registration{migrations: m, id: id, engine: engine, estimate: estimate, changed: make(chan struct{})}
+	r := &Registration{migrations: m, id: id, engine: engine, generation: generation, changed: make(chan struct{})}
 	m.registered[id] = r
 	return r
 }
@@ -129,17 +130,8 @@
 
 // Run is a generation on an engine whose events an open stream forwards.
 type Run struct {
-	RequestID string
-	Estimate  Estimate
-}
-
-// Estimate is the expected remainder and worth of a stream.
-type Estimate struct {
-	// RemainingTokens is the number of tokens still to be generated.
-	RemainingTokens int
-	// Worth is the worth of the whole answer, in prompt tokens. It grows with the
-	// size of the answer.
-	Worth int64
+	RequestID  string
+	Generation placement.Generation
 }
 
 // RunsOn returns the runs of the open streams that come from the engine with an
@@ -150,7 +142,7 @@
 	var runs []Run
 	for _, r := range m.registered {
 		if r.engine == engine {
-			runs = append(runs, Run{RequestID: r.id, Estimate: r.estimate()})
+			runs = append(runs, Run{RequestID: r.id, Generation: r.generation()})
 		}
 	}
 	return runs
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
@@ -29,9 +30,10 @@
 	LoadTable    *placement.LoadTable
 	Migrations   *Migrations
 	Retries      *Retries
-	// OnPlaced is called when a request was placed at an engine, with the memory
-	// that the request is expected to need, in tokens.
-	OnPlaced func(server, request string, tokens int)
+	// Outputs learns how long the outputs of each route are.
+	Outputs *outputestimate.Model
+	// OnPlaced is called when a request was placed at an engine.
+	OnPlaced func(server, request string, generation placement.Generation)
 	// Bounds returns the current bounds. They may change between requests.
 	Bounds func() Bounds
 	// ShutdownAt returns the time at which the process will end, or zero while it
@@ -60,6 +62,8 @@
 	route    routetable.Route
 	service  routetable.Service
 	account  routetable.Account
+	// output is the estimate of the output of a generation.
+	output outputestimate.Estimate
 	// deadlineAt is the time by which the caller must have the final answer.
 	deadlineAt boottime.Instant
 	// arrivedAt is the time at which the request had arrived completely.
@@ -118,8 +122,8 @@
 	// engine, and tokenMillis the assumed time for each further token.
 	promptMillis = 1000
 	tokenMillis  = 18
-	// estimateFactor is how many times longer than its estimate an output may be
-	// when the caller set no maximum.
+	// estimateFactor is how many times longer than its expected length an output may
+	// be when the caller set no maximum.
 	estimateFactor = 4
 	// retryJitterShare is the largest random share that is added to a retry time.
 	retryJitterShare = 0.5
@@ -154,6 +158,9 @@
 		return Refusal{resultcode.InvalidRequest, 0}, false
 	}
 	q.deadlineAt = q.deadline()
+	if q.service.Engine != nil {
+		q.output = q.relay.Outputs.Estimate(route.Name, q.caller.HintTokens, q.caller.MaxOutputTokens)
+	}
 	return q.checkShutdown()
 }
 
@@ -175,7 +182,7 @@
 	}
 	output := q.caller.MaxOutputTokens
 	if output == 0 {
-		output = estimateFactor * (q.tokens() - q.caller.PromptTokens)
+		output = estimateFactor * q.output.Remaining(0)
 	}
 	return promptMillis + int64(output)*tokenMillis
 }
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -13,6 +13,8 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -38,8 +40,10 @@
 	// header is the header of the first answer. It is written with the first
 	// event.
 	header http.Header
-	// delivered is the number of bytes of events that were sent to the caller.
-	delivered atomic.Int64
+	// produced is the number of tokens in the events that were sent to the caller.
+	produced atomic.Int64
+	// sample records the output for the estimates of further requests.
+	sample *outputestimate.Sample
 	// resumptions counts how often the stream was resumed, at a copy of its run or
 	// as a new generation.
 	resumptions int
@@ -60,11 +64,15 @@
 // is resumed at another backend server if possible.
 func (q *request) stream(ctx context.Context, a *attempt) outcome {
 	s := &stream{request: q, attempt: a, header: platform.CallerHeader(a.call.Answer.Header)}
-	s.registration = q.relay.Migrations.Register(q.caller.ID, a.server.Address, s.estimate)
+	s.registration = q.relay.Migrations.Register(q.caller.ID, a.server.Address, s.generation)
 	defer s.registration.Unregister()
+	s.sample = q.relay.Outputs.Begin(q.route.Name, q.caller.HintTokens, q.caller.MaxOutputTokens)
+	complete := false
+	defer func() { s.sample.End(complete) }()
 	for {
 		err := s.forwardAll(ctx)
 		if err == nil {
+			complete = true
 			return s.complete()
 		}
 		s.events.discardPartial()
@@ -77,29 +85,9 @@
 	}
 }
 
-// estimate returns the current estimate for the stream. The remaining output of a
-// generation that has reached its caller's hint is estimated as a share of the
-// output so far.
-func (s *stream) estimate() Estimate {
-	const (
-		// bytesPerToken is the assumed size of an event with one token.
-		bytesPerToken = 85
-		// generatedPerRemaining is the ratio of generated to remaining tokens of a
-		// generation that has reached the caller's hint.
-		generatedPerRemaining = 2
-		// outputWorth is the worth of a generated token in prompt tokens.
-		outputWorth = 10
-	)
-	generated := int(s.delivered.Load() / bytesPerToken)
-	caller := s.request.caller
-	remaining := max(s.request.tokens()-caller.PromptTokens-generated, generated/generatedPerRemaining)
-	if caller.MaxOutputTokens > 0 {
-		remaining = min(remaining, max(caller.MaxOutputTokens-generated, 0))
-	}
-	return Estimate{
-		RemainingTokens: remaining,
-		Worth:           int64(caller.PromptTokens + outputWorth*(generated+remaining)),
-	}
+// generation returns the generation of the stream as it is now.
+func (s *stream) generation() placement.Generation {
+	return s.request.generation(int(s.produced.Load()))
 }
 
 // complete ends the caller's answer after the last event.
@@ -177,7 +165,9 @@
 	if err := s.request.exchange.Send(events); err != nil {
 		return errors.Mark(err, errCallerGone)
 	}
-	s.delivered.Add(int64(len(events)))
+	produced := s.events.count * max(s.request.service.Engine.TokensPerEvent, 1)
+	s.produced.Store(int64(produced))
+	s.sample.SetProduced(produced)
 	return nil
 }
 
@@ -201,7 +191,7 @@
 // deadline of the request applies.
 func (s *stream) setReadDeadline() error {
 	q := s.request
-	if s.delivered.Load() == 0 || !q.route.Resumable || len(q.tried) >= q.route.MaxAttempts {
+	if s.produced.Load() == 0 || !q.route.Resumable || len(q.tried) >= q.route.MaxAttempts {
 		return s.attempt.call.conn.SetReadDeadline(time.Time{})
 	}
 	return s.attempt.call.conn.SetReadDeadline(time.Now().Add(eventTimeoutMillis * time.Millisecond))
@@ -277,8 +267,9 @@
 		return nil, false
 	}
 	now := boottime.Now()
-	s.request.relay.OnPlaced(server.ID, s.request.caller.ID, s.request.tokens())
-	return &attempt{server: server, assignment: s.request.relay.LoadTable.OpenAt(server.ID, s.request.tokens(), now)}, true
+	generation := s.generation()
+	s.request.relay.OnPlaced(server.ID, s.request.caller.ID, generation)
+	return &attempt{server: server, assignment: s.request.relay.LoadTable.OpenAt(server.ID, generation.ExpectedTokens(), now)}, true
 }
 
 // serverAt returns the server with an address from the discovery list.
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -23,6 +23,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifecycle"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/watch"
@@ -149,6 +150,7 @@
 			LoadTable:    h.loadTable,
 			Migrations:   migrations,
 			Retries:      h.retries(),
+			Outputs:      &outputestimate.Model{},
 			OnPlaced:     h.watch.NotifyPlaced,
 			Metrics:      h.metrics,
 			Log:          h.Log,
--- a/internal/routing/routetable/routetable.go
+++ b/internal/routing/routetable/routetable.go
@@ -80,6 +80,9 @@
 	MemoryTokens int
 	// TokenBytes is the size of one token in that memory, in bytes.
 	TokenBytes int64
+	// TokensPerEvent is the number of tokens in one event of a stream. It is at least
+	// one.
+	TokensPerEvent int
 	// LinkMegabits is the rate of the links over which memory is copied, in
 	// megabits per second.
 	LinkMegabits float64
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -23,17 +23,9 @@
 }
 
 // newAdvice returns the advice for the monitor of an engine that is about to shut
-// down: this host's runs on the engine, and the engines that they can be migrated
-// to.
+// down: the engines that its runs can be migrated to.
 func (w *Watch) newAdvice(leaving discovery.BackendServer) *sighting.Advice {
 	advice := &sighting.Advice{}
-	for _, run := range w.Migrations.RunsOn(leaving.Address) {
-		advice.Runs = append(advice.Runs, &sighting.Run{
-			RequestId:       run.RequestID,
-			RemainingTokens: uint32(run.Estimate.RemainingTokens),
-			Worth:           uint64(run.Estimate.Worth),
-		})
-	}
 	table := w.StoreWatcher.Configuration().RouteTable
 	if table == nil {
 		return advice
--- a/internal/routing/watch/streams.go
+++ b/internal/routing/watch/streams.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 )
 
@@ -63,12 +64,24 @@
 
 // NotifyPlaced notifies an engine's monitor of a request that is being sent to the
 // engine, so that the monitor can report it to the other entry hosts at once.
-func (w *Watch) NotifyPlaced(server, request string, tokens int) {
+func (w *Watch) NotifyPlaced(server, request string, generation placement.Generation) {
 	o, ok := w.streams.find(server)
 	if !ok {
 		return
 	}
-	if err := o.send(&sighting.Advice{Placement: &sighting.Placement{Tokens: uint32(tokens), RequestId: request}}); err != nil {
+	if err := o.send(newPlacement(request, generation)); err != nil {
 		w.Log.Warn("placement not reported to engine monitor", "Server", server, "Error", err)
 	}
 }
+
+// newPlacement returns the message that announces a request at an engine.
+func newPlacement(request string, g placement.Generation) *sighting.Advice {
+	return &sighting.Advice{Placement: &sighting.Placement{
+		RequestId:      request,
+		PromptTokens:   uint32(g.PromptTokens),
+		ProducedTokens: uint32(g.ProducedTokens),
+		MedianTokens:   g.Output.MedianTokens,
+		Spread:         g.Output.Spread,
+		MaxTokens:      uint32(g.Output.MaxTokens),
+	}}
+}
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -185,6 +185,12 @@
 	if err := stream.Send(&sighting.Advice{}); err != nil {
 		return err
 	}
+	// A monitor that was restarted does not know the runs of its engine.
+	for _, run := range w.Migrations.RunsOn(server.Address) {
+		if err := stream.Send(newPlacement(run.RequestID, run.Generation)); err != nil {
+			return err
+		}
+	}
 	w.streams.open(server, stream)
 	defer w.streams.close(server.ID)
 	timeout := time.AfterFunc(receiveTimeoutMillis*time.Millisecond, stop)
