feat: moves reserve memory at the destination's monitor

Cause: on grown sites eight engines leave at once, and each was told of an eighth of the room of all destinations but its own few: runs stayed for "no room to grow" while engines that were chosen for new requests had a third of their memory free.

Ruled out: time (NoTime is rare), links (copies take their 0.2 s).

Change: destinations are no longer divided. The monitor of the leaving engine asks that of the destination, which has fresh figures and counts what it granted; the engine's advice is corrected by a refusal. The fixed reserve of 1,500 tokens goes, as the forecast counts its own deviation: a move needs room for its growth until other runs end.

--- a/internal/backend/migration/migration.go
+++ b/internal/backend/migration/migration.go
@@ -35,10 +35,9 @@
 	// destination for each run assigned to it before, when destinations are
 	// compared, as the copies of these runs queue there.
 	assignedRunPenaltyTokens = 2000
-	// reserveTokens is the memory that must stay free at a destination once all
-	// runs there have grown to their expected size. Estimates fall short, and a
-	// run that is preempted for lack of memory is processed again from its start.
-	reserveTokens = 1500
+	// maxGrowthTokens bounds the growth for which a destination must have room. Its
+	// own runs end, and free their memory, while the run grows further.
+	maxGrowthTokens = 300
 	// copyMarginTokens is the memory that a destination must have free beyond
 	// that of the copy.
 	copyMarginTokens = 200
@@ -131,12 +130,13 @@
 	return float64(worth) / float64(millis)
 }
 
-// finalTokens returns the memory that the run is expected to take at its end.
-func (r Run) finalTokens() int {
-	if r.Remaining < 0 {
-		return r.Tokens + assumedRemainingTokens
+// NeededTokens returns the spare memory that a destination must have for the run.
+func (r Run) NeededTokens() int {
+	remaining := r.Remaining
+	if remaining < 0 {
+		remaining = assumedRemainingTokens
 	}
-	return r.Tokens + r.Remaining
+	return r.Tokens + min(remaining, maxGrowthTokens)
 }
 
 // chooseDestination returns the best destination among those that have the free
--- a/internal/backend/migration/obstacle.go
+++ b/internal/backend/migration/obstacle.go
@@ -62,7 +62,7 @@
 		return NoSlot
 	case d.FreeTokens < run.Tokens+copyMarginTokens:
 		return NoMemory
-	case d.SpareTokens < run.finalTokens()+reserveTokens:
+	case d.SpareTokens < run.NeededTokens():
 		return NoRoomToGrow
 	case (Step{Run: run, Destination: d}).CopyMillis() > leavesInMillis:
 		return NoTime
--- a/internal/backend/monitor/advice.go
+++ b/internal/backend/monitor/advice.go
@@ -57,6 +57,15 @@
 	}
 }
 
+// setRoom stores what the monitor of a destination has told of its room.
+func (a *advice) setRoom(address string, r room, now boottime.Instant) {
+	advised := a.byAddress[address]
+	advised.destination.FreeTokens = r.free
+	advised.destination.SpareTokens = r.spare
+	advised.receivedAt = now
+	a.byAddress[address] = advised
+}
+
 // assign records that a run was assigned to its destination.
 func (a *advice) assign(step migration.Step, now boottime.Instant) {
 	a.assigned = append(a.assigned, assignedRun{step: step, at: now})
--- a/internal/backend/monitor/forecast.go
+++ b/internal/backend/monitor/forecast.go
@@ -13,6 +13,9 @@
 	// arrivalMillis is the time within which a placed request appears in the
 	// engine's report. After it the request is taken not to arrive.
 	arrivalMillis = 1500
+	// copyBeginsMillis is the time after a reservation within which the copy begins
+	// and appears in the engine's report.
+	copyBeginsMillis = 120
 	// forecastDeviations is the number of standard deviations above its mean to
 	// which the memory of the engine is forecast.
 	forecastDeviations = 1.0
@@ -36,14 +39,26 @@
 	produced int
 	output   outputestimate.Estimate
 	placedAt boottime.Instant
+	// reserved says that the monitor of another engine announced the request, whose
+	// memory is yet to be copied.
+	reserved bool
 }
 
 // add stores an entry host's announcement of a request.
 func (f *forecasts) add(p *sighting.Placement, now boottime.Instant) {
+	f.put(p.GetRequestId(), newAnnounced(p, now))
+}
+
+func (f *forecasts) put(id string, request announced) {
 	if f.all == nil {
 		f.all = make(map[string]announced)
 	}
-	f.all[p.GetRequestId()] = announced{
+	f.all[id] = request
+}
+
+// newAnnounced decodes an announcement.
+func newAnnounced(p *sighting.Placement, now boottime.Instant) announced {
+	return announced{
 		promptTokens: int(p.GetPromptTokens()),
 		produced:     int(p.GetProducedTokens()),
 		output: outputestimate.Estimate{
@@ -79,8 +94,13 @@
 // expected returns the most memory that all running and arriving requests will take
 // at one time.
 func (f *forecasts) expected(report platform.EngineReport, now boottime.Instant) int {
+	return f.peakWith(report, now)
+}
+
+// peakWith is like expected, with further runs.
+func (f *forecasts) peakWith(report platform.EngineReport, now boottime.Instant, further ...memoryforecast.Run) int {
 	running := runningIDs(report)
-	runs := make([]memoryforecast.Run, 0, len(report.Runs)+len(f.all))
+	runs := append(make([]memoryforecast.Run, 0, len(report.Runs)+len(f.all)+len(further)), further...)
 	fixed := report.UsedTokens
 	for _, run := range report.Runs {
 		runs = append(runs, f.run(run))
@@ -88,7 +108,7 @@
 	}
 	for id, request := range f.all {
 		if !running[id] && now.MillisSince(request.placedAt) <= arrivalMillis {
-			runs = append(runs, request.arriving())
+			runs = append(runs, request.arriving(now))
 		}
 	}
 	return memoryforecast.Peak(runs, max(fixed, 0), forecastDeviations)
@@ -108,12 +128,27 @@
 }
 
 // arriving returns an announced request that the engine does not report yet. The
-// memory of a migrated one is already there, as a copy.
-func (a announced) arriving() memoryforecast.Run {
-	if a.produced > 0 {
-		return memoryforecast.Run{Produced: a.produced, Output: a.output}
+// memory of a migrated one is already there, as a copy, once the copy has begun.
+func (a announced) arriving(now boottime.Instant) memoryforecast.Run {
+	run := memoryforecast.Run{Produced: a.produced, Output: a.output}
+	copied := a.produced > 0 && (!a.reserved || now.MillisSince(a.placedAt) > copyBeginsMillis)
+	if !copied {
+		run.Tokens = a.promptTokens + a.produced
+	}
+	return run
+}
+
+// arrivingTokens returns the memory that announced requests will take as soon as
+// they arrive.
+func (f *forecasts) arrivingTokens(report platform.EngineReport, now boottime.Instant) int {
+	running := runningIDs(report)
+	total := 0
+	for id, request := range f.all {
+		if !running[id] && now.MillisSince(request.placedAt) <= arrivalMillis {
+			total += request.arriving(now).Tokens
+		}
 	}
-	return memoryforecast.Run{Tokens: a.promptTokens, Output: a.output}
+	return total
 }
 
 // migratable returns a run of the engine for the decision whether to migrate it.
--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -62,6 +62,10 @@
 			boottime.Pause(ctx, replanMillis)
 			continue
 		}
+		if !m.reserve(ctx, step) {
+			continue
+		}
+		m.assign(step)
 		attempts[step.Run.RequestID]++
 		if m.migrate(ctx, step, left) {
 			attempts[step.Run.RequestID] = maxAttempts
@@ -74,15 +78,19 @@
 func (m *Monitor) nextStep(attempts map[string]int, left int64) (migration.Step, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := boottime.Now()
 	runs, destinations := m.migratable(attempts), m.advice.destinations()
 	step, ok := migration.Next(runs, destinations, left)
-	if ok {
-		m.advice.assign(step, now)
-		return step, true
+	if !ok {
+		m.recordObstacles(runs, destinations, left)
 	}
-	m.recordObstacles(runs, destinations, left)
-	return step, false
+	return step, ok
+}
+
+// assign records that a run was assigned to its destination.
+func (m *Monitor) assign(step migration.Step) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advice.assign(step, boottime.Now())
 }
 
 // recordObstacles stores why none of the runs can be migrated now. The caller holds
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -39,6 +39,8 @@
 	// EngineAddress is host and port of the engine.
 	EngineAddress string
 	Engines       *platform.Engines
+	// PeerPort is the port of the monitors of all engines.
+	PeerPort int
 	// KeepRuns says that running generations are not migrated when the engine
 	// shuts down.
 	KeepRuns bool
--- /dev/null
+++ b/internal/backend/monitor/reservation.go
@@ -0,0 +1,115 @@
+package monitor
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/memoryforecast"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/migration"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
+)
+
+// reserveTimeoutMillis bounds a reservation at another monitor.
+const reserveTimeoutMillis = 150
+
+// Reserve serves the monitor of an engine that is about to shut down. It grants the
+// migration of a run to this engine if the engine has the memory for the run and for
+// what it will still generate.
+func (m *Monitor) Reserve(_ context.Context, p *sighting.Placement) (*sighting.Room, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	before := m.room(now)
+	request := newAnnounced(p, now)
+	request.reserved = true
+	tokens := request.promptTokens + request.produced
+	peak := m.forecasts.peakWith(m.latest, now, memoryforecast.Run{Tokens: tokens, Produced: request.produced, Output: request.output})
+	granted := m.leavesAt == 0 && m.reportedAt != 0 && before.free >= tokens && peak <= m.latest.TotalTokens
+	if granted {
+		m.forecasts.put(p.GetRequestId(), request)
+	}
+	m.Log.Info("reservation decided", "Request", p.GetRequestId(), "Granted", granted, "Tokens", tokens,
+		"FreeTokens", before.free, "PeakTokens", peak, "TotalTokens", m.latest.TotalTokens,
+		"ReportMillis", now.MillisSince(m.reportedAt), "Leaving", m.leavesAt != 0)
+	return &sighting.Room{
+		Granted:     granted,
+		FreeTokens:  uint32(max(before.free, 0)),
+		SpareTokens: uint32(max(before.spare, 0)),
+	}, nil
+}
+
+// room is the memory of an engine that is not taken.
+type room struct {
+	// free is the memory that is free now, without what is reserved.
+	free int
+	// spare is the memory that stays free once all requests have grown to their
+	// expected size.
+	spare int
+}
+
+// room returns the engine's room. The caller holds the mutex.
+func (m *Monitor) room(now boottime.Instant) room {
+	return room{
+		free:  m.latest.TotalTokens - m.latest.UsedTokens - m.forecasts.arrivingTokens(m.latest, now),
+		spare: m.latest.TotalTokens - m.forecasts.expected(m.latest, now),
+	}
+}
+
+// reserve asks the monitor of the destination for memory. Without an answer, the
+// migration goes on, as the engine itself refuses a copy that it has no memory for.
+func (m *Monitor) reserve(ctx context.Context, step migration.Step) bool {
+	host, _, err := net.SplitHostPort(step.Destination.Address)
+	if err != nil {
+		m.Log.Warn("destination has no valid address", "Destination", step.Destination.Address, "Error", err)
+		return false
+	}
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(reserveTimeoutMillis*time.Millisecond))
+	defer stop()
+	reply, err := transport.Call(ctx, net.JoinHostPort(host, strconv.Itoa(m.PeerPort)),
+		func(ctx context.Context, conn drpc.Conn) (*sighting.Room, error) {
+			return sighting.NewDRPCLookoutClient(conn).Reserve(ctx, m.reservation(step.Run))
+		})
+	if err != nil {
+		m.Log.Warn("memory not reserved at destination", "Request", step.Run.RequestID, "Destination", step.Destination.Address, "Error", err)
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !reply.GetGranted() {
+		m.advice.setRoom(step.Destination.Address, refusedRoom(step.Run, reply), boottime.Now())
+	}
+	return reply.GetGranted()
+}
+
+// refusedRoom returns the room of a destination that refused a run, so that it is
+// not asked again for a run of that size until there is newer advice.
+func refusedRoom(run migration.Run, reply *sighting.Room) room {
+	return room{
+		free:  int(reply.GetFreeTokens()),
+		spare: min(int(reply.GetSpareTokens()), run.NeededTokens()-1),
+	}
+}
+
+// reservation returns the message that announces a run at its destination.
+func (m *Monitor) reservation(run migration.Run) *sighting.Placement {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	request, ok := m.forecasts.all[run.RequestID]
+	if !ok {
+		request = announced{promptTokens: run.Tokens, output: unknownOutput}
+	}
+	return &sighting.Placement{
+		RequestId:      run.RequestID,
+		PromptTokens:   uint32(request.promptTokens),
+		ProducedTokens: uint32(max(run.Tokens-request.promptTokens, 0)),
+		MedianTokens:   request.output.MedianTokens,
+		Spread:         request.output.Spread,
+		MaxTokens:      uint32(request.output.MaxTokens),
+	}
+}
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -43,6 +43,7 @@
 	engineMonitor := &monitor.Monitor{
 		EngineAddress: h.Settings.EngineAddress,
 		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP()},
+		PeerPort:      h.Settings.PeerPort,
 		KeepRuns:      h.Settings.KeepRuns,
 		Metrics:       registry,
 		Log:           h.Log,
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -36,25 +36,17 @@
 	}
 	capacities := w.LoadTable.FreeCapacity(w.StoreWatcher.Servers().List.Ready(leaving.Service, boottime.Now()), service)
 	assigned := w.assignDestinations(leaving, capacities)
-	leavingCount := max(len(w.LoadTable.LeavingEngines()), 1)
 	for _, capacity := range capacities {
 		if capacity.Server.ID == leaving.ID {
 			continue
 		}
-		contended := assigned[capacity.Server.ID] != leaving.ID
-		if contended {
-			// The other leaving engines are advised of the same free memory, so
-			// each is advised of an equal share.
-			capacity.FreeTokens /= leavingCount
-			capacity.SpareTokens /= leavingCount
-		}
 		advice.Destinations = append(advice.Destinations, &sighting.Destination{
 			Address:     capacity.Server.Address,
 			FreeTokens:  uint32(max(capacity.FreeTokens, 0)),
 			SpareTokens: uint32(max(capacity.SpareTokens, 0)),
 			FreeSlots:   uint32(max(capacity.FreeSlots, 0)),
 			SameZone:    capacity.Server.Zone == leaving.Zone,
-			Contended:   contended,
+			Contended:   assigned[capacity.Server.ID] != leaving.ID,
 
 			CopyTokensPerSecond: uint32(service.Engine.CopyTokensPerSecond()),
 		})
