feat: requests wait for memory at the engines' monitors

Ruled out: preemption as the main cause of late first events (it is rare once room is asked for).

Change: a request for an engine is placed only where there is room: memory for the forecast peak (short requests: for the next moments only) beside what the runs of leaving engines will need, a slot, and time for the prompts ahead of it (time for each prompt token is learnt). Otherwise it waits at the entry host (placementqueue: account, route, time left; a small request passes a large one) while it can be on time, and is refused then (EnginesFull, 503). The engine's monitor has the last word (Reserve on the watch stream). An engine without a report has no room while others report.

--- a/internal/backend/memoryforecast/memoryforecast.go
+++ b/internal/backend/memoryforecast/memoryforecast.go
@@ -27,8 +27,25 @@
 // memory that no run frees. It is the highest value over time of the expected memory
 // plus a number of standard deviations.
 func Peak(runs []Run, fixed int, deviations float64) int {
+	return peakUntil(runs, fixed, deviations, horizons[len(horizons)-1])
+}
+
+// NearPeak is like Peak, for the time in which each run produces ShortOutputTokens.
+func NearPeak(runs []Run, fixed int, deviations float64) int {
+	return peakUntil(runs, fixed, deviations, ShortOutputTokens)
+}
+
+// ShortOutputTokens is the output up to which a request is short: it ends before the
+// other runs have grown much.
+const ShortOutputTokens = 64
+
+// peakUntil returns the highest forecast up to a horizon.
+func peakUntil(runs []Run, fixed int, deviations float64, last int) int {
 	highest := 0.0
 	for _, ahead := range horizons {
+		if ahead > last {
+			break
+		}
 		mean, variance := 0.0, 0.0
 		for _, run := range runs {
 			alive := run.Output.Reaches(run.Produced, ahead)
--- a/internal/backend/monitor/forecast.go
+++ b/internal/backend/monitor/forecast.go
@@ -99,9 +99,39 @@
 
 // peakWith is like expected, with further runs.
 func (f *forecasts) peakWith(report platform.EngineReport, now boottime.Instant, further ...memoryforecast.Run) int {
+	runs, fixed := f.runs(report, now)
+	return memoryforecast.Peak(append(runs, further...), fixed, forecastDeviations)
+}
+
+// near returns the most memory that will be taken while a short request runs.
+func (f *forecasts) near(report platform.EngineReport, now boottime.Instant) int {
+	runs, fixed := f.runs(report, now)
+	return memoryforecast.NearPeak(runs, fixed, forecastDeviations)
+}
+
+// unreadTokens returns the prompts of the requests that have produced no event yet.
+func (f *forecasts) unreadTokens(report platform.EngineReport, now boottime.Instant) int {
+	total := 0
+	running := runningIDs(report)
+	for _, run := range report.Runs {
+		if request, ok := f.all[run.RequestID]; ok && run.Events == 0 {
+			total += request.promptTokens
+		}
+	}
+	for id, request := range f.all {
+		if !running[id] && request.produced == 0 && now.MillisSince(request.placedAt) <= arrivalMillis {
+			total += request.promptTokens
+		}
+	}
+	return total
+}
+
+// runs returns the running and the arriving requests, and the memory that no run
+// frees.
+func (f *forecasts) runs(report platform.EngineReport, now boottime.Instant) (runs []memoryforecast.Run, fixed int) {
 	running := runningIDs(report)
-	runs := append(make([]memoryforecast.Run, 0, len(report.Runs)+len(f.all)+len(further)), further...)
-	fixed := report.UsedTokens
+	runs = make([]memoryforecast.Run, 0, len(report.Runs)+len(f.all)+1)
+	fixed = report.UsedTokens
 	for _, run := range report.Runs {
 		runs = append(runs, f.run(run))
 		fixed -= run.Tokens
@@ -111,7 +141,7 @@
 			runs = append(runs, request.arriving(now))
 		}
 	}
-	return memoryforecast.Peak(runs, max(fixed, 0), forecastDeviations)
+	return runs, max(fixed, 0)
 }
 
 // run returns a run of the engine with its announced output.
--- a/internal/backend/monitor/load.go
+++ b/internal/backend/monitor/load.go
@@ -15,13 +15,16 @@
 
 // load returns the message with the engine's load. The caller holds the mutex.
 func (m *Monitor) load(report platform.EngineReport) *sighting.Sighting {
+	now := boottime.Now()
 	return &sighting.Sighting{Load: &sighting.Load{
 		Running:    uint32(report.Running),
 		Queued:     uint32(report.Queued),
 		UsedTokens: uint32(report.UsedTokens),
 		Starting:   uint32(starting(report)),
 
-		ExpectedTokens: uint32(m.forecasts.expected(report, boottime.Now())),
+		ExpectedTokens: uint32(m.forecasts.expected(report, now)),
+		NearTokens:     uint32(m.forecasts.near(report, now)),
+		UnreadTokens:   uint32(m.forecasts.unreadTokens(report, now)),
 	}}
 }
 
--- a/internal/backend/monitor/reservation.go
+++ b/internal/backend/monitor/reservation.go
@@ -24,10 +24,37 @@
 func (m *Monitor) Reserve(_ context.Context, p *sighting.Placement) (*sighting.Room, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.decideReservation(p, true), nil
+}
+
+// answerReservation decides on a new request of an entry host, answers the host and
+// reports the engine's load: to all hosts when the request is about to arrive.
+func (m *Monitor) answerReservation(w *watcher, p *sighting.Placement) {
+	m.mu.Lock()
+	reply := m.decideReservation(p, false)
+	if reply.GetGranted() {
+		m.placed++
+	}
+	report := m.latest
+	report.Queued += m.placed
+	load := m.load(report)
+	m.mu.Unlock()
+	m.send(w, &sighting.Sighting{Room: reply})
+	if reply.GetGranted() {
+		m.publish(load)
+		return
+	}
+	m.send(w, load)
+}
+
+// decideReservation grants memory for a request if the engine has it. The argument copied says
+// that the memory of the request will be copied from another engine. The caller
+// holds the mutex.
+func (m *Monitor) decideReservation(p *sighting.Placement, copied bool) *sighting.Room {
 	now := boottime.Now()
 	before := m.room(now)
 	request := newAnnounced(p, now)
-	request.reserved = true
+	request.reserved = copied
 	tokens := request.promptTokens + request.produced
 	peak := m.forecasts.peakWith(m.latest, now, memoryforecast.Run{Tokens: tokens, Produced: request.produced, Output: request.output})
 	granted := m.leavesAt == 0 && m.reportedAt != 0 && before.free >= tokens && peak <= m.latest.TotalTokens
@@ -36,12 +63,13 @@
 	}
 	m.Log.Info("reservation decided", "Request", p.GetRequestId(), "Granted", granted, "Tokens", tokens,
 		"FreeTokens", before.free, "PeakTokens", peak, "TotalTokens", m.latest.TotalTokens,
-		"ReportMillis", now.MillisSince(m.reportedAt), "Leaving", m.leavesAt != 0)
+		"ReportMillis", now.MillisSince(m.reportedAt), "Leaving", m.leavesAt != 0, "Copied", copied)
 	return &sighting.Room{
+		RequestId:   p.GetRequestId(),
 		Granted:     granted,
 		FreeTokens:  uint32(max(before.free, 0)),
 		SpareTokens: uint32(max(before.spare, 0)),
-	}, nil
+	}
 }
 
 // room is the memory of an engine that is not taken.
--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -12,18 +12,39 @@
 func (m *Monitor) publish(s *sighting.Sighting) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.identifySighting(s)
+	for w := range m.watchers {
+		m.enqueue(w, s)
+	}
+}
+
+// send queues a message for one watching entry host.
+func (m *Monitor) send(w *watcher, s *sighting.Sighting) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.identifySighting(s)
+	if _, watching := m.watchers[w]; watching {
+		m.enqueue(w, s)
+	}
+}
+
+// identifySighting adds the engine's identity to a message. The caller holds the mutex.
+func (m *Monitor) identifySighting(s *sighting.Sighting) {
 	s.EngineBornUnixMillis = m.latest.BornUnixMillis
 	s.EngineId = m.engineID
 	if s.GetLoad() != nil {
 		s.Load.Watchers = uint32(len(m.watchers))
 	}
-	for w := range m.watchers {
-		select {
-		case w.outbox <- s:
-		default:
-			delete(m.watchers, w)
-			close(w.outbox)
-		}
+}
+
+// enqueue puts a message into a watcher's outbox, or removes a watcher whose outbox is
+// full. The caller holds the mutex.
+func (m *Monitor) enqueue(w *watcher, s *sighting.Sighting) {
+	select {
+	case w.outbox <- s:
+	default:
+		delete(m.watchers, w)
+		close(w.outbox)
 	}
 }
 
@@ -39,9 +60,13 @@
 				m.removeWatcher(w)
 				return err
 			}
-			if message.GetPlacement() != nil {
+			switch {
+			case message.GetPlacement() != nil:
 				m.addPlacement(message.GetPlacement())
 				continue
+			case message.GetReservation() != nil:
+				m.answerReservation(w, message.GetReservation())
+				continue
 			}
 			m.storeAdvice(message)
 		}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -61,7 +61,7 @@
 		last = q.attempt(ctx)
 		result = conclusive(result, last)
 		switch last.(type) {
-		case unplaced:
+		case unplaced, noRoom:
 			q.finish(ctx, result)
 			return
 		case unreached, superseded:
@@ -87,9 +87,9 @@
 
 // attempt sends the request to one backend server and returns the outcome.
 func (q *request) attempt(ctx context.Context) outcome {
-	a, ok := q.place()
-	if !ok {
-		return unplaced{}
+	a, refused := q.placeWithRoom(ctx)
+	if a == nil {
+		return refused
 	}
 	q.tried[a.server.ID] = true
 	call, err := Open(ctx, q.outbound(a.server, platform.ServerRequest{LastEvent: q.caller.LastEvent}))
@@ -121,25 +121,6 @@
 	return q.bufferAnswer(a)
 }
 
-// place selects a backend server and opens an assignment there. It returns false
-// when no server can take the request.
-func (q *request) place() (*attempt, bool) {
-	now := boottime.Now()
-	ready := q.relay.StoreWatcher.Servers().List.Ready(q.service.Name, now)
-	placed := q.relay.LoadTable.Place(ready, placement.Request{Service: q.service, Tokens: q.tokens(), Tried: q.tried}, now)
-	if placed.Assignment == nil {
-		return nil, false
-	}
-	chosen := placed.Chosen
-	if q.service.Engine != nil {
-		q.relay.OnPlaced(chosen.Server.ID, q.caller.ID, q.generation(0))
-		q.log("placed", "Server", chosen.Server.ID, "Candidates", len(ready), "Tokens", q.tokens(), "Prompt", q.caller.PromptTokens, "Hint", q.caller.HintTokens,
-			"Starting", chosen.Starting, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens,
-			"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
-	}
-	return &attempt{server: chosen.Server, assignment: placed.Assignment}, true
-}
-
 // tokens returns the memory that the request is expected to need, in tokens; zero
 // for a plain service.
 func (q *request) tokens() int {
@@ -177,11 +158,15 @@
 // none is configured.
 func (q *request) priority() int {
 	const levelsPerAccount = 3
-	account := 1
+	return min(q.accountPriority()*levelsPerAccount+min(q.route.Priority, levelsPerAccount-1), lowestPriority)
+}
+
+// accountPriority returns the priority of the request's client account.
+func (q *request) accountPriority() int {
 	if q.account.HasPriority {
-		account = q.account.Priority
+		return q.account.Priority
 	}
-	return min(account*levelsPerAccount+min(q.route.Priority, levelsPerAccount-1), lowestPriority)
+	return 1
 }
 
 // bufferAnswer reads an answer completely.
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -17,6 +17,9 @@
 // unplaced says that no backend server can take the request.
 type unplaced struct{}
 
+// noRoom says that no engine had room for the request while it could be on time.
+type noRoom struct{}
+
 // unreached says that no connection to the server was made, so nothing was sent.
 type unreached struct{ err error }
 
@@ -42,6 +45,7 @@
 type streamed struct{}
 
 func (unplaced) outcome()   {}
+func (noRoom) outcome()     {}
 func (unreached) outcome()  {}
 func (superseded) outcome() {}
 func (declined) outcome()   {}
@@ -131,6 +135,8 @@
 		q.countAnswered()
 		q.exchange.Respond(o.status, o.header, o.body)
 	case streamed:
+	case noRoom:
+		q.refuse(Refusal{resultcode.EnginesFull, noRoomRetryMillis})
 	case lost:
 		code := resultcode.ReplyLost
 		if ctx.Err() != nil {
--- /dev/null
+++ b/internal/caller/relay/place.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/memoryforecast"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
+)
+
+const (
+	// unknownAimShare is the share of the time until the deadline that is taken as the
+	// aim of a route without one.
+	unknownAimShare = 0.1
+)
+
+// placeWithRoom selects a backend server and opens an assignment there. A request for
+// an engine waits until one has room for it, as long as it can still be on time. It
+// returns the outcome of the request when no server can take it.
+func (q *request) placeWithRoom(ctx context.Context) (*attempt, outcome) {
+	if q.service.Engine == nil {
+		return q.placeAnywhere()
+	}
+	aim, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(q.aimAt().MillisSince(boottime.Now()))*time.Millisecond))
+	defer stop()
+	for {
+		placed, ok := q.awaitRoom(aim)
+		if !ok {
+			q.log("no engine has room", "Tokens", q.tokens(), "Waiting", q.relay.Waiting.Length(),
+				"ExpectedTokens", placed.Chosen.ExpectedTokens, "KeptTokens", placed.Chosen.KeptTokens)
+			return nil, noRoom{}
+		}
+		if placed.Assignment == nil {
+			return nil, unplaced{}
+		}
+		server := placed.Chosen.Server
+		if q.relay.Reserve(ctx, server.ID, q.caller.ID, q.generation(0)) {
+			q.logPlaced(placed.Chosen)
+			return &attempt{server: server, assignment: placed.Assignment}, nil
+		}
+		placed.Assignment.Cancel()
+	}
+}
+
+// awaitRoom waits for an engine with room until ctx ends, which it reports as false. The
+// placement has no assignment when no engine could take the request at all.
+func (q *request) awaitRoom(ctx context.Context) (placement.Placement, bool) {
+	var placed placement.Placement
+	ok := q.relay.Waiting.Wait(ctx, q.rank(), func() bool {
+		placed = q.place(true)
+		return !placed.NoRoom
+	})
+	return placed, ok
+}
+
+// placeAnywhere selects a backend server, if need be an engine without room.
+func (q *request) placeAnywhere() (*attempt, outcome) {
+	placed := q.place(false)
+	if placed.Assignment == nil {
+		return nil, unplaced{}
+	}
+	if q.service.Engine != nil {
+		q.relay.OnPlaced(placed.Chosen.Server.ID, q.caller.ID, q.generation(0))
+		q.logPlaced(placed.Chosen)
+	}
+	return &attempt{server: placed.Chosen.Server, assignment: placed.Assignment}, nil
+}
+
+func (q *request) place(roomOnly bool) placement.Placement {
+	now := boottime.Now()
+	ready := q.relay.StoreWatcher.Servers().List.Ready(q.service.Name, now)
+	return q.relay.LoadTable.Place(ready, placement.Request{
+		Service:      q.service,
+		Tokens:       q.tokens(),
+		PromptTokens: q.caller.PromptTokens,
+		Short:        q.output.Remaining(0) <= memoryforecast.ShortOutputTokens,
+		StartBy:      q.startBy(),
+		Tried:        q.tried,
+		RoomOnly:     roomOnly,
+	}, now)
+}
+
+func (q *request) logPlaced(chosen placement.Candidate) {
+	q.log("placed", "Server", chosen.Server.ID, "Tokens", q.tokens(), "Prompt", q.caller.PromptTokens, "Hint", q.caller.HintTokens,
+		"Starting", chosen.Starting, "UnreadTokens", chosen.UnreadTokens, "HasRoom", chosen.HasRoom, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens,
+		"KeptTokens", chosen.KeptTokens, "SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
+}
+
+// rank returns the order of the request among those that wait for room.
+func (q *request) rank() placementqueue.Rank {
+	return placementqueue.Rank{Account: q.accountPriority(), Route: q.route.Priority, AimAt: q.startBy()}
+}
+
+// startBy returns the time by which the first event should come.
+func (q *request) startBy() boottime.Instant {
+	aim := q.route.FirstEventMillis
+	if aim == 0 {
+		aim = int64(unknownAimShare * float64(q.deadlineAt.MillisSince(q.arrivedAt)))
+	}
+	return q.arrivedAt.AddMillis(aim)
+}
+
+// aimAt returns the time by which the request must be placed for its first event to be
+// on time, at an engine that has no other prompt to process.
+func (q *request) aimAt() boottime.Instant {
+	startBy := q.startBy()
+	return max(startBy.AddMillis(-q.relay.LoadTable.PromptMillis(q.caller.PromptTokens)), q.arrivedAt)
+}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -8,6 +8,7 @@
 package relay
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -32,6 +34,11 @@
 	Retries      *Retries
 	// Outputs learns how long the outputs of each route are.
 	Outputs *outputestimate.Model
+	// Waiting holds the requests that wait for room at an engine.
+	Waiting *placementqueue.Queue
+	// Reserve asks an engine for the memory that a request needs. It returns false
+	// when the engine has none.
+	Reserve func(ctx context.Context, server, request string, generation placement.Generation) bool
 	// OnPlaced is called when a request was placed at an engine.
 	OnPlaced func(server, request string, generation placement.Generation)
 	// Bounds returns the current bounds. They may change between requests.
@@ -112,6 +119,8 @@
 	// It exceeds the usual interval of the heartbeats with which backend servers
 	// renew their entries in the platform's store.
 	noBackendRetryMillis = 1300
+	// noRoomRetryMillis is the retry time when no engine has room.
+	noRoomRetryMillis = 1000
 	// stoppingRetryMillis is the retry time of a process that is shutting down;
 	// the retry goes to another entry host.
 	stoppingRetryMillis = 50
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -177,7 +177,7 @@
 		s.series = s.request.series()
 		s.firstMillis = now.MillisSince(s.request.arrivedAt)
 		s.series.FirstToken(time.Duration(s.firstMillis) * time.Millisecond)
-		s.attempt.assignment.MarkStarted()
+		s.attempt.assignment.MarkStarted(now)
 	} else {
 		pause := now.MillisSince(s.lastEventAt)
 		s.series.BetweenTokens(time.Duration(pause) * time.Millisecond)
@@ -211,8 +211,8 @@
 	if !q.allowRetry(lost{cause}) {
 		return false
 	}
-	next, ok := q.place()
-	if !ok {
+	next, _ := q.placeAnywhere()
+	if next == nil {
 		return false
 	}
 	q.tried[next.server.ID] = true
--- a/internal/result/resultcode/table.go
+++ b/internal/result/resultcode/table.go
@@ -55,6 +55,9 @@
 	// ConfigurationStale means that the configuration is too old for the request
 	// to be accepted.
 	ConfigurationStale Code = 218
+	// EnginesFull means that no engine had memory for the request while it could
+	// still be on time.
+	EnginesFull Code = 219
 
 	// GenerationLost means that the generation was lost together with its owner.
 	GenerationLost Code = 300
@@ -105,6 +108,7 @@
 	{UnknownRequest, "UnknownRequest", NotRun, RepeatNever, http.StatusNotFound, false, "No decision record of the request is held here."},
 	{KeyUnknown, "KeyUnknown", NotRun, RepeatNever, http.StatusUnauthorized, false, "No client account holds the key."},
 	{ConfigurationStale, "ConfigurationStale", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The configuration is too old to vouch for the request."},
+	{EnginesFull, "EnginesFull", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "No engine has memory for the request."},
 
 	{GenerationLost, "GenerationLost", Unknown, RepeatWithKey, http.StatusBadGateway, false, "The generation was lost with its owner; what was delivered is not continued."},
 	{OwnerSilent, "OwnerSilent", Unknown, RepeatWithKey, http.StatusGatewayTimeout, true, "The owner may have run the request and does not answer."},
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
@@ -39,7 +40,8 @@
 	// reports holds the newest report of each engine, by server ID.
 	reports map[string]Report
 	// leaving holds the shutdown times of engines, by server ID.
-	leaving map[string]boottime.Instant
+	leaving    map[string]boottime.Instant
+	promptRate promptRate
 	// avoided holds the times until which servers get no request unless there
 	// is no other, by server ID.
 	avoided map[string]boottime.Instant
@@ -62,7 +64,10 @@
 	server string
 	// tokens is the memory that the request is expected to need.
 	tokens int
-	sentAt boottime.Instant
+	// promptTokens is the size of the prompt if no other prompt was ahead of it; zero
+	// otherwise.
+	promptTokens int
+	sentAt       boottime.Instant
 	// started says that the server has sent the first event of the answer.
 	started bool
 }
@@ -73,8 +78,17 @@
 	// Tokens is the memory that the request is expected to need; zero for a
 	// plain service.
 	Tokens int
+	// PromptTokens is the size of the prompt.
+	PromptTokens int
+	// Short says that the output is so short that the request ends before the other
+	// runs of its engine have grown much.
+	Short bool
+	// StartBy is the time by which the first event should come; zero means no limit.
+	StartBy boottime.Instant
 	// Tried holds the IDs of the servers that the request was already sent to.
 	Tried map[string]bool
+	// RoomOnly says that the request is not placed at an engine without room.
+	RoomOnly bool
 }
 
 // Placement is the result of placing a Request.
@@ -84,6 +98,9 @@
 	// Assignment is the open assignment at the chosen server; it is nil when no
 	// server can take the request.
 	Assignment *Assignment
+	// NoRoom says that there are engines that could take the request, but none with
+	// room.
+	NoRoom bool
 }
 
 // Place selects one of the ready backend servers and opens an assignment there.
@@ -96,12 +113,68 @@
 		candidates[i] = l.newCandidate(server, request, now)
 		jitter[i] = rand.Float64()
 	}
+	l.keepForMigrations(candidates, request.Service, now)
+	l.checkRoom(candidates, request, now)
 	l.turn++
 	best, ok := chooseBy(l.Policy, candidates, request.Tokens, jitter, l.turn)
 	if !ok {
 		return Placement{}
 	}
-	return Placement{Chosen: candidates[best], Assignment: l.open(ready[best].ID, request.Tokens, now)}
+	if request.RoomOnly && candidates[best].usable() && !candidates[best].HasRoom {
+		return Placement{Chosen: candidates[best], NoRoom: true}
+	}
+	assignment := l.open(ready[best].ID, request.Tokens, now)
+	if candidates[best].UnreadTokens == 0 {
+		assignment.promptTokens = request.PromptTokens
+	}
+	return Placement{Chosen: candidates[best], Assignment: assignment}
+}
+
+// keepForMigrations divides the memory of the runs on engines that are about to shut
+// down among the engines that can take these runs. The caller holds the mutex.
+func (l *LoadTable) keepForMigrations(candidates []Candidate, service routetable.Service, now boottime.Instant) {
+	moving := 0
+	for id, leavesAt := range l.leaving {
+		if report, ok := l.reports[id]; ok && report.Service == service.Name && now.Before(leavesAt) {
+			moving += report.UsedTokens
+		}
+	}
+	usable := 0
+	for _, c := range candidates {
+		if c.usable() {
+			usable++
+		}
+	}
+	for i := range candidates {
+		candidates[i].KeptTokens = moving / max(usable, 1)
+	}
+}
+
+// checkRoom sets which of the candidates have room for the request. An engine without a
+// report has none as long as there are others with one, as all entry hosts would take an
+// engine that has just started for idle. The caller holds the mutex.
+func (l *LoadTable) checkRoom(candidates []Candidate, request Request, now boottime.Instant) {
+	reported := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.usable() && c.ReportMillis >= 0 })
+	for i, c := range candidates {
+		candidates[i].HasRoom = c.fits(request) && l.startsInTime(c, request, now) && (c.ReportMillis >= 0 || !reported)
+	}
+}
+
+// startsInTime reports whether the first event of the request would come in time,
+// after the prompts that the engine has yet to process. The caller holds the mutex.
+func (l *LoadTable) startsInTime(c Candidate, request Request, now boottime.Instant) bool {
+	if request.StartBy == 0 || c.UnreadTokens == 0 {
+		return true
+	}
+	millis := l.promptRate.millisPerToken() * float64(c.UnreadTokens+request.PromptTokens)
+	return now.AddMillis(int64(millis)) <= request.StartBy
+}
+
+// PromptMillis returns the usual time to the first event after a prompt.
+func (l *LoadTable) PromptMillis(tokens int) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.promptRate.millisPerToken() * float64(tokens))
 }
 
 // Candidate returns a server with its current load.
@@ -125,11 +198,21 @@
 	return assignment
 }
 
+// Cancel closes the assignment of a request that was not sent.
+func (a *Assignment) Cancel() {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	delete(a.table.server(a.server).assignments, a)
+}
+
 // MarkStarted records that the server has sent the first event of the answer.
-func (a *Assignment) MarkStarted() {
+func (a *Assignment) MarkStarted(now boottime.Instant) {
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	a.started = true
+	if a.promptTokens > 0 {
+		a.table.promptRate.add(now.MillisSince(a.sentAt), a.promptTokens)
+	}
 }
 
 // End closes the assignment. The argument failed says that the server failed the
@@ -216,8 +299,10 @@
 		c.ExpectedTokens += assignment.tokens
 		if !assignment.started {
 			c.Starting++
+			c.UnreadTokens += assignment.tokens
 		}
 	}
+	c.NearTokens = c.ExpectedTokens
 	return c
 }
 
@@ -228,11 +313,15 @@
 	c.Queued = report.Queued
 	c.UsedTokens = report.UsedTokens
 	c.ExpectedTokens = report.ExpectedTokens
+	c.NearTokens = report.NearTokens
+	c.UnreadTokens = report.UnreadTokens
 	c.Starting = report.Starting
 	for assignment := range state.assignments {
 		if report.ReceivedAt.Before(assignment.sentAt) {
 			c.UsedTokens += assignment.tokens
 			c.ExpectedTokens += assignment.tokens
+			c.NearTokens += assignment.tokens
+			c.UnreadTokens += assignment.tokens
 			c.Running++
 			c.Starting++
 		}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -33,9 +33,6 @@
 	// jitterCost is the upper bound of a random cost. It keeps entry hosts with
 	// the same view of the load from all choosing the same server.
 	jitterCost = 0.1
-	// fullShare is the share of an engine's memory above which a new generation
-	// would probably be preempted.
-	fullShare = 0.95
 	// fullCost is the cost of an engine without enough free memory or without a
 	// free slot.
 	fullCost = 1.0
@@ -74,6 +71,17 @@
 	// these requests have grown to their expected size.
 	UsedTokens     int
 	ExpectedTokens int
+	// NearTokens is the most memory that will be in use while the next short request
+	// runs.
+	NearTokens int
+	// UnreadTokens is the size of the prompts that the engine has yet to process.
+	UnreadTokens int
+	// HasRoom says that the server can take the request without pushing others out, and
+	// can start it in time.
+	HasRoom bool
+	// KeptTokens is the memory that is kept free for the runs of engines that are
+	// about to shut down.
+	KeptTokens int
 	// FailureShare is the recent share of this host's requests that the server
 	// failed.
 	FailureShare float64
@@ -121,17 +129,33 @@
 		return cost + float64(c.Running)/float64(max(c.Slots, 1))
 	}
 	cost += startingCost * float64(c.Starting)
-	if c.full(tokens) || c.Running >= c.Slots {
+	if !c.HasRoom {
 		cost += fullCost
 	}
 	return cost + float64(c.ExpectedTokens+tokens)/float64(c.MemoryTokens)
 }
 
-// full reports whether an engine lacks the memory to run a further request of
-// that many tokens to completion.
-func (c Candidate) full(tokens int) bool {
+// usable reports whether the candidate may get requests at all.
+func (c Candidate) usable() bool {
+	return !c.Leaving && !c.Avoided && !c.Tried
+}
+
+// fits reports whether an engine has a free slot, and the memory for a further request
+// beside all that it is expected to need while the request runs.
+func (c Candidate) fits(request Request) bool {
 	if c.MemoryTokens == 0 {
+		return true
+	}
+	if c.Running >= c.Slots {
 		return false
 	}
-	return float64(c.ExpectedTokens+tokens) > fullShare*float64(c.MemoryTokens)
+	if request.Short {
+		return c.NearTokens+request.Tokens <= c.MemoryTokens
+	}
+	growth := min(request.Tokens-request.PromptTokens, maxGrowthTokens)
+	return c.ExpectedTokens+c.KeptTokens+request.PromptTokens+growth <= c.MemoryTokens
 }
+
+// maxGrowthTokens bounds the output for which an engine must have room. Its other runs
+// end, and free their memory, while the request grows further.
+const maxGrowthTokens = 300
--- a/internal/routing/placement/report.go
+++ b/internal/routing/placement/report.go
@@ -9,6 +9,8 @@
 // Report is the load of an engine, as reported by its monitor, the process beside
 // the engine.
 type Report struct {
+	// Service is the name of the engine's service.
+	Service string
 	// Running and Queued are numbers of requests, from all entry hosts.
 	Running int
 	Queued  int
@@ -17,8 +19,13 @@
 	// ExpectedTokens is the memory that will be in use once all requests at the
 	// engine have grown to their expected size.
 	ExpectedTokens int
+	// NearTokens is the most memory that will be in use while the next short request
+	// runs.
+	NearTokens int
 	// Starting is the number of requests whose answer has no event yet.
 	Starting int
+	// UnreadTokens is the size of their prompts.
+	UnreadTokens int
 	// Watchers is the number of entry hosts that watch the engine.
 	Watchers   int
 	ReceivedAt boottime.Instant
--- a/internal/routing/routetable/routetable.go
+++ b/internal/routing/routetable/routetable.go
@@ -60,6 +60,9 @@
 	// MaxAttempts is the number of backend servers that one request may be
 	// sent to. It is at least one.
 	MaxAttempts int
+	// FirstEventMillis is the time to the first event within which a stream is on time;
+	// zero when the operator gave none.
+	FirstEventMillis int64
 	// Public routes do not require an API key.
 	Public bool
 	// Resumable streams may continue at another backend server after their last
--- a/internal/routing/watch/streams.go
+++ b/internal/routing/watch/streams.go
@@ -16,6 +16,8 @@
 	mu sync.Mutex
 	// all holds the streams by the ID of the engine.
 	all map[string]*openStream
+	// reservations holds the reservations without an answer by request ID.
+	reservations map[string]chan bool
 }
 
 // openStream is a stream to the monitor of an engine.
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
@@ -46,7 +47,9 @@
 	StoreWatcher *storewatcher.Watcher
 	LoadTable    *placement.LoadTable
 	Migrations   *relay.Migrations
-	Log          *slog.Logger
+	// Waiting holds the requests that wait for room at an engine.
+	Waiting *placementqueue.Queue
+	Log     *slog.Logger
 	// PeerPort is the port of the engines' monitors.
 	PeerPort int
 
@@ -231,14 +234,20 @@
 	case s.GetLoad() != nil:
 		load := s.GetLoad()
 		w.LoadTable.SetReport(server.ID, placement.Report{
+			Service:        server.Service,
 			Running:        int(load.GetRunning()),
 			Queued:         int(load.GetQueued()),
 			UsedTokens:     int(load.GetUsedTokens()),
 			ExpectedTokens: int(load.GetExpectedTokens()),
+			NearTokens:     int(load.GetNearTokens()),
 			Starting:       int(load.GetStarting()),
+			UnreadTokens:   int(load.GetUnreadTokens()),
 			Watchers:       int(load.GetWatchers()),
 			ReceivedAt:     now,
 		})
+		w.Waiting.Signal()
+	case s.GetRoom() != nil:
+		w.streams.answer(s.GetRoom())
 	case s.GetNotice() != nil:
 		left := int64(s.GetNotice().GetLeavesInMillis())
 		w.Log.Info("engine announced its shutdown", "Server", server.ID, "InMillis", left)
