feat: charge a short request with the time in which it runs; half kept for moves

"no engine has room" now counts engines by what they lack: memory, nearly always.

Ruled out: prompts ahead (LackTime 0.3 engines of 32), slots.

Change: a request is charged while it probably still runs (PeakWith); for short ones the entry host looks at the next moments only, without a deviation. Half of the memory on leaving engines is kept free elsewhere, as some of their runs end in time.

--- a/internal/backend/memoryforecast/memoryforecast.go
+++ b/internal/backend/memoryforecast/memoryforecast.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 )
@@ -27,33 +28,54 @@
 // memory that no run frees. It is the highest value over time of the expected memory
 // plus a number of standard deviations.
 func Peak(runs []Run, fixed int, deviations float64) int {
-	return peakUntil(runs, fixed, deviations, horizons[len(horizons)-1])
+	highest := 0.0
+	for _, ahead := range horizons {
+		highest = max(highest, at(runs, ahead, deviations))
+	}
+	return fixed + int(math.Ceil(highest))
 }
 
 // NearPeak is like Peak, for the time in which each run produces ShortOutputTokens.
 func NearPeak(runs []Run, fixed int, deviations float64) int {
-	return peakUntil(runs, fixed, deviations, ShortOutputTokens)
+	highest := 0.0
+	for _, ahead := range horizons {
+		if ahead <= ShortOutputTokens {
+			highest = max(highest, at(runs, ahead, deviations))
+		}
+	}
+	return fixed + int(math.Ceil(highest))
 }
 
-// ShortOutputTokens is the output up to which a request is short: it ends before the
-// other runs have grown much.
-const ShortOutputTokens = 64
-
-// peakUntil returns the highest forecast up to a horizon.
-func peakUntil(runs []Run, fixed int, deviations float64, last int) int {
+// PeakWith is like Peak with a further run, for the time in which that run will
+// probably not have ended yet.
+func PeakWith(runs []Run, further Run, fixed int, deviations float64) int {
 	highest := 0.0
+	all := append(slices.Clip(runs), further)
 	for _, ahead := range horizons {
-		if ahead > last {
-			break
+		if further.Output.Reaches(further.Produced, ahead) >= minAlive {
+			highest = max(highest, at(all, ahead, deviations))
 		}
-		mean, variance := 0.0, 0.0
-		for _, run := range runs {
-			alive := run.Output.Reaches(run.Produced, ahead)
-			size := float64(run.Tokens + ahead)
-			mean += alive * size
-			variance += alive * (1 - alive) * size * size
-		}
-		highest = max(highest, mean+deviations*math.Sqrt(variance))
 	}
 	return fixed + int(math.Ceil(highest))
 }
+
+const (
+	// ShortOutputTokens is the output up to which a request is short: it ends before
+	// the other runs have grown much.
+	ShortOutputTokens = 64
+	// minAlive is the probability that a run still runs below which it is taken to
+	// have ended.
+	minAlive = 0.1
+)
+
+// at returns the forecast at one horizon.
+func at(runs []Run, ahead int, deviations float64) float64 {
+	mean, variance := 0.0, 0.0
+	for _, run := range runs {
+		alive := run.Output.Reaches(run.Produced, ahead)
+		size := float64(run.Tokens + ahead)
+		mean += alive * size
+		variance += alive * (1 - alive) * size * size
+	}
+	return mean + deviations*math.Sqrt(variance)
+}
--- a/internal/backend/memoryforecast/memoryforecast_test.go
+++ b/internal/backend/memoryforecast/memoryforecast_test.go
@@ -75,3 +75,17 @@
 		Peak(runs, 0, 1)
 	}
 }
+
+// TestPeakWithShortRun checks that a request that ends at once is not charged with what
+// the other runs will take later.
+func TestPeakWithShortRun(t *testing.T) {
+	is := is.New(t)
+	long := outputestimate.Estimate{MedianTokens: 1500, Spread: 0.1, MaxTokens: 4000}
+	short := outputestimate.Estimate{MedianTokens: 10, Spread: 0.1, MaxTokens: 36}
+	runs := []Run{{Tokens: 3000, Output: long}, {Tokens: 3000, Output: long}}
+	alone := Peak(runs, 0, 0)
+	is.True(alone > 8000)
+	is.Equal(PeakWith(runs, Run{Tokens: 1000, Output: short}, 0, 0), 7000)
+	is.True(PeakWith(runs, Run{Tokens: 1000, Output: long}, 0, 0) > alone+1000)
+	is.Equal(NearPeak(runs, 0, 0), 6000+2*ShortOutputTokens)
+}
--- a/internal/backend/monitor/forecast.go
+++ b/internal/backend/monitor/forecast.go
@@ -94,19 +94,20 @@
 // expected returns the most memory that all running and arriving requests will take
 // at one time.
 func (f *forecasts) expected(report platform.EngineReport, now boottime.Instant) int {
-	return f.peakWith(report, now)
+	runs, fixed := f.runs(report, now)
+	return memoryforecast.Peak(runs, fixed, forecastDeviations)
 }
 
-// peakWith is like expected, with further runs.
-func (f *forecasts) peakWith(report platform.EngineReport, now boottime.Instant, further ...memoryforecast.Run) int {
+// peakWith is like expected, with a further run and while that run lasts.
+func (f *forecasts) peakWith(report platform.EngineReport, now boottime.Instant, further memoryforecast.Run) int {
 	runs, fixed := f.runs(report, now)
-	return memoryforecast.Peak(append(runs, further...), fixed, forecastDeviations)
+	return memoryforecast.PeakWith(runs, further, fixed, forecastDeviations)
 }
 
 // near returns the most memory that will be taken while a short request runs.
 func (f *forecasts) near(report platform.EngineReport, now boottime.Instant) int {
 	runs, fixed := f.runs(report, now)
-	return memoryforecast.NearPeak(runs, fixed, forecastDeviations)
+	return memoryforecast.NearPeak(runs, fixed, 0)
 }
 
 // unreadTokens returns the prompts of the requests that have produced no event yet.
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -29,7 +29,9 @@
 		placed, ok := q.awaitRoom(aim)
 		if !ok {
 			q.log("no engine has room", "Tokens", q.tokens(), "Waiting", q.relay.Waiting.Length(),
-				"ExpectedTokens", placed.Chosen.ExpectedTokens, "KeptTokens", placed.Chosen.KeptTokens)
+				"LackReport", placed.Lacking[placement.LacksReport], "LackSlot", placed.Lacking[placement.LacksSlot],
+				"LackMemory", placed.Lacking[placement.LacksMemory], "LackTime", placed.Lacking[placement.LacksTime],
+				"KeptTokens", placed.Chosen.KeptTokens)
 			return nil, noRoom{}
 		}
 		if placed.Assignment == nil {
@@ -84,7 +86,7 @@
 
 func (q *request) logPlaced(chosen placement.Candidate) {
 	q.log("placed", "Server", chosen.Server.ID, "Tokens", q.tokens(), "Prompt", q.caller.PromptTokens, "Hint", q.caller.HintTokens,
-		"Starting", chosen.Starting, "UnreadTokens", chosen.UnreadTokens, "HasRoom", chosen.HasRoom, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens,
+		"Starting", chosen.Starting, "UnreadTokens", chosen.UnreadTokens, "LacksRoom", chosen.Lacking != placement.LacksNothing, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens,
 		"KeptTokens", chosen.KeptTokens, "SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
 }
 
--- /dev/null
+++ b/internal/routing/placement/lack.go
@@ -0,0 +1,29 @@
+package placement
+
+// Lack is what an engine lacks to take a request.
+type Lack int
+
+// Lacks, in the order in which they are checked.
+const (
+	// LacksNothing means that the engine has room.
+	LacksNothing Lack = iota
+	// LacksReport means that the load of the engine is not known.
+	LacksReport
+	// LacksSlot means that the engine runs as many requests as it can at once.
+	LacksSlot
+	// LacksMemory means that the engine will need its memory for other requests.
+	LacksMemory
+	// LacksTime means that the prompts ahead would delay the first event too long.
+	LacksTime
+)
+
+// countLacking counts the usable candidates by what they lack.
+func countLacking(candidates []Candidate) map[Lack]int {
+	counts := make(map[Lack]int)
+	for _, c := range candidates {
+		if c.usable() {
+			counts[c.Lacking]++
+		}
+	}
+	return counts
+}
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -19,6 +19,9 @@
 	// failures of a backend server no longer count, so that it gets requests
 	// again.
 	failureForgetMillis = 4000
+	// migrationShare is the share of the memory on engines that are about to shut down
+	// that is kept free elsewhere. Some of the runs end before their engine does.
+	migrationShare = 0.5
 	// reportMillis is the age up to which a load report is used.
 	reportMillis = 2500
 )
@@ -99,8 +102,9 @@
 	// server can take the request.
 	Assignment *Assignment
 	// NoRoom says that there are engines that could take the request, but none with
-	// room.
-	NoRoom bool
+	// room. Lacking then counts them by what they lack.
+	NoRoom  bool
+	Lacking map[Lack]int
 }
 
 // Place selects one of the ready backend servers and opens an assignment there.
@@ -120,8 +124,8 @@
 	if !ok {
 		return Placement{}
 	}
-	if request.RoomOnly && candidates[best].usable() && !candidates[best].HasRoom {
-		return Placement{Chosen: candidates[best], NoRoom: true}
+	if request.RoomOnly && candidates[best].usable() && !candidates[best].hasRoom() {
+		return Placement{Chosen: candidates[best], NoRoom: true, Lacking: countLacking(candidates)}
 	}
 	assignment := l.open(ready[best].ID, request.Tokens, now)
 	if candidates[best].UnreadTokens == 0 {
@@ -146,7 +150,7 @@
 		}
 	}
 	for i := range candidates {
-		candidates[i].KeptTokens = moving / max(usable, 1)
+		candidates[i].KeptTokens = int(migrationShare*float64(moving)) / max(usable, 1)
 	}
 }
 
@@ -156,7 +160,16 @@
 func (l *LoadTable) checkRoom(candidates []Candidate, request Request, now boottime.Instant) {
 	reported := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.usable() && c.ReportMillis >= 0 })
 	for i, c := range candidates {
-		candidates[i].HasRoom = c.fits(request) && l.startsInTime(c, request, now) && (c.ReportMillis >= 0 || !reported)
+		switch {
+		case c.ReportMillis < 0 && reported:
+			candidates[i].Lacking = LacksReport
+		case !c.hasSlot():
+			candidates[i].Lacking = LacksSlot
+		case !c.fits(request):
+			candidates[i].Lacking = LacksMemory
+		case !l.startsInTime(c, request, now):
+			candidates[i].Lacking = LacksTime
+		}
 	}
 }
 
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -76,9 +76,9 @@
 	NearTokens int
 	// UnreadTokens is the size of the prompts that the engine has yet to process.
 	UnreadTokens int
-	// HasRoom says that the server can take the request without pushing others out, and
-	// can start it in time.
-	HasRoom bool
+	// Lacking is what the server lacks to take the request without pushing others out
+	// and to start it in time.
+	Lacking Lack
 	// KeptTokens is the memory that is kept free for the runs of engines that are
 	// about to shut down.
 	KeptTokens int
@@ -129,7 +129,7 @@
 		return cost + float64(c.Running)/float64(max(c.Slots, 1))
 	}
 	cost += startingCost * float64(c.Starting)
-	if !c.HasRoom {
+	if !c.hasRoom() {
 		cost += fullCost
 	}
 	return cost + float64(c.ExpectedTokens+tokens)/float64(c.MemoryTokens)
@@ -140,15 +140,23 @@
 	return !c.Leaving && !c.Avoided && !c.Tried
 }
 
-// fits reports whether an engine has a free slot, and the memory for a further request
-// beside all that it is expected to need while the request runs.
+// hasRoom reports whether the candidate lacks nothing for the request.
+func (c Candidate) hasRoom() bool {
+	return c.Lacking == LacksNothing
+}
+
+// hasSlot reports whether the candidate could run a further request at once. A plain
+// service queues its requests.
+func (c Candidate) hasSlot() bool {
+	return c.MemoryTokens == 0 || c.Running < c.Slots
+}
+
+// fits reports whether an engine has the memory for a further request beside all that
+// it is expected to need while the request runs.
 func (c Candidate) fits(request Request) bool {
 	if c.MemoryTokens == 0 {
 		return true
 	}
-	if c.Running >= c.Slots {
-		return false
-	}
 	if request.Short {
 		return c.NearTokens+request.Tokens <= c.MemoryTokens
 	}
