feat: one leaving engine at a time copies to a destination

Ruled out: the engine's own copies (they are made one after the other), the resumption (60 to 90 ms).

Change: the destination's monitor refuses a reservation while another engine copies there and says for how long; the leaving engine takes another destination meanwhile (obstacle LinkBusy).

--- a/internal/backend/migration/migration.go
+++ b/internal/backend/migration/migration.go
@@ -71,6 +71,8 @@
 	SameZone bool
 	// Contended says that another leaving engine also copies its runs there.
 	Contended bool
+	// Busy says that another engine is copying a run there now.
+	Busy bool
 	// CopyTokensPerSecond is the copy rate within the availability zone; zero
 	// when it is not known.
 	CopyTokensPerSecond int
--- a/internal/backend/migration/obstacle.go
+++ b/internal/backend/migration/obstacle.go
@@ -17,6 +17,8 @@
 	// NoRoomToGrow means that no destination has memory for what the run will still
 	// generate.
 	NoRoomToGrow
+	// LinkBusy means that other engines copy their runs to the destinations.
+	LinkBusy
 	// NoTime means that the copy would not complete before the engine shuts down.
 	NoTime
 )
@@ -34,6 +36,8 @@
 		return "NoMemory"
 	case NoRoomToGrow:
 		return "NoRoomToGrow"
+	case LinkBusy:
+		return "LinkBusy"
 	case NoTime:
 		return "NoTime"
 	default:
@@ -64,6 +68,8 @@
 		return NoMemory
 	case d.SpareTokens < run.NeededTokens():
 		return NoRoomToGrow
+	case d.Busy:
+		return LinkBusy
 	case (Step{Run: run, Destination: d}).CopyMillis() > leavesInMillis:
 		return NoTime
 	default:
--- a/internal/backend/monitor/advice.go
+++ b/internal/backend/monitor/advice.go
@@ -20,6 +20,9 @@
 	assigned []assignedRun
 	// refusedAt holds the times at which destinations refused a copy, by address.
 	refusedAt map[string]boottime.Instant
+	// busyUntil holds the times until which the links of destinations are in use by
+	// other engines, by address.
+	busyUntil map[string]boottime.Instant
 }
 
 // advisedDestination is an entry host's advice about a destination.
@@ -79,12 +82,22 @@
 	a.refusedAt[address] = now
 }
 
+// markBusy records that the link of a destination is in use by another engine.
+func (a *advice) markBusy(address string, until boottime.Instant) {
+	if a.busyUntil == nil {
+		a.busyUntil = make(map[string]boottime.Instant)
+	}
+	a.busyUntil[address] = until
+}
+
 // destinations returns the destinations with the capacity that their assigned runs
 // leave free.
-func (a *advice) destinations() []migration.Destination {
+func (a *advice) destinations(now boottime.Instant) []migration.Destination {
 	all := make([]migration.Destination, 0, len(a.byAddress))
-	for _, advised := range a.byAddress {
-		all = append(all, a.available(advised))
+	for address, advised := range a.byAddress {
+		destination := a.available(advised)
+		destination.Busy = now.Before(a.busyUntil[address])
+		all = append(all, destination)
 	}
 	return all
 }
--- a/internal/backend/monitor/advice_test.go
+++ b/internal/backend/monitor/advice_test.go
@@ -29,7 +29,7 @@
 	a.assign(step, adviceStart.AddMillis(10))
 	expect := func(free, spare, slots int) {
 		t.Helper()
-		d := a.destinations()[0]
+		d := a.destinations(adviceStart)[0]
 		is.Equal(d.FreeTokens, free)
 		is.Equal(d.SpareTokens, spare)
 		is.Equal(d.FreeSlots, slots)
@@ -50,11 +50,22 @@
 	var a advice
 	a.store(adviceOf("x", 20_000), adviceStart)
 	a.markRefused("x", adviceStart.AddMillis(50))
-	is.Equal(a.destinations()[0].FreeSlots, 0)
+	is.Equal(a.destinations(adviceStart)[0].FreeSlots, 0)
 	a.store(adviceOf("new", 34_000), adviceStart.AddMillis(200))
-	is.Equal(len(a.destinations()), 2)
+	is.Equal(len(a.destinations(adviceStart)), 2)
 	a.store(adviceOf("x", 20_000), adviceStart.AddMillis(50+loadDelayMillis))
-	for _, d := range a.destinations() {
+	for _, d := range a.destinations(adviceStart) {
 		is.Equal(d.FreeSlots, 4)
 	}
 }
+
+// TestAdviceAvoidsBusyLinks checks that a destination whose link is in use by another
+// engine is left alone until that copy ends.
+func TestAdviceAvoidsBusyLinks(t *testing.T) {
+	is := is.New(t)
+	var a advice
+	a.store(adviceOf("x", 20_000), adviceStart)
+	a.markBusy("x", adviceStart.AddMillis(200))
+	is.True(a.destinations(adviceStart.AddMillis(100))[0].Busy)
+	is.True(!a.destinations(adviceStart.AddMillis(200))[0].Busy)
+}
--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -78,7 +78,7 @@
 func (m *Monitor) nextStep(attempts map[string]int, left int64) (migration.Step, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	runs, destinations := m.migratable(attempts), m.advice.destinations()
+	runs, destinations := m.migratable(attempts), m.advice.destinations(boottime.Now())
 	step, ok := migration.Next(runs, destinations, left)
 	if !ok {
 		m.recordObstacles(runs, destinations, left)
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -71,6 +71,7 @@
 	// latest report.
 	placed    int
 	forecasts forecasts
+	inbound   inbound
 }
 
 // watcher is an entry host that watches the engine.
--- a/internal/backend/monitor/reservation.go
+++ b/internal/backend/monitor/reservation.go
@@ -15,16 +15,44 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
+// lastCopyMillis is the usual time of the last copy of a run, after it was stopped.
+const lastCopyMillis = 40
+
 // reserveTimeoutMillis bounds a reservation at another monitor.
 const reserveTimeoutMillis = 150
 
 // Reserve serves the monitor of an engine that is about to shut down. It grants the
 // migration of a run to this engine if the engine has the memory for the run and for
-// what it will still generate.
-func (m *Monitor) Reserve(_ context.Context, p *sighting.Placement) (*sighting.Room, error) {
+// what it will still generate, and if no other engine is copying runs to it: copies of
+// two engines would delay each other, and a run pauses during its last copy.
+func (m *Monitor) Reserve(_ context.Context, message *sighting.Migration) (*sighting.Room, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.decideReservation(p, true), nil
+	now := boottime.Now()
+	if m.inbound.takenByOther(message.GetSource(), now) {
+		busy := m.inbound.until.MillisSince(now)
+		m.Log.Info("reservation refused, link in use", "Request", message.GetRun().GetRequestId(), "Source", message.GetSource(),
+			"UsedBy", m.inbound.source, "BusyMillis", busy)
+		return &sighting.Room{RequestId: message.GetRun().GetRequestId(), BusyMillis: uint32(busy)}, nil
+	}
+	reply := m.decideReservation(message.GetRun(), true)
+	if reply.GetGranted() {
+		m.inbound = inbound{source: message.GetSource(), until: now.AddMillis(int64(message.GetCopyMillis()))}
+	}
+	return reply, nil
+}
+
+// inbound is the use of the engine's link by copies of runs from another engine.
+type inbound struct {
+	// source is the address of the other engine; empty when there was none.
+	source string
+	// until is the time at which the last copy that was granted is expected to end.
+	until boottime.Instant
+}
+
+// takenByOther reports whether the link is in use by another engine than source.
+func (i inbound) takenByOther(source string, now boottime.Instant) bool {
+	return i.source != source && now.Before(i.until)
 }
 
 // answerReservation decides on a new request of an entry host, answers the host and
@@ -101,7 +129,11 @@
 	defer stop()
 	reply, err := transport.Call(ctx, net.JoinHostPort(host, strconv.Itoa(m.PeerPort)),
 		func(ctx context.Context, conn drpc.Conn) (*sighting.Room, error) {
-			return sighting.NewDRPCLookoutClient(conn).Reserve(ctx, m.reservation(step.Run))
+			return sighting.NewDRPCLookoutClient(conn).Reserve(ctx, &sighting.Migration{
+				Run:        m.reservation(step.Run),
+				Source:     m.EngineAddress,
+				CopyMillis: uint32(step.CopyMillis() + lastCopyMillis),
+			})
 		})
 	if err != nil {
 		m.Log.Warn("memory not reserved at destination", "Request", step.Run.RequestID, "Destination", step.Destination.Address, "Error", err)
@@ -109,7 +141,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !reply.GetGranted() {
+	switch {
+	case reply.GetBusyMillis() > 0:
+		m.advice.markBusy(step.Destination.Address, boottime.Now().AddMillis(int64(reply.GetBusyMillis())))
+	case !reply.GetGranted():
 		m.advice.setRoom(step.Destination.Address, refusedRoom(step.Run, reply), boottime.Now())
 	}
 	return reply.GetGranted()
