feat: tell refused callers when room is expected, spread their return

Cause: the retry time for lack of room was a constant of 1 s, so that callers that were refused together returned together, late at best. A refused reservation was also asked for again at once, a loop as fast as the network while the entry host's figures and the monitor's differed.

Ruled out: waiting longer at the entry host (the request can't be on time then).

Change: the retry time is the usual wait for room (returns: a moving average), and each further refused caller comes one placement interval later. An engine that refused is left alone for 40 ms. A request that was already sent once doesn't wait: it is late at worst.

--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -136,7 +136,8 @@
 		q.exchange.Respond(o.status, o.header, o.body)
 	case streamed:
 	case noRoom:
-		q.refuse(Refusal{resultcode.EnginesFull, noRoomRetryMillis})
+		now := boottime.Now()
+		q.refuse(Refusal{resultcode.EnginesFull, q.relay.returns.nextReturn(now.MillisSince(q.arrivedAt), now)})
 	case lost:
 		code := resultcode.ReplyLost
 		if ctx.Err() != nil {
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// refusedMillis is the time for which an engine that refused a reservation is not
+	// asked again for the same request.
+	refusedMillis = 40
 	// unknownAimShare is the share of the time until the deadline that is taken as the
 	// aim of a route without one.
 	unknownAimShare = 0.1
@@ -20,7 +23,8 @@
 // an engine waits until one has room for it, as long as it can still be on time. It
 // returns the outcome of the request when no server can take it.
 func (q *request) placeWithRoom(ctx context.Context) (*attempt, outcome) {
-	if q.service.Engine == nil {
+	// A request that was sent before and may run again is late at worst.
+	if q.service.Engine == nil || len(q.tried) > 0 {
 		return q.placeAnywhere()
 	}
 	aim, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(q.aimAt().MillisSince(boottime.Now()))*time.Millisecond))
@@ -39,10 +43,13 @@
 		}
 		server := placed.Chosen.Server
 		if q.relay.Reserve(ctx, server.ID, q.caller.ID, q.generation(0)) {
+			now := boottime.Now()
+			q.relay.returns.recordPlaced(now.MillisSince(q.arrivedAt), now)
 			q.logPlaced(placed.Chosen)
 			return &attempt{server: server, assignment: placed.Assignment}, nil
 		}
 		placed.Assignment.Cancel()
+		q.refusedUntil[server.ID] = boottime.Now().AddMillis(refusedMillis)
 	}
 }
 
@@ -80,6 +87,7 @@
 		Short:        q.output.Remaining(0) <= memoryforecast.ShortOutputTokens,
 		StartBy:      q.startBy(),
 		Tried:        q.tried,
+		RefusedUntil: q.refusedUntil,
 		RoomOnly:     roomOnly,
 	}, now)
 }
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -48,6 +48,8 @@
 	ShutdownAt func() boottime.Instant
 	Metrics    *metrics.Registry
 	Log        *slog.Logger
+
+	returns returns
 }
 
 // Bounds limit the age at which a cached configuration may be used. Its age is the
@@ -81,6 +83,9 @@
 	configAgeMillis int64
 	// tried holds the IDs of the servers that the request was sent to.
 	tried map[string]bool
+	// refusedUntil holds the times until which engines that refused a reservation are
+	// not asked again, by ID.
+	refusedUntil map[string]boottime.Instant
 }
 
 // Handle answers one request.
@@ -91,6 +96,8 @@
 		caller:    platform.DecodeCallerRequest(x.Request.Header),
 		arrivedAt: boottime.Now(),
 		tried:     make(map[string]bool),
+
+		refusedUntil: make(map[string]boottime.Instant),
 	}
 	if refusal, ok := q.check(r.StoreWatcher.Configuration()); !ok {
 		q.refuse(refusal)
@@ -119,8 +126,6 @@
 	// It exceeds the usual interval of the heartbeats with which backend servers
 	// renew their entries in the platform's store.
 	noBackendRetryMillis = 1300
-	// noRoomRetryMillis is the retry time when no engine has room.
-	noRoomRetryMillis = 1000
 	// stoppingRetryMillis is the retry time of a process that is shutting down;
 	// the retry goes to another entry host.
 	stoppingRetryMillis = 50
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -90,6 +90,9 @@
 	StartBy boottime.Instant
 	// Tried holds the IDs of the servers that the request was already sent to.
 	Tried map[string]bool
+	// RefusedUntil holds the times until which engines that refused a reservation for
+	// the request are taken to have no memory for it, by ID.
+	RefusedUntil map[string]boottime.Instant
 	// RoomOnly says that the request is not placed at an engine without room.
 	RoomOnly bool
 }
@@ -165,7 +168,7 @@
 			candidates[i].Lacking = LacksReport
 		case !c.hasSlot():
 			candidates[i].Lacking = LacksSlot
-		case !c.fits(request):
+		case !c.fits(request), now.Before(request.RefusedUntil[c.Server.ID]):
 			candidates[i].Lacking = LacksMemory
 		case !l.startsInTime(c, request, now):
 			candidates[i].Lacking = LacksTime
