--- a/internal/backend/migration/migration.go
+++ b/internal/backend/migration/migration.go
@@ -11,6 +11,9 @@
 
 const (
 	millisPerSecond = 1000
+	// tokenMillis is the assumed time in which an engine generates one token of a
+	// run.
+	tokenMillis = 11
 	// endMarginMillis is the least time between the estimated end of a run that
 	// is not migrated and the shutdown of its engine.
 	endMarginMillis = 500
@@ -86,10 +89,10 @@
 
 // Next returns the migration to carry out next, or false when no run needs to be
 // migrated or none can be. The argument leavesInMillis is the time until the engine
-// shuts down, and tokenMillis the time in which it generates one token of each run.
-func Next(runs []Run, destinations []Destination, leavesInMillis int64, tokenMillis float64) (Step, bool) {
+// shuts down.
+func Next(runs []Run, destinations []Destination, leavesInMillis int64) (Step, bool) {
 	toMigrate := slices.DeleteFunc(slices.Clone(runs), func(r Run) bool {
-		return r.endsBefore(leavesInMillis, tokenMillis)
+		return r.endsBefore(leavesInMillis)
 	})
 	var steps []Step
 	for _, run := range toMigrate {
@@ -107,11 +110,11 @@
 
 // endsBefore reports whether the run is expected to end at least endMarginMillis
 // before its engine shuts down in leavesInMillis.
-func (r Run) endsBefore(leavesInMillis int64, tokenMillis float64) bool {
+func (r Run) endsBefore(leavesInMillis int64) bool {
 	if r.Remaining < 0 {
 		return false
 	}
-	return int64(float64(r.Remaining)*tokenMillis)+endMarginMillis < leavesInMillis
+	return int64(r.Remaining)*tokenMillis+endMarginMillis < leavesInMillis
 }
 
 // worthPerMilli returns the worth that each millisecond of the copy saves. The run
--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -79,7 +79,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	runs, destinations := m.migratable(attempts), m.advice.destinations(boottime.Now())
-	step, ok := migration.Next(runs, destinations, left, m.tokenTime.millis())
+	step, ok := migration.Next(runs, destinations, left)
 	if !ok {
 		m.recordObstacles(runs, destinations, left)
 	}
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -72,7 +72,6 @@
 	placed    int
 	forecasts forecasts
 	inbound   inbound
-	tokenTime tokenTime
 }
 
 // watcher is an entry host that watches the engine.
@@ -176,7 +175,6 @@
 	m.latest = report
 	m.reportedAt = now
 	m.forecasts.prune(report, now)
-	m.tokenTime.observe(report, now)
 	if restarted {
 		m.engineID = ""
 	}
