feat: refuse a prompt that no engine's memory holds at once; idle engines take what fits

Cause: found by reading: a request that needs nearly an engine's whole memory never found room beside the forecast's margin, and one that is larger waited until its aim had passed.

Change: an idle engine takes a prompt that its memory holds; a larger one is refused at once, without a retry time. An engine that doesn't report its memory decides by itself.

--- a/internal/backend/monitor/reservation.go
+++ b/internal/backend/monitor/reservation.go
@@ -85,7 +85,11 @@
 	request.reserved = copied
 	tokens := request.promptTokens + request.produced
 	peak := m.forecasts.peakWith(m.latest, now, memoryforecast.Run{Tokens: tokens, Produced: request.produced, Output: request.output})
-	granted := m.leavesAt == 0 && m.reportedAt != 0 && before.free >= tokens && peak <= m.latest.TotalTokens
+	fits := before.free >= tokens && peak <= m.latest.TotalTokens
+	// An idle engine takes what its memory holds, and one that does not report its
+	// memory decides by itself.
+	idle := before.free == m.latest.TotalTokens && tokens <= m.latest.TotalTokens
+	granted := m.leavesAt == 0 && m.reportedAt != 0 && (fits || idle || m.latest.TotalTokens == 0)
 	if granted {
 		m.forecasts.put(p.GetRequestId(), request)
 	}
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -20,6 +20,9 @@
 // noRoom says that no engine had room for the request while it could be on time.
 type noRoom struct{}
 
+// tooLarge says that the prompt exceeds the memory of every engine.
+type tooLarge struct{}
+
 // unreached says that no connection to the server was made, so nothing was sent.
 type unreached struct{ err error }
 
@@ -46,6 +49,7 @@
 
 func (unplaced) outcome()   {}
 func (noRoom) outcome()     {}
+func (tooLarge) outcome()   {}
 func (unreached) outcome()  {}
 func (superseded) outcome() {}
 func (declined) outcome()   {}
@@ -135,6 +139,8 @@
 		q.countAnswered()
 		q.exchange.Respond(o.status, o.header, o.body)
 	case streamed:
+	case tooLarge:
+		q.refuse(Refusal{resultcode.EnginesFull, 0})
 	case noRoom:
 		now := boottime.Now()
 		q.refuse(Refusal{resultcode.EnginesFull, q.relay.returns.nextReturn(now.MillisSince(q.arrivedAt), now)})
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -27,6 +27,10 @@
 	if q.service.Engine == nil || len(q.tried) > 0 {
 		return q.placeAnywhere()
 	}
+	if memory := q.service.Engine.MemoryTokens; memory > 0 && q.caller.PromptTokens > memory {
+		q.log("prompt exceeds the memory of the engines", "Prompt", q.caller.PromptTokens, "MemoryTokens", memory)
+		return nil, tooLarge{}
+	}
 	aim, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(q.aimAt().MillisSince(boottime.Now()))*time.Millisecond))
 	defer stop()
 	for {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -157,6 +157,9 @@
 	if c.MemoryTokens == 0 {
 		return true
 	}
+	if c.ExpectedTokens == 0 {
+		return request.PromptTokens <= c.MemoryTokens
+	}
 	if request.Short {
 		return c.NearTokens+request.Tokens <= c.MemoryTokens
 	}
