--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -49,7 +49,7 @@
 	Metrics    *metrics.Registry
 	Log        *slog.Logger
 
-	returns returns
+	returns returnSchedule
 }
 
 // Bounds limit the age at which a cached configuration may be used. Its age is the
--- a/internal/caller/relay/returns.go
+++ b/internal/caller/relay/returnschedule.go
@@ -18,10 +18,10 @@
 	maxReturnMillis = 5000
 )
 
-// returns decides when callers that were refused for lack of room return: after the
+// returnSchedule decides when callers that were refused for lack of room return: after the
 // time in which room usually comes, and one after the other at the rate at which
 // requests find room. It is safe for concurrent use. The zero value is ready to use.
-type returns struct {
+type returnSchedule struct {
 	mu sync.Mutex
 	// waitMillis is the average wait of the requests that waited for room. It is zero
 	// before the first one.
@@ -35,7 +35,7 @@
 }
 
 // recordPlaced records that a request found room after a wait.
-func (r *returns) recordPlaced(waitedMillis int64, now boottime.Instant) {
+func (r *returnSchedule) recordPlaced(waitedMillis int64, now boottime.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if waitedMillis > 0 {
@@ -49,7 +49,7 @@
 
 // nextReturn returns the time in milliseconds after which a caller whose request found
 // no room should return.
-func (r *returns) nextReturn(waitedMillis int64, now boottime.Instant) int64 {
+func (r *returnSchedule) nextReturn(waitedMillis int64, now boottime.Instant) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// Room would have come no sooner than now.
--- a/internal/caller/relay/returns_test.go
+++ b/internal/caller/relay/returnschedule_test.go
@@ -14,7 +14,7 @@
 func TestReturnsAreSpread(t *testing.T) {
 	is := is.New(t)
 	now := boottime.Instant(1_000_000_000)
-	var r returns
+	var r returnSchedule
 	for n := range 100 {
 		r.recordPlaced(300, now.AddMillis(int64(n)*50)) // room after 300 ms, 20 requests a second
 	}
@@ -34,12 +34,12 @@
 func TestReturnsGrowWithTheWait(t *testing.T) {
 	is := is.New(t)
 	now := boottime.Instant(1_000_000_000)
-	var short, long returns
+	var short, long returnSchedule
 	for n := range 50 {
 		short.recordPlaced(100, now.AddMillis(int64(n)*100))
 		long.recordPlaced(1200, now.AddMillis(int64(n)*100))
 	}
 	is.True(long.nextReturn(1000, now) > 3*short.nextReturn(100, now))
-	var unknown returns
+	var unknown returnSchedule
 	is.True(unknown.nextReturn(0, now) >= firstWaitMillis/2)
 }
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
@@ -19,9 +18,6 @@
 	// failures of a backend server no longer count, so that it gets requests
 	// again.
 	failureForgetMillis = 4000
-	// migrationShare is the share of the memory on engines that are about to shut down
-	// that is kept free elsewhere. Some of the runs end before their engine does.
-	migrationShare = 0.5
 	// reportMillis is the age up to which a load report is used.
 	reportMillis = 2500
 )
@@ -60,21 +56,6 @@
 	failedAt boottime.Instant
 }
 
-// Assignment is one open request of this entry host at a backend server.
-type Assignment struct {
-	table *LoadTable
-	// server is the server's ID.
-	server string
-	// tokens is the memory that the request is expected to need.
-	tokens int
-	// promptTokens is the size of the prompt if no other prompt was ahead of it; zero
-	// otherwise.
-	promptTokens int
-	sentAt       boottime.Instant
-	// started says that the server has sent the first event of the answer.
-	started bool
-}
-
 // Request describes a request that needs a backend server.
 type Request struct {
 	Service routetable.Service
@@ -137,62 +118,6 @@
 	return Placement{Chosen: candidates[best], Assignment: assignment}
 }
 
-// keepForMigrations divides the memory of the runs on engines that are about to shut
-// down among the engines that can take these runs. The caller holds the mutex.
-func (l *LoadTable) keepForMigrations(candidates []Candidate, service routetable.Service, now boottime.Instant) {
-	moving := 0
-	for id, leavesAt := range l.leaving {
-		if report, ok := l.reports[id]; ok && report.Service == service.Name && now.Before(leavesAt) {
-			moving += report.UsedTokens
-		}
-	}
-	usable := 0
-	for _, c := range candidates {
-		if c.usable() {
-			usable++
-		}
-	}
-	for i := range candidates {
-		candidates[i].KeptTokens = int(migrationShare*float64(moving)) / max(usable, 1)
-	}
-}
-
-// checkRoom sets which of the candidates have room for the request. An engine without a
-// report has none as long as there are others with one, as all entry hosts would take an
-// engine that has just started for idle. The caller holds the mutex.
-func (l *LoadTable) checkRoom(candidates []Candidate, request Request, now boottime.Instant) {
-	reported := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.usable() && c.ReportMillis >= 0 })
-	for i, c := range candidates {
-		switch {
-		case c.ReportMillis < 0 && reported:
-			candidates[i].Lacking = LacksReport
-		case !c.hasSlot():
-			candidates[i].Lacking = LacksSlot
-		case !c.fits(request), now.Before(request.RefusedUntil[c.Server.ID]):
-			candidates[i].Lacking = LacksMemory
-		case !l.startsInTime(c, request, now):
-			candidates[i].Lacking = LacksTime
-		}
-	}
-}
-
-// startsInTime reports whether the first event of the request would come in time,
-// after the prompts that the engine has yet to process. The caller holds the mutex.
-func (l *LoadTable) startsInTime(c Candidate, request Request, now boottime.Instant) bool {
-	if request.StartBy == 0 || c.UnreadTokens == 0 {
-		return true
-	}
-	millis := l.promptRate.millisPerToken() * float64(c.UnreadTokens+request.PromptTokens)
-	return now.AddMillis(int64(millis)) <= request.StartBy
-}
-
-// PromptMillis returns the usual time to the first event after a prompt.
-func (l *LoadTable) PromptMillis(tokens int) int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return int64(l.promptRate.millisPerToken() * float64(tokens))
-}
-
 // Candidate returns a server with its current load.
 func (l *LoadTable) Candidate(server discovery.BackendServer, service routetable.Service, now boottime.Instant) Candidate {
 	l.mu.Lock()
@@ -214,38 +139,6 @@
 	return assignment
 }
 
-// Cancel closes the assignment of a request that was not sent.
-func (a *Assignment) Cancel() {
-	a.table.mu.Lock()
-	defer a.table.mu.Unlock()
-	delete(a.table.server(a.server).assignments, a)
-}
-
-// MarkStarted records that the server has sent the first event of the answer.
-func (a *Assignment) MarkStarted(now boottime.Instant) {
-	a.table.mu.Lock()
-	defer a.table.mu.Unlock()
-	a.started = true
-	if a.promptTokens > 0 {
-		a.table.promptRate.add(now.MillisSince(a.sentAt), a.promptTokens)
-	}
-}
-
-// End closes the assignment. The argument failed says that the server failed the
-// request.
-func (a *Assignment) End(failed bool, now boottime.Instant) {
-	a.table.mu.Lock()
-	defer a.table.mu.Unlock()
-	state := a.table.server(a.server)
-	delete(state.assignments, a)
-	value := 0.0
-	if failed {
-		value = 1
-		state.failedAt = now
-	}
-	state.failureShare += failureWeight * (value - state.failureShare)
-}
-
 // Prune drops the state of servers that are no longer in the discovery list and
 // have no open request.
 func (l *LoadTable) Prune(list discovery.List) {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -134,39 +134,3 @@
 	}
 	return cost + float64(c.ExpectedTokens+tokens)/float64(c.MemoryTokens)
 }
-
-// usable reports whether the candidate may get requests at all.
-func (c Candidate) usable() bool {
-	return !c.Leaving && !c.Avoided && !c.Tried
-}
-
-// hasRoom reports whether the candidate lacks nothing for the request.
-func (c Candidate) hasRoom() bool {
-	return c.Lacking == LacksNothing
-}
-
-// hasSlot reports whether the candidate could run a further request at once. A plain
-// service queues its requests.
-func (c Candidate) hasSlot() bool {
-	return c.MemoryTokens == 0 || c.Running < c.Slots
-}
-
-// fits reports whether an engine has the memory for a further request beside all that
-// it is expected to need while the request runs.
-func (c Candidate) fits(request Request) bool {
-	if c.MemoryTokens == 0 {
-		return true
-	}
-	if c.ExpectedTokens == 0 {
-		return request.PromptTokens <= c.MemoryTokens
-	}
-	if request.Short {
-		return c.NearTokens+request.Tokens <= c.MemoryTokens
-	}
-	growth := min(request.Tokens-request.PromptTokens, maxGrowthTokens)
-	return c.ExpectedTokens+c.KeptTokens+request.PromptTokens+growth <= c.MemoryTokens
-}
-
-// maxGrowthTokens bounds the output for which an engine must have room. Its other runs
-// end, and free their memory, while the request grows further.
-const maxGrowthTokens = 300
--- /dev/null
+++ b/internal/routing/placement/room.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+)
+
+// migrationShare is the share of the memory on engines that are about to shut down
+// that is kept free elsewhere. Some of the runs end before their engine does.
+const migrationShare = 0.5
+
+// checkRoom sets which of the candidates have room for the request. An engine without a
+// report has none as long as there are others with one, as all entry hosts would take an
+// engine that has just started for idle. The caller holds the mutex.
+func (l *LoadTable) checkRoom(candidates []Candidate, request Request, now boottime.Instant) {
+	reported := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.usable() && c.ReportMillis >= 0 })
+	for i, c := range candidates {
+		switch {
+		case c.ReportMillis < 0 && reported:
+			candidates[i].Lacking = LacksReport
+		case !c.hasSlot():
+			candidates[i].Lacking = LacksSlot
+		case !c.fits(request), now.Before(request.RefusedUntil[c.Server.ID]):
+			candidates[i].Lacking = LacksMemory
+		case !l.startsInTime(c, request, now):
+			candidates[i].Lacking = LacksTime
+		}
+	}
+}
+
+// startsInTime reports whether the first event of the request would come in time,
+// after the prompts that the engine has yet to process. The caller holds the mutex.
+func (l *LoadTable) startsInTime(c Candidate, request Request, now boottime.Instant) bool {
+	if request.StartBy == 0 || c.UnreadTokens == 0 {
+		return true
+	}
+	millis := l.promptRate.millisPerToken() * float64(c.UnreadTokens+request.PromptTokens)
+	return now.AddMillis(int64(millis)) <= request.StartBy
+}
+
+// keepForMigrations divides the memory of the runs on engines that are about to shut
+// down among the engines that can take these runs. The caller holds the mutex.
+func (l *LoadTable) keepForMigrations(candidates []Candidate, service routetable.Service, now boottime.Instant) {
+	moving := 0
+	for id, leavesAt := range l.leaving {
+		if report, ok := l.reports[id]; ok && report.Service == service.Name && now.Before(leavesAt) {
+			moving += report.UsedTokens
+		}
+	}
+	usable := 0
+	for _, c := range candidates {
+		if c.usable() {
+			usable++
+		}
+	}
+	for i := range candidates {
+		candidates[i].KeptTokens = int(migrationShare*float64(moving)) / max(usable, 1)
+	}
+}
+
+// PromptMillis returns the usual time to the first event after a prompt.
+func (l *LoadTable) PromptMillis(tokens int) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.promptRate.millisPerToken() * float64(tokens))
+}
+
+// usable reports whether the candidate may get requests at all.
+func (c Candidate) usable() bool {
+	return !c.Leaving && !c.Avoided && !c.Tried
+}
+
+// hasRoom reports whether the candidate lacks nothing for the request.
+func (c Candidate) hasRoom() bool {
+	return c.Lacking == LacksNothing
+}
+
+// hasSlot reports whether the candidate could run a further request at once. A plain
+// service queues its requests.
+func (c Candidate) hasSlot() bool {
+	return c.MemoryTokens == 0 || c.Running < c.Slots
+}
+
+// fits reports whether an engine has the memory for a further request beside all that
+// it is expected to need while the request runs.
+func (c Candidate) fits(request Request) bool {
+	if c.MemoryTokens == 0 {
+		return true
+	}
+	if c.ExpectedTokens == 0 {
+		return request.PromptTokens <= c.MemoryTokens
+	}
+	if request.Short {
+		return c.NearTokens+request.Tokens <= c.MemoryTokens
+	}
+	growth := min(request.Tokens-request.PromptTokens, maxGrowthTokens)
+	return c.ExpectedTokens+c.KeptTokens+request.PromptTokens+growth <= c.MemoryTokens
+}
+
+// maxGrowthTokens bounds the output for which an engine must have room. Its other runs
+// end, and free their memory, while the request grows further.
+const maxGrowthTokens = 300
