--- a/internal/trial/endtoend/platform_client_test.go
+++ b/internal/trial/endtoend/platform_client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -19,10 +20,15 @@
 	key    string
 	// tokens is the number of output tokens of a stream; zero for plain requests.
 	tokens int
+	// prompt is the number of prompt tokens of a stream; zero means smallPrompt.
+	prompt int
 	body   string
 	header http.Header
 }
 
+// smallPrompt is the usual size of a prompt, in tokens.
+const smallPrompt = 400
+
 // callerReply is the response that a caller received.
 type callerReply struct {
 	status int
@@ -95,7 +101,7 @@
 		request.Header.Set("X-Api-Key", r.key)
 	}
 	if r.tokens > 0 {
-		request.Header.Set("Fulmarvalve-Token-Usage", fmt.Sprintf("400,%d", r.tokens))
+		request.Header.Set("Fulmarvalve-Token-Usage", fmt.Sprintf("%d,%d", cmp.Or(r.prompt, smallPrompt), r.tokens))
 	}
 	return request
 }
