--- a/internal/backend/memoryforecast/memoryforecast.go
+++ b/internal/backend/memoryforecast/memoryforecast.go
@@ -60,6 +60,10 @@
 }
 
 const (
+	// MaxGrowthTokens bounds the further output of a run for which an engine must have
+	// room beside its peak. Its other runs end, and free their memory, while the run
+	// grows further.
+	MaxGrowthTokens = 300
 	// ShortOutputTokens is the output up to which a request is short: it ends before
 	// the other runs have grown much.
 	ShortOutputTokens = 64
--- a/internal/backend/migration/migration.go
+++ b/internal/backend/migration/migration.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/memoryforecast"
 )
 
 const (
@@ -35,9 +37,6 @@
 	// destination for each run assigned to it before, when destinations are
 	// compared, as the copies of these runs queue there.
 	assignedRunPenaltyTokens = 2000
-	// maxGrowthTokens bounds the growth for which a destination must have room. Its
-	// own runs end, and free their memory, while the run grows further.
-	maxGrowthTokens = 300
 	// copyMarginTokens is the memory that a destination must have free beyond
 	// that of the copy.
 	copyMarginTokens = 200
@@ -138,7 +137,7 @@
 	if remaining < 0 {
 		remaining = assumedRemainingTokens
 	}
-	return r.Tokens + min(remaining, maxGrowthTokens)
+	return r.Tokens + min(remaining, memoryforecast.MaxGrowthTokens)
 }
 
 // chooseDestination returns the best destination among those that have the free
--- a/internal/backend/monitor/forecast.go
+++ b/internal/backend/monitor/forecast.go
@@ -19,6 +19,9 @@
 	// forecastDeviations is the number of standard deviations above its mean to
 	// which the memory of the engine is forecast.
 	forecastDeviations = 1.0
+	// minSpread keeps an announcement without a spread from a distribution without
+	// width.
+	minSpread = 0.1
 	// outputWorth is the worth of an output token in prompt tokens.
 	outputWorth = 10
 )
@@ -70,9 +73,6 @@
 	}
 }
 
-// minSpread keeps an announcement without a spread from a distribution without width.
-const minSpread = 0.1
-
 // prune drops the requests that do not run and are no longer expected to arrive.
 func (f *forecasts) prune(report platform.EngineReport, now boottime.Instant) {
 	running := runningIDs(report)
--- a/internal/backend/monitor/reservation.go
+++ b/internal/backend/monitor/reservation.go
@@ -15,11 +15,12 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
-// lastCopyMillis is the usual time of the last copy of a run, after it was stopped.
-const lastCopyMillis = 40
-
-// reserveTimeoutMillis bounds a reservation at another monitor.
-const reserveTimeoutMillis = 150
+const (
+	// lastCopyMillis is the usual time of the last copy of a run, after it was stopped.
+	lastCopyMillis = 40
+	// reserveTimeoutMillis bounds a reservation at another monitor.
+	reserveTimeoutMillis = 150
+)
 
 // Reserve serves the monitor of an engine that is about to shut down. It grants the
 // migration of a run to this engine if the engine has the memory for the run and for
@@ -75,9 +76,9 @@
 	m.send(w, load)
 }
 
-// decideReservation grants memory for a request if the engine has it. The argument copied says
-// that the memory of the request will be copied from another engine. The caller
-// holds the mutex.
+// decideReservation grants memory for a request if the engine has it. The argument
+// copied says that the memory of the request will be copied from another engine. The
+// caller holds the mutex.
 func (m *Monitor) decideReservation(p *sighting.Placement, copied bool) *sighting.Room {
 	now := boottime.Now()
 	before := m.room(now)
@@ -127,6 +128,7 @@
 	host, _, err := net.SplitHostPort(step.Destination.Address)
 	if err != nil {
 		m.Log.Warn("destination has no valid address", "Destination", step.Destination.Address, "Error", err)
+		m.markRefused(step.Destination.Address)
 		return false
 	}
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(reserveTimeoutMillis*time.Millisecond))
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -98,8 +98,9 @@
 
 func (q *request) logPlaced(chosen placement.Candidate) {
 	q.log("placed", "Server", chosen.Server.ID, "Tokens", q.tokens(), "Prompt", q.caller.PromptTokens, "Hint", q.caller.HintTokens,
-		"Starting", chosen.Starting, "UnreadTokens", chosen.UnreadTokens, "LacksRoom", chosen.Lacking != placement.LacksNothing, "Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens,
-		"KeptTokens", chosen.KeptTokens, "SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
+		"LacksRoom", chosen.Lacking != placement.LacksNothing, "Starting", chosen.Starting, "UnreadTokens", chosen.UnreadTokens,
+		"Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens, "KeptTokens", chosen.KeptTokens,
+		"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
 }
 
 // rank returns the order of the request among those that wait for room.
--- a/internal/routing/placement/room.go
+++ b/internal/routing/placement/room.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/memoryforecast"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 )
@@ -95,10 +96,6 @@
 	if request.Short {
 		return c.NearTokens+request.Tokens <= c.MemoryTokens
 	}
-	growth := min(request.Tokens-request.PromptTokens, maxGrowthTokens)
+	growth := min(request.Tokens-request.PromptTokens, memoryforecast.MaxGrowthTokens)
 	return c.ExpectedTokens+c.KeptTokens+request.PromptTokens+growth <= c.MemoryTokens
 }
-
-// maxGrowthTokens bounds the output for which an engine must have room. Its other runs
-// end, and free their memory, while the request grows further.
-const maxGrowthTokens = 300
