--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -17,7 +17,7 @@
 // unplaced says that no backend server can take the request.
 type unplaced struct{}
 
-// noRoom says that no engine had room for the request.
+// noRoom says that no engine had room for the request while it could be on time.
 type noRoom struct{}
 
 // tooLarge says that the prompt exceeds the memory of every engine.
@@ -142,7 +142,8 @@
 	case tooLarge:
 		q.refuse(Refusal{resultcode.EnginesFull, 0})
 	case noRoom:
-		q.refuse(Refusal{resultcode.EnginesFull, q.relay.returns.nextReturn(boottime.Now())})
+		now := boottime.Now()
+		q.refuse(Refusal{resultcode.EnginesFull, q.relay.returns.nextReturn(now.MillisSince(q.arrivedAt), now)})
 	case lost:
 		code := resultcode.ReplyLost
 		if ctx.Err() != nil {
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/memoryforecast"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 )
 
 const (
@@ -18,9 +20,8 @@
 )
 
 // placeWithRoom selects a backend server and opens an assignment there. A request for
-// an engine that finds none with room is refused at once, as its caller can still be
-// served in time when it returns. It returns the outcome of the request when no server
-// can take it.
+// an engine waits until one has room for it, as long as it can still be on time. It
+// returns the outcome of the request when no server can take it.
 func (q *request) placeWithRoom(ctx context.Context) (*attempt, outcome) {
 	// A request that was sent before and may run again is late at worst.
 	if q.service.Engine == nil || len(q.tried) > 0 {
@@ -30,10 +31,12 @@
 		q.log("prompt exceeds the memory of the engines", "Prompt", q.caller.PromptTokens, "MemoryTokens", memory)
 		return nil, tooLarge{}
 	}
+	aim, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(q.aimAt().MillisSince(boottime.Now()))*time.Millisecond))
+	defer stop()
 	for {
-		placed := q.place(true)
-		if placed.NoRoom {
-			q.log("no engine has room", "Tokens", q.tokens(),
+		placed, ok := q.awaitRoom(aim)
+		if !ok {
+			q.log("no engine has room", "Tokens", q.tokens(), "Waiting", q.relay.Waiting.Length(),
 				"LackReport", placed.Lacking[placement.LacksReport], "LackSlot", placed.Lacking[placement.LacksSlot],
 				"LackMemory", placed.Lacking[placement.LacksMemory], "LackTime", placed.Lacking[placement.LacksTime],
 				"KeptTokens", placed.Chosen.KeptTokens)
@@ -44,7 +47,8 @@
 		}
 		server := placed.Chosen.Server
 		if q.relay.Reserve(ctx, server.ID, q.caller.ID, q.generation(0)) {
-			q.relay.returns.recordPlaced(boottime.Now())
+			now := boottime.Now()
+			q.relay.returns.recordPlaced(now.MillisSince(q.arrivedAt), now)
 			q.logPlaced(placed.Chosen)
 			return &attempt{server: server, assignment: placed.Assignment}, nil
 		}
@@ -53,6 +57,17 @@
 	}
 }
 
+// awaitRoom waits for an engine with room until ctx ends, which it reports as false. The
+// placement has no assignment when no engine could take the request at all.
+func (q *request) awaitRoom(ctx context.Context) (placement.Placement, bool) {
+	var placed placement.Placement
+	ok := q.relay.Waiting.Wait(ctx, q.rank(), func() bool {
+		placed = q.place(true)
+		return !placed.NoRoom
+	})
+	return placed, ok
+}
+
 // placeAnywhere selects a backend server, if need be an engine without room.
 func (q *request) placeAnywhere() (*attempt, outcome) {
 	placed := q.place(false)
@@ -88,6 +103,11 @@
 		"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
 }
 
+// rank returns the order of the request among those that wait for room.
+func (q *request) rank() placementqueue.Rank {
+	return placementqueue.Rank{Account: q.accountPriority(), Route: q.route.Priority, AimAt: q.startBy()}
+}
+
 // startBy returns the time by which the first event should come.
 func (q *request) startBy() boottime.Instant {
 	aim := q.route.FirstEventMillis
@@ -96,3 +116,10 @@
 	}
 	return q.arrivedAt.AddMillis(aim)
 }
+
+// aimAt returns the time by which the request must be placed for its first event to be
+// on time, at an engine that has no other prompt to process.
+func (q *request) aimAt() boottime.Instant {
+	startBy := q.startBy()
+	return max(startBy.AddMillis(-q.relay.LoadTable.PromptMillis(q.caller.PromptTokens)), q.arrivedAt)
+}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -33,6 +34,8 @@
 	Retries      *Retries
 	// Outputs learns how long the outputs of each route are.
 	Outputs *outputestimate.Model
+	// Waiting holds the requests that wait for room at an engine.
+	Waiting *placementqueue.Queue
 	// Reserve asks an engine for the memory that a request needs. It returns false
 	// when the engine has none.
 	Reserve func(ctx context.Context, server, request string, generation placement.Generation) bool
--- a/internal/records/lossreport/lossreport.go
+++ b/internal/records/lossreport/lossreport.go
@@ -34,6 +34,9 @@
 
 // Causes of late requests.
 const (
+	// WaitedForRoom means that most of the time to the first event was spent on waiting
+	// for an engine with room.
+	WaitedForRoom Cause = "WaitedForRoom"
 	// QueuedBehindPrompts means that the engine had other prompts to process first.
 	QueuedBehindPrompts Cause = "QueuedBehindPrompts"
 	// SlowFirstEvent means that the first event was late for no reason that the entry
@@ -49,6 +52,10 @@
 // Causes of refused requests begin with this text, before the reason of the refusal.
 const refusedPrefix = "Refused"
 
+// waitedShare is the share of the time to the first event from which a wait for room is
+// the cause of a late one.
+const waitedShare = 0.5
+
 // Loss is one request that was lost, late or refused.
 type Loss struct {
 	Request string
@@ -173,7 +180,7 @@
 func (s *story) lateCause() (Cause, bool) {
 	first, aim := number(s.end, "FirstMillis"), number(s.end, "AimMillis")
 	if aim > 0 && first > aim {
-		return s.lateFirstCause(), true
+		return s.lateFirstCause(first), true
 	}
 	pause, most := number(s.end, "PauseMillis"), number(s.end, "MaxPauseMillis")
 	if most <= 0 || pause <= most {
@@ -185,11 +192,15 @@
 	return PausedByEngine, true
 }
 
-func (s *story) lateFirstCause() Cause {
-	if number(s.placed, "UnreadTokens") > 0 {
+func (s *story) lateFirstCause(first float64) Cause {
+	switch {
+	case number(s.placed, "Millis") > waitedShare*first:
+		return WaitedForRoom
+	case number(s.placed, "UnreadTokens") > 0:
 		return QueuedBehindPrompts
+	default:
+		return SlowFirstEvent
 	}
-	return SlowFirstEvent
 }
 
 // lostCause returns why a stream was lost.
--- a/internal/records/lossreport/lossreport_test.go
+++ b/internal/records/lossreport/lossreport_test.go
@@ -25,6 +25,7 @@
 	}{
 		{"in time", []string{placedLine, streamed + `"FirstMillis":500,"PauseMillis":60,"Moves":1}`}, ""},
 		{"no aim known", []string{placedLine, `{"Time":"2026-01-01T00:00:09Z","Message":"streamed","Request":"r","FirstMillis":9000}`}, ""},
+		{"waited for room", []string{strings.Replace(placedLine, `"Millis":10`, `"Millis":1100`, 1), streamed + `"FirstMillis":1900}`}, WaitedForRoom},
 		{"prompts ahead", []string{strings.Replace(placedLine, `"UnreadTokens":0`, `"UnreadTokens":9000`, 1), streamed + `"FirstMillis":1900}`}, QueuedBehindPrompts},
 		{"slow engine", []string{placedLine, streamed + `"FirstMillis":1900}`}, SlowFirstEvent},
 		{"pause at a migration", []string{placedLine, streamed + `"FirstMillis":500,"PauseMillis":400,"Moves":1}`}, PausedAtMigration},
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -25,6 +25,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/watch"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
@@ -67,6 +68,7 @@
 	loadTable    *placement.LoadTable
 	server       *httpserver.Server
 	watch        *watch.Watch
+	waiting      *placementqueue.Queue
 	metrics      *metrics.Registry
 	// bounds limit the age at which the cached configuration is used. They may
 	// change when the settings are reloaded.
@@ -106,6 +108,7 @@
 	group.Go(func() error { return h.serveControl(ctx, control) })
 	group.Go(func() error { return h.server.Run(ctx) })
 	group.Go(func() error { return h.watch.Run(ctx) })
+	group.Go(func() error { return h.waiting.Run(ctx) })
 	group.Go(func() error { return h.metrics.Run(ctx) })
 	group.Go(func() error {
 		return transport.HTTPServer{Listener: metricsListener, Handler: h.metrics.Handler()}.Run(ctx)
@@ -134,10 +137,12 @@
 	h.metrics = &metrics.Registry{}
 	h.loadTable = &placement.LoadTable{Zone: h.Settings.Zone, Policy: placementPolicy(h.Settings.Placing)}
 	migrations := &relay.Migrations{}
+	h.waiting = &placementqueue.Queue{}
 	h.watch = &watch.Watch{
 		StoreWatcher: h.storeWatcher,
 		LoadTable:    h.loadTable,
 		Migrations:   migrations,
+		Waiting:      h.waiting,
 		Log:          h.Log,
 		PeerPort:     h.Settings.PeerPort,
 	}
@@ -151,6 +156,7 @@
 			Migrations:   migrations,
 			Retries:      h.retries(),
 			Outputs:      &outputestimate.Model{},
+			Waiting:      h.waiting,
 			Reserve:      h.watch.Reserve,
 			OnPlaced:     h.watch.NotifyPlaced,
 			Metrics:      h.metrics,
--- a/internal/routing/placement/room.go
+++ b/internal/routing/placement/room.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// PromptMillis returns the usual time to the first event after a prompt.
+func (l *LoadTable) PromptMillis(tokens int) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.promptRate.millisPerToken() * float64(tokens))
+}
+
 // usable reports whether the candidate may get requests at all.
 func (c Candidate) usable() bool {
 	return !c.Leaving && !c.Avoided && !c.Tried
--- /dev/null
+++ b/internal/routing/placementqueue/placementqueue.go
@@ -0,0 +1,146 @@
+// Package placementqueue orders the requests of one entry host that wait for an engine
+// with enough free memory. In each pass every request is tried, in the order of its
+// rank, so that a small request does not wait behind a large one that nothing has
+// room for. The package does no I/O.
+package placementqueue
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+)
+
+// passMillis is the least pause between two passes.
+const passMillis = 15
+
+// Rank orders requests. It is immutable.
+type Rank struct {
+	// Account and Route are the priorities of client account and route; zero is the
+	// most urgent. The account's outweighs the route's.
+	Account int
+	Route   int
+	// AimAt is the time by which the request must be placed to be on time.
+	AimAt boottime.Instant
+}
+
+// Compare returns a negative number if r comes before other.
+func (r Rank) Compare(other Rank) int {
+	return cmp.Or(
+		cmp.Compare(r.Account, other.Account),
+		cmp.Compare(r.Route, other.Route),
+		cmp.Compare(r.AimAt, other.AimAt),
+	)
+}
+
+// Queue holds the waiting requests. Its methods are safe for concurrent use. The zero
+// value is ready to use; Run must run for the requests to be tried again.
+type Queue struct {
+	mu sync.Mutex
+	// waiting holds the requests in the order of their ranks.
+	waiting []*waiter
+	// wake holds a value when a pass is due.
+	wake chan struct{}
+}
+
+// waiter is one waiting request.
+type waiter struct {
+	rank Rank
+	// try places the request, or returns false when nothing has room for it. It must
+	// not block.
+	try func() bool
+	// placed is closed when try has returned true.
+	placed chan struct{}
+}
+
+// Wait tries to place a request until try returns true or ctx ends. It reports whether
+// the request was placed.
+func (q *Queue) Wait(ctx context.Context, rank Rank, try func() bool) bool {
+	w := &waiter{rank: rank, try: try, placed: make(chan struct{})}
+	q.insert(w)
+	q.Pass()
+	select {
+	case <-w.placed:
+		return true
+	case <-ctx.Done():
+		return !q.remove(w)
+	}
+}
+
+func (q *Queue) insert(w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	at, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b *waiter) int {
+		// A later request of the same rank comes after the earlier ones.
+		return cmp.Or(a.rank.Compare(b.rank), -1)
+	})
+	q.waiting = slices.Insert(q.waiting, at, w)
+}
+
+// remove removes a waiting request. It returns false when the request was placed
+// before.
+func (q *Queue) remove(w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	at := slices.Index(q.waiting, w)
+	if at < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	return true
+}
+
+// Pass tries all waiting requests once.
+func (q *Queue) Pass() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *waiter) bool {
+		if !w.try() {
+			return false
+		}
+		close(w.placed)
+		return true
+	})
+}
+
+// Length returns the number of waiting requests.
+func (q *Queue) Length() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
+// Signal says that the load of an engine has changed.
+func (q *Queue) Signal() {
+	select {
+	case q.wakeChannel() <- struct{}{}:
+	default:
+	}
+}
+
+func (q *Queue) wakeChannel() chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.wake == nil {
+		q.wake = make(chan struct{}, 1)
+	}
+	return q.wake
+}
+
+// Run makes a pass after each signal until ctx ends.
+func (q *Queue) Run(ctx context.Context) error {
+	wake := q.wakeChannel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-wake:
+		}
+		if q.Length() > 0 {
+			q.Pass()
+			boottime.Pause(ctx, passMillis)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/placementqueue/placementqueue_test.go
@@ -0,0 +1,67 @@
+package placementqueue
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// TestQueueOrder replays a moment at which engines are full: requests wait, then
+// memory becomes free bit by bit. Urgent ones come first, then those whose time is
+// shortest, and a small request passes a large one that nothing has room for.
+func TestQueueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := &Queue{}
+		ctx, stop := context.WithCancel(context.Background())
+		free := 0
+		var placed []string
+		var group errgroup.Group
+		group.Go(func() error { return q.Run(ctx) })
+		wait := func(name string, rank Rank, tokens int) {
+			group.Go(func() error {
+				ok := q.Wait(ctx, rank, func() bool {
+					if free < tokens {
+						return false
+					}
+					free -= tokens
+					placed = append(placed, name)
+					return true
+				})
+				if !ok {
+					placed = append(placed, name+" gave up")
+				}
+				return nil
+			})
+			synctest.Wait()
+		}
+		wait("late", Rank{Account: 1, Route: 1, AimAt: 900}, 3000)
+		wait("soon", Rank{Account: 1, Route: 1, AimAt: 500}, 3000)
+		wait("large", Rank{Account: 1, Route: 0, AimAt: 500}, 9000)
+		wait("small", Rank{Account: 1, Route: 0, AimAt: 800}, 1000)
+		wait("account", Rank{Account: 0, Route: 1, AimAt: 800}, 3000)
+		is.Equal(q.Length(), 5)
+		signal := func(tokens int) {
+			free += tokens
+			q.Signal()
+			time.Sleep(2 * passMillis * time.Millisecond)
+			synctest.Wait()
+		}
+		signal(3000)
+		is.Equal(placed, []string{"account"})
+		signal(1000)
+		is.Equal(placed, []string{"account", "small"})
+		signal(3000)
+		signal(3000)
+		is.Equal(placed, []string{"account", "small", "soon", "late"})
+		stop()
+		is.NoErr(group.Wait())
+		is.True(slices.Contains(placed, "large gave up"))
+		is.Equal(q.Length(), 0)
+	})
+}
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
@@ -46,7 +47,9 @@
 	StoreWatcher *storewatcher.Watcher
 	LoadTable    *placement.LoadTable
 	Migrations   *relay.Migrations
-	Log          *slog.Logger
+	// Waiting holds the requests that wait for room at an engine.
+	Waiting *placementqueue.Queue
+	Log     *slog.Logger
 	// PeerPort is the port of the engines' monitors.
 	PeerPort int
 
@@ -242,6 +245,7 @@
 			Watchers:       int(load.GetWatchers()),
 			ReceivedAt:     now,
 		})
+		w.Waiting.Signal()
 	case s.GetRoom() != nil:
 		w.streams.answer(s.GetRoom())
 	case s.GetNotice() != nil:
