refactor: one loop for the memory peak and for arriving requests; expected output once per request

Found in reading the whole change: Peak, NearPeak and PeakWith held the same loop, three methods of forecasts walked the arriving requests, and the mean output of a request (an integral of 32 steps) was computed anew at each attempt to place it. Behaviour is unchanged.

--- a/internal/backend/memoryforecast/memoryforecast.go
+++ b/internal/backend/memoryforecast/memoryforecast.go
@@ -28,35 +28,21 @@
 // memory that no run frees. It is the highest value over time of the expected memory
 // plus a number of standard deviations.
 func Peak(runs []Run, fixed int, deviations float64) int {
-	highest := 0.0
-	for _, ahead := range horizons {
-		highest = max(highest, at(runs, ahead, deviations))
-	}
-	return fixed + int(math.Ceil(highest))
+	return fixed + highest(runs, deviations, func(int) bool { return true })
 }
 
 // NearPeak is like Peak, for the time in which each run produces ShortOutputTokens.
 func NearPeak(runs []Run, fixed int, deviations float64) int {
-	highest := 0.0
-	for _, ahead := range horizons {
-		if ahead <= ShortOutputTokens {
-			highest = max(highest, at(runs, ahead, deviations))
-		}
-	}
-	return fixed + int(math.Ceil(highest))
+	return fixed + highest(runs, deviations, func(ahead int) bool { return ahead <= ShortOutputTokens })
 }
 
 // PeakWith is like Peak with a further run, for the time in which that run will
 // probably not have ended yet.
 func PeakWith(runs []Run, further Run, fixed int, deviations float64) int {
-	highest := 0.0
 	all := append(slices.Clip(runs), further)
-	for _, ahead := range horizons {
-		if further.Output.Reaches(further.Produced, ahead) >= minAlive {
-			highest = max(highest, at(all, ahead, deviations))
-		}
-	}
-	return fixed + int(math.Ceil(highest))
+	return fixed + highest(all, deviations, func(ahead int) bool {
+		return further.Output.Reaches(further.Produced, ahead) >= minAlive
+	})
 }
 
 const (
@@ -72,6 +58,17 @@
 	minAlive = 0.1
 )
 
+// highest returns the highest forecast among the horizons that are included.
+func highest(runs []Run, deviations float64, included func(ahead int) bool) int {
+	most := 0.0
+	for _, ahead := range horizons {
+		if included(ahead) {
+			most = max(most, at(runs, ahead, deviations))
+		}
+	}
+	return int(math.Ceil(most))
+}
+
 // at returns the forecast at one horizon.
 func at(runs []Run, ahead int, deviations float64) float64 {
 	mean, variance := 0.0, 0.0
--- a/internal/backend/monitor/forecast.go
+++ b/internal/backend/monitor/forecast.go
@@ -113,14 +113,13 @@
 // unreadTokens returns the prompts of the requests that have produced no event yet.
 func (f *forecasts) unreadTokens(report platform.EngineReport, now boottime.Instant) int {
 	total := 0
-	running := runningIDs(report)
 	for _, run := range report.Runs {
 		if request, ok := f.all[run.RequestID]; ok && run.Events == 0 {
 			total += request.promptTokens
 		}
 	}
-	for id, request := range f.all {
-		if !running[id] && request.produced == 0 && now.MillisSince(request.placedAt) <= arrivalMillis {
+	for _, request := range f.arrivals(report, now) {
+		if request.produced == 0 {
 			total += request.promptTokens
 		}
 	}
@@ -130,19 +129,29 @@
 // runs returns the running and the arriving requests, and the memory that no run
 // frees.
 func (f *forecasts) runs(report platform.EngineReport, now boottime.Instant) (runs []memoryforecast.Run, fixed int) {
-	running := runningIDs(report)
 	runs = make([]memoryforecast.Run, 0, len(report.Runs)+len(f.all)+1)
 	fixed = report.UsedTokens
 	for _, run := range report.Runs {
 		runs = append(runs, f.run(run))
 		fixed -= run.Tokens
 	}
+	for _, request := range f.arrivals(report, now) {
+		runs = append(runs, request.arriving(now))
+	}
+	return runs, max(fixed, 0)
+}
+
+// arrivals returns the announced requests that the engine does not report yet and that
+// are still expected to arrive.
+func (f *forecasts) arrivals(report platform.EngineReport, now boottime.Instant) []announced {
+	running := runningIDs(report)
+	var arriving []announced
 	for id, request := range f.all {
 		if !running[id] && now.MillisSince(request.placedAt) <= arrivalMillis {
-			runs = append(runs, request.arriving(now))
+			arriving = append(arriving, request)
 		}
 	}
-	return runs, max(fixed, 0)
+	return arriving
 }
 
 // run returns a run of the engine with its announced output.
@@ -172,12 +181,9 @@
 // arrivingTokens returns the memory that announced requests will take as soon as
 // they arrive.
 func (f *forecasts) arrivingTokens(report platform.EngineReport, now boottime.Instant) int {
-	running := runningIDs(report)
 	total := 0
-	for id, request := range f.all {
-		if !running[id] && now.MillisSince(request.placedAt) <= arrivalMillis {
-			total += request.arriving(now).Tokens
-		}
+	for _, request := range f.arrivals(report, now) {
+		total += request.arriving(now).Tokens
 	}
 	return total
 }
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -127,7 +127,7 @@
 	if q.service.Engine == nil {
 		return 0
 	}
-	return q.generation(0).ExpectedTokens()
+	return q.caller.PromptTokens + q.outputTokens
 }
 
 // generation returns the request as a generation that has produced some tokens.
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -88,7 +88,7 @@
 		Service:      q.service,
 		Tokens:       q.tokens(),
 		PromptTokens: q.caller.PromptTokens,
-		Short:        q.output.Remaining(0) <= memoryforecast.ShortOutputTokens,
+		Short:        q.outputTokens <= memoryforecast.ShortOutputTokens,
 		StartBy:      q.startBy(),
 		Tried:        q.tried,
 		RefusedUntil: q.refusedUntil,
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -71,8 +71,9 @@
 	route    routetable.Route
 	service  routetable.Service
 	account  routetable.Account
-	// output is the estimate of the output of a generation.
-	output outputestimate.Estimate
+	// output is the estimate of the output of a generation, and outputTokens its mean.
+	output       outputestimate.Estimate
+	outputTokens int
 	// deadlineAt is the time by which the caller must have the final answer.
 	deadlineAt boottime.Instant
 	// arrivedAt is the time at which the request had arrived completely.
@@ -174,6 +175,7 @@
 	q.deadlineAt = q.deadline()
 	if q.service.Engine != nil {
 		q.output = q.relay.Outputs.Estimate(route.Name, q.caller.HintTokens, q.caller.MaxOutputTokens)
+		q.outputTokens = q.output.Remaining(0)
 	}
 	return q.checkShutdown()
 }
@@ -196,7 +198,7 @@
 	}
 	output := q.caller.MaxOutputTokens
 	if output == 0 {
-		output = estimateFactor * q.output.Remaining(0)
+		output = estimateFactor * q.outputTokens
 	}
 	return promptMillis + int64(output)*tokenMillis
 }
--- a/internal/caller/relay/returnschedule.go
+++ b/internal/caller/relay/returnschedule.go
@@ -18,13 +18,13 @@
 	maxReturnMillis = 5000
 )
 
-// returnSchedule decides when callers that were refused for lack of room return: after the
-// time in which room usually comes, and one after the other at the rate at which
-// requests find room. It is safe for concurrent use. The zero value is ready to use.
+// returnSchedule decides when callers that were refused for lack of room return: after
+// the average time until requests find room, and one after the other at the rate at
+// which they do. It is safe for concurrent use. The zero value is ready to use.
 type returnSchedule struct {
 	mu sync.Mutex
-	// waitMillis is the average wait of the requests that waited for room. It is zero
-	// before the first one.
+	// waitMillis is the average time until a request found room, a few milliseconds
+	// while engines have some. It is zero before the first one.
 	waitMillis float64
 	// intervalMillis is the average time between two placements. It is zero before the
 	// second one.
@@ -34,7 +34,7 @@
 	lastAt boottime.Instant
 }
 
-// recordPlaced records that a request found room after a wait.
+// recordPlaced records that a request found room, and the time until then.
 func (r *returnSchedule) recordPlaced(waitedMillis int64, now boottime.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/routing/placementqueue/placementqueue.go
+++ b/internal/routing/placementqueue/placementqueue.go
@@ -22,7 +22,7 @@
 	// most urgent. The account's outweighs the route's.
 	Account int
 	Route   int
-	// AimAt is the time by which the request must be placed to be on time.
+	// AimAt is the time by which the first event of the request should come.
 	AimAt boottime.Instant
 }
 
