feat: log the rate limits that backend servers name, and the server of each answer

Change: all requests to backend servers are sent by one function, which decodes the limit of each signed answer. A change is logged (backend server changed its rate limit), the line answered names the server, and LimitedSends counts the requests to servers with a limit. What is decided does not change.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -92,7 +92,7 @@
 		return refused
 	}
 	q.tried[a.server.ID] = true
-	call, err := Open(ctx, q.outbound(a.server, platform.ServerRequest{LastEvent: q.caller.LastEvent}))
+	call, err := q.open(ctx, a.server, platform.ServerRequest{LastEvent: q.caller.LastEvent})
 	if err != nil {
 		a.close(ctx.Err() == nil)
 		if errors.Is(err, ErrNotSent) {
@@ -184,5 +184,5 @@
 		q.log("answer lost", "Server", a.server.ID, "Error", err)
 		return lost{err}
 	}
-	return answered{status: answer.StatusCode, header: platform.CallerHeader(answer.Header), body: body}
+	return answered{server: a.server.ID, status: answer.StatusCode, header: platform.CallerHeader(answer.Header), body: body}
 }
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -38,6 +38,8 @@
 
 // answered holds a complete answer.
 type answered struct {
+	// server is the ID of the server.
+	server string
 	status int
 	header http.Header
 	body   []byte
@@ -135,7 +137,7 @@
 	}
 	switch o := last.(type) {
 	case answered:
-		q.log("answered", "Status", o.status)
+		q.log("answered", "Server", o.server, "Status", o.status)
 		q.countAnswered()
 		q.exchange.Respond(o.status, o.header, o.body)
 	case streamed:
--- /dev/null
+++ b/internal/caller/relay/ratelimit.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+// open sends the request to a backend server and records what the answer says of the
+// server's rate limit. All requests to backend servers are sent by it.
+func (q *request) open(ctx context.Context, server discovery.BackendServer, r platform.ServerRequest) (*Call, error) {
+	if q.relay.ServerLimits.Limited(server.ID) {
+		q.relay.Metrics.CountLimitedSend()
+	}
+	sentAt := boottime.Now()
+	call, err := Open(ctx, q.outbound(server, r))
+	if err == nil {
+		q.observeRateLimit(server.ID, call.Answer, sentAt)
+	}
+	return call, err
+}
+
+// observeRateLimit records the rate limit in an answer. An answer that the server itself
+// may not have made says nothing of its limit.
+func (q *request) observeRateLimit(server string, answer *http.Response, sentAt boottime.Instant) {
+	perSecond, named, err := platform.RateLimit(answer.Header)
+	if err != nil {
+		q.log("rate limit of backend server ignored", "Server", server, "Error", err)
+		return
+	}
+	if !named && !platform.Signed(answer.Header) {
+		return
+	}
+	changed := q.relay.ServerLimits.Observe(server, serverlimit.Answer{
+		Named:         named,
+		PerSecond:     perSecond,
+		RequestSentAt: sentAt,
+		ReceivedAt:    boottime.Now(),
+	})
+	if changed {
+		q.log("backend server changed its rate limit", "Server", server, "Limited", named, "PerSecond", perSecond)
+	}
+}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -34,6 +35,8 @@
 	Retries      *Retries
 	// Outputs learns how long the outputs of each route are.
 	Outputs *outputestimate.Model
+	// ServerLimits holds the rate limits that backend servers name.
+	ServerLimits *serverlimit.Table
 	// Waiting holds the requests that wait for room at an engine.
 	Waiting *placementqueue.Queue
 	// Reserve asks an engine for the memory that a request needs. It returns false
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -286,7 +286,7 @@
 // open sends the request to a further server. If the server continues the stream,
 // it becomes the new source.
 func (s *stream) open(ctx context.Context, next *attempt, r platform.ServerRequest) bool {
-	call, err := Open(ctx, s.request.outbound(next.server, r))
+	call, err := s.request.open(ctx, next.server, r)
 	if err != nil {
 		s.request.log("stream not resumed at backend server", "Server", next.server.ID, "Error", err)
 		next.close(ctx.Err() == nil)
--- a/internal/records/metrics/metrics.go
+++ b/internal/records/metrics/metrics.go
@@ -38,6 +38,7 @@
 	// maximum number of series was reached.
 	overflowed     atomic.Int64
 	retries        expvar.Int
+	limitedSends   expvar.Int
 	results        expvar.Map
 	rejectedFrames expvar.Map
 	migrations     expvar.Map
@@ -95,6 +96,11 @@
 	r.retries.Add(1)
 }
 
+// CountLimitedSend counts a request that is sent to a backend server with a rate limit.
+func (r *Registry) CountLimitedSend() {
+	r.limitedSends.Add(1)
+}
+
 // CountMigration counts a planned migration of a generation by its outcome. The
 // outcome must come from a fixed set, since the registry keeps a counter for each
 // one.
--- a/internal/records/metrics/query.go
+++ b/internal/records/metrics/query.go
@@ -24,6 +24,9 @@
 	// Results is the number of finished requests by result code.
 	Results map[string]int64
 	Retries int64
+	// LimitedSends is the number of requests that were sent to backend servers with a
+	// rate limit.
+	LimitedSends int64
 	// RejectedFrames is the number of rejected frames by reason.
 	RejectedFrames map[string]int64
 	// Moves is the number of planned migrations of generations by outcome.
@@ -60,6 +63,7 @@
 		Overflowed:     r.overflowed.Load(),
 		Results:        counts(&r.results),
 		Retries:        r.retries.Value(),
+		LimitedSends:   r.limitedSends.Value(),
 		RejectedFrames: counts(&r.rejectedFrames),
 		Moves:          counts(&r.migrations),
 		MovePause:      r.migrationPause.quantiles(),
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -27,6 +27,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/watch"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storecache"
@@ -156,6 +157,7 @@
 			Migrations:   migrations,
 			Retries:      h.retries(),
 			Outputs:      &outputestimate.Model{},
+			ServerLimits: &serverlimit.Table{},
 			Waiting:      h.waiting,
 			Reserve:      h.watch.Reserve,
 			OnPlaced:     h.watch.NotifyPlaced,
