--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -21,10 +21,13 @@
 		return
 	}
 	body, _ := io.ReadAll(q.Body)
-	arrival := &Arrival{Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body)}
+	arrival := &Arrival{At: time.Now(), Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body)}
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrival)
 	faults := r.faults
+	if r.rateLimit != "" {
+		w.Header().Set("Server-Limit", r.rateLimit)
+	}
 	r.mu.Unlock()
 	w.Header().Set("Fulmarvalve-Request-Id", q.Header.Get("Fulmarvalve-Request-Id"))
 	if expected := q.Header.Get("Fulmarvalve-Expect-Instance"); expected != "" && expected != r.ID {
@@ -64,7 +67,7 @@
 	body, _ := io.ReadAll(buffer)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, &Arrival{Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body), Ran: true})
+	r.arrivals = append(r.arrivals, &Arrival{At: time.Now(), Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body), Ran: true})
 }
 
 // hasValidHandle reports whether a request that resumes a migrated run has a valid
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -71,6 +71,8 @@
 
 // Arrival is a request that reached a backend server.
 type Arrival struct {
+	// At is the time at which the request was read.
+	At     time.Time
 	Method string
 	Target string
 	Header http.Header
@@ -102,9 +104,12 @@
 	// Group is shared by the servers of one service.
 	Group *Group
 
-	mu       sync.Mutex
-	faults   Faults
-	arrivals []*Arrival
+	mu     sync.Mutex
+	faults Faults
+	// rateLimit is the value of the header by which answers name a rate limit; empty
+	// for none.
+	rateLimit string
+	arrivals  []*Arrival
 	// runs holds the streams that are being generated, by request ID.
 	runs map[string]*run
 	// shutdownAt is when the server shuts down; zero unless it is draining.
@@ -128,6 +133,20 @@
 	r.faults = f
 }
 
+// SetRateLimit makes every answer name a limit of requests a second.
+func (r *Replica) SetRateLimit(perSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rateLimit = strconv.FormatFloat(perSecond, 'f', -1, 64)
+}
+
+// EndRateLimit makes answers name no limit any more.
+func (r *Replica) EndRateLimit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rateLimit = ""
+}
+
 // Drain makes the server report that it is draining and that it will shut down at the
 // given time. From then on, the runs that Faults.RefuseMigrations has kept on the server
 // are broken; otherwise the server continues to serve.
