refactor: one type that wakes a goroutine when there is work

The queue of waiting requests made its wake-up channel under its own lock. Behaviour stays.

Evidence: go test ./internal/records/signal ./internal/routing/placementqueue passes.

--- a/internal/routing/placementqueue/placementqueue.go
+++ b/internal/routing/placementqueue/placementqueue.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/signal"
 )
 
 // passMillis is the least pause between two passes.
@@ -41,8 +42,8 @@
 	mu sync.Mutex
 	// waiting holds the requests in the order of their ranks.
 	waiting []*waiter
-	// wake holds a value when a pass is due.
-	wake chan struct{}
+	// wake says that a pass is due.
+	wake signal.Signal
 }
 
 // waiter is one waiting request.
@@ -114,29 +115,16 @@
 
 // Signal says that the load of an engine has changed.
 func (q *Queue) Signal() {
-	select {
-	case q.wakeChannel() <- struct{}{}:
-	default:
-	}
-}
-
-func (q *Queue) wakeChannel() chan struct{} {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.wake == nil {
-		q.wake = make(chan struct{}, 1)
-	}
-	return q.wake
+	q.wake.Set()
 }
 
 // Run makes a pass after each signal until ctx ends.
 func (q *Queue) Run(ctx context.Context) error {
-	wake := q.wakeChannel()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-wake:
+		case <-q.wake.C():
 		}
 		if q.Length() > 0 {
 			q.Pass()
