fix: all entry hosts together keep the rate limit that a backend server names

Cause: no process read the limit. Class of fault: what must hold for all entry hosts together was neither known to any of them nor shared between them.

Ruled out before: retries, and limits that each host keeps alone.

Change: - serverlimit.Table is a host's view of the limits, without I/O. The hosts tell one another how many requests they have sent to each server with a limit (counts that never fall, so that loss, repetition and order do not matter) and what it answered them. All draw on one token bucket for each server. A host uses the shared rate only while its own statements come back to it, with no request beyond those; otherwise it keeps to its share, and the others leave its share to it. If there is none, it is refused at once as not run (code 220, ServersLimited) with the time of the next token; a generation waits if the token comes while it can be on time, a resumption until its time is over. Leaving engines copy their runs to engines without a limit if there are any.

--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -69,9 +69,10 @@
 	obstacles map[string]migration.Obstacle
 	// placed is the number of requests that entry hosts have placed since the
 	// latest report.
-	placed    int
-	forecasts forecasts
-	inbound   inbound
+	placed     int
+	forecasts  forecasts
+	inbound    inbound
+	rateLimits rateLimits
 }
 
 // watcher is an entry host that watches the engine.
@@ -87,6 +88,10 @@
 		m.follow(ctx, group)
 		return nil
 	})
+	group.Go(func() error {
+		m.passOnRateLimits(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -18,6 +18,19 @@
 	}
 }
 
+// publishOptional queues a message that a later one makes up for. A host whose outbox is
+// half full does not get it.
+func (m *Monitor) publishOptional(s *sighting.Sighting) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.identifySighting(s)
+	for w := range m.watchers {
+		if len(w.outbox) < outboxLength/2 {
+			m.enqueue(w, s)
+		}
+	}
+}
+
 // send queues a message for one watching entry host.
 func (m *Monitor) send(w *watcher, s *sighting.Sighting) {
 	m.mu.Lock()
@@ -61,6 +74,9 @@
 				return err
 			}
 			switch {
+			case message.GetRateLimits() != nil:
+				m.rateLimits.add(message.GetRateLimits())
+				continue
 			case message.GetPlacement() != nil:
 				m.addPlacement(message.GetPlacement())
 				continue
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -61,7 +61,7 @@
 		last = q.attempt(ctx)
 		result = conclusive(result, last)
 		switch last.(type) {
-		case unplaced, noRoom, tooLarge:
+		case unplaced, noRoom, tooLarge, rateLimited:
 			q.finish(ctx, result)
 			return
 		case unreached, superseded:
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -20,6 +20,10 @@
 // noRoom says that no engine had room for the request while it could be on time.
 type noRoom struct{}
 
+// rateLimited says that every server that could take the request is held back by its rate
+// limit. The first of them accepts a request again at until.
+type rateLimited struct{ until boottime.Instant }
+
 // tooLarge says that the prompt exceeds the memory of every engine.
 type tooLarge struct{}
 
@@ -49,15 +53,16 @@
 // abort.
 type streamed struct{}
 
-func (unplaced) outcome()   {}
-func (noRoom) outcome()     {}
-func (tooLarge) outcome()   {}
-func (unreached) outcome()  {}
-func (superseded) outcome() {}
-func (declined) outcome()   {}
-func (lost) outcome()       {}
-func (answered) outcome()   {}
-func (streamed) outcome()   {}
+func (unplaced) outcome()    {}
+func (noRoom) outcome()      {}
+func (rateLimited) outcome() {}
+func (tooLarge) outcome()    {}
+func (unreached) outcome()   {}
+func (superseded) outcome()  {}
+func (declined) outcome()    {}
+func (lost) outcome()        {}
+func (answered) outcome()    {}
+func (streamed) outcome()    {}
 
 // conclusive returns which of two outcomes of consecutive attempts decides the final
 // answer. An attempt that did not run the request does not replace an earlier one
@@ -146,6 +151,10 @@
 	case noRoom:
 		now := boottime.Now()
 		q.refuse(Refusal{resultcode.EnginesFull, q.relay.returns.nextReturn(now.MillisSince(q.arrivedAt), now)})
+	case rateLimited:
+		untilMillis := o.until.MillisSince(boottime.Now())
+		q.log("rate limits hold the request back", "UntilMillis", untilMillis)
+		q.refuse(Refusal{resultcode.ServersLimited, max(untilMillis, declinedRetryMillis)})
 	case lost:
 		code := resultcode.ReplyLost
 		if ctx.Err() != nil {
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -39,11 +39,12 @@
 			q.log("no engine has room", "Tokens", q.tokens(), "Waiting", q.relay.Waiting.Length(),
 				"LackReport", placed.Lacking[placement.LacksReport], "LackSlot", placed.Lacking[placement.LacksSlot],
 				"LackMemory", placed.Lacking[placement.LacksMemory], "LackTime", placed.Lacking[placement.LacksTime],
+				"LackRate", placed.Lacking[placement.LacksRate],
 				"KeptTokens", placed.Chosen.KeptTokens)
 			return nil, noRoom{}
 		}
 		if placed.Assignment == nil {
-			return nil, unplaced{}
+			return nil, unplacedOutcome(placed)
 		}
 		server := placed.Chosen.Server
 		if q.relay.Reserve(ctx, server.ID, q.caller.ID, q.generation(0)) {
@@ -72,7 +73,7 @@
 func (q *request) placeAnywhere() (*attempt, outcome) {
 	placed := q.place(false)
 	if placed.Assignment == nil {
-		return nil, unplaced{}
+		return nil, unplacedOutcome(placed)
 	}
 	if q.service.Engine != nil {
 		q.relay.OnPlaced(placed.Chosen.Server.ID, q.caller.ID, q.generation(0))
@@ -81,6 +82,14 @@
 	return &attempt{server: placed.Chosen.Server, assignment: placed.Assignment}, nil
 }
 
+// unplacedOutcome returns the outcome of a request that no server can take now.
+func unplacedOutcome(placed placement.Placement) outcome {
+	if placed.LimitedUntil != 0 {
+		return rateLimited{placed.LimitedUntil}
+	}
+	return unplaced{}
+}
+
 func (q *request) place(roomOnly bool) placement.Placement {
 	now := boottime.Now()
 	ready := q.relay.StoreWatcher.Servers().List.Ready(q.service.Name, now)
--- a/internal/caller/relay/ratelimit.go
+++ b/internal/caller/relay/ratelimit.go
@@ -36,7 +36,7 @@
 		return
 	}
 	changed := q.relay.ServerLimits.Observe(server, serverlimit.Answer{
-		Named:         named,
+		Limited:       named,
 		PerSecond:     perSecond,
 		RequestSentAt: sentAt,
 		ReceivedAt:    boottime.Now(),
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -245,16 +245,17 @@
 		"LastEvent", s.events.lastID, "Stopped", migration.Stopped, "Cause", cause)
 	resumption := platform.ServerRequest{LastEvent: s.events.lastID, ContinueFrom: migration.Source}
 	for _, address := range []string{migration.Destination, migration.Source.Address} {
-		if next, ok := s.attemptAt(address); ok && s.open(ctx, next, resumption) {
+		if next, ok := s.attemptAt(wait, address); ok && s.open(ctx, next, resumption) {
 			return true
 		}
 	}
 	return false
 }
 
-// attemptAt opens an assignment at the engine with an address. It returns false
-// when the address belongs to no known server.
-func (s *stream) attemptAt(address string) (*attempt, bool) {
+// attemptAt opens an assignment at the engine with an address, if need be as soon as the
+// engine's rate limit allows. It returns false when the address belongs to no known server
+// or ctx ends.
+func (s *stream) attemptAt(ctx context.Context, address string) (*attempt, bool) {
 	if address == "" {
 		return nil, false
 	}
@@ -267,10 +268,30 @@
 	if !ok {
 		return nil, false
 	}
-	now := boottime.Now()
 	generation := s.generation()
+	assignment, ok := s.awaitAssignment(ctx, server, generation.ExpectedTokens())
+	if !ok {
+		return nil, false
+	}
 	s.request.relay.OnPlaced(server.ID, s.request.caller.ID, generation)
-	return &attempt{server: server, assignment: s.request.relay.LoadTable.OpenAt(server.ID, generation.ExpectedTokens(), now)}, true
+	return &attempt{server: server, assignment: assignment}, true
+}
+
+// awaitAssignment opens an assignment as soon as the server's rate limit allows. It returns
+// false when ctx ends before.
+func (s *stream) awaitAssignment(ctx context.Context, server discovery.BackendServer, tokens int) (*placement.Assignment, bool) {
+	for {
+		now := boottime.Now()
+		assignment, until := s.request.relay.LoadTable.OpenAt(server.ID, tokens, now)
+		if assignment != nil {
+			return assignment, true
+		}
+		s.request.log("stream waits for rate limit of backend server", "Server", server.ID, "UntilMillis", until.MillisSince(now))
+		boottime.Pause(ctx, max(until.MillisSince(now), 1))
+		if ctx.Err() != nil {
+			return nil, false
+		}
+	}
 }
 
 // serverAt returns the server with an address from the discovery list.
--- a/internal/result/resultcode/table.go
+++ b/internal/result/resultcode/table.go
@@ -58,6 +58,9 @@
 	// EnginesFull means that no engine had memory for the request while it could
 	// still be on time.
 	EnginesFull Code = 219
+	// ServersLimited means that every backend server that could take the request is held
+	// back by the rate limit that it has named.
+	ServersLimited Code = 220
 
 	// GenerationLost means that the generation was lost together with its owner.
 	GenerationLost Code = 300
@@ -109,6 +112,7 @@
 	{KeyUnknown, "KeyUnknown", NotRun, RepeatNever, http.StatusUnauthorized, false, "No client account holds the key."},
 	{ConfigurationStale, "ConfigurationStale", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The configuration is too old to vouch for the request."},
 	{EnginesFull, "EnginesFull", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "No engine has memory for the request."},
+	{ServersLimited, "ServersLimited", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "Every backend server that could take the request is at the rate limit that it has named."},
 
 	{GenerationLost, "GenerationLost", Unknown, RepeatWithKey, http.StatusBadGateway, false, "The generation was lost with its owner; what was delivered is not continued."},
 	{OwnerSilent, "OwnerSilent", Unknown, RepeatWithKey, http.StatusGatewayTimeout, true, "The owner may have run the request and does not answer."},
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -136,7 +137,13 @@
 		Log:     h.Log,
 	}
 	h.metrics = &metrics.Registry{}
-	h.loadTable = &placement.LoadTable{Zone: h.Settings.Zone, Policy: placementPolicy(h.Settings.Placing)}
+	limits := &serverlimit.Table{Host: rand.Uint64()}
+	h.loadTable = &placement.LoadTable{
+		Zone:         h.Settings.Zone,
+		Policy:       placementPolicy(h.Settings.Placing),
+		ServerLimits: limits,
+	}
+	limits.Hosts = h.loadTable.EntryHosts
 	migrations := &relay.Migrations{}
 	h.waiting = &placementqueue.Queue{}
 	h.watch = &watch.Watch{
@@ -146,7 +153,9 @@
 		Waiting:      h.waiting,
 		Log:          h.Log,
 		PeerPort:     h.Settings.PeerPort,
+		ServerLimits: limits,
 	}
+	limits.OnChange = h.watch.StateRateLimits
 	h.server = &httpserver.Server{
 		Listener: callers,
 		Log:      h.Log,
@@ -157,7 +166,7 @@
 			Migrations:   migrations,
 			Retries:      h.retries(),
 			Outputs:      &outputestimate.Model{},
-			ServerLimits: &serverlimit.Table{},
+			ServerLimits: limits,
 			Waiting:      h.waiting,
 			Reserve:      h.watch.Reserve,
 			OnPlaced:     h.watch.NotifyPlaced,
--- a/internal/routing/placement/lack.go
+++ b/internal/routing/placement/lack.go
@@ -15,6 +15,8 @@
 	LacksMemory
 	// LacksTime means that the prompts ahead would delay the first event too long.
 	LacksTime
+	// LacksRate means that the engine's rate limit holds the request back.
+	LacksRate
 )
 
 // countLacking counts the usable candidates by what they lack.
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -4,10 +4,12 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
 )
 
 const (
@@ -30,6 +32,12 @@
 	Zone string
 	// Policy selects the server; nil means ByForecast. It is set before use.
 	Policy Policy
+	// ServerLimits holds the rate limits of backend servers. It is set before use; nil
+	// means that no server has a limit.
+	ServerLimits *serverlimit.Table
+
+	// entryHosts is the highest number of watchers in reports; zero without one.
+	entryHosts atomic.Int64
 
 	mu sync.Mutex
 	// turn counts the calls of Place.
@@ -89,12 +97,16 @@
 	// room. Lacking then counts them by what they lack.
 	NoRoom  bool
 	Lacking map[Lack]int
+	// LimitedUntil is set when every server that could take the request is held back by
+	// its rate limit. It is the time at which one of them accepts a request again.
+	LimitedUntil boottime.Instant
 }
 
 // Place selects one of the ready backend servers and opens an assignment there.
 func (l *LoadTable) Place(ready []discovery.BackendServer, request Request, now boottime.Instant) Placement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	ready, held := l.withinLimits(ready, request.Tried, now)
 	candidates := make([]Candidate, len(ready))
 	jitter := make([]float64, len(ready))
 	for i, server := range ready {
@@ -106,7 +118,7 @@
 	l.turn++
 	best, ok := chooseBy(l.Policy, candidates, request.Tokens, jitter, l.turn)
 	if !ok {
-		return Placement{}
+		return held.placement(request)
 	}
 	if request.RoomOnly && candidates[best].usable() && !candidates[best].hasRoom() {
 		return Placement{Chosen: candidates[best], NoRoom: true, Lacking: countLacking(candidates)}
@@ -126,14 +138,23 @@
 }
 
 // OpenAt opens an assignment at a given server, for a request that the table did
-// not place.
-func (l *LoadTable) OpenAt(server string, tokens int, now boottime.Instant) *Assignment {
+// not place. While the server's rate limit holds the request back, it returns nil and the
+// time at which the server accepts one again.
+func (l *LoadTable) OpenAt(server string, tokens int, now boottime.Instant) (*Assignment, boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open(server, tokens, now)
+	if until, held := l.heldServers(now)[server]; held {
+		return nil, until
+	}
+	return l.open(server, tokens, now), 0
 }
 
+// open opens an assignment. Every request to a backend server has one, so that each of
+// them counts against the server's rate limit.
 func (l *LoadTable) open(server string, tokens int, now boottime.Instant) *Assignment {
+	if l.ServerLimits != nil {
+		l.ServerLimits.Spend(server, now)
+	}
 	assignment := &Assignment{table: l, server: server, tokens: tokens, sentAt: now}
 	l.server(server).assignments[assignment] = struct{}{}
 	return assignment
@@ -142,17 +163,21 @@
 // Prune drops the state of servers that are no longer in the discovery list and
 // have no open request.
 func (l *LoadTable) Prune(list discovery.List) {
+	listed := func(id string) bool {
+		_, found := list.Find(id)
+		return found
+	}
+	if l.ServerLimits != nil {
+		l.ServerLimits.Prune(listed, boottime.Now())
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, state := range l.servers {
-		if _, listed := list.Find(id); !listed && len(state.assignments) == 0 {
+		if !listed(id) && len(state.assignments) == 0 {
 			delete(l.servers, id)
 		}
 	}
-	maps.DeleteFunc(l.avoided, func(id string, _ boottime.Instant) bool {
-		_, listed := list.Find(id)
-		return !listed
-	})
+	maps.DeleteFunc(l.avoided, func(id string, _ boottime.Instant) bool { return !listed(id) })
 }
 
 // server returns the state of a server and creates it when there is none. The
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -106,7 +106,8 @@
 	now := boottime.Instant(1_000_000_000)
 	server := discovery.BackendServer{ID: "e", Zone: "a", Slots: 6}
 	for range 10 {
-		l.OpenAt("e", 0, now).End(true, now)
+		failed, _ := l.OpenAt("e", 0, now)
+		failed.End(true, now)
 	}
 	is.True(l.newCandidate(server, Request{}, now).FailureShare > 0.5)
 	later := now.AddMillis(failureForgetMillis + 1)
--- /dev/null
+++ b/internal/routing/placement/ratelimit.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+)
+
+// heldBack describes the servers that a request is not placed at because of their rate
+// limits. It is immutable.
+type heldBack struct {
+	// servers is their number.
+	servers int
+	// until is the time at which the first of them accepts a request again.
+	until boottime.Instant
+}
+
+// with returns the description with one more server.
+func (h heldBack) with(until boottime.Instant) heldBack {
+	if h.servers == 0 || until.Before(h.until) {
+		h.until = until
+	}
+	h.servers++
+	return h
+}
+
+// placement returns the result for a request that has no other server. A request that can
+// still be on time then waits like one without room.
+func (h heldBack) placement(request Request) Placement {
+	if h.servers == 0 {
+		return Placement{}
+	}
+	if request.RoomOnly && h.until.Before(request.StartBy) {
+		return Placement{NoRoom: true, Lacking: map[Lack]int{LacksRate: h.servers}}
+	}
+	return Placement{LimitedUntil: h.until}
+}
+
+// heldServers returns the servers that accept no request now because of their rate limits,
+// with the times from which they do.
+func (l *LoadTable) heldServers(now boottime.Instant) map[string]boottime.Instant {
+	if l.ServerLimits == nil {
+		return nil
+	}
+	return l.ServerLimits.Held(now)
+}
+
+// withinLimits returns the servers whose rate limits allow a request now, and describes
+// the others that the request was not sent to yet.
+func (l *LoadTable) withinLimits(ready []discovery.BackendServer, tried map[string]bool, now boottime.Instant) ([]discovery.BackendServer, heldBack) {
+	held := l.heldServers(now)
+	var back heldBack
+	if len(held) == 0 {
+		return ready, back
+	}
+	within := make([]discovery.BackendServer, 0, len(ready))
+	for _, server := range ready {
+		until, isHeld := held[server.ID]
+		switch {
+		case !isHeld:
+			within = append(within, server)
+		case !tried[server.ID]:
+			back = back.with(until)
+		}
+	}
+	return within, back
+}
+
+// withoutLimits returns the servers without a rate limit, or all of them if each has one.
+func (l *LoadTable) withoutLimits(ready []discovery.BackendServer) []discovery.BackendServer {
+	if l.ServerLimits == nil {
+		return ready
+	}
+	free := make([]discovery.BackendServer, 0, len(ready))
+	for _, server := range ready {
+		if !l.ServerLimits.Limited(server.ID) {
+			free = append(free, server)
+		}
+	}
+	if len(free) == 0 {
+		return ready
+	}
+	return free
+}
--- a/internal/routing/placement/report.go
+++ b/internal/routing/placement/report.go
@@ -38,7 +38,11 @@
 	if l.reports == nil {
 		l.reports = make(map[string]Report)
 	}
+	before := l.reports[server].Watchers
 	l.reports[server] = report
+	if before != report.Watchers {
+		l.countEntryHosts()
+	}
 }
 
 // SetLeaving stores the time at which an engine will shut down.
@@ -77,6 +81,7 @@
 	defer l.mu.Unlock()
 	delete(l.reports, server)
 	delete(l.leaving, server)
+	l.countEntryHosts()
 }
 
 // assumedEntryHosts is the number of entry hosts that is assumed while no engine
@@ -86,16 +91,19 @@
 // EntryHosts returns the number of entry hosts: the highest number of watchers
 // that an engine reported.
 func (l *LoadTable) EntryHosts() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	if count := l.entryHosts.Load(); count > 0 {
+		return int(count)
+	}
+	return assumedEntryHosts
+}
+
+// countEntryHosts counts the entry hosts again. The caller holds the mutex.
+func (l *LoadTable) countEntryHosts() {
 	most := 0
 	for _, report := range l.reports {
 		most = max(most, report.Watchers)
 	}
-	if most == 0 {
-		return assumedEntryHosts
-	}
-	return most
+	l.entryHosts.Store(int64(most))
 }
 
 // LeavingEngines returns the IDs of the engines that are about to shut down.
@@ -123,13 +131,14 @@
 }
 
 // FreeCapacity returns the free capacity of the servers that have a recent report,
-// are not about to shut down and are not avoided.
+// are not about to shut down and are not avoided. Servers with a rate limit are left out
+// unless there are no others.
 func (l *LoadTable) FreeCapacity(ready []discovery.BackendServer, service routetable.Service) []Capacity {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := boottime.Now()
 	var capacities []Capacity
-	for _, server := range ready {
+	for _, server := range l.withoutLimits(ready) {
 		report, reported := l.reports[server.ID]
 		if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
 			continue
--- a/internal/routing/serverlimit/serverlimit.go
+++ b/internal/routing/serverlimit/serverlimit.go
@@ -1,18 +1,41 @@
 // Package serverlimit keeps the rate limits that backend servers name in their answers: the
-// requests a second that a server accepts from all entry hosts together. The package does
-// no I/O and reads no clock.
+// requests a second that a server accepts from all entry hosts together. Table is the view
+// of one entry host. The hosts tell one another how many requests they have sent to each
+// server with a limit, so that all of them draw on one token bucket for each server,
+// without any of them deciding for the others. A host whose statements do not come back to
+// it uses its share of the limit alone. The package does no I/O and reads no clock.
 package serverlimit
 
 import (
+	"maps"
+	"math"
 	"sync"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 )
 
+const (
+	// confirmedMillis is the time for which a statement that came back shows that the
+	// other hosts hear this one. It covers two repetitions of the statement.
+	confirmedMillis = 700
+	// aheadSeconds is the usual time until a statement comes back.
+	aheadSeconds = 0.25
+	// endedMillis is the time for which a host states that a limit has ended.
+	endedMillis = 3000
+	// unlistedMillis is the time since its last answer after which a server that is not
+	// listed any more is dropped.
+	unlistedMillis = 10_000
+	// forgetMillis is the time since its last statement after which another host is
+	// forgotten.
+	forgetMillis = 10_000
+	// relayMillis is the usual time that a statement of another host took to arrive.
+	relayMillis = 50
+)
+
 // Answer is what the answer of a backend server says of its limit.
 type Answer struct {
-	// Named says that the answer names a limit.
-	Named bool
+	// Limited says that the answer names a limit.
+	Limited bool
 	// PerSecond is the limit; zero if none is named.
 	PerSecond float64
 	// RequestSentAt is the time at which the answered request was sent.
@@ -20,51 +43,266 @@
 	ReceivedAt    boottime.Instant
 }
 
-// Table holds the limits in force. It is safe for concurrent use. The zero value is ready
-// to use.
+// Table holds the limits as one entry host knows them. Its exported fields are set before
+// use. It is safe for concurrent use.
 type Table struct {
+	// Host identifies the process of this entry host among all hosts. It is random.
+	Host uint64
+	// Hosts returns the number of entry hosts.
+	Hosts func() int
+	// OnChange is called when the other hosts should be told of a change. It must not
+	// block and must not call the table.
+	OnChange func()
+
 	mu sync.Mutex
-	// limits holds the limits by the ID of the server.
-	limits map[string]limit
+	// servers holds the servers with a limit, and those whose limit has just ended, by ID.
+	servers map[string]*serverState
+}
+
+// serverState is the state of one backend server.
+type serverState struct {
+	// own is the newest observation of this host. Its time is zero before the first one.
+	own observation
+	// current is the newest observation of any host; it decides whether the server has a
+	// limit.
+	current observation
+	// shared holds the tokens of all hosts together, and share those of this host alone.
+	shared bucket
+	share  bucket
+	// sent counts the requests of this host to the server, and confirmed is the newest
+	// count that came back.
+	sent      count
+	confirmed count
+	// unsent is the number of requests in sent that were not sent after all.
+	unsent uint64
+	// peers holds what the other hosts have stated, by host.
+	peers map[uint64]peer
+	// confirmedAt is the time at which a statement of this host last came back.
+	confirmedAt boottime.Instant
+}
+
+// peer is what another host has stated of a server. It is immutable.
+type peer struct {
+	sent count
+	// heardAt is the time of its newest statement.
+	heardAt boottime.Instant
+}
+
+// count is a number of requests. It is immutable.
+type count struct {
+	// sinceNanos is the time at which the host began to count, by its own clock.
+	sinceNanos int64
+	// requests never falls.
+	requests uint64
 }
 
-// limit is the limit of one backend server.
-type limit struct {
+// newSince returns the requests that a count has beyond an earlier one of the same host.
+// There are none when the host has begun to count anew.
+func (c count) newSince(earlier count) uint64 {
+	if c.sinceNanos != earlier.sinceNanos || c.requests < earlier.requests {
+		return 0
+	}
+	return c.requests - earlier.requests
+}
+
+// before reports whether c is older than other, which is of the same host.
+func (c count) before(other count) bool {
+	if c.sinceNanos != other.sinceNanos {
+		return c.sinceNanos < other.sinceNanos
+	}
+	return c.requests < other.requests
+}
+
+// observation is what an answer said of a server's limit.
+type observation struct {
+	limited   bool
 	perSecond float64
-	// namedAt is the time of the newest answer that named it.
-	namedAt boottime.Instant
+	at        boottime.Instant
 }
 
 // Observe records an answer of a server. It reports whether the limit has changed.
 func (t *Table) Observe(server string, answer Answer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !answer.Named {
-		return t.end(server, answer)
+	state, known := t.servers[server]
+	if !known && !answer.Limited {
+		return false
 	}
-	known, limited := t.limits[server]
-	if t.limits == nil {
-		t.limits = make(map[string]limit)
+	if !known {
+		state = t.add(server, answer.ReceivedAt)
 	}
-	t.limits[server] = limit{perSecond: answer.PerSecond, namedAt: answer.ReceivedAt}
-	return !limited || known.perSecond != answer.PerSecond
+	if !answer.Limited && answer.RequestSentAt.Before(state.current.at) {
+		return false
+	}
+	state.own = observation{limited: answer.Limited, perSecond: answer.PerSecond, at: answer.ReceivedAt}
+	return t.adopt(state, state.own, answer.ReceivedAt)
 }
 
-// end removes the limit of a server, unless the answered request was sent before the
-// server named it. The caller holds the mutex.
-func (t *Table) end(server string, answer Answer) bool {
-	known, limited := t.limits[server]
-	if !limited || answer.RequestSentAt.Before(known.namedAt) {
-		return false
+// add adds a server without any observation. Its bucket is empty, as other hosts may have
+// spent the limit. The caller holds the mutex.
+func (t *Table) add(server string, now boottime.Instant) *serverState {
+	if t.servers == nil {
+		t.servers = make(map[string]*serverState)
+	}
+	state := &serverState{
+		shared:    bucket{filledAt: now},
+		share:     bucket{filledAt: now},
+		sent:      count{sinceNanos: int64(now)},
+		confirmed: count{sinceNanos: int64(now)},
+		peers:     make(map[uint64]peer),
+	}
+	t.servers[server] = state
+	return state
+}
+
+// adopt makes an observation the current one of its server and reports whether the limit
+// has changed. The caller holds the mutex.
+func (t *Table) adopt(state *serverState, o observation, now boottime.Instant) bool {
+	t.fill(state, now)
+	changed := state.current.limited != o.limited || state.current.perSecond != o.perSecond
+	state.current = o
+	if changed {
+		t.notify()
 	}
-	delete(t.limits, server)
-	return true
+	return changed
 }
 
 // Limited reports whether a server has a limit.
 func (t *Table) Limited(server string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, limited := t.limits[server]
-	return limited
+	state, known := t.servers[server]
+	return known && state.current.limited
+}
+
+// Held returns the servers that accept no request now, with the times from which they do.
+// It returns nil when there is none.
+func (t *Table) Held(now boottime.Instant) map[string]boottime.Instant {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var held map[string]boottime.Instant
+	for id, state := range t.servers {
+		if !state.current.limited {
+			continue
+		}
+		until := t.nextAt(state, now)
+		if until <= now {
+			continue
+		}
+		if held == nil {
+			held = make(map[string]boottime.Instant)
+		}
+		held[id] = until
+	}
+	return held
+}
+
+// nextAt returns the time at which this host may send a request: when there is a token for
+// all hosts together while they hear of its requests, otherwise when there is one for this
+// host alone. The caller holds the mutex.
+func (t *Table) nextAt(state *serverState, now boottime.Instant) boottime.Instant {
+	t.fill(state, now)
+	if t.isConfirmed(state, now) {
+		return state.shared.nextAt(t.sharedRate(state, now))
+	}
+	return state.share.nextAt(t.shareRate(state))
+}
+
+// Spend counts a request that is about to be sent to a server.
+func (t *Table) Spend(server string, now boottime.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state, known := t.servers[server]
+	if !known || !state.current.limited {
+		return
+	}
+	t.fill(state, now)
+	state.spend(1)
+	if state.unsent > 0 {
+		state.unsent--
+		return
+	}
+	state.sent.requests++
+	t.notify()
+}
+
+// Return takes back a request that was counted and not sent. The other hosts have counted
+// it, so the next request takes its place.
+func (t *Table) Return(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state, known := t.servers[server]
+	if !known || state.sent.requests == state.unsent {
+		return
+	}
+	state.spend(-1)
+	state.unsent++
+}
+
+// spend takes tokens for requests of this host.
+func (s *serverState) spend(tokens float64) {
+	s.shared = s.shared.withSpent(tokens)
+	s.share = s.share.withSpent(tokens)
+}
+
+// Prune drops the servers that are not listed and have not answered for some time.
+func (t *Table) Prune(listed func(server string) bool, now boottime.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.servers, func(id string, state *serverState) bool {
+		return now.MillisSince(state.current.at) > unlistedMillis && !listed(id)
+	})
+}
+
+// fill adds the tokens that came since the buckets were last filled. The caller holds the
+// mutex.
+func (t *Table) fill(state *serverState, now boottime.Instant) {
+	sharedRate, shareRate := t.sharedRate(state, now), t.shareRate(state)
+	state.shared = state.shared.withFilled(sharedRate, capacity(sharedRate), now)
+	shareCapacity := capacity(shareRate)
+	if t.isConfirmed(state, now) {
+		shareCapacity = t.phase()
+	}
+	state.share = state.share.withFilled(shareRate, shareCapacity, now)
+}
+
+// phase returns the tokens of its own that a host has when the others cease to hear it. It
+// differs from host to host, so that hosts that are cut off together do not all send a
+// request at once. It ranges from 0 to 1.
+func (t *Table) phase() float64 {
+	return float64(t.Host) / math.MaxUint64
+}
+
+// shareRate returns the requests a second that one host may send if the others do not
+// hear of them.
+func (t *Table) shareRate(state *serverState) float64 {
+	return max(state.current.perSecond, minPerSecond) / float64(max(t.Hosts(), 1))
+}
+
+// sharedRate returns the requests a second that the hosts that hear one another may send
+// together. The shares of the others are left to them. The caller holds the mutex.
+func (t *Table) sharedRate(state *serverState, now boottime.Instant) float64 {
+	together := 1
+	for _, p := range state.peers {
+		if now.MillisSince(p.heardAt) <= confirmedMillis {
+			together++
+		}
+	}
+	return t.shareRate(state) * float64(min(together, max(t.Hosts(), 1)))
+}
+
+// isConfirmed reports whether the other hosts hear of this host's requests: its statements
+// came back lately, with all but the newest requests. The caller holds the mutex.
+func (t *Table) isConfirmed(state *serverState, now boottime.Instant) bool {
+	if state.confirmedAt == 0 || now.MillisSince(state.confirmedAt) > confirmedMillis {
+		return false
+	}
+	ahead := float64(state.sent.newSince(state.confirmed))
+	return ahead <= aheadSeconds*t.shareRate(state)
+}
+
+func (t *Table) notify() {
+	if t.OnChange != nil {
+		t.OnChange()
+	}
 }
--- /dev/null
+++ b/internal/routing/watch/ratelimits.go
@@ -0,0 +1,154 @@
+package watch
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+)
+
+const (
+	// repeatMillis is the pause between repetitions of the statements on rate limits.
+	repeatMillis = 300
+	// statePauseMillis is the least pause between two statements.
+	statePauseMillis = 5
+	// relays is the number of monitors that a statement is sent to. Any one of them passes
+	// it on to all entry hosts.
+	relays = 2
+	// relaysUnconfirmed is their number while no statement comes back.
+	relaysUnconfirmed = 4
+	// relayMillis is the time since its last message up to which a monitor counts as able
+	// to pass statements on. It is longer than the pause between reports.
+	relayMillis = 1500
+)
+
+// StateRateLimits says that the statements on rate limits have changed. It does not block.
+func (w *Watch) StateRateLimits() {
+	w.limitsChanged.Set()
+}
+
+// stateRateLimits tells the other entry hosts of the rate limits of backend servers and of
+// the requests that this host sends to these servers, until ctx ends.
+func (w *Watch) stateRateLimits(ctx context.Context) {
+	ticker := time.NewTicker(repeatMillis * time.Millisecond)
+	defer ticker.Stop()
+	shared := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.limitsChanged.C():
+		case <-ticker.C:
+		}
+		statements := w.ServerLimits.Statements(boottime.Now())
+		w.sendStatements(statements)
+		shared = w.logSharing(shared, statements)
+		boottime.Pause(ctx, statePauseMillis)
+	}
+}
+
+// logSharing logs when this host begins or ceases to share the limits with the others. It
+// returns whether it shares them.
+func (w *Watch) logSharing(before bool, statements []serverlimit.Statement) bool {
+	unconfirmed := 0
+	for _, s := range statements {
+		if s.Unconfirmed {
+			unconfirmed++
+		}
+	}
+	shared := unconfirmed == 0
+	switch {
+	case before && !shared:
+		w.Log.Warn("rate limits not shared with other entry hosts, this host keeps to its share",
+			"Servers", unconfirmed, "EntryHosts", w.LoadTable.EntryHosts())
+	case !before && shared:
+		w.Log.Info("rate limits shared with other entry hosts again", "Servers", len(statements))
+	}
+	return shared
+}
+
+// sendStatements sends each statement to the monitors that pass it on.
+func (w *Watch) sendStatements(statements []serverlimit.Statement) {
+	if len(statements) == 0 {
+		return
+	}
+	usable := w.streams.heardSince(boottime.Now().AddMillis(-relayMillis))
+	messages := make(map[*openStream]*sighting.RateLimits)
+	for _, s := range statements {
+		for _, o := range relaysOf(s, usable) {
+			if messages[o] == nil {
+				messages[o] = &sighting.RateLimits{Host: w.ServerLimits.Host}
+			}
+			messages[o].Limits = append(messages[o].Limits, encodeStatement(s))
+		}
+	}
+	for o, limits := range messages {
+		if err := o.send(&sighting.Advice{RateLimits: limits}); err != nil {
+			w.Log.Warn("rate limits not sent to engine monitor", "Server", o.server.ID, "Error", err)
+		}
+	}
+}
+
+// relaysOf returns the monitors that pass a statement on. They depend on the backend server,
+// so that statements on different servers are passed on by different monitors, and those of
+// different hosts on the same server mostly by the same ones.
+func relaysOf(s serverlimit.Statement, usable []*openStream) []*openStream {
+	ordered := slices.Clone(usable)
+	if s.Unconfirmed {
+		rand.Shuffle(len(ordered), func(i, j int) { ordered[i], ordered[j] = ordered[j], ordered[i] })
+		return ordered[:min(relaysUnconfirmed, len(ordered))]
+	}
+	slices.SortFunc(ordered, func(a, b *openStream) int {
+		return cmp.Compare(relayRank(s.Server, a), relayRank(s.Server, b))
+	})
+	return ordered[:min(relays, len(ordered))]
+}
+
+// relayRank orders the monitors for the statements on a backend server.
+func relayRank(server string, o *openStream) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, server+" "+o.server.ID)
+	return h.Sum64()
+}
+
+// applyRateLimits applies the statements of entry hosts.
+func (w *Watch) applyRateLimits(all []*sighting.RateLimits) {
+	now := boottime.Now()
+	for _, stated := range all {
+		for _, limit := range stated.GetLimits() {
+			if w.ServerLimits.Apply(stated.GetHost(), decodeStatement(limit), now) {
+				answer := limit.GetAnswer()
+				w.Log.Info("rate limit of backend server stated by another entry host", "Server", limit.GetServerId(),
+					"Limited", answer.GetLimited(), "PerSecond", answer.GetPerSecond(), "AgeMillis", answer.GetAgeMillis())
+			}
+		}
+	}
+}
+
+func encodeStatement(s serverlimit.Statement) *sighting.RateLimit {
+	limit := &sighting.RateLimit{ServerId: s.Server, Sent: s.Sent, CountedSinceNanos: s.CountedSinceNanos}
+	if s.Observed {
+		limit.Answer = &sighting.RateLimitAnswer{Limited: s.Limited, PerSecond: s.PerSecond, AgeMillis: s.AgeMillis}
+	}
+	return limit
+}
+
+func decodeStatement(limit *sighting.RateLimit) serverlimit.Statement {
+	answer := limit.GetAnswer()
+	return serverlimit.Statement{
+		Server:            limit.GetServerId(),
+		Sent:              limit.GetSent(),
+		CountedSinceNanos: limit.GetCountedSinceNanos(),
+		Observed:          answer != nil,
+		Limited:           answer.GetLimited(),
+		PerSecond:         answer.GetPerSecond(),
+		AgeMillis:         answer.GetAgeMillis(),
+	}
+}
--- a/internal/routing/watch/streams.go
+++ b/internal/routing/watch/streams.go
@@ -4,7 +4,9 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
@@ -23,6 +25,8 @@
 // openStream is a stream to the monitor of an engine.
 type openStream struct {
 	server discovery.BackendServer
+	// heardAt is the boottime.Instant of the last message.
+	heardAt atomic.Int64
 
 	// mu serializes the sending of messages.
 	mu     sync.Mutex
@@ -36,13 +40,23 @@
 	return o.stream.Send(message)
 }
 
-func (s *streams) open(server discovery.BackendServer, stream sighting.DRPCLookout_WatchClient) {
+// open adds a stream to the monitor of a server.
+func (s *streams) open(server discovery.BackendServer, stream sighting.DRPCLookout_WatchClient) *openStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.all == nil {
 		s.all = make(map[string]*openStream)
 	}
-	s.all[server.ID] = &openStream{server: server, stream: stream}
+	o := &openStream{server: server, stream: stream}
+	s.all[server.ID] = o
+	return o
+}
+
+// heardSince returns the streams with a message since the given time.
+func (s *streams) heardSince(since boottime.Instant) []*openStream {
+	return slices.DeleteFunc(s.list(), func(o *openStream) bool {
+		return boottime.Instant(o.heardAt.Load()).Before(since)
+	})
 }
 
 func (s *streams) find(id string) (*openStream, bool) {
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -19,9 +19,11 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/signal"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
@@ -52,8 +54,13 @@
 	Log     *slog.Logger
 	// PeerPort is the port of the engines' monitors.
 	PeerPort int
+	// ServerLimits holds the rate limits that the entry hosts share. Its OnChange calls
+	// StateRateLimits.
+	ServerLimits *serverlimit.Table
 
 	streams streams
+	// limitsChanged says that the statements on rate limits have changed.
+	limitsChanged signal.Signal
 }
 
 // identity names one incarnation of an engine.
@@ -66,6 +73,10 @@
 // Run follows the engines until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		w.stateRateLimits(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		w.follow(ctx, group)
 		return nil
@@ -194,7 +205,7 @@
 			return err
 		}
 	}
-	w.streams.open(server, stream)
+	opened := w.streams.open(server, stream)
 	defer w.streams.close(server.ID)
 	timeout := time.AfterFunc(receiveTimeoutMillis*time.Millisecond, stop)
 	defer timeout.Stop()
@@ -204,6 +215,7 @@
 			return err
 		}
 		timeout.Reset(receiveTimeoutMillis * time.Millisecond)
+		opened.heardAt.Store(int64(boottime.Now()))
 		if otherIncarnation(server, s) {
 			w.LoadTable.Avoid(server.ID, boottime.Now().AddMillis(supersededMillis))
 			return errOtherIncarnation
@@ -231,6 +243,8 @@
 func (w *Watch) apply(server discovery.BackendServer, s *sighting.Sighting) {
 	now := boottime.Now()
 	switch {
+	case len(s.GetRateLimits()) > 0:
+		w.applyRateLimits(s.GetRateLimits())
 	case s.GetLoad() != nil:
 		load := s.GetLoad()
 		w.LoadTable.SetReport(server.ID, placement.Report{
--- a/internal/trial/endtoend/platform_client_test.go
+++ b/internal/trial/endtoend/platform_client_test.go
@@ -36,6 +36,8 @@
 	body   string
 	// err is set if the response is missing or truncated.
 	err error
+	// took is the time from the request to the end of the reply.
+	took time.Duration
 }
 
 // events returns the identifiers of the events in the reply.
@@ -62,11 +64,14 @@
 	request := s.request(ctx, r)
 	request.URL.Host = address
 	request.Close = client == http.DefaultClient
+	begun := time.Now()
 	response, err := client.Do(request)
 	if err != nil {
 		return callerReply{err: err}
 	}
-	return readReply(response)
+	reply := readReply(response)
+	reply.took = time.Since(begun)
+	return reply
 }
 
 // sendOver sends a request over a connection that is already open.
--- a/internal/trial/endtoend/platform_ratelimit_test.go
+++ b/internal/trial/endtoend/platform_ratelimit_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
@@ -30,7 +33,15 @@
 // rateLimitSite is a deployment with several entry hosts.
 type rateLimitSite struct {
 	*platformSite
-	hosts []process.DirectEntry
+	hosts []*rateLimitHost
+}
+
+// rateLimitHost is an entry host.
+type rateLimitHost struct {
+	*program
+	settings process.DirectEntry
+	// down says that requests are not sent to the host.
+	down atomic.Bool
 }
 
 // newRateLimitSite starts a deployment with that many engines, servers of the plain
@@ -46,37 +57,51 @@
 	for n := range entries {
 		settings := s.entrySettings(fmt.Sprintf("entry-%d", n))
 		settings.MetricsPort += n
-		newProgram(t, settings.Name, "direct-entry", s.write(settings.Name, settings)).start()
-		s.hosts = append(s.hosts, settings)
+		h := &rateLimitHost{program: newProgram(t, settings.Name, "direct-entry", s.write(settings.Name, settings)), settings: settings}
+		h.start()
+		s.hosts = append(s.hosts, h)
 	}
-	for _, host := range s.hosts {
-		eventually(t, host.Name+" ready", func() error { return readyAt(host.ReadyAddress) })
+	for _, h := range s.hosts {
+		eventually(t, h.name+" ready", func() error { return readyAt(h.settings.ReadyAddress) })
 	}
-	s.settings = s.hosts[0]
+	s.settings = s.hosts[0].settings
 	return s
 }
 
-// load sends requests to all entry hosts in turn, one each pauseMillis, for the given
-// time, and returns the number of replies by status.
-func (s *rateLimitSite) load(name string, forMillis, pauseMillis int, newRequest func(id string) callerRequest) map[int]int {
+// interrupt runs a fault of a host, which gets no requests meanwhile.
+func (h *rateLimitHost) interrupt(fault func()) {
+	h.down.Store(true)
+	defer h.down.Store(false)
+	fault()
+}
+
+// load sends requests to the entry hosts in turn, one each pauseMillis, for the given time,
+// and returns the replies.
+func (s *rateLimitSite) load(name string, forMillis, pauseMillis int, newRequest func(id string) callerRequest) []callerReply {
 	var group errgroup.Group
-	statuses := make(chan int, forMillis/pauseMillis+1)
+	replies := make([]callerReply, forMillis/pauseMillis)
 	ticker := time.NewTicker(time.Duration(pauseMillis) * time.Millisecond)
 	defer ticker.Stop()
-	for n := range forMillis / pauseMillis {
+	for n := range replies {
 		host := s.hosts[n%len(s.hosts)]
 		request := newRequest(fmt.Sprintf("%s-%d", name, n))
 		group.Go(func() error {
-			statuses <- s.sendTo(context.Background(), http.DefaultClient, host.CallerAddress, request).status
+			if !host.down.Load() {
+				replies[n] = s.sendTo(context.Background(), http.DefaultClient, host.settings.CallerAddress, request)
+			}
 			return nil
 		})
 		<-ticker.C
 	}
 	_ = group.Wait()
-	close(statuses)
+	return replies
+}
+
+// statuses counts replies by status.
+func statuses(replies []callerReply) map[int]int {
 	counts := make(map[int]int)
-	for status := range statuses {
-		counts[status]++
+	for _, reply := range replies {
+		counts[reply.status]++
 	}
 	return counts
 }
@@ -112,6 +137,11 @@
 	}
 }
 
+// lookup returns an idempotent request to the plain service.
+func lookup(id string) callerRequest {
+	return plainRequest(id, platformKey)
+}
+
 // TestRateLimitOfServerKeptByAllHostsTogether guards against a backend server that gets
 // more requests from all entry hosts together than the limit that it names.
 func TestRateLimitOfServerKeptByAllHostsTogether(t *testing.T) {
@@ -120,13 +150,150 @@
 	s := newRateLimitSite(t, 2, 3, 5)
 	limited := s.plainServices[0]
 	limited.SetRateLimit(limit)
-	begun := time.Now()
-	counts := s.load("lookup", loadMillis, pauseMillis, func(id string) callerRequest { return plainRequest(id, platformKey) })
-	checkRate(t, limited, limit, begun.Add(rateSettleMillis*time.Millisecond))
+	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
+	counts := statuses(s.load("lookup", loadMillis, pauseMillis, lookup))
+	checkRate(t, limited, limit, settled)
 	if len(counts) != 1 || counts[http.StatusOK] == 0 {
 		t.Errorf("statuses %v, want only 200, as other servers have room", counts)
 	}
-	if arrived := mostInWindow(limited, begun.Add(rateSettleMillis*time.Millisecond)); arrived == 0 {
+	if mostInWindow(limited, settled) == 0 {
 		t.Errorf("%s got no request within its limit", limited.ID)
 	}
 }
+
+// TestRateLimitEnds checks that a server gets as many requests as the others again after
+// its answers name no limit any more.
+func TestRateLimitEnds(t *testing.T) {
+	t.Parallel()
+	const limit, limitedMillis, freeMillis, pauseMillis = 1.0, 5000, 6000, 25
+	s := newRateLimitSite(t, 2, 2, 3)
+	limited := s.plainServices[0]
+	limited.SetRateLimit(limit)
+	s.load("limited", limitedMillis, pauseMillis, lookup)
+	limited.EndRateLimit()
+	ended := time.Now()
+	s.load("free", freeMillis, pauseMillis, lookup)
+	allowed := int(rateOverage*limit*rateWindowMillis/1000) + rateSlack
+	if most := mostInWindow(limited, ended); most <= 2*allowed {
+		t.Errorf("%s got at most %d requests in %d ms after its limit had ended", limited.ID, most, rateWindowMillis)
+	}
+}
+
+// TestRateLimitOfAllServersRefusesAtOnce checks that requests are refused at once as not
+// run, with a time to return, when every server is held back by its limit.
+func TestRateLimitOfAllServersRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit, loadMillis, pauseMillis, atOnceMillis = 2.0, 8000, 25, 500
+	s := newRateLimitSite(t, 2, 2, 3)
+	for _, server := range s.plainServices {
+		server.SetRateLimit(limit)
+	}
+	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
+	replies := s.load("once", loadMillis, pauseMillis, func(id string) callerRequest {
+		r := lookup(id)
+		r.method, r.target, r.body = http.MethodPost, oncePath, "{}"
+		return r
+	})
+	arrived := make(map[string]int)
+	for _, arrival := range s.arrivals() {
+		arrived[arrival.Header.Get("Fulmarvalve-Request-Id")]++
+	}
+	served := 0
+	for n, reply := range replies {
+		id := fmt.Sprintf("once-%d", n)
+		switch reply.status {
+		case http.StatusOK:
+			served++
+			is.Equal(arrived[id], 1)
+		case http.StatusServiceUnavailable:
+			is.Equal(arrived[id], 0) // it has not run
+			seconds, err := strconv.ParseFloat(reply.header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(seconds > 0)
+			is.True(reply.took < atOnceMillis*time.Millisecond)
+		default:
+			t.Errorf("%s was answered %d", id, reply.status)
+		}
+	}
+	for _, server := range s.plainServices {
+		checkRate(t, server, limit, settled)
+	}
+	is.True(float64(served) > limit*loadMillis/1000) // half of what both servers accept
+}
+
+// TestRateLimitOfEnginesHoldsForStreams checks that new streams, streams that are resumed as
+// new generations and streams that are resumed at a copy keep the limits of engines, and
+// that the streams that are served are complete.
+func TestRateLimitOfEnginesHoldsForStreams(t *testing.T) {
+	t.Parallel()
+	const limit, loadMillis, pauseMillis, events = 2.0, 10_000, 60, 150
+	s := newRateLimitSite(t, 4, 0, 3)
+	for _, e := range s.engines {
+		e.SetRateLimit(limit)
+	}
+	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
+	s.engines[0].SetFaults(replica.Faults{BreakAfter: events / 2})
+	leaving := s.engines[1]
+	time.AfterFunc(loadMillis/2*time.Millisecond, func() {
+		leaving.Drain(time.Now().Add(1500 * time.Millisecond))
+		s.register(leaving.Replica, "engines", "draining")
+	})
+	replies := s.load("stream", loadMillis, pauseMillis, func(id string) callerRequest {
+		r := streamRequest(id, events)
+		r.target = resumablePath
+		return r
+	})
+	served := 0
+	for _, reply := range replies {
+		if reply.status != http.StatusOK || reply.err != nil {
+			continue
+		}
+		served++
+		if !slices.Equal(reply.events(), eventNumbers(events)) {
+			t.Errorf("stream has events %v", reply.events())
+		}
+	}
+	for _, e := range s.engines {
+		checkRate(t, e.Replica, limit, settled)
+	}
+	if served == 0 {
+		t.Errorf("no stream was served; statuses %v", statuses(replies))
+	}
+}
+
+// TestRateLimitKeptWhileHostsComeAndGo checks that a limit is kept while entry hosts are
+// killed, frozen and started, and while monitors, through which the hosts hear one another,
+// are killed and started.
+func TestRateLimitKeptWhileHostsComeAndGo(t *testing.T) {
+	t.Parallel()
+	const limit, loadMillis, pauseMillis = 2.0, 16_000, 25
+	s := newRateLimitSite(t, 2, 2, 5)
+	limited := s.plainServices[0]
+	limited.SetRateLimit(limit)
+	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
+	var group errgroup.Group
+	group.Go(func() error {
+		pause := func(millis int) { time.Sleep(time.Duration(millis) * time.Millisecond) }
+		pause(4000)
+		s.hosts[1].interrupt(func() { s.hosts[1].kill(); pause(1000); s.hosts[1].start(); pause(1000) })
+		s.hosts[2].interrupt(func() { s.hosts[2].freeze(); pause(1500); s.hosts[2].thaw(); pause(500) })
+		for _, e := range s.engines {
+			e.monitor.kill()
+		}
+		pause(3000)
+		for _, e := range s.engines {
+			e.monitor.start()
+		}
+		pause(1500)
+		s.hosts[3].interrupt(func() { s.hosts[3].kill(); pause(500); s.hosts[3].start(); pause(1000) })
+		return nil
+	})
+	counts := statuses(s.load("lookup", loadMillis, pauseMillis, lookup))
+	_ = group.Wait()
+	checkRate(t, limited, limit, settled)
+	t.Logf("statuses %v", counts)
+	if counts[http.StatusServiceUnavailable] > 0 {
+		t.Errorf("statuses %v, want no refusals, as another server has room", counts)
+	}
+}
