fix: hosts remember how many share a budget while monitors restart

What callers could see: after the monitors beside the engines restart, a host may take itself for the only one and spend the retries, or the rate limit of a backend server, that all hosts share; or, before the first report, keep to a 32nd of it on a deployment of five.

Cause: the number of entry hosts was the highest number of watchers in the reports of this moment. It fell to 32 assumed hosts without reports, and to 1 with the first monitor that one host had reached again.

Evidence: TestEntryHostsRememberedWhenMonitorsRestart failed before (32 != 5) and passes.

Change: a lower number counts only once the higher one was not reported for 5 s, and the last number stays when there are no reports. A host that has just started has no memory; until other hosts have connected to the same monitor, it still counts too few (open).

--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
@@ -36,10 +35,9 @@
 	// means that no server has a limit.
 	ServerLimits *serverlimit.Table
 
-	// entryHosts is the highest number of watchers in reports; zero without one.
-	entryHosts atomic.Int64
-
 	mu sync.Mutex
+	// entryHosts is written under mu.
+	entryHosts hostCount
 	// turn counts the calls of Place.
 	turn int
 	// servers holds this host's requests at each server, by server ID.
--- a/internal/routing/placement/report.go
+++ b/internal/routing/placement/report.go
@@ -38,11 +38,8 @@
 	if l.reports == nil {
 		l.reports = make(map[string]Report)
 	}
-	before := l.reports[server].Watchers
 	l.reports[server] = report
-	if before != report.Watchers {
-		l.countEntryHosts()
-	}
+	l.entryHosts.observe(report.Watchers, report.ReceivedAt)
 }
 
 // SetLeaving stores the time at which an engine will shut down.
@@ -81,29 +78,6 @@
 	defer l.mu.Unlock()
 	delete(l.reports, server)
 	delete(l.leaving, server)
-	l.countEntryHosts()
-}
-
-// assumedEntryHosts is the number of entry hosts that is assumed while no engine
-// has reported its watchers.
-const assumedEntryHosts = 32
-
-// EntryHosts returns the number of entry hosts: the highest number of watchers
-// that an engine reported.
-func (l *LoadTable) EntryHosts() int {
-	if count := l.entryHosts.Load(); count > 0 {
-		return int(count)
-	}
-	return assumedEntryHosts
-}
-
-// countEntryHosts counts the entry hosts again. The caller holds the mutex.
-func (l *LoadTable) countEntryHosts() {
-	most := 0
-	for _, report := range l.reports {
-		most = max(most, report.Watchers)
-	}
-	l.entryHosts.Store(int64(most))
 }
 
 // LeavingEngines returns the IDs of the engines that are about to shut down.
