fix: a store that comes back from an older copy hides no change and takes none back

A host that had read further reads on from its old offset and never learns of what was written below it: in the test, keys that were taken away go on being accepted for good. What the copy says could also bring back a server that had left or make one ready that drains.

Cause: a position in the log was an offset alone, for the host's own reads and for those through other hosts; entries were taken as they come.

Evidence: TestPlatformStoreRestored failed before (200 where 401 is due, after the store was restored and as many records were written as were lost) and passes now, for a host that reads the store and one that reads through it. TestReadAfterRestore, TestRestoredCopy and TestLossOfReadyServersInACopy show the parts. The stand-in of the store can be restored from a copy, names its era and answers 410 for an offset that it does not have.

Change: a position is an offset of an era of the store. When the era of an answer differs, all keys are read again; hosts that read through others name their era, so that a host that is behind says so and one that is ahead sends all keys. An entry that is no newer than what is known of the same incarnation (its sequence number) neither revives a server that was removed in the last minute nor makes one ready that drains. Ready servers that the copy lacks have the usual time to write their entries again. The configuration went to no older version before, and does not now.

--- a/internal/routing/discovery/discovery.go
+++ b/internal/routing/discovery/discovery.go
@@ -37,10 +37,22 @@
 	// Slots is the number of requests that the server can run at once.
 	Slots int
 	State State
+	// Sequence rises with each entry that the incarnation writes; zero when not known.
+	Sequence int64
 	// WarmAt is the time from which the server works at full speed.
 	WarmAt boottime.Instant
 }
 
+// isNotAfter reports whether an entry says nothing newer than another one of the same
+// incarnation.
+func (s BackendServer) isNotAfter(other BackendServer) bool {
+	return s.BornUnixMillis == other.BornUnixMillis && s.Sequence <= other.Sequence
+}
+
+// goneMillis is the time for which a server that was removed is remembered, so that an older
+// copy of the store does not bring it back.
+const goneMillis = 60_000
+
 // renewalMillis is the time that a server has, after an outage of the store, to
 // write its entry again if the entry expired during the outage.
 const renewalMillis = 2200
@@ -57,6 +69,15 @@
 // List is the discovery list at one time. It is immutable.
 type List struct {
 	members map[string]member
+	// gone holds the servers that were removed lately.
+	gone map[string]goneServer
+}
+
+// goneServer is a server that was removed.
+type goneServer struct {
+	server BackendServer
+	// forgetAt is the time until which it is remembered.
+	forgetAt boottime.Instant
 }
 
 // Change is one change of the discovery list.
@@ -78,6 +99,9 @@
 	// Complete says that Changes name all entries. A server that they do not
 	// name has no entry.
 	Complete bool
+	// Restored says that Changes come from an older copy of the store. An entry among
+	// them may be older than what the list knows of the server.
+	Restored bool
 	ReadAt   boottime.Instant
 	// RecoveredAt is the time at which the store became available after its last
 	// outage, or zero when there was no outage.
@@ -88,6 +112,9 @@
 func (l List) With(u Update) List {
 	members := make(map[string]member, len(l.members)+len(u.Changes))
 	maps.Copy(members, l.members)
+	if u.Restored {
+		u.Changes = l.current(u.Changes)
+	}
 	if u.Complete {
 		removeAbsent(members, u)
 	}
@@ -102,7 +129,45 @@
 	maps.DeleteFunc(members, func(_ string, m member) bool {
 		return m.expiresAt != 0 && m.expiresAt.Before(u.ReadAt)
 	})
-	return List{members: members}
+	return List{members: members, gone: l.goneAfter(members, u.ReadAt)}
+}
+
+// current returns the changes from an older copy of the store, without the servers that were
+// removed since it was made, and with the newer state of those that drain.
+func (l List) current(changes []Change) []Change {
+	var all []Change
+	for _, c := range changes {
+		registered, ok := c.(Registered)
+		if !ok {
+			all = append(all, c)
+			continue
+		}
+		if gone, ok := l.gone[registered.Server.ID]; ok && registered.Server.isNotAfter(gone.server) {
+			continue
+		}
+		known, ok := l.members[registered.Server.ID]
+		if ok && known.server.State == Draining && registered.Server.isNotAfter(known.server) {
+			registered.Server = known.server
+		}
+		all = append(all, registered)
+	}
+	return all
+}
+
+// goneAfter returns the servers that were removed lately, when members are those that stay.
+func (l List) goneAfter(members map[string]member, now boottime.Instant) map[string]goneServer {
+	gone := make(map[string]goneServer)
+	for id, g := range l.gone {
+		if _, back := members[id]; !back && now.Before(g.forgetAt) {
+			gone[id] = g
+		}
+	}
+	for id, m := range l.members {
+		if _, stays := members[id]; !stays {
+			gone[id] = goneServer{server: m.server, forgetAt: now.AddMillis(goneMillis)}
+		}
+	}
+	return gone
 }
 
 // removeAbsent removes the members that a complete update does not name.
--- a/internal/routing/discovery/discovery_test.go
+++ b/internal/routing/discovery/discovery_test.go
@@ -64,6 +64,45 @@
 	}
 }
 
+// TestRestoredCopy checks that an older copy of the store neither brings back a server that
+// was removed nor makes one ready that drains, and that newer entries and other incarnations
+// count.
+func TestRestoredCopy(t *testing.T) {
+	registered := func(id string, state State, born, sequence int64) Registered {
+		return Registered{Server: BackendServer{ID: id, Service: "s", State: state, BornUnixMillis: born, Sequence: sequence}}
+	}
+	cases := []struct {
+		name string
+		copy []Change
+		want []string
+	}{
+		{"older entries", []Change{registered("draining", Ready, 1, 4), registered("gone", Ready, 1, 4)}, []string{}},
+		{"entries of before the changes", []Change{registered("draining", Ready, 1, 5), registered("gone", Ready, 1, 5)}, []string{}},
+		{"newer entries", []Change{registered("draining", Draining, 1, 8), registered("gone", Ready, 1, 8)}, []string{"gone"}},
+		{"other incarnations", []Change{registered("draining", Ready, 2, 1), registered("gone", Ready, 2, 1)}, []string{"draining", "gone"}},
+		{"another server", []Change{registered("draining", Ready, 1, 4), registered("new", Ready, 1, 1)}, []string{"new"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			list := List{}.With(Update{Changes: []Change{registered("draining", Ready, 1, 4), registered("gone", Ready, 1, 5)}, Complete: true, ReadAt: start}).
+				With(Update{Changes: []Change{registered("draining", Draining, 1, 6), Removed{ID: "gone"}}, ReadAt: start})
+			list = list.With(Update{Changes: c.copy, Complete: true, Restored: true, ReadAt: start, RecoveredAt: start})
+			is.Equal(ids(list.Ready("s", start)), c.want)
+		})
+	}
+}
+
+// TestLossOfReadyServersInACopy checks that a ready server that the copy lacks stays until it
+// had the time to write its entry again.
+func TestLossOfReadyServersInACopy(t *testing.T) {
+	is := is.New(t)
+	list := List{}.With(Update{Changes: []Change{entry("a", Ready)}, Complete: true, ReadAt: start}).
+		With(Update{Complete: true, Restored: true, ReadAt: start, RecoveredAt: start})
+	is.Equal(ids(list.Ready("s", start.AddMillis(1000))), []string{"a"})
+	is.Equal(ids(list.Ready("s", start.AddMillis(renewalMillis+1))), []string{})
+}
+
 // TestWithDoesNotChangeTheReceiver checks that a list is immutable.
 func TestWithDoesNotChangeTheReceiver(t *testing.T) {
 	is := is.New(t)
--- a/internal/settings/storecache/storecache.go
+++ b/internal/settings/storecache/storecache.go
@@ -44,6 +44,8 @@
 	// recent holds the last changes; next is the offset after the last one.
 	recent []platform.Record
 	next   int64
+	// era is the era of the store in which the offsets were given out.
+	era int64
 	// confirmedAt is the time up to which the state is confirmed. It is zero
 	// before the first read.
 	confirmedAt boottime.Instant
@@ -81,7 +83,8 @@
 		t.recent = append(t.recent, r.Records.List...)
 		t.recent = t.recent[max(0, len(t.recent)-recentRecords):]
 	}
-	if t.next != r.Records.Next {
+	if t.next != r.Records.Next || t.era != r.Records.Era {
+		t.era = r.Records.Era
 		t.next = r.Records.Next
 		close(t.changed)
 		t.changed = make(chan struct{})
@@ -142,16 +145,17 @@
 	defer c.mu.Unlock()
 	t := c.topic(request.GetTopic())
 	ageMillis := boottime.Now().MillisSince(t.confirmedAt)
-	if t.confirmedAt == 0 || request.GetFrom() > t.next {
+	if t.confirmedAt == 0 || t.isBehind(request) {
 		return &digest.ReadReply{}, t.changed, t.confirmedAt != 0 && ageMillis <= freshMillis
 	}
 	reply = &digest.ReadReply{
 		Known:     true,
 		Next:      t.next,
 		AgeMillis: ageMillis,
+		Era:       t.era,
 	}
 	records, ok := t.since(request.GetFrom())
-	if !ok {
+	if !ok || request.GetEra() != t.era {
 		reply.Whole = true
 		records = t.all()
 	}
@@ -161,6 +165,15 @@
 	return reply, t.changed, false
 }
 
+// isBehind reports whether the client has read more than this host, in this era of the store
+// or a later one.
+func (t *topic) isBehind(request *digest.ReadRequest) bool {
+	if request.GetEra() != t.era {
+		return request.GetEra() > t.era
+	}
+	return request.GetFrom() > t.next
+}
+
 // since returns the changes from an offset on. It returns false when some of them
 // are no longer cached, or when the offset is negative, by which a client requests
 // the newest record of each key.
--- a/internal/settings/storecache/storecache_test.go
+++ b/internal/settings/storecache/storecache_test.go
@@ -120,3 +120,30 @@
 	is.True(!read(t, stale, 7, maxWaitMillis).GetKnown())
 	is.True(time.Since(started) < time.Second)
 }
+
+// TestReadAfterRestore checks that offsets of another era of the store are not taken for
+// those of this one: a client of an earlier era gets the newest record of each key, and one
+// of a later era is told that this host is behind.
+func TestReadAfterRestore(t *testing.T) {
+	is := is.New(t)
+	cache := &Cache{}
+	inEra := func(era, from int64) *digest.ReadReply {
+		reply, err := cache.Read(context.Background(), &digest.ReadRequest{Topic: "t", From: from, Era: era})
+		is.NoErr(err)
+		return reply
+	}
+	update := func(era, next int64, complete bool, all ...string) {
+		r := records(next, all...)
+		r.Era = era
+		cache.Update(TopicRead{Topic: "t", Records: r, Complete: complete, ConfirmedAt: boottime.Now()})
+	}
+	update(1, 10, true, "a")
+	is.True(!inEra(2, 5).GetKnown())
+	update(2, 8, true, "b")
+	update(2, 10, false, "c", "d")
+	restored := inEra(1, 10)
+	is.True(restored.GetWhole())
+	is.Equal(restored.GetEra(), int64(2))
+	is.Equal(len(restored.GetRecords()), 3)
+	is.Equal(keys(inEra(2, 9)), []string{"d"})
+}
--- a/internal/settings/storewatcher/peers.go
+++ b/internal/settings/storewatcher/peers.go
@@ -90,6 +90,7 @@
 		Topic:      f.topic,
 		From:       from,
 		WaitMillis: uint32(waitMillis),
+		Era:        f.era,
 	})
 	if err != nil {
 		return topicRead{}, errors.Wrap(err, "read at an entry host")
@@ -138,7 +139,7 @@
 }
 
 func decodeReply(reply *digest.ReadReply) platform.Records {
-	records := platform.Records{Next: reply.GetNext()}
+	records := platform.Records{Next: reply.GetNext(), Era: reply.GetEra()}
 	for _, r := range reply.GetRecords() {
 		records.List = append(records.List, platform.Record{Key: r.GetKey(), Value: r.GetValue()})
 	}
--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -107,6 +107,9 @@
 	// recoveredAt is when reads last succeeded again after a failure. It is zero
 	// when none has failed.
 	recoveredAt boottime.Instant
+	// restored reports whether the store was restored from an older copy since the
+	// previous read. The read is then complete.
+	restored bool
 }
 
 // updateConfiguration stores the configuration of a read when it is newer. It ignores
@@ -140,6 +143,7 @@
 	after := before.With(discovery.Update{
 		Changes:     changes,
 		Complete:    r.complete,
+		Restored:    r.restored,
 		ReadAt:      boottime.Now(),
 		RecoveredAt: r.recoveredAt,
 	})
@@ -178,6 +182,9 @@
 	// the offset next on.
 	synced bool
 	next   int64
+	// era is the era of the store at the last read. It is valid once read is set.
+	era  int64
+	read bool
 	// failing is set while reads of the store fail.
 	failing bool
 	// recoveredAt is when the last failure ended.
@@ -197,22 +204,25 @@
 // readOnce reads the topic once and returns the pause before the next read, in
 // milliseconds.
 func (f *follower) readOnce(ctx context.Context, update func(topicRead)) int64 {
-	r, err := f.read(ctx)
+	r, err := f.fetch(ctx)
 	if err != nil {
 		f.recordFailure(ctx, err)
 		return retryMillis
 	}
 	f.recordRecovery()
+	f.recordRestore(&r)
 	r.recoveredAt = f.recoveredAt
 	update(r)
 	f.synced = true
 	f.next = r.records.Next
+	f.era = r.records.Era
+	f.read = true
 	return f.pauseMillis
 }
 
-// read reads from another entry host, or from the store when no entry host returns
+// fetch reads from another entry host, or from the store when no entry host returns
 // fresh data.
-func (f *follower) read(ctx context.Context) (topicRead, error) {
+func (f *follower) fetch(ctx context.Context) (topicRead, error) {
 	if r, ok := f.readPeers(ctx); ok {
 		return r, nil
 	}
@@ -231,6 +241,10 @@
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
 	records, err := f.readRecords(ctx, waitMillis)
+	if err == nil && f.isOtherEra(records.Era) && f.synced {
+		f.synced = false
+		records, err = f.readRecords(ctx, 0)
+	}
 	if err != nil {
 		return topicRead{}, err
 	}
@@ -252,6 +266,24 @@
 	return f.watcher.Store.Read(ctx, f.topic, f.next, waitMillis)
 }
 
+// isOtherEra reports whether the store was restored from an older copy since the last read,
+// so that the offsets of that read mean nothing any more.
+func (f *follower) isOtherEra(era int64) bool {
+	return f.read && era != f.era
+}
+
+// recordRestore marks a read as the first one after a restore. The entries that the copy
+// lacks are then treated like those that expired during an outage.
+func (f *follower) recordRestore(r *topicRead) {
+	if !f.isOtherEra(r.records.Era) {
+		return
+	}
+	r.restored = true
+	f.recoveredAt = boottime.Now()
+	f.watcher.Log.Warn("store was restored from an older copy; read all keys again", "Topic", f.topic,
+		"Era", r.records.Era, "EraBefore", f.era, "Next", r.records.Next, "NextBefore", f.next)
+}
+
 // recordFailure handles a failed read. When the store has deleted the history, the
 // next read fetches all keys again; that is not treated as an outage.
 func (f *follower) recordFailure(ctx context.Context, err error) {
--- a/internal/standin/keyedlog/keyedlog.go
+++ b/internal/standin/keyedlog/keyedlog.go
@@ -32,6 +32,8 @@
 	topics map[string]*topic
 	// calls is the number of calls that arrived.
 	calls int
+	// era is the number of times that the store was restored from a copy.
+	era int
 	// changed is closed and replaced at each change of a topic or of the faults.
 	changed chan struct{}
 }
@@ -69,6 +71,33 @@
 	l.notifyChange()
 }
 
+// Copy is a copy of the store: the number of records in each topic.
+type Copy map[string]int
+
+// Copy returns a copy from which the store can be restored.
+func (l *Log) Copy() Copy {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := make(Copy)
+	for name, t := range l.topics {
+		c[name] = len(t.records)
+	}
+	return c
+}
+
+// Restore replaces the contents by those of a copy. The offsets of the records that are lost
+// are given out again.
+func (l *Log) Restore(c Copy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, t := range l.topics {
+		t.records = slices.Clone(t.records[:c[name]])
+		t.first = min(t.first, len(t.records))
+	}
+	l.era++
+	l.notifyChange()
+}
+
 // SetFaults replaces the injected faults.
 func (l *Log) SetFaults(f Faults) {
 	l.mu.Lock()
@@ -98,6 +127,7 @@
 		l.mu.Lock()
 		l.calls++
 		faults := l.faults
+		w.Header().Set("Store-Era", strconv.Itoa(l.era))
 		l.mu.Unlock()
 		if faults.Unresponsive {
 			<-r.Context().Done()
@@ -193,16 +223,16 @@
 }
 
 // from encodes the records beginning at an offset, and reports whether some of them
-// were deleted. The body holds the end of the topic and the oldest readable offset, as
+// were deleted or the offset does not exist. The body holds the end of the topic and the oldest readable offset, as
 // 8 bytes each. For each record, it then holds the length of the rest of the record in
 // 4 bytes, the length of the key in 1 byte, the key and the value.
 func (t *topic) from(offset int) ([]byte, bool) {
-	if offset < t.first {
+	if offset < t.first || offset > len(t.records) {
 		return nil, true
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
-	for _, rec := range t.records[min(offset, len(t.records)):] {
+	for _, rec := range t.records[offset:] {
 		body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(rec.value)))
 		body = append(body, byte(len(rec.key)))
 		body = append(body, rec.key...)
--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -51,6 +51,8 @@
 	group replica.Group
 	// version is the version of the configuration that was written last.
 	version int
+	// sequence is the sequence number of the server entry that was written last.
+	sequence int
 }
 
 // platformEngine is an engine with its monitor, the process beside it.
@@ -197,14 +199,15 @@
 
 // registerIn writes the entry of a backend server to the given store.
 func (s *platformSite) registerIn(log *keyedlog.Log, r *replica.Replica, service, state string) {
+	s.sequence++
 	address := r.Addr()
 	for _, e := range s.engines {
 		if e.Replica == r && e.registeredAddress != "" {
 			address = e.registeredAddress
 		}
 	}
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":24,"state":%q,"cold_ms":0,"seq":1,"born":1}`,
-		service, address, state)
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":24,"state":%q,"cold_ms":0,"seq":%d,"born":1}`,
+		service, address, state, s.sequence)
 	log.Put("keyed.servers", r.ID, []byte(entry))
 }
 
