fix(trial): addresses of tests belong to them instead of being tried out

Cause, shown: the pool tried an address by listening there and closing again. A process that is being started holds copies of all sockets of its parent until it runs its program, so the address stays in use for a moment after the close.

Change: a pool holds its IP address for the whole test by listening on a port that it gives to no one, and gives out the other ports one after the other without trying them.

--- a/internal/trial/endtoend/addresses_test.go
+++ b/internal/trial/endtoend/addresses_test.go
@@ -14,10 +14,13 @@
 	// restarted process finds its port free.
 	firstPort = 20000
 	lastPort  = 32000
+	// maxIPs bounds the IP addresses that are tried for one pool.
+	maxIPs = 100
 )
 
-// addressPool allocates free ports on one loopback IP address. The IP address
-// is random, so that deployments of parallel tests do not collide.
+// addressPool allocates ports on one loopback IP address. The IP address belongs to the pool
+// until the test ends, as the pool listens on firstPort of it, which it allocates to no one.
+// So every other port of it is free.
 type addressPool struct {
 	t    *testing.T
 	ip   string
@@ -25,24 +28,28 @@
 }
 
 func newAddressPool(t *testing.T) *addressPool {
-	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
-	return &addressPool{t: t, ip: ip, port: firstPort}
+	t.Helper()
+	var config net.ListenConfig
+	for range maxIPs {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
+		holder, err := config.Listen(context.Background(), "tcp", fmt.Sprintf("%s:%d", ip, firstPort))
+		if err != nil {
+			t.Logf("IP address of another pool: %v", err)
+			continue
+		}
+		t.Cleanup(func() { _ = holder.Close() })
+		return &addressPool{t: t, ip: ip, port: firstPort}
+	}
+	t.Fatalf("no IP address is free after %d tries", maxIPs)
+	return nil
 }
 
-// next returns an address whose port was free when it was checked. The port is
-// not reserved.
+// next returns an address that it returns only once. The port is not tried out: a process
+// that is being started would hold the listening socket for a moment after its close.
 func (a *addressPool) next() string {
 	a.t.Helper()
-	var config net.ListenConfig
-	for a.port < lastPort {
-		a.port++
-		address := fmt.Sprintf("%s:%d", a.ip, a.port)
-		listener, err := config.Listen(context.Background(), "tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
+	if a.port++; a.port >= lastPort {
+		a.t.Fatalf("all ports on %s between %d and %d are allocated", a.ip, firstPort, lastPort)
 	}
-	a.t.Fatalf("no free port on %s between %d and %d", a.ip, firstPort+1, lastPort)
-	return ""
+	return fmt.Sprintf("%s:%d", a.ip, a.port)
 }
