fix: the answer of another server at an address says nothing of a rate limit

What back ends could see: when a server's address has passed to another one, that one declines with 421; a limit in its answer counted for the server that had the address before.

Cause: the limit was decoded before the answer was known to be of the expected server. Evidence: TestObserveRateLimit, whose last case failed before.

--- a/internal/caller/relay/ratelimit.go
+++ b/internal/caller/relay/ratelimit.go
@@ -25,8 +25,12 @@
 }
 
 // observeRateLimit records the rate limit in an answer. An answer that the server itself
-// may not have made says nothing of its limit.
+// may not have made says nothing of its limit: one of another server at its address, or one
+// that names no limit and has no signature.
 func (q *request) observeRateLimit(server string, answer *http.Response, sentAt boottime.Instant) {
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
 	perSecond, named, err := platform.RateLimit(answer.Header)
 	if err != nil {
 		q.log("rate limit of backend server ignored", "Server", server, "Error", err)
