refactor: smaller files for streams, the store and rate limits; no wake-ups without limits

A count keeps the instant at which it began. The statements on rate limits are repeated only while there are any, and a limit counts as not shared only after the time in which a statement comes back, so that the log line no longer stands at each new limit.

Evidence: the rate limit and platform tests pass (go test ./internal/trial/endtoend -run 'TestRateLimit|TestPlatform'), and so do those of the packages.

--- /dev/null
+++ b/internal/caller/relay/resume.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+// migrationWaitMillis is the time for which a stream waits for the migration of its run,
+// after the stream was broken by an engine that is about to shut down.
+const migrationWaitMillis = 1200
+
+// resume resumes a stream that broke: at the copy of a migrated run, or, if the
+// route is resumable, as a new generation after the last event. It returns false
+// when neither is possible.
+func (s *stream) resume(ctx context.Context, cause error) bool {
+	if s.resumeMigrated(ctx, cause) {
+		return true
+	}
+	q := s.request
+	if !q.route.Resumable || len(q.tried) >= q.route.MaxAttempts {
+		return false
+	}
+	if !q.allowRetry(lost{cause}) {
+		return false
+	}
+	next, _ := q.placeAnywhere()
+	if next == nil {
+		return false
+	}
+	q.tried[next.server.ID] = true
+	lastEvent := s.events.lastID
+	if lastEvent == "" {
+		lastEvent = q.caller.LastEvent
+	}
+	return s.open(ctx, next, platform.ServerRequest{LastEvent: lastEvent})
+}
+
+// resumeMigrated waits for the migration of the run and resumes the stream at the
+// destination. If the destination does not continue the run, the stream is resumed
+// at the engine that stopped it.
+func (s *stream) resumeMigrated(ctx context.Context, cause error) bool {
+	leaving := s.request.relay.LoadTable.Leaving(s.attempt.server.ID)
+	migration, announced, _ := s.registration.Latest()
+	if !announced && !leaving {
+		return false
+	}
+	wait, stop := context.WithDeadline(ctx, time.Now().Add(migrationWaitMillis*time.Millisecond))
+	defer stop()
+	if !announced || !migration.Stopped {
+		migration, announced = s.registration.AwaitStopped(wait)
+	}
+	if !announced {
+		return false
+	}
+	s.request.log("migrated stream is being resumed", "From", s.attempt.server.Address, "To", migration.Destination,
+		"LastEvent", s.events.lastID, "Stopped", migration.Stopped, "Cause", cause)
+	resumption := platform.ServerRequest{LastEvent: s.events.lastID, ContinueFrom: migration.Source}
+	for _, address := range []string{migration.Destination, migration.Source.Address} {
+		if next, ok := s.attemptAt(wait, address); ok && s.open(ctx, next, resumption) {
+			return true
+		}
+	}
+	return false
+}
+
+// attemptAt opens an assignment at the engine with an address, if need be as soon as the
+// engine's rate limit allows. It returns false when the address belongs to no known server
+// or ctx ends.
+func (s *stream) attemptAt(ctx context.Context, address string) (*attempt, bool) {
+	if address == "" {
+		return nil, false
+	}
+	server, ok := s.request.relay.serverAt(address)
+	// The current engine may have left the discovery list, as it is about to shut
+	// down.
+	if address == s.attempt.server.Address {
+		server, ok = s.attempt.server, true
+	}
+	if !ok {
+		return nil, false
+	}
+	generation := s.generation()
+	assignment, ok := s.awaitAssignment(ctx, server, generation.ExpectedTokens())
+	if !ok {
+		return nil, false
+	}
+	s.request.relay.OnPlaced(server.ID, s.request.caller.ID, generation)
+	return &attempt{server: server, assignment: assignment}, true
+}
+
+// awaitAssignment opens an assignment as soon as the server's rate limit allows. It returns
+// false when ctx ends before.
+func (s *stream) awaitAssignment(ctx context.Context, server discovery.BackendServer, tokens int) (*placement.Assignment, bool) {
+	for {
+		now := boottime.Now()
+		assignment, until := s.request.relay.LoadTable.OpenAt(server.ID, tokens, now)
+		if assignment != nil {
+			return assignment, true
+		}
+		s.request.log("stream waits for rate limit of backend server", "Server", server.ID, "UntilMillis", until.MillisSince(now))
+		boottime.Pause(ctx, max(until.MillisSince(now), 1))
+		if ctx.Err() != nil {
+			return nil, false
+		}
+	}
+}
+
+// serverAt returns the server with an address from the discovery list.
+func (r *Relay) serverAt(address string) (discovery.BackendServer, bool) {
+	for _, server := range r.StoreWatcher.Servers().List.All() {
+		if server.Address == address {
+			return server, true
+		}
+	}
+	return discovery.BackendServer{}, false
+}
+
+// open sends the request to a further server. If the server continues the stream,
+// it becomes the new source.
+func (s *stream) open(ctx context.Context, next *attempt, r platform.ServerRequest) bool {
+	call, err := s.request.open(ctx, next.server, r)
+	if err != nil {
+		s.request.log("stream not resumed at backend server", "Server", next.server.ID, "Error", err)
+		next.close(ctx.Err() == nil)
+		return false
+	}
+	next.call = call
+	if call.Answer.StatusCode != http.StatusOK {
+		s.request.log("stream not resumed at backend server", "Server", next.server.ID, "Status", call.Answer.StatusCode)
+		next.close(false)
+		return false
+	}
+	s.attempt.close(false)
+	s.attempt = next
+	s.resumptions++
+	s.registration.SetEngine(next.server.Address)
+	return true
+}
--- a/internal/routing/serverlimit/serverlimit.go
+++ b/internal/routing/serverlimit/serverlimit.go
@@ -8,28 +8,17 @@
 
 import (
 	"maps"
-	"math"
 	"sync"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 )
 
 const (
-	// confirmedMillis is the time for which a statement that came back shows that the
-	// other hosts hear this one. It covers two repetitions of the statement.
-	confirmedMillis = 700
-	// aheadSeconds is the usual time until a statement comes back.
-	aheadSeconds = 0.25
 	// endedMillis is the time for which a host states that a limit has ended.
 	endedMillis = 3000
 	// unlistedMillis is the time since its last answer after which a server that is not
 	// listed any more is dropped.
 	unlistedMillis = 10_000
-	// forgetMillis is the time since its last statement after which another host is
-	// forgotten.
-	forgetMillis = 10_000
-	// relayMillis is the usual time that a statement of another host took to arrive.
-	relayMillis = 50
 )
 
 // Answer is what the answer of a backend server says of its limit.
@@ -81,38 +70,6 @@
 	confirmedAt boottime.Instant
 }
 
-// peer is what another host has stated of a server. It is immutable.
-type peer struct {
-	sent count
-	// heardAt is the time of its newest statement.
-	heardAt boottime.Instant
-}
-
-// count is a number of requests. It is immutable.
-type count struct {
-	// sinceNanos is the time at which the host began to count, by its own clock.
-	sinceNanos int64
-	// requests never falls.
-	requests uint64
-}
-
-// newSince returns the requests that a count has beyond an earlier one of the same host.
-// There are none when the host has begun to count anew.
-func (c count) newSince(earlier count) uint64 {
-	if c.sinceNanos != earlier.sinceNanos || c.requests < earlier.requests {
-		return 0
-	}
-	return c.requests - earlier.requests
-}
-
-// before reports whether c is older than other, which is of the same host.
-func (c count) before(other count) bool {
-	if c.sinceNanos != other.sinceNanos {
-		return c.sinceNanos < other.sinceNanos
-	}
-	return c.requests < other.requests
-}
-
 // observation is what an answer said of a server's limit.
 type observation struct {
 	limited   bool
@@ -147,8 +104,8 @@
 	state := &serverState{
 		shared:    bucket{filledAt: now},
 		share:     bucket{filledAt: now},
-		sent:      count{sinceNanos: int64(now)},
-		confirmed: count{sinceNanos: int64(now)},
+		sent:      count{since: now},
+		confirmed: count{since: now},
 		peers:     make(map[uint64]peer),
 	}
 	t.servers[server] = state
@@ -197,17 +154,6 @@
 	return held
 }
 
-// nextAt returns the time at which this host may send a request: when there is a token for
-// all hosts together while they hear of its requests, otherwise when there is one for this
-// host alone. The caller holds the mutex.
-func (t *Table) nextAt(state *serverState, now boottime.Instant) boottime.Instant {
-	t.fill(state, now)
-	if t.isConfirmed(state, now) {
-		return state.shared.nextAt(t.sharedRate(state, now))
-	}
-	return state.share.nextAt(t.shareRate(state))
-}
-
 // Spend counts a request that is about to be sent to a server.
 func (t *Table) Spend(server string, now boottime.Instant) {
 	t.mu.Lock()
@@ -254,53 +200,6 @@
 	})
 }
 
-// fill adds the tokens that came since the buckets were last filled. The caller holds the
-// mutex.
-func (t *Table) fill(state *serverState, now boottime.Instant) {
-	sharedRate, shareRate := t.sharedRate(state, now), t.shareRate(state)
-	state.shared = state.shared.withFilled(sharedRate, capacity(sharedRate), now)
-	shareCapacity := capacity(shareRate)
-	if t.isConfirmed(state, now) {
-		shareCapacity = t.phase()
-	}
-	state.share = state.share.withFilled(shareRate, shareCapacity, now)
-}
-
-// phase returns the tokens of its own that a host has when the others cease to hear it. It
-// differs from host to host, so that hosts that are cut off together do not all send a
-// request at once. It ranges from 0 to 1.
-func (t *Table) phase() float64 {
-	return float64(t.Host) / math.MaxUint64
-}
-
-// shareRate returns the requests a second that one host may send if the others do not
-// hear of them.
-func (t *Table) shareRate(state *serverState) float64 {
-	return max(state.current.perSecond, minPerSecond) / float64(max(t.Hosts(), 1))
-}
-
-// sharedRate returns the requests a second that the hosts that hear one another may send
-// together. The shares of the others are left to them. The caller holds the mutex.
-func (t *Table) sharedRate(state *serverState, now boottime.Instant) float64 {
-	together := 1
-	for _, p := range state.peers {
-		if now.MillisSince(p.heardAt) <= confirmedMillis {
-			together++
-		}
-	}
-	return t.shareRate(state) * float64(min(together, max(t.Hosts(), 1)))
-}
-
-// isConfirmed reports whether the other hosts hear of this host's requests: its statements
-// came back lately, with all but the newest requests. The caller holds the mutex.
-func (t *Table) isConfirmed(state *serverState, now boottime.Instant) bool {
-	if state.confirmedAt == 0 || now.MillisSince(state.confirmedAt) > confirmedMillis {
-		return false
-	}
-	ahead := float64(state.sent.newSince(state.confirmed))
-	return ahead <= aheadSeconds*t.shareRate(state)
-}
-
 func (t *Table) notify() {
 	if t.OnChange != nil {
 		t.OnChange()
--- a/internal/routing/serverlimit/serverlimit_test.go
+++ b/internal/routing/serverlimit/serverlimit_test.go
@@ -84,12 +84,12 @@
 	is := is.New(t)
 	table := &Table{Host: 1, Hosts: func() int { return 2 }}
 	const other = 2
-	stated := Statement{Server: limitedServer, CountedSinceNanos: 7, Observed: true, Limited: true, PerSecond: 3}
+	stated := Statement{Server: limitedServer, CountedSince: 7, Observed: true, Limited: true, PerSecond: 3}
 	is.True(table.Apply(other, stated, tableStart))
 	is.True(table.Limited(limitedServer))
-	older := Statement{Server: limitedServer, CountedSinceNanos: 7, Observed: true, AgeMillis: 500}
+	older := Statement{Server: limitedServer, CountedSince: 7, Observed: true, AgeMillis: 500}
 	is.True(!table.Apply(other, older, tableStart))
-	newer := Statement{Server: limitedServer, CountedSinceNanos: 7, Observed: true}
+	newer := Statement{Server: limitedServer, CountedSince: 7, Observed: true}
 	is.True(table.Apply(other, newer, tableStart.AddMillis(1000)))
 	is.True(!table.Limited(limitedServer))
 }
@@ -102,11 +102,11 @@
 	table := newLimitedTable()
 	const other = 2
 	state := table.servers[limitedServer]
-	hear := func(since int64, sent uint64) {
-		table.Apply(other, Statement{Server: limitedServer, CountedSinceNanos: since, Sent: sent}, tableStart)
+	hear := func(since boottime.Instant, sent uint64) {
+		table.Apply(other, Statement{Server: limitedServer, CountedSince: since, Sent: sent}, tableStart)
 	}
 	for _, statement := range []struct {
-		since int64
+		since boottime.Instant
 		sent  uint64
 		spent float64
 	}{
--- a/internal/routing/serverlimit/statement.go
+++ b/internal/routing/serverlimit/statement.go
@@ -6,14 +6,22 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 )
 
+const (
+	// forgetMillis is the time since its last statement after which another host is
+	// forgotten.
+	forgetMillis = 10_000
+	// relayMillis is the usual time that a statement of another host took to arrive.
+	relayMillis = 50
+)
+
 // Statement is what one entry host tells the others of one backend server.
 type Statement struct {
 	// Server is the ID of the server.
 	Server string
 	// Sent is the number of requests that the host has sent to the server since
-	// CountedSinceNanos, by the clock of the host.
-	Sent              uint64
-	CountedSinceNanos int64
+	// CountedSince, by the clock of the host.
+	Sent         uint64
+	CountedSince boottime.Instant
 	// Observed says that the host itself has had an answer of the server. The other fields
 	// say what was in it.
 	Observed bool
@@ -27,6 +35,11 @@
 	Unconfirmed bool
 }
 
+// count returns the requests that the host has counted.
+func (s Statement) count() count {
+	return count{since: s.CountedSince, requests: s.Sent}
+}
+
 // Statements returns what this host tells the others, and drops the limits that ended long
 // ago.
 func (t *Table) Statements(now boottime.Instant) []Statement {
@@ -40,15 +53,14 @@
 		}
 		maps.DeleteFunc(state.peers, func(_ uint64, p peer) bool { return now.MillisSince(p.heardAt) > forgetMillis })
 		all = append(all, Statement{
-			Server:      id,
-			Sent:        state.sent.requests,
-			Observed:    state.own.at != 0,
-			Limited:     state.own.limited,
-			PerSecond:   state.own.perSecond,
-			AgeMillis:   now.MillisSince(state.own.at),
-			Unconfirmed: now.MillisSince(state.confirmedAt) > confirmedMillis,
-
-			CountedSinceNanos: state.sent.sinceNanos,
+			Server:       id,
+			Sent:         state.sent.requests,
+			CountedSince: state.sent.since,
+			Observed:     state.own.at != 0,
+			Limited:      state.own.limited,
+			PerSecond:    state.own.perSecond,
+			AgeMillis:    now.MillisSince(state.own.at),
+			Unconfirmed:  now.MillisSince(max(state.confirmedAt, state.sent.since)) > confirmedMillis,
 		})
 	}
 	return all
@@ -69,7 +81,7 @@
 	if !known {
 		state = t.add(s.Server, now)
 	}
-	t.hear(state, host, count{sinceNanos: s.CountedSinceNanos, requests: s.Sent}, now)
+	t.hear(state, host, s.count(), now)
 	// The answer is taken for older than it is, so that an answer to this host counts more
 	// than one that another host had at about the same time.
 	o := observation{limited: s.Limited, perSecond: s.PerSecond, at: now.AddMillis(-s.AgeMillis - relayMillis)}
@@ -97,8 +109,8 @@
 	if !known {
 		return
 	}
-	back := count{sinceNanos: s.CountedSinceNanos, requests: s.Sent}
-	if back.sinceNanos != state.sent.sinceNanos || back.before(state.confirmed) {
+	back := s.count()
+	if back.since != state.sent.since || back.before(state.confirmed) {
 		return
 	}
 	state.confirmed = back
--- a/internal/routing/watch/ratelimits.go
+++ b/internal/routing/watch/ratelimits.go
@@ -37,19 +37,23 @@
 // stateRateLimits tells the other entry hosts of the rate limits of backend servers and of
 // the requests that this host sends to these servers, until ctx ends.
 func (w *Watch) stateRateLimits(ctx context.Context) {
-	ticker := time.NewTicker(repeatMillis * time.Millisecond)
-	defer ticker.Stop()
+	// repeat is nil while there is nothing to repeat.
+	var repeat <-chan time.Time
 	shared := true
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.limitsChanged.C():
-		case <-ticker.C:
+		case <-repeat:
 		}
 		statements := w.ServerLimits.Statements(boottime.Now())
 		w.sendStatements(statements)
 		shared = w.logSharing(shared, statements)
+		repeat = nil
+		if len(statements) > 0 {
+			repeat = time.After(repeatMillis * time.Millisecond)
+		}
 		boottime.Pause(ctx, statePauseMillis)
 	}
 }
@@ -133,7 +137,7 @@
 }
 
 func encodeStatement(s serverlimit.Statement) *sighting.RateLimit {
-	limit := &sighting.RateLimit{ServerId: s.Server, Sent: s.Sent, CountedSinceNanos: s.CountedSinceNanos}
+	limit := &sighting.RateLimit{ServerId: s.Server, Sent: s.Sent, CountedSinceNanos: int64(s.CountedSince)}
 	if s.Observed {
 		limit.Answer = &sighting.RateLimitAnswer{Limited: s.Limited, PerSecond: s.PerSecond, AgeMillis: s.AgeMillis}
 	}
@@ -143,12 +147,12 @@
 func decodeStatement(limit *sighting.RateLimit) serverlimit.Statement {
 	answer := limit.GetAnswer()
 	return serverlimit.Statement{
-		Server:            limit.GetServerId(),
-		Sent:              limit.GetSent(),
-		CountedSinceNanos: limit.GetCountedSinceNanos(),
-		Observed:          answer != nil,
-		Limited:           answer.GetLimited(),
-		PerSecond:         answer.GetPerSecond(),
-		AgeMillis:         answer.GetAgeMillis(),
+		Server:       limit.GetServerId(),
+		Sent:         limit.GetSent(),
+		CountedSince: boottime.Instant(limit.GetCountedSinceNanos()),
+		Observed:     answer != nil,
+		Limited:      answer.GetLimited(),
+		PerSecond:    answer.GetPerSecond(),
+		AgeMillis:    answer.GetAgeMillis(),
 	}
 }
--- a/internal/routing/watch/ratelimits_test.go
+++ b/internal/routing/watch/ratelimits_test.go
@@ -42,9 +42,9 @@
 func TestStatementOnTheWire(t *testing.T) {
 	is := is.New(t)
 	for _, s := range []serverlimit.Statement{
-		{Server: "desk", Sent: 4, CountedSinceNanos: 9, Observed: true, Limited: true, PerSecond: 3.4, AgeMillis: 20},
-		{Server: "desk", Sent: 4, CountedSinceNanos: 9, Observed: true, AgeMillis: 5},
-		{Server: "desk", Sent: 4, CountedSinceNanos: 9},
+		{Server: "desk", Sent: 4, CountedSince: 9, Observed: true, Limited: true, PerSecond: 3.4, AgeMillis: 20},
+		{Server: "desk", Sent: 4, CountedSince: 9, Observed: true, AgeMillis: 5},
+		{Server: "desk", Sent: 4, CountedSince: 9},
 	} {
 		is.Equal(decodeStatement(encodeStatement(s)), s)
 	}
--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -9,9 +9,7 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
@@ -25,14 +23,9 @@
 	// changeWaitMillis is how long a read at the store waits for a change. While
 	// nothing changes, the confirmed state is up to twice that old.
 	changeWaitMillis = 600
-	// replyTimeoutMillis is the time limit of a call to the store, in addition to
-	// its wait for a change.
-	replyTimeoutMillis = 700
 	// serversPauseMillis is the pause between reads of the list of backend servers.
 	// It batches changes of the list, which arrive several at a time.
 	serversPauseMillis = 250
-	// retryMillis is the pause after a failed call.
-	retryMillis = 300
 )
 
 // Configuration is a configuration with the time up to which it is confirmed.
@@ -168,149 +161,3 @@
 		}
 	}
 }
-
-// follower reads one topic repeatedly.
-type follower struct {
-	topic string
-	// waitMillis is how long a read waits at the store for a change.
-	waitMillis int64
-	// pauseMillis is the pause between reads.
-	pauseMillis int64
-	watcher     *Watcher
-
-	// synced is set once all keys were read. Later reads return the changes from
-	// the offset next on.
-	synced bool
-	next   int64
-	// era is the era of the store at the last read. It is valid once read is set.
-	era  int64
-	read bool
-	// failing is set while reads of the store fail.
-	failing bool
-	// recoveredAt is when the last failure ended.
-	recoveredAt boottime.Instant
-	peer        peerConn
-}
-
-// run reads the topic until ctx ends, and passes each result to update.
-func (f *follower) run(ctx context.Context, update func(topicRead)) error {
-	defer f.peer.close()
-	for ctx.Err() == nil {
-		boottime.Pause(ctx, f.readOnce(ctx, update))
-	}
-	return nil
-}
-
-// readOnce reads the topic once and returns the pause before the next read, in
-// milliseconds.
-func (f *follower) readOnce(ctx context.Context, update func(topicRead)) int64 {
-	r, err := f.fetch(ctx)
-	if err != nil {
-		f.recordFailure(ctx, err)
-		return retryMillis
-	}
-	f.recordRecovery()
-	f.recordRestore(&r)
-	r.recoveredAt = f.recoveredAt
-	update(r)
-	f.synced = true
-	f.next = r.records.Next
-	f.era = r.records.Era
-	f.read = true
-	return f.pauseMillis
-}
-
-// fetch reads from another entry host, or from the store when no entry host returns
-// fresh data.
-func (f *follower) fetch(ctx context.Context) (topicRead, error) {
-	if r, ok := f.readPeers(ctx); ok {
-		return r, nil
-	}
-	return f.readStore(ctx)
-}
-
-// readStore reads from the store and adds the result to the cache.
-func (f *follower) readStore(ctx context.Context) (topicRead, error) {
-	startedAt := boottime.Now()
-	waitMillis := f.waitMillis
-	if f.failing {
-		// An immediate answer shortens the time without a confirmed state.
-		waitMillis = 0
-	}
-	deadline := time.Now().Add(time.Duration(waitMillis+replyTimeoutMillis) * time.Millisecond)
-	ctx, stop := context.WithDeadline(ctx, deadline)
-	defer stop()
-	records, err := f.readRecords(ctx, waitMillis)
-	if err == nil && f.isOtherEra(records.Era) && f.synced {
-		f.synced = false
-		records, err = f.readRecords(ctx, 0)
-	}
-	if err != nil {
-		return topicRead{}, err
-	}
-	f.peer.ahead = true
-	f.watcher.Cache.Update(storecache.TopicRead{
-		Topic:       f.topic,
-		Records:     records,
-		Complete:    !f.synced,
-		ConfirmedAt: startedAt,
-	})
-	return topicRead{records: records, complete: !f.synced, confirmedAt: startedAt}, nil
-}
-
-// readRecords reads the newest record of each key, or the changes once synced is set.
-func (f *follower) readRecords(ctx context.Context, waitMillis int64) (platform.Records, error) {
-	if !f.synced {
-		return f.watcher.Store.Newest(ctx, f.topic)
-	}
-	return f.watcher.Store.Read(ctx, f.topic, f.next, waitMillis)
-}
-
-// isOtherEra reports whether the store was restored from an older copy since the last read,
-// so that the offsets of that read mean nothing any more.
-func (f *follower) isOtherEra(era int64) bool {
-	return f.read && era != f.era
-}
-
-// recordRestore marks a read as the first one after a restore. The entries that the copy
-// lacks are then treated like those that expired during an outage.
-func (f *follower) recordRestore(r *topicRead) {
-	if !f.isOtherEra(r.records.Era) {
-		return
-	}
-	r.restored = true
-	f.recoveredAt = boottime.Now()
-	f.watcher.Log.Warn("store was restored from an older copy; read all keys again", "Topic", f.topic,
-		"Era", r.records.Era, "EraBefore", f.era, "Next", r.records.Next, "NextBefore", f.next)
-}
-
-// recordFailure handles a failed read. When the store has deleted the history, the
-// next read fetches all keys again; that is not treated as an outage.
-func (f *follower) recordFailure(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if errors.Is(err, platform.ErrHistoryGone) {
-		f.watcher.Log.Warn("store history was deleted; reading all keys again", "Topic", f.topic)
-		f.synced = false
-		return
-	}
-	// The next read uses a new connection to the store, and may read from another
-	// entry host again.
-	f.watcher.Store.HTTP.CloseIdleConnections()
-	f.peer.directUntil = 0
-	if !f.failing {
-		f.watcher.Log.Warn("reading the store failed", "Topic", f.topic, "Error", err)
-	}
-	f.failing = true
-}
-
-// recordRecovery ends an outage after a successful read.
-func (f *follower) recordRecovery() {
-	if !f.failing {
-		return
-	}
-	f.failing = false
-	f.recoveredAt = boottime.Now()
-	f.watcher.Log.Info("reading the store succeeded again", "Topic", f.topic)
-}
