test(trial): backend servers name rate limits in the soak

The soak makes one backend server after the other name a limit of 1 to 4 requests a second, a plain service or an engine, beside its faults, and checks afterwards that no window of 4 s had more than allowed, whatever happened to hosts, monitors and connections. The choices are separate from those of the faults, so that a seed still gives the same faults.

--- a/internal/trial/endtoend/platform_ratelimit_test.go
+++ b/internal/trial/endtoend/platform_ratelimit_test.go
@@ -107,11 +107,11 @@
 }
 
 // mostInWindow returns the highest number of requests that reached a server in a window
-// after the given time.
-func mostInWindow(server *replica.Replica, from time.Time) int {
+// between the given times.
+func mostInWindow(server *replica.Replica, from, to time.Time) int {
 	var times []time.Time
 	for _, arrival := range server.Arrivals() {
-		if arrival.At.After(from) {
+		if arrival.At.After(from) && arrival.At.Before(to) {
 			times = append(times, arrival.At)
 		}
 	}
@@ -125,12 +125,12 @@
 }
 
 // checkRate fails the test if more requests than its limit allows reached a server in
-// some window after the given time.
-func checkRate(t *testing.T, server *replica.Replica, perSecond float64, from time.Time) {
+// some window between the given times.
+func checkRate(t *testing.T, server *replica.Replica, perSecond float64, from, to time.Time) {
 	t.Helper()
 	allowed := int(rateOverage*perSecond*rateWindowMillis/1000) + rateSlack
-	most := mostInWindow(server, from)
-	t.Logf("%s: at most %d requests in %d ms, allowed %d", server.ID, most, rateWindowMillis, allowed)
+	most := mostInWindow(server, from, to)
+	t.Logf("%s with a limit of %.1f a second: at most %d requests in %d ms, allowed %d", server.ID, perSecond, most, rateWindowMillis, allowed)
 	if most > allowed {
 		t.Errorf("%s with a limit of %v a second got %d requests in %d ms, allowed %d",
 			server.ID, perSecond, most, rateWindowMillis, allowed)
@@ -152,11 +152,11 @@
 	limited.SetRateLimit(limit)
 	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
 	counts := statuses(s.load("lookup", loadMillis, pauseMillis, lookup))
-	checkRate(t, limited, limit, settled)
+	checkRate(t, limited, limit, settled, time.Now())
 	if len(counts) != 1 || counts[http.StatusOK] == 0 {
 		t.Errorf("statuses %v, want only 200, as other servers have room", counts)
 	}
-	if mostInWindow(limited, settled) == 0 {
+	if mostInWindow(limited, settled, time.Now()) == 0 {
 		t.Errorf("%s got no request within its limit", limited.ID)
 	}
 }
@@ -174,7 +174,7 @@
 	ended := time.Now()
 	s.load("free", freeMillis, pauseMillis, lookup)
 	allowed := int(rateOverage*limit*rateWindowMillis/1000) + rateSlack
-	if most := mostInWindow(limited, ended); most <= 2*allowed {
+	if most := mostInWindow(limited, ended, time.Now()); most <= 2*allowed {
 		t.Errorf("%s got at most %d requests in %d ms after its limit had ended", limited.ID, most, rateWindowMillis)
 	}
 }
@@ -217,7 +217,7 @@
 		}
 	}
 	for _, server := range s.plainServices {
-		checkRate(t, server, limit, settled)
+		checkRate(t, server, limit, settled, time.Now())
 	}
 	is.True(float64(served) > limit*loadMillis/1000) // half of what both servers accept
 }
@@ -255,7 +255,7 @@
 		}
 	}
 	for _, e := range s.engines {
-		checkRate(t, e.Replica, limit, settled)
+		checkRate(t, e.Replica, limit, settled, time.Now())
 	}
 	if served == 0 {
 		t.Errorf("no stream was served; statuses %v", statuses(replies))
@@ -291,7 +291,7 @@
 	})
 	counts := statuses(s.load("lookup", loadMillis, pauseMillis, lookup))
 	_ = group.Wait()
-	checkRate(t, limited, limit, settled)
+	checkRate(t, limited, limit, settled, time.Now())
 	t.Logf("statuses %v", counts)
 	if counts[http.StatusServiceUnavailable] > 0 {
 		t.Errorf("statuses %v, want no refusals, as another server has room", counts)
--- a/internal/trial/endtoend/soak_test.go
+++ b/internal/trial/endtoend/soak_test.go
@@ -67,6 +67,10 @@
 	calls   callLog
 	keys    keyring
 	endsAt  time.Time
+	// limitChoices makes the choices of the rate limits, which are separate from those of
+	// the faults, and limitSpans holds what was named.
+	limitChoices *rand.Rand
+	limitSpans   []limitSpan
 }
 
 // soakEntry is the process of an entry host.
@@ -85,6 +89,7 @@
 	s := &soak{
 		platformSite: newPlatformStore(t, processes),
 		random:       rand.New(rand.NewPCG(uint64(seed), 0)),
+		limitChoices: rand.New(rand.NewPCG(uint64(seed), 2)),
 	}
 	for n := range soakEngines {
 		s.addEngineBehindProxy(n)
@@ -155,10 +160,12 @@
 	}
 	group.Go(func() error { return s.rotateKeys() })
 	group.Go(func() error { return s.injectFaults() })
+	group.Go(func() error { return s.nameRateLimits() })
 	if err := group.Wait(); err != nil {
 		s.t.Error(err)
 	}
 	s.checkRecovery()
+	s.checkRateLimits()
 	s.check()
 }
 
