fix: no requests to an availability zone that the operator evacuates

What back ends saw: the operator orders that nothing more be sent to a zone, and its servers go on getting requests.

Cause: only the key of the configuration was read of its topic.

Change: the reader of the configuration topic also keeps the orders. Servers of such a zone are not chosen, are no destination of migrated runs, and get no resumed stream. What runs in the zone ends there.

--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -92,7 +92,7 @@
 
 func (q *request) place(roomOnly bool) placement.Placement {
 	now := boottime.Now()
-	ready := q.relay.StoreWatcher.Servers().List.Ready(q.service.Name, now)
+	ready := q.relay.StoreWatcher.Ready(q.service.Name, now)
 	return q.relay.LoadTable.Place(ready, placement.Request{
 		Service:      q.service,
 		Tokens:       q.tokens(),
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -70,8 +70,8 @@
 }
 
 // attemptAt opens an assignment at the engine with an address, if need be as soon as the
-// engine's rate limit allows. It returns false when the address belongs to no known server
-// or ctx ends.
+// engine's rate limit allows. It returns false when the address belongs to no known server,
+// the server's zone is being evacuated, or ctx ends.
 func (s *stream) attemptAt(ctx context.Context, address string) (*attempt, bool) {
 	if address == "" {
 		return nil, false
@@ -82,7 +82,7 @@
 	if address == s.attempt.server.Address {
 		server, ok = s.attempt.server, true
 	}
-	if !ok {
+	if !ok || s.request.relay.StoreWatcher.Evacuated(server.Zone) {
 		return nil, false
 	}
 	generation := s.generation()
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -34,7 +34,7 @@
 	if !ok || service.Engine == nil {
 		return advice
 	}
-	capacities := w.LoadTable.FreeCapacity(w.StoreWatcher.Servers().List.Ready(leaving.Service, boottime.Now()), service)
+	capacities := w.LoadTable.FreeCapacity(w.StoreWatcher.Ready(leaving.Service, boottime.Now()), service)
 	assigned := w.assignDestinations(leaving, capacities)
 	for _, capacity := range capacities {
 		if capacity.Server.ID == leaving.ID {
--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -57,6 +57,8 @@
 
 	configuration atomic.Pointer[Configuration]
 	servers       atomic.Pointer[Servers]
+	// evacuatedZones holds the availability zones that are being evacuated.
+	evacuatedZones atomic.Pointer[map[string]bool]
 }
 
 // Configuration returns the newest configuration that was read.
@@ -105,9 +107,11 @@
 	restored bool
 }
 
-// updateConfiguration stores the configuration of a read when it is newer. It ignores
-// an older one, which a stale read may return.
+// updateConfiguration stores the configuration of a read when it is newer, and the orders to
+// evacuate availability zones. It ignores an older configuration, which a stale read may
+// return.
 func (w *Watcher) updateConfiguration(r topicRead) {
+	w.updateEvacuations(r)
 	known := w.Configuration()
 	read, err := platform.Configuration(r.records.List)
 	if err != nil {
