fix: the number of entry hosts follows the highest count of two windows

A single low report could count once the higher number was 5 s old: a monitor that restarted just then made a host take itself for one of few, until the next report. Found while reading the change. The test has the case now; with the version before it fails at its first new line (4 where 5 still counts).

--- a/internal/routing/placement/entryhosts.go
+++ b/internal/routing/placement/entryhosts.go
@@ -10,30 +10,35 @@
 	// assumedEntryHosts is the number of entry hosts that is assumed while no engine
 	// has reported its watchers.
 	assumedEntryHosts = 32
-	// rememberedMillis is the time for which a number of watchers that is higher than the
-	// ones reported later still counts. A monitor that was restarted reports only the
-	// hosts that have connected to it again.
+	// rememberedMillis is the length of the windows over which the highest number of
+	// watchers counts. A monitor that was restarted reports only the hosts that have
+	// connected to it again.
 	rememberedMillis = 5000
 )
 
 // hostCount is the number of entry hosts: the highest number of watchers that an engine
-// reported lately. The number is read without a lock.
+// reported in the current window and the one before it. The number is read without a lock.
 type hostCount struct {
 	// most is zero before the first report.
 	most atomic.Int64
-	// reportedAt is the time of the last report with that number.
-	reportedAt boottime.Instant
+	// current and previous are the highest numbers in the two windows, of which the
+	// current one began at beganAt.
+	current  int
+	previous int
+	beganAt  boottime.Instant
 }
 
 // observe records a number of watchers; zero stands for an unknown one. Its calls must not
 // overlap.
 func (c *hostCount) observe(watchers int, now boottime.Instant) {
-	lower := int64(watchers) < c.most.Load()
-	if watchers == 0 || lower && now.MillisSince(c.reportedAt) <= rememberedMillis {
+	if watchers == 0 {
 		return
 	}
-	c.most.Store(int64(watchers))
-	c.reportedAt = now
+	if now.MillisSince(c.beganAt) > rememberedMillis {
+		c.previous, c.current, c.beganAt = c.current, 0, now
+	}
+	c.current = max(c.current, watchers)
+	c.most.Store(int64(max(c.current, c.previous)))
 }
 
 // EntryHosts returns the number of entry hosts.
--- a/internal/routing/placement/entryhosts_test.go
+++ b/internal/routing/placement/entryhosts_test.go
@@ -29,9 +29,11 @@
 	report("a", 4, rateStart.AddMillis(700))
 	is.Equal(l.EntryHosts(), 5)
 	report("a", 4, rateStart.AddMillis(rememberedMillis+1)) // the fifth host did not come back
+	is.Equal(l.EntryHosts(), 5)
+	report("a", 1, rateStart.AddMillis(2*rememberedMillis+2)) // a monitor that was restarted
 	is.Equal(l.EntryHosts(), 4)
-	report("b", 0, rateStart.AddMillis(3*rememberedMillis)) // a first report does not say it
+	report("b", 0, rateStart.AddMillis(2*rememberedMillis+3)) // a first report does not say it
 	is.Equal(l.EntryHosts(), 4)
-	report("a", 6, rateStart.AddMillis(3*rememberedMillis+2))
+	report("a", 6, rateStart.AddMillis(2*rememberedMillis+4))
 	is.Equal(l.EntryHosts(), 6)
 }
