fix(trial): owners are killed when their engine has started the generation

The outcome was Unknown as it should be, but no engine had run the request.

Cause: the test killed the owner as soon as its status showed an open request. The status counts a request from its arrival (engineowner.Owner.Open counts connected clients, and deliver admits afterwards), so the owner can be killed before it has sent the request to its engine. The outcome is Unknown then, too, and rightly: the entry host had passed the request on and cannot know. calledPlainService already waits for the service for this reason.

Ruled out: a lost or hidden execution.

Change: activeBackend also waits until the engine has started a generation, as its callers assume. The assertions are as they were, and the case that they did not mean has a test of its own, which is as strict.

--- a/internal/trial/endtoend/owner_loss_test.go
+++ b/internal/trial/endtoend/owner_loss_test.go
@@ -34,19 +34,39 @@
 	return nil
 }
 
-// activeBackend waits for a backend server with an open request and returns it.
+// activeBackend waits for a backend server whose engine has started a generation that
+// is open, and returns it. The status of the process is not enough: it counts a
+// request as open before the request is admitted and sent to the engine.
 func (d *deployment) activeBackend(t *testing.T) *backendServer {
+	t.Helper()
+	return d.waitOpen(t, "a backend server has a generation", func(b *backendServer) bool {
+		return b.engine.Starts() > 0
+	})
+}
+
+// owningBackend waits for a backend server whose process has an open request, whether
+// or not its engine has received it, and returns it.
+func (d *deployment) owningBackend(t *testing.T) *backendServer {
+	t.Helper()
+	return d.waitOpen(t, "a backend server has an open request", func(*backendServer) bool {
+		return true
+	})
+}
+
+// waitOpen waits for a backend server that has an open request and that accepted
+// returns true for, and returns it.
+func (d *deployment) waitOpen(t *testing.T, what string, accepted func(*backendServer) bool) *backendServer {
 	t.Helper()
 	var found *backendServer
-	eventually(t, "a backend server has an open request", func() error {
+	eventually(t, what, func() error {
 		for _, b := range d.backends {
 			status, err := queryStatus(b.settings.PeerAddress)
-			if err == nil && status.OpenRequests > 0 {
+			if err == nil && status.OpenRequests > 0 && accepted(b) {
 				found = b
 				return nil
 			}
 		}
-		return errors.New("no backend server has an open request")
+		return errors.New("no backend server does")
 	})
 	return found
 }
@@ -212,3 +232,48 @@
 	is.Equal(d.executions(lost.Fulmarvalve.RequestID), 1)
 	is.Equal(d.executions(again.Fulmarvalve.RequestID), 0)
 }
+
+// TestOwnerKilledBeforeStart checks that a non-idempotent request has an unknown
+// outcome when its owner is killed before the engine has received it, and that neither
+// the entry host nor a retry with the same key runs it.
+func TestOwnerKilledBeforeStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, withShortTimeouts(layout{entries: 2, engines: 2}))
+	request := newRequest("agreement", prompts(1, 400)[0])
+	request.key = newKey()
+	d.waitKeyBinding(t)
+	for _, b := range d.backends {
+		b.engine.Faults.Down.Store(true)
+	}
+	var first reply
+	var group errgroup.Group
+	group.Go(func() (err error) {
+		first, err = newCaller(d.entries[0]).complete(request)
+		return err
+	})
+	owner := d.owningBackend(t)
+	owner.kill()
+	for _, b := range d.backends {
+		b.engine.Faults.Down.Store(false)
+	}
+	owner.start()
+	is.NoErr(group.Wait())
+	d.checkNeverRan(t, first)
+
+	second, err := newCaller(d.entries[1]).complete(request)
+	is.NoErr(err)
+	d.checkNeverRan(t, second)
+}
+
+// checkNeverRan checks that a reply has an unknown outcome and no text, and that no
+// engine has run its request.
+func (d *deployment) checkNeverRan(t *testing.T, r reply) {
+	t.Helper()
+	is := is.New(t)
+	answer, err := r.completion()
+	is.NoErr(err)
+	is.Equal(answer.Fulmarvalve.Outcome, string(resultcode.Unknown))
+	is.Equal(answer.text(), "")
+	is.Equal(d.executions(answer.Fulmarvalve.RequestID), 0)
+}
