fix(trial): frozen processes of tests survive the end of the shell that started them

Cause: the processes of a test were in the process group of whoever started the test run. When the last process whose parent is outside of the group ends, as the shell does that put the run into the background, the group is orphaned, and a stopped member gets SIGHUP. On this machine the others do not; so the rest of the run went on.

Shown: a shell starts the test, and ends 12 s later, while the process is frozen. Before: silence_test.go:194, 'send continued to coaching-1 (ended with signal: hangup)', at once; started under nohup a stopped process lives, as SIGHUP is ignored. Ruled out: the product ends by itself, or for lack of memory (no SIGKILL).

Change: each process of a test has a group of its own, which is not orphaned as long as the test runs. It gets SIGKILL when the test ends before it, as a signal to the group no longer reaches it. A failed signal names how the process ended.

--- a/internal/trial/endtoend/process_test.go
+++ b/internal/trial/endtoend/process_test.go
@@ -79,6 +79,9 @@
 	defer func() { _ = log.Close() }()
 	command := exec.CommandContext(context.Background(), binary, p.role, "--settings", p.path)
 	command.Stdout, command.Stderr = log, log
+	// A group of its own cannot become orphaned while the test runs, which would end
+	// a frozen process with SIGHUP.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if *processors > 0 {
 		command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", *processors))
 	}
@@ -109,10 +112,18 @@
 func (p *program) signal(signal syscall.Signal) {
 	p.t.Helper()
 	if err := p.command.Process.Signal(signal); err != nil {
-		p.t.Fatalf("send %s to %s: %v", signal, p.name, err)
+		p.t.Fatalf("send %s to %s (%s): %v", signal, p.name, p.state(), err)
 	}
 }
 
+// state describes whether the process runs or how it ended.
+func (p *program) state() string {
+	if p.running() {
+		return "running"
+	}
+	return "ended with " + p.command.ProcessState.String()
+}
+
 // kill sends SIGKILL and waits for the end of the process.
 func (p *program) kill() {
 	p.t.Helper()
