--- a/internal/trial/endtoend/platform_evacuation_test.go
+++ b/internal/trial/endtoend/platform_evacuation_test.go
@@ -8,18 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
-
-	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
 
-// registerInZone writes the store entry of a ready backend server in an availability zone.
-func (s *platformSite) registerInZone(r *replica.Replica, service, zone string) {
-	s.sequence++
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":24,"state":"ready","cold_ms":0,"seq":%d,"born":1}`,
-		service, r.Addr(), zone, s.sequence)
-	s.log.Put("keyed.servers", r.ID, []byte(entry))
-}
-
 // TestPlatformEvacuatedZone guards against requests to an availability zone after the
 // operator's order to evacuate it, and checks that the zone is used again after the order is
 // taken back.
@@ -28,7 +18,8 @@
 	is := is.New(t)
 	s := newPlatformSite(t, 0, 2)
 	evacuated := s.plainServices[0] // it is in the zone of the entry host, which is preferred
-	s.registerInZone(s.plainServices[1], "plain", "west")
+	other := s.plainServices[1]
+	s.log.Put("keyed.servers", other.ID, s.serverEntry(other, "plain", "west", "ready"))
 	eventually(t, "entry host knows the other zone", func() error {
 		status, err := queryStatus(s.settings.ControlAddress)
 		if err != nil {
--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -199,6 +199,11 @@
 
 // registerIn writes the entry of a backend server to the given store.
 func (s *platformSite) registerIn(log *keyedlog.Log, r *replica.Replica, service, state string) {
+	log.Put("keyed.servers", r.ID, s.serverEntry(r, service, "a", state))
+}
+
+// serverEntry returns the next store entry of a backend server.
+func (s *platformSite) serverEntry(r *replica.Replica, service, zone, state string) []byte {
 	s.sequence++
 	address := r.Addr()
 	for _, e := range s.engines {
@@ -206,9 +211,8 @@
 			address = e.registeredAddress
 		}
 	}
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":24,"state":%q,"cold_ms":0,"seq":%d,"born":1}`,
-		service, address, state, s.sequence)
-	log.Put("keyed.servers", r.ID, []byte(entry))
+	const format = `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":24,"state":%q,"cold_ms":0,"seq":%d,"born":1}`
+	return fmt.Appendf(nil, format, service, address, zone, state, s.sequence)
 }
 
 // configure writes the next version of the configuration, with the given API keys.
