fix(trial): server entries of the soak are numbered without a data race

Cause: the faults of one engine exclude one another, those of two engines don't, and all numbers of store entries come from one counter.

Change: the counter is atomic. The order within one engine, the only one that matters to readers of the store, is kept by that engine's lock.

--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
@@ -52,7 +53,7 @@
 	// version is the version of the configuration that was written last.
 	version int
 	// sequence is the sequence number of the server entry that was written last.
-	sequence int
+	sequence atomic.Int64
 }
 
 // platformEngine is an engine with its monitor, the process beside it.
@@ -204,7 +205,6 @@
 
 // serverEntry returns the next store entry of a backend server.
 func (s *platformSite) serverEntry(r *replica.Replica, service, zone, state string) []byte {
-	s.sequence++
 	address := r.Addr()
 	for _, e := range s.engines {
 		if e.Replica == r && e.registeredAddress != "" {
@@ -212,7 +212,7 @@
 		}
 	}
 	const format = `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":24,"state":%q,"cold_ms":0,"seq":%d,"born":1}`
-	return fmt.Appendf(nil, format, service, address, zone, state, s.sequence)
+	return fmt.Appendf(nil, format, service, address, zone, state, s.sequence.Add(1))
 }
 
 // configure writes the next version of the configuration, with the given API keys.
