fix(trial): an engine's open generation, not a start, precedes the kill of its owner

Cause: waited until the engine had started any generation, and the requests of waitKeyBinding before had started some. So the owner was still killed as soon as its status showed an open request. The log agrees: the key's partition was leased at 32.607 s, the new incarnation of the owner served at 32.646 s, so the owner had been killed some ten milliseconds after the request was sent.

Change: activeBackend asks the engines which of them runs a generation now; the earlier requests have been answered by then. TestOwnerKilledBeforeStart waits until the earlier requests are closed, so that it kills the owner of its own request. No assertion changed.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -167,6 +167,13 @@
 	return total
 }
 
+// OpenGenerations returns the number of generations that have not ended.
+func (s *Server) OpenGenerations() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.live)
+}
+
 // Crash breaks all streams and discards all generations, the highest fencing number
 // and the state that orders have set. The engine restarts at once, unless
 // Faults.Down is set. Executions and Orders keep their contents, because they are
--- a/internal/trial/endtoend/owner_loss_test.go
+++ b/internal/trial/endtoend/owner_loss_test.go
@@ -34,39 +34,65 @@
 	return nil
 }
 
-// activeBackend waits for a backend server whose engine has started a generation that
-// is open, and returns it. The status of the process is not enough: it counts a
-// request as open before the request is admitted and sent to the engine.
+// activeBackend waits until an engine runs a generation, and returns its backend
+// server. The status of the process is not enough: it counts a request as open before
+// the request is admitted and sent to the engine.
 func (d *deployment) activeBackend(t *testing.T) *backendServer {
 	t.Helper()
-	return d.waitOpen(t, "a backend server has a generation", func(b *backendServer) bool {
-		return b.engine.Starts() > 0
+	var found *backendServer
+	eventually(t, "an engine runs a generation", func() error {
+		for _, b := range d.backends {
+			if b.engine != nil && b.engine.OpenGenerations() > 0 {
+				found = b
+				return nil
+			}
+		}
+		return errors.New("no engine runs a generation")
 	})
+	return found
 }
 
-// owningBackend waits for a backend server whose process has an open request, whether
-// or not its engine has received it, and returns it.
-func (d *deployment) owningBackend(t *testing.T) *backendServer {
+// openRequests returns the number of open requests at each backend server.
+func (d *deployment) openRequests() (map[*backendServer]int, error) {
+	open := make(map[*backendServer]int, len(d.backends))
+	for _, b := range d.backends {
+		status, err := queryStatus(b.settings.PeerAddress)
+		if err != nil {
+			return nil, err
+		}
+		open[b] = status.OpenRequests
+	}
+	return open, nil
+}
+
+// waitNoOpenRequests waits until no backend server has an open request.
+func (d *deployment) waitNoOpenRequests(t *testing.T) {
 	t.Helper()
-	return d.waitOpen(t, "a backend server has an open request", func(*backendServer) bool {
-		return true
+	eventually(t, "no open requests", func() error {
+		open, err := d.openRequests()
+		for b, requests := range open {
+			if requests > 0 {
+				return errors.Newf("%s has %d", b.name, requests)
+			}
+		}
+		return err
 	})
 }
 
-// waitOpen waits for a backend server that has an open request and that accepted
-// returns true for, and returns it.
-func (d *deployment) waitOpen(t *testing.T, what string, accepted func(*backendServer) bool) *backendServer {
+// owningBackend waits until a backend server has an open request, whether or not its
+// engine has received it, and returns the backend server.
+func (d *deployment) owningBackend(t *testing.T) *backendServer {
 	t.Helper()
 	var found *backendServer
-	eventually(t, what, func() error {
-		for _, b := range d.backends {
-			status, err := queryStatus(b.settings.PeerAddress)
-			if err == nil && status.OpenRequests > 0 && accepted(b) {
+	eventually(t, "a backend server has an open request", func() error {
+		open, err := d.openRequests()
+		for b, requests := range open {
+			if requests > 0 {
 				found = b
 				return nil
 			}
 		}
-		return errors.New("no backend server does")
+		return errors.CombineErrors(err, errors.New("no backend server has one"))
 	})
 	return found
 }
@@ -243,6 +269,7 @@
 	request := newRequest("agreement", prompts(1, 400)[0])
 	request.key = newKey()
 	d.waitKeyBinding(t)
+	d.waitNoOpenRequests(t)
 	for _, b := range d.backends {
 		b.engine.Faults.Down.Store(true)
 	}
