--- a/internal/trial/endtoend/platform_ratelimit_test.go
+++ b/internal/trial/endtoend/platform_ratelimit_test.go
@@ -266,6 +266,34 @@
 	}
 }
 
+// interruptInTurn kills, freezes and starts entry hosts and monitors, one after the other.
+func (s *rateLimitSite) interruptInTurn() {
+	pause := func(millis int) { time.Sleep(time.Duration(millis) * time.Millisecond) }
+	pause(4000)
+	s.hosts[1].interrupt(func() { s.hosts[1].kill(); pause(1000); s.hosts[1].start(); pause(1000) })
+	s.hosts[2].interrupt(func() { s.hosts[2].freeze(); pause(1500); s.hosts[2].thaw(); pause(500) })
+	for _, e := range s.engines {
+		e.monitor.kill()
+	}
+	pause(3000)
+	for _, e := range s.engines {
+		e.monitor.start()
+	}
+	pause(1500)
+	s.hosts[3].interrupt(func() { s.hosts[3].kill(); pause(500); s.hosts[3].start(); pause(1000) })
+}
+
+// checkNoRefusals checks that none of the replies that load returned is a refusal.
+func (s *rateLimitSite) checkNoRefusals(t *testing.T, replies []callerReply) {
+	t.Helper()
+	for n, r := range replies {
+		if r.status == http.StatusServiceUnavailable {
+			t.Errorf("request %d was refused by %s after %s, though another server has room: %v",
+				n, s.hosts[n%len(s.hosts)].name, r.took, r.header)
+		}
+	}
+}
+
 // TestRateLimitKeptWhileHostsComeAndGo checks that a limit is kept while entry hosts are
 // killed, frozen and started, and while monitors, through which the hosts hear one another,
 // are killed and started.
@@ -278,32 +306,12 @@
 	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
 	var group errgroup.Group
 	group.Go(func() error {
-		pause := func(millis int) { time.Sleep(time.Duration(millis) * time.Millisecond) }
-		pause(4000)
-		s.hosts[1].interrupt(func() { s.hosts[1].kill(); pause(1000); s.hosts[1].start(); pause(1000) })
-		s.hosts[2].interrupt(func() { s.hosts[2].freeze(); pause(1500); s.hosts[2].thaw(); pause(500) })
-		for _, e := range s.engines {
-			e.monitor.kill()
-		}
-		pause(3000)
-		for _, e := range s.engines {
-			e.monitor.start()
-		}
-		pause(1500)
-		s.hosts[3].interrupt(func() { s.hosts[3].kill(); pause(500); s.hosts[3].start(); pause(1000) })
+		s.interruptInTurn()
 		return nil
 	})
 	replies := s.load("lookup", loadMillis, pauseMillis, lookup)
 	_ = group.Wait()
 	checkRate(t, limited, limit, settled, time.Now())
-	counts := statuses(replies)
-	t.Logf("statuses %v", counts)
-	for n, r := range replies {
-		if r.status == http.StatusServiceUnavailable {
-			t.Logf("request %d at %s, after %s: %v %s", n, s.hosts[n%len(s.hosts)].name, r.took, r.header, r.body)
-		}
-	}
-	if counts[http.StatusServiceUnavailable] > 0 {
-		t.Errorf("statuses %v, want no refusals, as another server has room", counts)
-	}
+	t.Logf("statuses %v", statuses(replies))
+	s.checkNoRefusals(t, replies)
 }
