perf: leaving engines ask a few entry hosts for migration advice

Cause: every entry host advised every leaving engine, at each shutdown notice of any engine and every 200 ms. When engines leave in groups, a host built and sent one message with all destinations for each pair of them: 49 engines that leave together made it send 1,225 messages at once, of some 5 KB on a deployment with 115 engines, beside the events of its streams, on hosts with 0.144 of a core and 20 Mbit/s. Ruled out: fewer rounds alone, as the first round is already one message for each pair. Change: the monitor of a leaving engine asks three of its watchers at random, again after 45 ms and then every 200 ms, each time others. A host answers the requests of a group in one round that reads the state of the engines once. Update backend hosts before entry hosts: a monitor of the old version does not ask.

--- a/internal/backend/monitor/load.go
+++ b/internal/backend/monitor/load.go
@@ -39,10 +39,11 @@
 	return count
 }
 
-// shutdownNotice returns the message that the engine will shut down.
-func shutdownNotice(leavesAt, now boottime.Instant) *sighting.Sighting {
+// shutdownNotice returns the message that the engine will shut down. The argument
+// wantsAdvice says that the receiver is asked for advice.
+func shutdownNotice(leavesAt, now boottime.Instant, wantsAdvice bool) *sighting.Sighting {
 	left := max(leavesAt.MillisSince(now), 0)
-	return &sighting.Sighting{Notice: &sighting.Notice{LeavesInMillis: uint32(left)}}
+	return &sighting.Sighting{Notice: &sighting.Notice{LeavesInMillis: uint32(left), WantsAdvice: wantsAdvice}}
 }
 
 // resetPlacements resets the count of arriving requests and reports whether there
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -2,8 +2,8 @@
 // the engine's state, reports it to the entry hosts that watch, and migrates running
 // generations (runs) to other engines when the engine is about to shut down. The
 // entry hosts notify the monitor of the requests that they place at the engine. After
-// a shutdown notice they send it advice: the expected remainder and the worth of
-// their runs, and the engines that the runs can be migrated to.
+// a shutdown notice the monitor asks a few of them at a time for advice: the engines that
+// the runs can be migrated to.
 package monitor
 
 import (
@@ -199,11 +199,15 @@
 		return
 	}
 	m.Log.Info("engine is shutting down", "Engine", m.EngineAddress, "InMillis", leavesAt.MillisSince(now), "Runs", len(report.Runs))
-	m.publish(shutdownNotice(leavesAt, now))
+	m.publish(shutdownNotice(leavesAt, now, false))
 	if m.KeepRuns {
 		m.publishFinal()
 		return
 	}
+	group.Go(func() error {
+		m.requestAdvice(ctx, leavesAt)
+		return nil
+	})
 	group.Go(func() error {
 		m.migrateAll(ctx, leavesAt)
 		return nil
--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -117,7 +117,7 @@
 	m.watchers[w] = struct{}{}
 	w.outbox <- m.load(m.latest)
 	if m.leavesAt != 0 {
-		w.outbox <- shutdownNotice(m.leavesAt, boottime.Now())
+		w.outbox <- shutdownNotice(m.leavesAt, boottime.Now(), false)
 	}
 	return w
 }
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -1,9 +1,8 @@
 // Package watch connects an entry host to the monitors of all engines; a monitor is
 // the process beside an engine. The monitors report the load, the shutdown and the
 // migrated runs (generations) of their engines. The entry host reports the requests
-// that it sends to the engines. It also sends migration advice to the monitors of
-// engines that are about to shut down: its runs there, and the engines that they can
-// be migrated to.
+// that it sends to the engines. When the monitor of an engine that is about to shut down
+// asks for advice, the entry host names the engines that runs can be migrated to.
 package watch
 
 import (
@@ -58,7 +57,8 @@
 	// StateRateLimits.
 	ServerLimits *serverlimit.Table
 
-	streams streams
+	streams        streams
+	adviceRequests adviceRequests
 	// limitsChanged says that the statements on rate limits have changed.
 	limitsChanged signal.Signal
 }
@@ -77,6 +77,10 @@
 		w.stateRateLimits(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		w.answerAdviceRequests(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		w.follow(ctx, group)
 		return nil
@@ -109,7 +113,6 @@
 			}
 		}
 		w.LoadTable.Prune(w.StoreWatcher.Servers().List)
-		w.adviseAll()
 		select {
 		case <-ctx.Done():
 			return
@@ -263,10 +266,7 @@
 	case s.GetRoom() != nil:
 		w.streams.answer(s.GetRoom())
 	case s.GetNotice() != nil:
-		left := int64(s.GetNotice().GetLeavesInMillis())
-		w.Log.Info("engine announced its shutdown", "Server", server.ID, "InMillis", left)
-		w.LoadTable.SetLeaving(server.ID, now.AddMillis(left))
-		w.adviseAll()
+		w.applyNotice(server, s.GetNotice(), now)
 	case s.GetMove() != nil:
 		move := s.GetMove()
 		w.Migrations.Announce(relay.Migration{
@@ -278,3 +278,15 @@
 		})
 	}
 }
+
+// applyNotice applies a shutdown notice, which may be a repeated one.
+func (w *Watch) applyNotice(server discovery.BackendServer, notice *sighting.Notice, now boottime.Instant) {
+	left := int64(notice.GetLeavesInMillis())
+	if !w.LoadTable.Leaving(server.ID) {
+		w.Log.Info("engine announced its shutdown", "Server", server.ID, "InMillis", left)
+	}
+	w.LoadTable.SetLeaving(server.ID, now.AddMillis(left))
+	if notice.GetWantsAdvice() {
+		w.adviceRequests.add(server)
+	}
+}
