perf: monitors report less often to many entry hosts

Cause: each monitor reported a changed load to every entry host every 120 ms, and once more after each placement. With 115 engines an entry host got over a thousand messages a second, each a wake-up of its own, whatever it had to do. Change: with more than 32 watchers the pause grows in proportion, and the report that follows a placement keeps to it as well. Deployments with up to 32 entry hosts see no difference.

--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -26,8 +26,12 @@
 	pollMillis = 40
 	// queryTimeoutMillis bounds one query of the engine.
 	queryTimeoutMillis = 500
-	// reportMillis is the least pause between reports of a load that changes.
-	reportMillis = 120
+	// reportMillis is the least pause between reports of a load that changes, with up to
+	// reportWatchers watching entry hosts. With more of them the pause grows in proportion:
+	// then neither the messages that a monitor sends nor, as large deployments have as many
+	// engines as entry hosts, those that a host receives grow with the deployment.
+	reportMillis   = 120
+	reportWatchers = 32
 	// idleReportMillis is the pause between reports of a load that does not change.
 	idleReportMillis = 1000
 	// outboxLength bounds the messages that wait for a slow entry host.
@@ -101,7 +105,8 @@
 	defer ticker.Stop()
 	var reported platform.EngineReport
 	var reportedAt boottime.Instant
-	lost := false
+	// placed says that requests were placed since the last report of a load.
+	lost, placed := false, false
 	for ctx.Err() == nil {
 		report, err := m.queryReport(ctx)
 		now := boottime.Now()
@@ -117,9 +122,10 @@
 		if err == nil {
 			m.identify(ctx)
 			m.applyReport(ctx, group, report, now)
-			if m.resetPlacements() || due(reported, report, now.MillisSince(reportedAt)) {
+			placed = m.resetPlacements() || placed
+			if due(reported, report, placed, now.MillisSince(reportedAt), m.watching()) {
 				m.publish(m.lockedLoad(report))
-				reported, reportedAt = report, now
+				reported, reportedAt, placed = report, now, false
 			}
 		}
 		select {
@@ -129,13 +135,24 @@
 	}
 }
 
-// due reports whether a load should be reported to the entry hosts, sinceMillis
-// after the last report.
-func due(reported, report platform.EngineReport, sinceMillis int64) bool {
-	changed := reported.Running != report.Running || reported.Queued != report.Queued ||
+// watching returns the number of entry hosts that watch the engine.
+func (m *Monitor) watching() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.watchers)
+}
+
+// due reports whether a load should be reported to the watching entry hosts, sinceMillis
+// after the last report. A placement, which replaces an estimate that the hosts have
+// received, is reported at once to a few hosts.
+func due(reported, report platform.EngineReport, placed bool, sinceMillis int64, watchers int) bool {
+	if placed && watchers <= reportWatchers {
+		return true
+	}
+	changed := placed || reported.Running != report.Running || reported.Queued != report.Queued ||
 		reported.UsedTokens != report.UsedTokens || starting(reported) != starting(report)
 	if changed {
-		return sinceMillis >= reportMillis
+		return sinceMillis >= max(reportMillis, int64(reportMillis*watchers/reportWatchers))
 	}
 	return sinceMillis >= idleReportMillis
 }
