fix: a host reads its configuration at once after a pause of the process

Cause: after a freeze nearly as long as keys are accepted without a confirmation, a host went on with the read that was open before, or counted it as failed and paused 300 ms, before it confirmed the configuration; until then it refused every request with a key. Ruled out: a shorter wait in general, which is a call to the store each time. Change: a read that took longer than its time limits shows that the process was paused; the next one follows at once and does not wait for a change.

--- a/internal/settings/storewatcher/follower.go
+++ b/internal/settings/storewatcher/follower.go
@@ -17,6 +17,9 @@
 	replyTimeoutMillis = 700
 	// retryMillis is the pause after a failed call.
 	retryMillis = 300
+	// pauseSlackMillis is how much longer than its time limit an operation may take in a
+	// process that was not paused.
+	pauseSlackMillis = 100
 )
 
 // follower reads one topic repeatedly.
@@ -37,6 +40,9 @@
 	read bool
 	// failing is set while reads of the store fail.
 	failing bool
+	// paused is set when the process was paused during the last read. What that read
+	// confirmed is old, so the next one does not wait for a change.
+	paused bool
 	// recoveredAt is when the last failure ended.
 	recoveredAt boottime.Instant
 	peer        peerConn
@@ -54,11 +60,38 @@
 // readOnce reads the topic once and returns the pause before the next read, in
 // milliseconds.
 func (f *follower) readOnce(ctx context.Context, update func(topicRead)) int64 {
+	startedAt := boottime.Now()
 	r, err := f.fetch(ctx)
+	f.paused = pausedSince(startedAt, boottime.Now(), f.longestReadMillis())
 	if err != nil {
 		f.recordFailure(ctx, err)
+	} else {
+		f.apply(r, update)
+	}
+	switch {
+	case f.paused:
+		return 0
+	case err != nil:
 		return retryMillis
+	default:
+		return f.pauseMillis
 	}
+}
+
+// pausedSince reports whether the process was paused during an operation with a time limit:
+// it took far longer than that. The clock also counts the time of a suspension.
+func pausedSince(startedAt, endedAt boottime.Instant, limitMillis int64) bool {
+	return endedAt.MillisSince(startedAt) > limitMillis+pauseSlackMillis
+}
+
+// longestReadMillis returns the time limit of a read at another entry host that is followed
+// by one at the store.
+func (f *follower) longestReadMillis() int64 {
+	return catchUpWaitMillis + peerReplyTimeoutMillis + f.waitMillis + replyTimeoutMillis
+}
+
+// apply passes the result of a read to update.
+func (f *follower) apply(r topicRead, update func(topicRead)) {
 	f.recordRecovery()
 	f.recordRestore(&r)
 	r.recoveredAt = f.recoveredAt
@@ -67,7 +100,6 @@
 	f.next = r.records.Next
 	f.era = r.records.Era
 	f.read = true
-	return f.pauseMillis
 }
 
 // fetch reads from another entry host, or from the store when no entry host returns
@@ -83,7 +115,7 @@
 func (f *follower) readStore(ctx context.Context) (topicRead, error) {
 	startedAt := boottime.Now()
 	waitMillis := f.waitMillis
-	if f.failing {
+	if f.failing || f.paused {
 		// An immediate answer shortens the time without a confirmed state.
 		waitMillis = 0
 	}
--- a/internal/settings/storewatcher/peers.go
+++ b/internal/settings/storewatcher/peers.go
@@ -72,7 +72,10 @@
 func (f *follower) queryPeer(ctx context.Context, address string) (topicRead, error) {
 	startedAt := boottime.Now()
 	waitMillis := int64(peerWaitMillis)
-	if f.peer.ahead {
+	switch {
+	case f.paused:
+		waitMillis = 0
+	case f.peer.ahead:
 		waitMillis = catchUpWaitMillis
 	}
 	deadline := time.Now().Add(time.Duration(waitMillis+peerReplyTimeoutMillis) * time.Millisecond)
--- a/internal/trial/endtoend/platform_staleness_test.go
+++ b/internal/trial/endtoend/platform_staleness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"syscall"
@@ -200,3 +201,30 @@
 		})
 	}
 }
+
+// TestPlatformServesSoonAfterAPause pauses the entry host for longer than keys are accepted
+// without a confirmation. Afterwards it must confirm its configuration without waiting for a
+// change, as it refuses requests until then.
+func TestPlatformServesSoonAfterAPause(t *testing.T) {
+	t.Parallel()
+	const pauses, pauseMillis, soonMillis = 3, platformRevokeMillis + 700, 200
+	s := newPlatformSite(t, 0, 1)
+	soonest := time.Hour
+	for n := range pauses {
+		s.entry.freeze()
+		time.Sleep(pauseMillis * time.Millisecond)
+		s.entry.thaw()
+		thawedAt := time.Now()
+		eventually(t, "a request is served", func() error {
+			if s.send(context.Background(), plainRequest(fmt.Sprint("again-", n), platformKey)).status != http.StatusOK {
+				return errNotYet
+			}
+			return nil
+		})
+		soonest = min(soonest, time.Since(thawedAt))
+	}
+	t.Logf("served %v after the pause, at best of %d", soonest, pauses)
+	if soonest > soonMillis*time.Millisecond {
+		t.Errorf("the first request was served %v after the pause, want at most %d ms", soonest, soonMillis)
+	}
+}
