--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -27,6 +26,9 @@
 	// maxBufferedAnswerBytes is the size limit of an answer that is read completely before
 	// it is forwarded.
 	maxBufferedAnswerBytes = 8 << 20
+	// garbledMillis is the time for which a server is avoided after it sent more than any
+	// answer may hold.
+	garbledMillis = 2000
 	// lowestPriority is the least urgent priority in an engine's queue.
 	lowestPriority = 9
 )
@@ -100,7 +102,7 @@
 			q.relay.LoadTable.Avoid(a.server.ID, boottime.Now().AddMillis(unreachedMillis))
 			return unreached{err}
 		}
-		q.log("answer lost", "Server", a.server.ID, "Error", err)
+		q.logLost(a.server, err)
 		return lost{err}
 	}
 	a.call = call
@@ -169,19 +171,25 @@
 	return 1
 }
 
+// logLost logs that the answer of a server was lost. A server that sends without end is
+// avoided for a while.
+func (q *request) logLost(server discovery.BackendServer, err error) {
+	q.log("answer lost", "Server", server.ID, "Error", err)
+	if errors.Is(err, ErrTooLarge) {
+		q.relay.LoadTable.Avoid(server.ID, boottime.Now().AddMillis(garbledMillis))
+	}
+}
+
 // bufferAnswer reads an answer completely.
 func (q *request) bufferAnswer(a *attempt) outcome {
 	answer := a.call.Answer
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes+1))
-	if err == nil && len(body) > maxBufferedAnswerBytes {
-		err = errors.Newf("answer exceeds %d bytes", maxBufferedAnswerBytes)
-	}
+	body, err := q.answer.readAll(answer.Body)
 	if err == nil && answer.StatusCode < http.StatusMultipleChoices && !platform.Signed(answer.Header) {
 		err = errors.New("answer has no signature")
 	}
 	a.close(err != nil || answer.StatusCode >= http.StatusInternalServerError)
 	if err != nil {
-		q.log("answer lost", "Server", a.server.ID, "Error", err)
+		q.logLost(a.server, err)
 		return lost{err}
 	}
 	return answered{server: a.server.ID, status: answer.StatusCode, header: platform.CallerHeader(answer.Header), body: body}
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,8 +28,13 @@
 	// smallRequestBytes is the body size up to which a request is written
 	// completely before its answer is read.
 	smallRequestBytes = 16 << 10
-	// maxSkippedAnswers bounds the answers to other requests that are skipped.
+	// maxSkippedAnswers bounds the answers to other requests that are skipped, and
+	// maxSkippedBytes the size of the body of each.
 	maxSkippedAnswers = 2
+	maxSkippedBytes   = 1 << 20
+	// maxHeadBytes bounds the heads before the body of an answer, including those of
+	// informational answers.
+	maxHeadBytes = 64 << 10
 )
 
 // ErrNotSent marks a failure before anything was sent, so that the request
@@ -38,6 +44,10 @@
 // ErrOtherRequest says that a backend server sent only answers to other requests.
 var ErrOtherRequest = errors.New("answers belong to other requests")
 
+// ErrTooLarge says that a backend server sent more than any answer may hold. Its bytes
+// may never end.
+var ErrTooLarge = errors.New("answer is too large")
+
 // Outbound is a request to a backend server.
 type Outbound struct {
 	// ID is the request ID that the caller chose.
@@ -135,23 +145,35 @@
 // readAnswer reads the status and the header of the answer to out. It skips
 // informational answers and up to maxSkippedAnswers answers to other requests.
 func readAnswer(conn net.Conn, out Outbound) (*http.Response, error) {
-	reader := bufio.NewReaderSize(conn, responseBufferBytes)
+	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+	reader := bufio.NewReaderSize(limited, responseBufferBytes)
 	request := &http.Request{Method: out.Method}
 	for skipped := 0; skipped <= maxSkippedAnswers; {
 		answer, err := http.ReadResponse(reader, request)
 		if err != nil {
-			return nil, err
+			return nil, markTooLarge(err, limited)
 		}
 		if answer.StatusCode < http.StatusOK {
 			continue
 		}
 		if platform.AnswersRequest(answer.Header, out.ID) {
+			limited.N = math.MaxInt64
 			return answer, nil
 		}
 		skipped++
+		limited.N = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-			return nil, errors.Wrap(err, "read answer to another request")
+			return nil, errors.Wrap(markTooLarge(err, limited), "read answer to another request")
 		}
+		limited.N = maxHeadBytes
 	}
 	return nil, ErrOtherRequest
 }
+
+// markTooLarge marks an error with ErrTooLarge if the limit has caused it.
+func markTooLarge(err error, limited *io.LimitedReader) error {
+	if limited.N > 0 {
+		return err
+	}
+	return errors.Mark(errors.Wrap(err, ErrTooLarge.Error()), ErrTooLarge)
+}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -52,7 +52,8 @@
 	Metrics    *metrics.Registry
 	Log        *slog.Logger
 
-	returns returnSchedule
+	returns      returnSchedule
+	answerMemory answerMemory
 }
 
 // Bounds limit the age at which a cached configuration may be used. Its age is the
@@ -90,6 +91,8 @@
 	// refusedUntil holds the times until which engines that refused a reservation are
 	// not asked again, by ID.
 	refusedUntil map[string]boottime.Instant
+	// answer is the memory of the answer that is read completely.
+	answer answerReservation
 }
 
 // Handle answers one request.
@@ -102,7 +105,9 @@
 		tried:     make(map[string]bool),
 
 		refusedUntil: make(map[string]boottime.Instant),
+		answer:       answerReservation{memory: &r.answerMemory},
 	}
+	defer q.answer.release()
 	if refusal, ok := q.check(r.StoreWatcher.Configuration()); !ok {
 		q.refuse(refusal)
 		return
