feat: backend servers that leave or ask for a pause get no requests

Cause: the platform's backend servers say in every answer that they are leaving, and with a 503 for how long they want no request; nothing read either. Change: package serverpause holds both for each incarnation. A leaving server comes last at once, and gets nothing from DrainMillis (a new setting) after its first such answer on, whatever the list or a monitor says. A paused one gets nothing until the end of the latest pause it asked for; requests go elsewhere, wait if they can still be on time, or are refused at once with that time. All placements and resumptions pass there.

--- a/internal/caller/relay/ratelimit.go
+++ b/internal/caller/relay/observation.go
@@ -7,11 +7,12 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverpause"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
 // open sends the request to a backend server and records what the answer says of the
-// server's rate limit. All requests to backend servers are sent by it.
+// server. All requests to backend servers are sent by it.
 func (q *request) open(ctx context.Context, server discovery.BackendServer, r platform.ServerRequest) (*Call, error) {
 	if q.relay.ServerLimits.Limited(server.ID) {
 		q.relay.Metrics.CountLimitedSend()
@@ -20,10 +21,26 @@
 	call, err := Open(ctx, q.outbound(server, r))
 	if err == nil {
 		q.observeRateLimit(server.ID, call.Answer, sentAt)
+		q.observePause(server, call.Answer)
 	}
 	return call, err
 }
 
+// observePause records that the server is leaving, or for how long it wants no request.
+// Another server at its address speaks for itself only.
+func (q *request) observePause(server discovery.BackendServer, answer *http.Response) {
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	asked := serverpause.Answer{
+		Leaving:     platform.Leaving(answer.Header),
+		PauseMillis: platform.PauseMillis(answer.StatusCode, answer.Header),
+	}
+	if q.relay.LoadTable.Pauses.Observe(server, asked, boottime.Now()) {
+		q.log("backend server asked for fewer requests", "Server", server.ID, "Leaving", asked.Leaving, "PauseMillis", asked.PauseMillis)
+	}
+}
+
 // observeRateLimit records the rate limit in an answer. An answer that the server itself
 // may not have made says nothing of its limit: one of another server at its address, or one
 // that names no limit and has no signature.
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -20,8 +20,8 @@
 // noRoom says that no engine had room for the request while it could be on time.
 type noRoom struct{}
 
-// rateLimited says that every server that could take the request is held back by its rate
-// limit. The first of them accepts a request again at until.
+// rateLimited says that every server that could take the request is held back, by its rate
+// limit or by a pause that it asked for. The first of them accepts a request again at until.
 type rateLimited struct{ until boottime.Instant }
 
 // tooLarge says that the prompt exceeds the memory of every engine.
@@ -153,7 +153,7 @@
 		q.refuse(Refusal{resultcode.EnginesFull, q.relay.returns.nextReturn(now.MillisSince(q.arrivedAt), now)})
 	case rateLimited:
 		untilMillis := o.until.MillisSince(boottime.Now())
-		q.log("rate limits hold the request back", "UntilMillis", untilMillis)
+		q.log("backend servers hold the request back", "UntilMillis", untilMillis)
 		q.refuse(Refusal{resultcode.ServersLimited, max(untilMillis, declinedRetryMillis)})
 	case lost:
 		code := resultcode.ReplyLost
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -45,7 +45,9 @@
 // destination. If the destination does not continue the run, the stream is resumed
 // at the engine that stopped it.
 func (s *stream) resumeMigrated(ctx context.Context, cause error) bool {
-	leaving := s.request.relay.LoadTable.Leaving(s.attempt.server.ID)
+	loadTable := s.request.relay.LoadTable
+	leaving := loadTable.Leaving(s.attempt.server.ID) ||
+		loadTable.Pauses.Status(s.attempt.server, boottime.Now()).Leaving
 	migration, announced, _ := s.registration.Latest()
 	if !announced && !leaving {
 		return false
@@ -70,7 +72,7 @@
 }
 
 // attemptAt opens an assignment at the engine with an address, if need be as soon as the
-// engine's rate limit allows. It returns false when the address belongs to no known server,
+// engine accepts requests again. It returns false when the address belongs to no known server,
 // the server's zone is being evacuated, or ctx ends.
 func (s *stream) attemptAt(ctx context.Context, address string) (*attempt, bool) {
 	if address == "" {
@@ -94,16 +96,19 @@
 	return &attempt{server: server, assignment: assignment}, true
 }
 
-// awaitAssignment opens an assignment as soon as the server's rate limit allows. It returns
-// false when ctx ends before.
+// awaitAssignment opens an assignment as soon as the server accepts a request. It returns
+// false when it never will, or when ctx ends before.
 func (s *stream) awaitAssignment(ctx context.Context, server discovery.BackendServer, tokens int) (*placement.Assignment, bool) {
 	for {
 		now := boottime.Now()
-		assignment, until := s.request.relay.LoadTable.OpenAt(server.ID, tokens, now)
+		assignment, until := s.request.relay.LoadTable.OpenAt(server, tokens, now)
 		if assignment != nil {
 			return assignment, true
 		}
-		s.request.log("stream waits for rate limit of backend server", "Server", server.ID, "UntilMillis", until.MillisSince(now))
+		if until == 0 {
+			return nil, false
+		}
+		s.request.log("stream waits until backend server accepts requests", "Server", server.ID, "UntilMillis", until.MillisSince(now))
 		boottime.Pause(ctx, max(until.MillisSince(now), 1))
 		if ctx.Err() != nil {
 			return nil, false
--- a/internal/result/resultcode/table.go
+++ b/internal/result/resultcode/table.go
@@ -112,7 +112,7 @@
 	{KeyUnknown, "KeyUnknown", NotRun, RepeatNever, http.StatusUnauthorized, false, "No client account holds the key."},
 	{ConfigurationStale, "ConfigurationStale", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The configuration is too old to vouch for the request."},
 	{EnginesFull, "EnginesFull", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "No engine has memory for the request."},
-	{ServersLimited, "ServersLimited", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "Every backend server that could take the request is at the rate limit that it has named."},
+	{ServersLimited, "ServersLimited", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "Every backend server that could take the request is at the rate limit that it has named, or has asked for a pause."},
 
 	{GenerationLost, "GenerationLost", Unknown, RepeatWithKey, http.StatusBadGateway, false, "The generation was lost with its owner; what was delivered is not continued."},
 	{OwnerSilent, "OwnerSilent", Unknown, RepeatWithKey, http.StatusGatewayTimeout, true, "The owner may have run the request and does not answer."},
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -29,6 +29,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placementqueue"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverpause"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/watch"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storecache"
@@ -142,6 +143,7 @@
 		Zone:         h.Settings.Zone,
 		Policy:       placementPolicy(h.Settings.Placing),
 		ServerLimits: limits,
+		Pauses:       serverpause.Table{DrainMillis: h.Settings.DrainMillis},
 	}
 	limits.Hosts = h.loadTable.EntryHosts
 	migrations := &relay.Migrations{}
--- a/internal/routing/placement/lack.go
+++ b/internal/routing/placement/lack.go
@@ -15,7 +15,8 @@
 	LacksMemory
 	// LacksTime means that the prompts ahead would delay the first event too long.
 	LacksTime
-	// LacksRate means that the engine's rate limit holds the request back.
+	// LacksRate means that the engine's rate limit, or a pause that it asked for, holds the
+	// request back.
 	LacksRate
 )
 
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverpause"
 )
 
 const (
@@ -34,6 +35,9 @@
 	// ServerLimits holds the rate limits of backend servers. It is set before use; nil
 	// means that no server has a limit.
 	ServerLimits *serverlimit.Table
+	// Pauses holds what backend servers have asked for in their answers. Its exported
+	// fields are set before use.
+	Pauses serverpause.Table
 
 	mu sync.Mutex
 	// entryHosts is written under mu.
@@ -95,8 +99,9 @@
 	// room. Lacking then counts them by what they lack.
 	NoRoom  bool
 	Lacking map[Lack]int
-	// LimitedUntil is set when every server that could take the request is held back by
-	// its rate limit. It is the time at which one of them accepts a request again.
+	// LimitedUntil is set when every server that could take the request is held back, by
+	// its rate limit or by a pause that it asked for. It is the time at which one of them
+	// accepts a request again.
 	LimitedUntil boottime.Instant
 }
 
@@ -104,7 +109,7 @@
 func (l *LoadTable) Place(ready []discovery.BackendServer, request Request, now boottime.Instant) Placement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ready, held := l.withinLimits(ready, request.Tried, now)
+	ready, held := l.accepting(ready, request.Tried, now)
 	candidates := make([]Candidate, len(ready))
 	jitter := make([]float64, len(ready))
 	for i, server := range ready {
@@ -136,15 +141,20 @@
 }
 
 // OpenAt opens an assignment at a given server, for a request that the table did
-// not place. While the server's rate limit holds the request back, it returns nil and the
-// time at which the server accepts one again.
-func (l *LoadTable) OpenAt(server string, tokens int, now boottime.Instant) (*Assignment, boottime.Instant) {
+// not place. While the server is held back, it returns nil and the time at which the server
+// accepts a request again; zero means never.
+func (l *LoadTable) OpenAt(server discovery.BackendServer, tokens int, now boottime.Instant) (*Assignment, boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if until, held := l.heldServers(now)[server]; held {
+	status := l.Pauses.Status(server, now)
+	if status.Closed {
+		return nil, 0
+	}
+	until := max(status.PausedUntil, l.heldServers(now)[server.ID])
+	if until != 0 {
 		return nil, until
 	}
-	return l.open(server, tokens, now), 0
+	return l.open(server.ID, tokens, now), 0
 }
 
 // open opens an assignment. Every request to a backend server has one, so that each of
@@ -165,6 +175,7 @@
 		_, found := list.Find(id)
 		return found
 	}
+	l.Pauses.Prune(listed, boottime.Now())
 	if l.ServerLimits != nil {
 		l.ServerLimits.Prune(listed, boottime.Now())
 	}
@@ -205,6 +216,7 @@
 		Slots:    server.Slots,
 		Open:     len(state.assignments),
 		Running:  len(state.assignments),
+		Leaving:  l.Pauses.Status(server, now).Leaving,
 	}
 	if state.failedAt.AddMillis(failureForgetMillis) > now {
 		c.FailureShare = state.failureShare
@@ -213,7 +225,9 @@
 		return c
 	}
 	c.MemoryTokens = request.Service.Engine.MemoryTokens
-	_, c.Leaving = l.leaving[server.ID]
+	if _, leaving := l.leaving[server.ID]; leaving {
+		c.Leaving = true
+	}
 	report, reported := l.reports[server.ID]
 	if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
 		return c.withoutReport(state)
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -46,7 +46,7 @@
 	// Cold says that the server has just started and does not work at full speed
 	// yet.
 	Cold bool
-	// Leaving says that the server is an engine that is about to shut down.
+	// Leaving says that the server is about to shut down.
 	Leaving bool
 	// Avoided says that a recent attempt could not connect to the server, or
 	// found another one at its address.
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -106,7 +106,7 @@
 	now := boottime.Instant(1_000_000_000)
 	server := discovery.BackendServer{ID: "e", Zone: "a", Slots: 6}
 	for range 10 {
-		failed, _ := l.OpenAt("e", 0, now)
+		failed, _ := l.OpenAt(discovery.BackendServer{ID: "e"}, 0, now)
 		failed.End(true, now)
 	}
 	is.True(l.newCandidate(server, Request{}, now).FailureShare > 0.5)
@@ -157,7 +157,7 @@
 				ready = append(ready, discovery.BackendServer{ID: id, Zone: "a", Slots: 24})
 				l.SetReport(id, Report{Running: open, UsedTokens: open * tokens, ExpectedTokens: open * tokens, ReceivedAt: boottime.Now()})
 				for range open {
-					l.OpenAt(id, tokens, boottime.Now())
+					l.OpenAt(discovery.BackendServer{ID: id}, tokens, boottime.Now())
 				}
 			}
 			request := Request{Service: routetable.Service{Engine: &routetable.Engine{MemoryTokens: 34_000}}, Tokens: tokens}
--- a/internal/routing/placement/ratelimit.go
+++ b/internal/routing/placement/ratelimit.go
@@ -6,7 +6,7 @@
 )
 
 // heldBack describes the servers that a request is not placed at because of their rate
-// limits. It is immutable.
+// limits or of pauses that they asked for. It is immutable.
 type heldBack struct {
 	// servers is their number.
 	servers int
@@ -44,25 +44,24 @@
 	return l.ServerLimits.Held(now)
 }
 
-// withinLimits returns the servers whose rate limits allow a request now, and describes
-// the others that the request was not sent to yet.
-func (l *LoadTable) withinLimits(ready []discovery.BackendServer, tried map[string]bool, now boottime.Instant) ([]discovery.BackendServer, heldBack) {
+// accepting returns the servers that accept a request now, and describes those of the others
+// that will accept one later and that the request was not sent to yet.
+func (l *LoadTable) accepting(ready []discovery.BackendServer, tried map[string]bool, now boottime.Instant) ([]discovery.BackendServer, heldBack) {
 	held := l.heldServers(now)
 	var back heldBack
-	if len(held) == 0 {
-		return ready, back
-	}
-	within := make([]discovery.BackendServer, 0, len(ready))
+	accepting := make([]discovery.BackendServer, 0, len(ready))
 	for _, server := range ready {
-		until, isHeld := held[server.ID]
+		status := l.Pauses.Status(server, now)
+		until := max(status.PausedUntil, held[server.ID])
 		switch {
-		case !isHeld:
-			within = append(within, server)
+		case status.Closed:
+		case until == 0:
+			accepting = append(accepting, server)
 		case !tried[server.ID]:
 			back = back.with(until)
 		}
 	}
-	return within, back
+	return accepting, back
 }
 
 // withoutLimits returns the servers without a rate limit, or all of them if each has one.
--- a/internal/routing/placement/ratelimit_test.go
+++ b/internal/routing/placement/ratelimit_test.go
@@ -91,13 +91,13 @@
 	l := newRateTable("engine")
 	at := rateStart.AddMillis(600)
 	for range 5 {
-		assignment, _ := l.OpenAt("engine", 100, at)
+		assignment, _ := l.OpenAt(discovery.BackendServer{ID: "engine"}, 100, at)
 		is.True(assignment != nil)
 		assignment.Cancel()
 	}
-	assignment, _ := l.OpenAt("engine", 100, at)
+	assignment, _ := l.OpenAt(discovery.BackendServer{ID: "engine"}, 100, at)
 	is.True(assignment != nil)
-	assignment, until := l.OpenAt("engine", 100, at)
+	assignment, until := l.OpenAt(discovery.BackendServer{ID: "engine"}, 100, at)
 	is.True(assignment == nil)
 	is.True(until > at)
 }
--- a/internal/settings/process/direct.go
+++ b/internal/settings/process/direct.go
@@ -49,6 +49,9 @@
 	// ApplyMillis is the time, in milliseconds, within which a new configuration
 	// is in force at all entry hosts.
 	ApplyMillis int64 `validate:"min=100,max=3600000"`
+	// DrainMillis is the time, in milliseconds, for which a backend server may still get
+	// requests after it has said that it is leaving. Zero means none.
+	DrainMillis int64 `validate:"min=0,max=3600000"`
 	// RetryRatio limits the retries of all entry hosts together, as a fraction of
 	// a service's requests; RetrySlack is the number of retries allowed in
 	// addition.
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -29,6 +29,9 @@
 		w.Header().Set("Server-Limit", r.rateLimit)
 	}
 	r.mu.Unlock()
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	w.Header().Set("Fulmarvalve-Request-Id", q.Header.Get("Fulmarvalve-Request-Id"))
 	if expected := q.Header.Get("Fulmarvalve-Expect-Instance"); expected != "" && expected != r.ID {
 		w.Header().Set("Fulmarvalve-Replica-Id", r.ID)
@@ -36,6 +39,9 @@
 		return
 	}
 	if faults.Decline || !r.hasValidHandle(q) {
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
 		w.Header().Set("Fulmarvalve-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -41,6 +41,11 @@
 	// Decline refuses every request with status 503 and a header that says that the
 	// request was not run.
 	Decline bool
+	// Leaving makes every answer say that the server is leaving.
+	Leaving bool
+	// RetryAfter is the value of the Retry-After header of a refusal by Decline; empty for
+	// none.
+	RetryAfter string
 	// AnswerEarly makes a plain service respond to a request before it reads the
 	// body.
 	AnswerEarly bool
