perf: a restart of all hosts reads the store far less

Cause: a host that found no fresh data at another entry host read both topics of the store itself for 3 s, some 19 calls. Ruled out: longer waits at the store, which make confirmations older. Change: a host that has not read a topic yet lets others wait for its first read. After a refused connection another reader is asked. A single failure leads to one read of the store; after several in a row it is read for 0.4 s, doubling up to 3 s.

--- a/internal/settings/storecache/storecache.go
+++ b/internal/settings/storecache/storecache.go
@@ -71,6 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topic(r.Topic)
+	first := t.confirmedAt == 0
 	t.confirmedAt = max(t.confirmedAt, r.ConfirmedAt)
 	if r.Complete {
 		clear(t.newest)
@@ -83,7 +84,7 @@
 		t.recent = append(t.recent, r.Records.List...)
 		t.recent = t.recent[max(0, len(t.recent)-recentRecords):]
 	}
-	if t.next != r.Records.Next || t.era != r.Records.Era {
+	if first || t.next != r.Records.Next || t.era != r.Records.Era {
 		t.era = r.Records.Era
 		t.next = r.Records.Next
 		close(t.changed)
@@ -114,9 +115,10 @@
 }
 
 // Read answers another entry host. It waits for the first record that the client
-// lacks, at most for the time in the request. A client that has read the store
-// itself may be ahead of this cache; Read then waits only while the cached data is
-// fresh, because it will soon catch up.
+// lacks, at most for the time in the request. Before the first read of the store it waits
+// for that one, as many hosts often start at once and would otherwise all read the store. A
+// client that has read the store itself may be ahead of this cache; Read then waits only
+// while the cached data is fresh, because it will soon catch up.
 func (c *Cache) Read(ctx context.Context, request *digest.ReadRequest) (*digest.ReadReply, error) {
 	waitMillis := min(request.GetWaitMillis(), maxWaitMillis)
 	timer := time.NewTimer(time.Duration(waitMillis) * time.Millisecond)
@@ -138,15 +140,15 @@
 }
 
 // reply returns the records that the client lacks, and a channel that is closed at
-// the next change of the topic. It sets behind when the cached data is fresh and
-// older than the client's.
+// the next change of the topic. It sets behind when the cache will soon have what the client
+// lacks: its data is fresh and older than the client's, or it has none yet.
 func (c *Cache) reply(request *digest.ReadRequest) (reply *digest.ReadReply, changed <-chan struct{}, behind bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topic(request.GetTopic())
 	ageMillis := boottime.Now().MillisSince(t.confirmedAt)
 	if t.confirmedAt == 0 || t.isBehind(request) {
-		return &digest.ReadReply{}, t.changed, t.confirmedAt != 0 && ageMillis <= freshMillis
+		return &digest.ReadReply{}, t.changed, t.confirmedAt == 0 || ageMillis <= freshMillis
 	}
 	reply = &digest.ReadReply{
 		Known:     true,
--- a/internal/settings/storecache/storecache_test.go
+++ b/internal/settings/storecache/storecache_test.go
@@ -63,6 +63,33 @@
 	is.Equal(read(t, cache, 12, 0).GetNext(), int64(12))
 }
 
+// TestReadsBeforeTheFirstReadOfTheStore replays the start of many hosts at once: they wait for
+// the first read of this host instead of reading the store themselves.
+func TestReadsBeforeTheFirstReadOfTheStore(t *testing.T) {
+	for _, first := range []platform.Records{records(10, "a"), {}} {
+		is := is.New(t)
+		const hosts = 20
+		cache := &Cache{}
+		var group errgroup.Group
+		replies := make([]*digest.ReadReply, hosts)
+		for n := range hosts {
+			group.Go(func() error {
+				replies[n] = read(t, cache, -1, maxWaitMillis)
+				return nil
+			})
+		}
+		began := time.Now()
+		time.Sleep(20 * time.Millisecond)
+		cache.Update(TopicRead{Topic: "t", Records: first, Complete: true, ConfirmedAt: boottime.Now()})
+		is.NoErr(group.Wait())
+		for _, reply := range replies {
+			is.True(reply.GetKnown())
+			is.Equal(len(reply.GetRecords()), len(first.List))
+		}
+		is.True(len(first.List) == 0 || time.Since(began) < maxWaitMillis*time.Millisecond/2)
+	}
+}
+
 func TestReadKeepsBoundedHistory(t *testing.T) {
 	is := is.New(t)
 	cache := &Cache{}
--- a/internal/settings/storewatcher/peers.go
+++ b/internal/settings/storewatcher/peers.go
@@ -26,9 +26,12 @@
 	// ageSlackMillis is the allowance for the time that calls take in addition to
 	// their waits.
 	ageSlackMillis = 100
-	// storeFallbackMillis is how long this host reads the store itself after
-	// another entry host failed to answer or returned no fresh data.
-	storeFallbackMillis = 3000
+	// minFallbackMillis and maxFallbackMillis bound the time for which this host reads the
+	// store itself after entry hosts failed several times in a row to return fresh data. It
+	// doubles with each failure. After a single failure, which a restart causes, the host
+	// reads the store once.
+	minFallbackMillis = 400
+	maxFallbackMillis = 3000
 )
 
 // errNoFreshData means that another entry host has no data of the topic, or only
@@ -44,6 +47,9 @@
 	address string
 	// directUntil is the time until which this host reads the store itself.
 	directUntil boottime.Instant
+	// failures is the number of failed reads at other entry hosts since the last one that
+	// succeeded.
+	failures int
 	// ahead is set when the last read went to the store, so that this host may be
 	// ahead of the other entry host.
 	ahead bool
@@ -57,16 +63,34 @@
 	if len(readers) == 0 || boottime.Now().Before(f.peer.directUntil) {
 		return topicRead{}, false
 	}
-	r, err := f.queryPeer(ctx, readers[rand.IntN(len(readers))])
+	first := rand.IntN(len(readers))
+	r, err := f.queryPeer(ctx, readers[first])
+	if errors.Is(err, transport.ErrDial) && len(readers) > 1 {
+		r, err = f.queryPeer(ctx, readers[(first+1)%len(readers)])
+	}
 	if err == nil {
+		f.peer.failures = 0
 		return r, true
 	}
-	f.watcher.Log.Warn("entry host returned no fresh data; reading the store", "Topic", f.topic, "Peer", f.peer.address, "Error", err)
 	f.peer.close()
-	f.peer.directUntil = boottime.Now().AddMillis(storeFallbackMillis)
+	f.peer.failures++
+	fallbackMillis := fallbackMillis(f.peer.failures)
+	f.peer.directUntil = boottime.Now().AddMillis(fallbackMillis)
+	f.watcher.Log.Warn("entry host returned no fresh data; reading the store", "Topic", f.topic, "Peer", f.peer.address,
+		"Failures", f.peer.failures, "FallbackMillis", fallbackMillis, "Error", err)
 	return topicRead{}, false
 }
 
+// fallbackMillis returns how long a host reads the store itself after a number of failures in
+// a row; zero means once.
+func fallbackMillis(failures int) int64 {
+	if failures <= 1 {
+		return 0
+	}
+	const maxDoublings = 8
+	return min(int64(minFallbackMillis)<<min(failures-2, maxDoublings), maxFallbackMillis)
+}
+
 // queryPeer reads from another entry host over the open connection, or over a new
 // connection to address.
 func (f *follower) queryPeer(ctx context.Context, address string) (topicRead, error) {
