perf: many waiting requests cost an entry host little

Cause: each change of an engine's load and each new request tried every waiting request, a forecast over all engines each time: some 0.1 ms with 115 engines, so that 20 waiting requests took a sixth of a core, more than a small host has, while it forwards streams. The list of backend servers was sorted anew for each try. Change: the pause between two passes grows by 1 ms for each request tried; a request that finds others waiting is tried in the next pass, after those before it; a change of load wakes nobody while nothing waits; the list is sorted when it is read. Test: TestManyWaitingRequests fails without the change.

--- a/internal/routing/discovery/discovery.go
+++ b/internal/routing/discovery/discovery.go
@@ -69,6 +69,8 @@
 // List is the discovery list at one time. It is immutable.
 type List struct {
 	members map[string]member
+	// byID holds the members in order of ID.
+	byID []member
 	// gone holds the servers that were removed lately.
 	gone map[string]goneServer
 }
@@ -129,7 +131,14 @@
 	maps.DeleteFunc(members, func(_ string, m member) bool {
 		return m.expiresAt != 0 && m.expiresAt.Before(u.ReadAt)
 	})
-	return List{members: members, gone: l.goneAfter(members, u.ReadAt)}
+	return List{members: members, byID: sortByID(members), gone: l.goneAfter(members, u.ReadAt)}
+}
+
+// sortByID returns members in order of ID.
+func sortByID(members map[string]member) []member {
+	return slices.SortedFunc(maps.Values(members), func(a, b member) int {
+		return cmp.Compare(a.server.ID, b.server.ID)
+	})
 }
 
 // current returns the changes from an older copy of the store, without the servers that were
@@ -205,8 +214,8 @@
 
 // Ready returns the servers of a service that accept new requests, in order of ID.
 func (l List) Ready(service string, now boottime.Instant) []BackendServer {
-	var ready []BackendServer
-	for _, m := range l.members {
+	ready := make([]BackendServer, 0, len(l.byID))
+	for _, m := range l.byID {
 		if m.server.Service != service || m.server.State != Ready {
 			continue
 		}
@@ -215,17 +224,15 @@
 		}
 		ready = append(ready, m.server)
 	}
-	slices.SortFunc(ready, func(a, b BackendServer) int { return cmp.Compare(a.ID, b.ID) })
 	return ready
 }
 
 // All returns every server, in order of ID.
 func (l List) All() []BackendServer {
-	all := make([]BackendServer, 0, len(l.members))
-	for _, m := range l.members {
+	all := make([]BackendServer, 0, len(l.byID))
+	for _, m := range l.byID {
 		all = append(all, m.server)
 	}
-	slices.SortFunc(all, func(a, b BackendServer) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
--- a/internal/routing/placementqueue/placementqueue.go
+++ b/internal/routing/placementqueue/placementqueue.go
@@ -14,8 +14,13 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/signal"
 )
 
-// passMillis is the least pause between two passes.
-const passMillis = 15
+const (
+	// passMillis is the least pause between two passes. It grows by triedMillis for each
+	// request that the pass has tried, so that many waiting requests leave the processor
+	// time of a small host to the streams that it forwards.
+	passMillis  = 15
+	triedMillis = 1
+)
 
 // Rank orders requests. It is immutable.
 type Rank struct {
@@ -57,11 +62,15 @@
 }
 
 // Wait tries to place a request until try returns true or ctx ends. It reports whether
-// the request was placed.
+// the request was placed. A request that finds others waiting is tried in the next pass,
+// after those that come before it.
 func (q *Queue) Wait(ctx context.Context, rank Rank, try func() bool) bool {
 	w := &waiter{rank: rank, try: try, placed: make(chan struct{})}
-	q.insert(w)
-	q.Pass()
+	if q.insert(w) == 1 {
+		q.Pass()
+	} else {
+		q.wake.Set()
+	}
 	select {
 	case <-w.placed:
 		return true
@@ -70,7 +79,8 @@
 	}
 }
 
-func (q *Queue) insert(w *waiter) {
+// insert adds a request and returns the number of requests that now wait.
+func (q *Queue) insert(w *waiter) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	at, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b *waiter) int {
@@ -78,6 +88,7 @@
 		return cmp.Or(a.rank.Compare(b.rank), -1)
 	})
 	q.waiting = slices.Insert(q.waiting, at, w)
+	return len(q.waiting)
 }
 
 // remove removes a waiting request. It returns false when the request was placed
@@ -93,10 +104,11 @@
 	return true
 }
 
-// Pass tries all waiting requests once.
-func (q *Queue) Pass() {
+// Pass tries all waiting requests once and returns their number.
+func (q *Queue) Pass() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	tried := len(q.waiting)
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *waiter) bool {
 		if !w.try() {
 			return false
@@ -104,6 +116,7 @@
 		close(w.placed)
 		return true
 	})
+	return tried
 }
 
 // Length returns the number of waiting requests.
@@ -115,7 +128,9 @@
 
 // Signal says that the load of an engine has changed.
 func (q *Queue) Signal() {
-	q.wake.Set()
+	if q.Length() > 0 {
+		q.wake.Set()
+	}
 }
 
 // Run makes a pass after each signal until ctx ends.
@@ -126,9 +141,8 @@
 			return nil
 		case <-q.wake.C():
 		}
-		if q.Length() > 0 {
-			q.Pass()
-			boottime.Pause(ctx, passMillis)
+		if tried := q.Pass(); tried > 0 {
+			boottime.Pause(ctx, passMillis+triedMillis*int64(tried))
 		}
 	}
 }
--- a/internal/routing/placementqueue/placementqueue_test.go
+++ b/internal/routing/placementqueue/placementqueue_test.go
@@ -65,3 +65,41 @@
 		is.Equal(q.Length(), 0)
 	})
 }
+
+// TestManyWaitingRequests replays a second at full engines in which a load changes each
+// millisecond and requests keep arriving: the number of attempts to place one stays bounded,
+// and each of them is tried soon.
+func TestManyWaitingRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const requests, playMillis = 100, 1000
+		q := &Queue{}
+		ctx, stop := context.WithCancel(context.Background())
+		tries := make([]int, requests)
+		var group errgroup.Group
+		group.Go(func() error { return q.Run(ctx) })
+		for n := range requests {
+			group.Go(func() error {
+				q.Wait(ctx, Rank{}, func() bool {
+					tries[n]++
+					return false
+				})
+				return nil
+			})
+			q.Signal()
+			time.Sleep(time.Millisecond)
+		}
+		for range playMillis {
+			q.Signal()
+			time.Sleep(time.Millisecond)
+		}
+		total := 0
+		for _, count := range tries {
+			total += count
+			is.True(count >= 3)
+		}
+		is.True(total <= (requests+playMillis)/triedMillis+2*requests)
+		stop()
+		is.NoErr(group.Wait())
+	})
+}
