fix: late copies of answers, and stalled streams that drip

Cause 1: a monitor sends orders (copy a run, release a copy) over kept connections. Requests of callers have had their own connections, and their answers name the request. Cause 2: the time limit on the next event of a stream that can go on elsewhere began anew with each byte, so that a stalled engine which sends a byte now and then was waited for until the caller's deadline; and it ran while a slow caller took the events before. Change 2: the limit is a deadline for the next complete event, from the moment at which the caller has taken the last one. Ruled out by tests that pass before and after: sound streams with pauses of 2 s (TestPlatformSlowStream) are not cut; a stop under load (TestPlatformStopsUnderLoad) cuts no request that reached a backend server.

--- a/internal/backend/monitor/migrations_test.go
+++ b/internal/backend/monitor/migrations_test.go
@@ -38,7 +38,7 @@
 	defer engine.Close()
 	m := &Monitor{
 		EngineAddress: strings.TrimPrefix(engine.URL, "http://"),
-		Engines:       &platform.Engines{HTTP: engine.Client()},
+		Engines:       &platform.Engines{HTTP: engine.Client(), Orders: engine.Client()},
 		Metrics:       &metrics.Registry{},
 		Log:           slog.New(slog.DiscardHandler),
 	}
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -143,6 +143,7 @@
 	}
 	s.attempt.close(false)
 	s.attempt = next
+	s.expectEvent()
 	s.resumptions++
 	s.registration.SetEngine(next.server.Address)
 	return true
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// eventTimeoutMillis is the time without data after which a stream that has
-	// sent its first event is closed as dead.
+	// eventTimeoutMillis is the time without a complete event after which a stream that
+	// has sent its first event is closed as dead.
 	eventTimeoutMillis = 2500
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 8 << 10
@@ -42,6 +42,10 @@
 	// resumptions counts how often the stream was resumed, at a copy of its run or
 	// as a new generation.
 	resumptions int
+	// nextEventBy is the time by which the next event must be complete if the stream can
+	// be resumed elsewhere. It is set whenever the caller has taken an event, so that
+	// neither bytes of no event nor a slow caller change it.
+	nextEventBy time.Time
 	// lastEventAt is the time of the newest event; zero before the first one.
 	lastEventAt boottime.Instant
 	// firstMillis is the time from the arrival of the request to the first event.
@@ -161,6 +165,7 @@
 	if err := s.request.exchange.Send(events); err != nil {
 		return errors.Mark(err, errCallerGone)
 	}
+	s.expectEvent()
 	produced := s.events.count * max(s.request.service.Engine.TokensPerEvent, 1)
 	s.produced.Store(int64(produced))
 	s.sample.SetProduced(produced)
@@ -182,7 +187,12 @@
 	s.lastEventAt = now
 }
 
-// setReadDeadline sets the time by which the next data must arrive, if the stream
+// expectEvent sets the time by which the next event must be complete.
+func (s *stream) expectEvent() {
+	s.nextEventBy = time.Now().Add(eventTimeoutMillis * time.Millisecond)
+}
+
+// setReadDeadline applies the time by which the next event must be complete, if the stream
 // has sent an event and can be resumed at another server. Otherwise only the
 // deadline of the request applies.
 func (s *stream) setReadDeadline() error {
@@ -190,5 +200,5 @@
 	if s.produced.Load() == 0 || !q.route.Resumable || len(q.tried) >= q.route.MaxAttempts {
 		return s.attempt.call.conn.SetReadDeadline(time.Time{})
 	}
-	return s.attempt.call.conn.SetReadDeadline(time.Now().Add(eventTimeoutMillis * time.Millisecond))
+	return s.attempt.call.conn.SetReadDeadline(s.nextEventBy)
 }
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -42,7 +42,7 @@
 	registry := &metrics.Registry{}
 	engineMonitor := &monitor.Monitor{
 		EngineAddress: h.Settings.EngineAddress,
-		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP()},
+		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP(), Orders: platform.NewOrderHTTP()},
 		PeerPort:      h.Settings.PeerPort,
 		KeepRuns:      h.Settings.KeepRuns,
 		Metrics:       registry,
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -133,7 +133,10 @@
 			arrival.DisconnectedAt = time.Now()
 			r.mu.Unlock()
 			return
-		case <-time.After(pauseBefore(event, faults)):
+		case <-time.After(eventMillis * time.Millisecond):
+		}
+		if faults.StallBefore != 0 && event == faults.StallBefore {
+			stall(w, q, faults)
 		}
 		if r.shutDownWithRuns() {
 			panic(http.ErrAbortHandler)
@@ -142,13 +145,26 @@
 	}
 }
 
-// pauseBefore returns the time to wait before an event.
-func pauseBefore(event int, faults Faults) time.Duration {
-	millis := eventMillis
-	if faults.StallBefore != 0 && event == faults.StallBefore {
-		millis += faults.StallMillis
+// stall waits for the time of the fault, or until the client is gone.
+func stall(w http.ResponseWriter, q *http.Request, faults Faults) {
+	end := time.After(time.Duration(faults.StallMillis) * time.Millisecond)
+	var drip <-chan time.Time
+	if faults.DripMillis > 0 {
+		ticker := time.NewTicker(time.Duration(faults.DripMillis) * time.Millisecond)
+		defer ticker.Stop()
+		drip = ticker.C
+	}
+	for {
+		select {
+		case <-end:
+			return
+		case <-q.Context().Done():
+			return
+		case <-drip:
+			_, _ = io.WriteString(w, ":")
+			_ = http.NewResponseController(w).Flush()
+		}
 	}
-	return time.Duration(millis) * time.Millisecond
 }
 
 // sendEvent sends one event, or breaks the stream if a fault requires it.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -66,6 +66,9 @@
 	// StallMillis; zero stalls none.
 	StallBefore int
 	StallMillis int
+	// DripMillis is the pause between the bytes of no event that a stalled stream sends;
+	// zero sends none.
+	DripMillis int
 	// RefuseCopies makes the server respond to copy requests with status 503. The
 	// last copy request of a run nevertheless stops the run.
 	RefuseCopies bool
--- a/internal/trial/endtoend/platform_migration_test.go
+++ b/internal/trial/endtoend/platform_migration_test.go
@@ -138,6 +138,46 @@
 	is.Equal(got.events(), eventNumbers(20))
 }
 
+// TestPlatformStalledStreamThatDrips checks that a stream that can continue on another engine
+// does so when its engine stalls, although the engine sends a byte now and then.
+func TestPlatformStalledStreamThatDrips(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const events, stallMillis, soonMillis = 20, 7000, 5000
+	s := newPlatformSite(t, 2, 0)
+	s.setEngineFaults(replica.Faults{StallBefore: 5, StallMillis: stallMillis, DripMillis: 200})
+	var group errgroup.Group
+	var got callerReply
+	group.Go(func() error {
+		request := streamRequest("drips", events)
+		request.target = resumablePath
+		got = s.send(context.Background(), request)
+		return nil
+	})
+	s.activeEngine()
+	s.setEngineFaults(replica.Faults{})
+	is.NoErr(group.Wait())
+	is.NoErr(got.err)
+	is.Equal(got.events(), eventNumbers(events))
+	is.True(got.took < soonMillis*time.Millisecond)
+}
+
+// TestPlatformSlowStream checks that a sound stream is not cut when each of its pauses is
+// long and its caller reads slowly: it is run once.
+func TestPlatformSlowStream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const events = 12
+	s := newPlatformSite(t, 2, 0)
+	s.setEngineFaults(replica.Faults{StallBefore: 4, StallMillis: 2000})
+	request := streamRequest("slow", events)
+	request.target = resumablePath
+	got := s.send(context.Background(), request)
+	is.NoErr(got.err)
+	is.Equal(got.events(), eventNumbers(events))
+	is.Equal(len(s.arrivals()), 1)
+}
+
 // TestPlatformUnmigratedStream checks a stream whose engine shuts down and refuses to
 // migrate it. A resumable stream must continue on another engine; any other must end
 // directly after the shutdown.
--- a/internal/trial/endtoend/platform_serve_test.go
+++ b/internal/trial/endtoend/platform_serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -272,6 +273,52 @@
 	}
 }
 
+// TestPlatformStopsUnderLoad stops an entry host while callers keep sending over open and new
+// connections. A request that reached a backend server must be answered completely; one that
+// was cut off must not have reached any.
+func TestPlatformStopsUnderLoad(t *testing.T) {
+	t.Parallel()
+	const callers, loadMillis, stopAfterMillis = 12, 2500, 500
+	s := newPlatformSite(t, 0, 2)
+	var group errgroup.Group
+	replies := make([][]callerReply, callers)
+	began := time.Now()
+	for n := range callers {
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableKeepAlives: n%3 == 0}}
+		group.Go(func() error {
+			defer client.CloseIdleConnections()
+			for time.Since(began) < loadMillis*time.Millisecond {
+				request := callerRequest{method: http.MethodPost, target: oncePath, id: fmt.Sprintf("stop-%d-%d", n, len(replies[n])), key: platformKey, body: "{}"}
+				replies[n] = append(replies[n], s.sendTo(context.Background(), client, s.settings.CallerAddress, request))
+			}
+			return nil
+		})
+	}
+	time.Sleep(stopAfterMillis * time.Millisecond)
+	s.entry.terminate()
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	arrived := make(map[string]bool)
+	for _, arrival := range s.arrivals() {
+		arrived[arrival.Header.Get("Fulmarvalve-Request-Id")] = true
+	}
+	answered := 0
+	for n := range replies {
+		for i, reply := range replies[n] {
+			id := fmt.Sprintf("stop-%d-%d", n, i)
+			if reply.err == nil && reply.status == http.StatusOK {
+				answered++
+			} else if arrived[id] {
+				t.Errorf("%s reached a backend server and ended with status %d, error %v", id, reply.status, reply.err)
+			}
+		}
+	}
+	if answered == 0 || s.entry.exitCode() != 0 {
+		t.Errorf("%d requests answered, exit code %d", answered, s.entry.exitCode())
+	}
+}
+
 // TestPlatformDrains checks that an entry host that receives SIGTERM reports that it
 // is not ready, finishes open streams, serves requests that can end within the grace
 // period and refuses others.
