--- a/internal/settings/storewatcher/peers_test.go
+++ b/internal/settings/storewatcher/peers_test.go
@@ -43,8 +43,12 @@
 		failures int
 		want     int64
 	}{
-		{1, 0}, {2, minFallbackMillis}, {3, 2 * minFallbackMillis}, {4, 4 * minFallbackMillis},
-		{5, maxFallbackMillis}, {1 << 30, maxFallbackMillis},
+		{1, 0},
+		{2, minFallbackMillis},
+		{3, 2 * minFallbackMillis},
+		{4, 4 * minFallbackMillis},
+		{5, maxFallbackMillis},
+		{1 << 30, maxFallbackMillis},
 	}
 	for _, tt := range tests {
 		is.New(t).Equal(fallbackMillis(tt.failures), tt.want)
