perf: hosts that come back after an outage serve sooner

Those that read for the others came up late, at addresses that gave no answer, and each host waited for its time limit. From then on the discovery list named engines that were gone: 245 requests were sent to one and declined, four in a row ended a request, and 145 requests were refused for that. Ruled out: calls to the store as the limit (103 hosts, 2 calls each, 16,000 a second). Change: the first read at another entry host has 100 ms; a second one is asked only if the first refused the connection. A server at whose address another one answered gets nothing for a while instead of coming last. A request for an engine waits for the first reports of monitors if this host has just started and the request has the time, and for a server that replaces a superseded or unreachable one. Waiting requests are tried again every 100 ms even if no load changes, so that the end of a pause or of the start is noticed.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -20,7 +20,7 @@
 	// unreachedMillis is the time for which a server is avoided after a failed
 	// connection attempt.
 	unreachedMillis = 1000
-	// supersededMillis is the time for which a server is avoided after another
+	// supersededMillis is the time for which a server gets no request after another
 	// one answered at its address. Its entry in the store expires meanwhile.
 	supersededMillis = 6000
 	// maxBufferedAnswerBytes is the size limit of an answer that is read completely before
@@ -109,7 +109,7 @@
 	if call.Answer.StatusCode == http.StatusMisdirectedRequest {
 		a.close(false)
 		q.log("address belongs to another backend server", "Server", a.server.ID, "Address", a.server.Address)
-		q.relay.LoadTable.Avoid(a.server.ID, boottime.Now().AddMillis(supersededMillis))
+		q.relay.LoadTable.Supersede(a.server.ID, boottime.Now().AddMillis(supersededMillis))
 		return superseded{}
 	}
 	if platform.NotRun(call.Answer.StatusCode, call.Answer.Header) {
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -22,6 +22,10 @@
 	failureForgetMillis = 4000
 	// reportMillis is the age up to which a load report is used.
 	reportMillis = 2500
+	// firstReportsMillis is the time that the monitors of engines have for their first
+	// reports to a host that has started. Until then an engine without a report may be one
+	// that is gone, as the discovery list is old after an outage of all hosts.
+	firstReportsMillis = 500
 )
 
 // LoadTable holds the load of the backend servers as one entry host sees it: the
@@ -44,6 +48,12 @@
 	entryHosts hostCount
 	// turn counts the calls of Place.
 	turn int
+	// unreportedFrom is the time from which engines without a report get requests if none
+	// has one. It is zero before the first call of Place.
+	unreportedFrom boottime.Instant
+	// superseded holds the times until which servers get no request, as another one has
+	// their address, by server ID.
+	superseded map[string]boottime.Instant
 	// servers holds this host's requests at each server, by server ID.
 	servers map[string]*serverState
 	// reports holds the newest report of each engine, by server ID.
@@ -109,6 +119,9 @@
 func (l *LoadTable) Place(ready []discovery.BackendServer, request Request, now boottime.Instant) Placement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.unreportedFrom == 0 {
+		l.unreportedFrom = now.AddMillis(firstReportsMillis)
+	}
 	ready, held := l.accepting(ready, request.Tried, now)
 	candidates := make([]Candidate, len(ready))
 	jitter := make([]float64, len(ready))
@@ -123,7 +136,7 @@
 	if !ok {
 		return held.placement(request)
 	}
-	if request.RoomOnly && candidates[best].usable() && !candidates[best].hasRoom() {
+	if request.RoomOnly && candidates[best].mustWait() {
 		return Placement{Chosen: candidates[best], NoRoom: true, Lacking: countLacking(candidates)}
 	}
 	assignment := l.open(ready[best].ID, request.Tokens, now)
@@ -187,6 +200,7 @@
 		}
 	}
 	maps.DeleteFunc(l.avoided, func(id string, _ boottime.Instant) bool { return !listed(id) })
+	maps.DeleteFunc(l.superseded, func(id string, _ boottime.Instant) bool { return !listed(id) })
 }
 
 // server returns the state of a server and creates it when there is none. The
--- a/internal/routing/placement/ratelimit.go
+++ b/internal/routing/placement/ratelimit.go
@@ -12,6 +12,9 @@
 	servers int
 	// until is the time at which the first of them accepts a request again.
 	until boottime.Instant
+	// superseded is the number of servers whose address another one has. The discovery list
+	// will name those that replace them.
+	superseded int
 }
 
 // with returns the description with one more server.
@@ -26,6 +29,9 @@
 // placement returns the result for a request that has no other server. A request that can
 // still be on time then waits like one without room.
 func (h heldBack) placement(request Request) Placement {
+	if h.servers == 0 && h.superseded > 0 && request.RoomOnly {
+		return Placement{NoRoom: true, Lacking: map[Lack]int{LacksReport: h.superseded}}
+	}
 	if h.servers == 0 {
 		return Placement{}
 	}
@@ -55,6 +61,8 @@
 		until := max(status.PausedUntil, held[server.ID])
 		switch {
 		case status.Closed:
+		case now.Before(l.superseded[server.ID]):
+			back.superseded++
 		case until == 0:
 			accepting = append(accepting, server)
 		case !tried[server.ID]:
--- a/internal/routing/placement/report.go
+++ b/internal/routing/placement/report.go
@@ -71,6 +71,17 @@
 	l.avoided[server] = until
 }
 
+// Supersede keeps requests away from a server until the given time, as another one has its
+// address.
+func (l *LoadTable) Supersede(server string, until boottime.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.superseded == nil {
+		l.superseded = make(map[string]boottime.Instant)
+	}
+	l.superseded[server] = until
+}
+
 // Forget drops the report and the shutdown time of an engine that is no longer
 // watched.
 func (l *LoadTable) Forget(server string) {
--- a/internal/routing/placement/room.go
+++ b/internal/routing/placement/room.go
@@ -14,12 +14,14 @@
 
 // checkRoom sets which of the candidates have room for the request. An engine without a
 // report has none as long as there are others with one, as all entry hosts would take an
-// engine that has just started for idle. The caller holds the mutex.
+// engine that has just started for idle, and while this host has just started and the request
+// can wait for the first reports. The caller holds the mutex.
 func (l *LoadTable) checkRoom(candidates []Candidate, request Request, now boottime.Instant) {
 	reported := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.usable() && c.ReportMillis >= 0 })
+	needsReport := reported || l.awaitsReports(request, now)
 	for i, c := range candidates {
 		switch {
-		case c.ReportMillis < 0 && reported:
+		case c.ReportMillis < 0 && needsReport:
 			candidates[i].Lacking = LacksReport
 		case !c.hasSlot():
 			candidates[i].Lacking = LacksSlot
@@ -31,6 +33,13 @@
 	}
 }
 
+// awaitsReports reports whether the request can wait until the monitors of engines have had
+// the time for their first reports to this host. The caller holds the mutex.
+func (l *LoadTable) awaitsReports(request Request, now boottime.Instant) bool {
+	promptMillis := int64(l.promptRate.millisPerToken() * float64(request.PromptTokens))
+	return now.Before(l.unreportedFrom) && !request.StartBy.AddMillis(-promptMillis).Before(l.unreportedFrom)
+}
+
 // startsInTime reports whether the first event of the request would come in time,
 // after the prompts that the engine has yet to process. The caller holds the mutex.
 func (l *LoadTable) startsInTime(c Candidate, request Request, now boottime.Instant) bool {
@@ -73,6 +82,12 @@
 	return !c.Leaving && !c.Avoided && !c.Tried
 }
 
+// mustWait reports whether a request that can still be on time waits rather than being sent
+// to the candidate.
+func (c Candidate) mustWait() bool {
+	return c.Avoided || (c.usable() && !c.hasRoom())
+}
+
 // hasRoom reports whether the candidate lacks nothing for the request.
 func (c Candidate) hasRoom() bool {
 	return c.Lacking == LacksNothing
--- a/internal/routing/placement/room_test.go
+++ b/internal/routing/placement/room_test.go
@@ -57,10 +57,11 @@
 }
 
 // TestRoomWithoutAnyReport checks that requests are placed by this host's own count when
-// no monitor can be reached.
+// no monitor can be reached, on a host that did not start just now.
 func TestRoomWithoutAnyReport(t *testing.T) {
 	is := is.New(t)
 	c := newCrowd(Report{}, "a", "b")
+	c.table.unreportedFrom = roomStart
 	c.table.Forget("a")
 	c.table.Forget("b")
 	for range 10 {
--- a/internal/routing/placementqueue/placementqueue.go
+++ b/internal/routing/placementqueue/placementqueue.go
@@ -9,6 +9,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/signal"
@@ -20,6 +21,9 @@
 	// time of a small host to the streams that it forwards.
 	passMillis  = 15
 	triedMillis = 1
+	// maxPauseMillis is the longest pause between two passes. What holds requests back may
+	// also end without a change of load.
+	maxPauseMillis = 100
 )
 
 // Rank orders requests. It is immutable.
@@ -68,9 +72,8 @@
 	w := &waiter{rank: rank, try: try, placed: make(chan struct{})}
 	if q.insert(w) == 1 {
 		q.Pass()
-	} else {
-		q.wake.Set()
 	}
+	q.Signal()
 	select {
 	case <-w.placed:
 		return true
@@ -133,13 +136,19 @@
 	}
 }
 
-// Run makes a pass after each signal until ctx ends.
+// Run makes a pass after each signal, and now and then while requests wait, until ctx ends.
 func (q *Queue) Run(ctx context.Context) error {
 	for {
+		// due is nil while nothing waits.
+		var due <-chan time.Time
+		if q.Length() > 0 {
+			due = time.After(maxPauseMillis * time.Millisecond)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-q.wake.C():
+		case <-due:
 		}
 		if tried := q.Pass(); tried > 0 {
 			boottime.Pause(ctx, passMillis+triedMillis*int64(tried))
--- a/internal/routing/placementqueue/placementqueue_test.go
+++ b/internal/routing/placementqueue/placementqueue_test.go
@@ -103,3 +103,21 @@
 		is.NoErr(group.Wait())
 	})
 }
+
+// TestRoomWithoutASignal checks that a waiting request is tried again although no load has
+// changed, as a pause that an engine asked for may have ended.
+func TestRoomWithoutASignal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const roomMillis = 250
+		q := &Queue{}
+		ctx, stop := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return q.Run(ctx) })
+		began := time.Now()
+		is.True(q.Wait(ctx, Rank{}, func() bool { return time.Since(began) >= roomMillis*time.Millisecond }))
+		is.True(time.Since(began) <= (roomMillis+maxPauseMillis+passMillis+triedMillis)*time.Millisecond)
+		stop()
+		is.NoErr(group.Wait())
+	})
+}
--- a/internal/settings/storewatcher/peers.go
+++ b/internal/settings/storewatcher/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,9 @@
 	// catchUpWaitMillis replaces peerWaitMillis after this host has read the store
 	// itself, because the other entry host may be behind until its own next read.
 	catchUpWaitMillis = changeWaitMillis + serversPauseMillis + 100
+	// firstReadMillis is the time limit of the first read at another entry host. Until it has
+	// ended, this host serves nobody, and the other one may be down.
+	firstReadMillis = 100
 	// ageSlackMillis is the allowance for the time that calls take in addition to
 	// their waits.
 	ageSlackMillis = 100
@@ -65,7 +69,7 @@
 	}
 	first := rand.IntN(len(readers))
 	r, err := f.queryPeer(ctx, readers[first])
-	if errors.Is(err, transport.ErrDial) && len(readers) > 1 {
+	if errors.Is(err, syscall.ECONNREFUSED) && len(readers) > 1 {
 		r, err = f.queryPeer(ctx, readers[(first+1)%len(readers)])
 	}
 	if err == nil {
@@ -102,7 +106,11 @@
 	case f.peer.ahead:
 		waitMillis = catchUpWaitMillis
 	}
-	deadline := time.Now().Add(time.Duration(waitMillis+peerReplyTimeoutMillis) * time.Millisecond)
+	limitMillis := waitMillis + peerReplyTimeoutMillis
+	if !f.read {
+		limitMillis = firstReadMillis
+	}
+	deadline := time.Now().Add(time.Duration(limitMillis) * time.Millisecond)
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
 	if err := f.peer.connect(ctx, address); err != nil {
