feat: entry hosts migrate runs of engines that have no monitor

Cause: a run on an engine that is about to shut down was migrated by the monitor beside the engine or not at all. Change: package caller/runmigration. The entry host that relays a run has what it needs: the engine's entry as draining or its removal, the answers that say so, the engine's orders and the room that it knows. It acts only while it hears no monitor, and rechecks one that migrates its runs. The engine's answer decides if a monitor acts as well. The copy of a run that has ended is released. Test: TestPlatformMigrationWithoutMonitor. Its case of an engine that drains before the first event has come found that such a stream was not noticed (three of four runs beside others); streams now say so when they begin to come from a leaving engine.

--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -100,6 +100,25 @@
 	r.changed = make(chan struct{})
 }
 
+// AnnounceFinal says that no further migration of a run follows. A copy that was announced
+// stays usable.
+func (m *Migrations) AnnounceFinal(requestID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.registered[requestID]
+	if !ok {
+		return
+	}
+	final := Migration{RequestID: requestID}
+	if r.latest != nil {
+		final = *r.latest
+	}
+	final.Final = true
+	r.latest = &final
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // Latest returns the newest migration of the stream, if there is one, and a channel
 // that is closed when there is a newer one.
 func (r *Registration) Latest() (Migration, bool, <-chan struct{}) {
--- a/internal/caller/relay/observation.go
+++ b/internal/caller/relay/observation.go
@@ -36,9 +36,13 @@
 		Leaving:     platform.Leaving(answer.Header),
 		PauseMillis: platform.PauseMillis(answer.StatusCode, answer.Header),
 	}
-	if q.relay.LoadTable.Pauses.Observe(server, asked, boottime.Now()) {
-		q.log("backend server asked for fewer requests", "Server", server.ID, "Leaving", asked.Leaving, "PauseMillis", asked.PauseMillis)
+	if !q.relay.LoadTable.Pauses.Observe(server, asked, boottime.Now()) {
+		return
+	}
+	if asked.Leaving {
+		q.relay.OnLeaving()
 	}
+	q.log("backend server asked for fewer requests", "Server", server.ID, "Leaving", asked.Leaving, "PauseMillis", asked.PauseMillis)
 }
 
 // observeRateLimit records the rate limit in an answer. An answer that the server itself
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -44,6 +44,9 @@
 	Reserve func(ctx context.Context, server, request string, generation placement.Generation) bool
 	// OnPlaced is called when a request was placed at an engine.
 	OnPlaced func(server, request string, generation placement.Generation)
+	// OnLeaving is called when a backend server has answered for the first time that it is
+	// leaving, and when a stream begins to come from such a server; it must not block.
+	OnLeaving func()
 	// Bounds returns the current bounds. They may change between requests.
 	Bounds func() Bounds
 	// ShutdownAt returns the time at which the process will end, or zero while it
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -146,5 +146,15 @@
 	s.expectEvent()
 	s.resumptions++
 	s.registration.SetEngine(next.server.Address)
+	s.request.relay.noticeLeaving(next.server)
 	return true
 }
+
+// noticeLeaving calls OnLeaving if an engine that a stream now comes from is about to shut
+// down.
+func (r *Relay) noticeLeaving(server discovery.BackendServer) {
+	listed, ok := r.StoreWatcher.Servers().List.Find(server.ID)
+	if !ok || listed.State == discovery.Draining || r.LoadTable.Pauses.Status(server, boottime.Now()).Leaving {
+		r.OnLeaving()
+	}
+}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -65,6 +65,7 @@
 	s := &stream{request: q, attempt: a, header: platform.CallerHeader(a.call.Answer.Header)}
 	s.registration = q.relay.Migrations.Register(q.caller.ID, a.server.Address, s.generation)
 	defer s.registration.Unregister()
+	q.relay.noticeLeaving(a.server)
 	s.sample = q.relay.Outputs.Begin(q.route.Name, q.caller.HintTokens, q.caller.MaxOutputTokens)
 	complete := false
 	defer func() { s.sample.End(complete) }()
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -20,6 +20,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpserver"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/runmigration"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifecycle"
@@ -72,6 +73,7 @@
 	server       *httpserver.Server
 	watch        *watch.Watch
 	waiting      *placementqueue.Queue
+	migrator     *runmigration.Migrator
 	metrics      *metrics.Registry
 	// bounds limit the age at which the cached configuration is used. They may
 	// change when the settings are reloaded.
@@ -112,6 +114,7 @@
 	group.Go(func() error { return h.server.Run(ctx) })
 	group.Go(func() error { return h.watch.Run(ctx) })
 	group.Go(func() error { return h.waiting.Run(ctx) })
+	group.Go(func() error { return h.migrator.Run(ctx) })
 	group.Go(func() error { return h.metrics.Run(ctx) })
 	group.Go(func() error {
 		return transport.HTTPServer{Listener: metricsListener, Handler: h.metrics.Handler()}.Run(ctx)
@@ -158,6 +161,15 @@
 		ServerLimits: limits,
 	}
 	limits.OnChange = h.watch.StateRateLimits
+	h.migrator = &runmigration.Migrator{
+		StoreWatcher: h.storeWatcher,
+		LoadTable:    h.loadTable,
+		Migrations:   migrations,
+		Monitored:    h.watch.Monitored,
+		Engines:      &platform.Engines{HTTP: platform.NewOrderHTTP(), Orders: platform.NewOrderHTTP()},
+		Log:          h.Log,
+	}
+	h.storeWatcher.OnServers = h.migrator.Wake
 	h.server = &httpserver.Server{
 		Listener: callers,
 		Log:      h.Log,
@@ -172,6 +184,7 @@
 			Waiting:      h.waiting,
 			Reserve:      h.watch.Reserve,
 			OnPlaced:     h.watch.NotifyPlaced,
+			OnLeaving:    h.migrator.Wake,
 			Metrics:      h.metrics,
 			Log:          h.Log,
 			Bounds:       func() relay.Bounds { return *h.bounds.Load() },
--- a/internal/routing/discovery/discovery.go
+++ b/internal/routing/discovery/discovery.go
@@ -236,6 +236,16 @@
 	return all
 }
 
+// Gone returns the servers that were removed lately, in no particular order. They may go on
+// serving the requests that they have for a while.
+func (l List) Gone() []BackendServer {
+	gone := make([]BackendServer, 0, len(l.gone))
+	for _, g := range l.gone {
+		gone = append(gone, g.server)
+	}
+	return gone
+}
+
 // Find returns the server with an ID.
 func (l List) Find(id string) (BackendServer, bool) {
 	m, ok := l.members[id]
--- a/internal/routing/placement/report.go
+++ b/internal/routing/placement/report.go
@@ -119,17 +119,26 @@
 // are not about to shut down and are not avoided. Servers with a rate limit are left out
 // unless there are no others.
 func (l *LoadTable) FreeCapacity(ready []discovery.BackendServer, service routetable.Service) []Capacity {
+	return l.capacities(ready, service, true)
+}
+
+// AssumedCapacity is like FreeCapacity. If no server has a recent report, it returns what the
+// requests of this host leave free.
+func (l *LoadTable) AssumedCapacity(ready []discovery.BackendServer, service routetable.Service) []Capacity {
+	if reported := l.capacities(ready, service, true); len(reported) > 0 {
+		return reported
+	}
+	return l.capacities(ready, service, false)
+}
+
+func (l *LoadTable) capacities(ready []discovery.BackendServer, service routetable.Service, reportedOnly bool) []Capacity {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := boottime.Now()
 	var capacities []Capacity
 	for _, server := range l.withoutLimits(ready) {
-		report, reported := l.reports[server.ID]
-		if !reported || now.MillisSince(report.ReceivedAt) > reportMillis {
-			continue
-		}
 		c := l.newCandidate(server, Request{Service: service}, now)
-		if c.Leaving || c.Avoided {
+		if (reportedOnly && c.ReportMillis < 0) || c.Leaving || c.Avoided || now.Before(l.superseded[server.ID]) {
 			continue
 		}
 		capacities = append(capacities, Capacity{
--- a/internal/routing/watch/streams.go
+++ b/internal/routing/watch/streams.go
@@ -59,6 +59,12 @@
 	})
 }
 
+// Monitored reports whether the monitor of an engine has sent a message lately.
+func (w *Watch) Monitored(server string) bool {
+	o, ok := w.streams.find(server)
+	return ok && boottime.Instant(o.heardAt.Load()).AddMillis(relayMillis) > boottime.Now()
+}
+
 func (s *streams) find(id string) (*openStream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -53,7 +53,10 @@
 	Readers []string
 	// Cache receives every result that this host reads from the store.
 	Cache *storecache.Cache
-	Log   *slog.Logger
+	// OnServers is called after each change of the list of backend servers; it must not
+	// block. It may be nil.
+	OnServers func()
+	Log       *slog.Logger
 
 	configuration atomic.Pointer[Configuration]
 	servers       atomic.Pointer[Servers]
@@ -146,6 +149,9 @@
 	})
 	w.logDifferences(before, after)
 	w.servers.Store(&Servers{List: after, ConfirmedAt: r.confirmedAt})
+	if len(changes) > 0 && w.OnServers != nil {
+		w.OnServers()
+	}
 }
 
 // logDifferences writes a log line for each server that was added or removed, or
--- a/internal/trial/endtoend/platform_migration_test.go
+++ b/internal/trial/endtoend/platform_migration_test.go
@@ -78,6 +78,62 @@
 	}
 }
 
+// TestPlatformMigrationWithoutMonitor checks that the entry host migrates its runs itself when
+// no process beside the leaving engine does: it is dead, or it stands still.
+func TestPlatformMigrationWithoutMonitor(t *testing.T) {
+	t.Parallel()
+	const events, noticeMillis = 450, 4000
+	cases := []struct {
+		name             string
+		before, atNotice func(*platformEngine)
+		// removed says that the engine's entry is removed instead of listing it as draining.
+		removed bool
+	}{
+		{"killed before the request", func(e *platformEngine) { e.monitor.kill() }, func(*platformEngine) {}, false},
+		{"killed at the notice", func(*platformEngine) {}, func(e *platformEngine) { e.monitor.kill() }, false},
+		{"frozen at the notice", func(*platformEngine) {}, func(e *platformEngine) { e.monitor.freeze() }, false},
+		{"killed before the request, entry removed", func(e *platformEngine) { e.monitor.kill() }, func(*platformEngine) {}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newPlatformSite(t, 2, 0)
+			for _, e := range s.engines {
+				c.before(e)
+			}
+			var group errgroup.Group
+			var got callerReply
+			group.Go(func() error {
+				got = s.send(context.Background(), streamRequest("migrated", events))
+				return nil
+			})
+			e := s.activeEngine()
+			c.atNotice(e)
+			e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
+			if c.removed {
+				s.log.Put("keyed.servers", e.ID, nil)
+			} else {
+				s.register(e.Replica, "engines", "draining")
+			}
+			is.NoErr(group.Wait())
+			is.NoErr(got.err)
+			is.Equal(got.events(), eventNumbers(events)) // each event once, in order
+			started, continued := 0, 0
+			for _, a := range s.arrivals() {
+				if a.Header.Get("Kv-From") == "" {
+					started++
+				} else {
+					continued++
+				}
+			}
+			is.Equal(started, 1)
+			is.True(continued >= 1)
+			is.Equal(e.Running(), 0)
+		})
+	}
+}
+
 // TestPlatformBrokenStreams breaks the connection to the engine in the middle of a
 // stream. A stream that may run only once must reach the caller truncated after the
 // last complete event; a resumable one must continue after that event.
