refactor: load table holds its rate limits by value; one loop publishes to entry hosts

Behaviour unchanged. The zero value of the limits works, so that five nil checks go; the monitors that pass statements on are ranked once each instead of at each comparison.

--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -10,22 +10,23 @@
 // publish queues a message for every watching entry host. A host whose outbox is
 // full loses its stream and has to connect again.
 func (m *Monitor) publish(s *sighting.Sighting) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.identifySighting(s)
-	for w := range m.watchers {
-		m.enqueue(w, s)
-	}
+	m.publishWithin(outboxLength, s)
 }
 
 // publishOptional queues a message that a later one makes up for. A host whose outbox is
 // half full does not get it.
 func (m *Monitor) publishOptional(s *sighting.Sighting) {
+	m.publishWithin(outboxLength/2-1, s)
+}
+
+// publishWithin queues a message for the watching entry hosts with at most that many messages
+// in their outboxes.
+func (m *Monitor) publishWithin(most int, s *sighting.Sighting) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.identifySighting(s)
 	for w := range m.watchers {
-		if len(w.outbox) < outboxLength/2 {
+		if len(w.outbox) <= most {
 			m.enqueue(w, s)
 		}
 	}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -141,13 +141,13 @@
 		Log:     h.Log,
 	}
 	h.metrics = &metrics.Registry{}
-	limits := &serverlimit.Table{Host: rand.Uint64()}
 	h.loadTable = &placement.LoadTable{
 		Zone:         h.Settings.Zone,
 		Policy:       placementPolicy(h.Settings.Placing),
-		ServerLimits: limits,
+		ServerLimits: serverlimit.Table{Host: rand.Uint64()},
 		Pauses:       serverpause.Table{DrainMillis: h.Settings.DrainMillis},
 	}
+	limits := &h.loadTable.ServerLimits
 	limits.Hosts = h.loadTable.EntryHosts
 	migrations := &relay.Migrations{}
 	h.waiting = &placementqueue.Queue{}
--- a/internal/routing/placement/assignment.go
+++ b/internal/routing/placement/assignment.go
@@ -24,9 +24,7 @@
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	delete(a.table.server(a.server).assignments, a)
-	if a.table.ServerLimits != nil {
-		a.table.ServerLimits.Return(a.server)
-	}
+	a.table.ServerLimits.Return(a.server)
 }
 
 // MarkStarted records that the server has sent the first event of the answer.
--- a/internal/routing/placement/loadtable.go
+++ b/internal/routing/placement/loadtable.go
@@ -36,9 +36,9 @@
 	Zone string
 	// Policy selects the server; nil means ByForecast. It is set before use.
 	Policy Policy
-	// ServerLimits holds the rate limits of backend servers. It is set before use; nil
-	// means that no server has a limit.
-	ServerLimits *serverlimit.Table
+	// ServerLimits holds the rate limits of backend servers. Its exported fields are set
+	// before use.
+	ServerLimits serverlimit.Table
 	// Pauses holds what backend servers have asked for in their answers. Its exported
 	// fields are set before use.
 	Pauses serverpause.Table
@@ -163,7 +163,7 @@
 	if status.Closed {
 		return nil, 0
 	}
-	until := max(status.PausedUntil, l.heldServers(now)[server.ID])
+	until := max(status.PausedUntil, l.ServerLimits.Held(now)[server.ID])
 	if until != 0 {
 		return nil, until
 	}
@@ -173,9 +173,7 @@
 // open opens an assignment. Every request to a backend server has one, so that each of
 // them counts against the server's rate limit.
 func (l *LoadTable) open(server string, tokens int, now boottime.Instant) *Assignment {
-	if l.ServerLimits != nil {
-		l.ServerLimits.Spend(server, now)
-	}
+	l.ServerLimits.Spend(server, now)
 	assignment := &Assignment{table: l, server: server, tokens: tokens, sentAt: now}
 	l.server(server).assignments[assignment] = struct{}{}
 	return assignment
@@ -189,9 +187,7 @@
 		return found
 	}
 	l.Pauses.Prune(listed, boottime.Now())
-	if l.ServerLimits != nil {
-		l.ServerLimits.Prune(listed, boottime.Now())
-	}
+	l.ServerLimits.Prune(listed, boottime.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, state := range l.servers {
--- a/internal/routing/placement/ratelimit.go
+++ b/internal/routing/placement/ratelimit.go
@@ -41,19 +41,10 @@
 	return Placement{LimitedUntil: h.until}
 }
 
-// heldServers returns the servers that accept no request now because of their rate limits,
-// with the times from which they do.
-func (l *LoadTable) heldServers(now boottime.Instant) map[string]boottime.Instant {
-	if l.ServerLimits == nil {
-		return nil
-	}
-	return l.ServerLimits.Held(now)
-}
-
 // accepting returns the servers that accept a request now, and describes those of the others
 // that will accept one later and that the request was not sent to yet.
 func (l *LoadTable) accepting(ready []discovery.BackendServer, tried map[string]bool, now boottime.Instant) ([]discovery.BackendServer, heldBack) {
-	held := l.heldServers(now)
+	held := l.ServerLimits.Held(now)
 	var back heldBack
 	accepting := make([]discovery.BackendServer, 0, len(ready))
 	for _, server := range ready {
@@ -74,9 +65,6 @@
 
 // withoutLimits returns the servers without a rate limit, or all of them if each has one.
 func (l *LoadTable) withoutLimits(ready []discovery.BackendServer) []discovery.BackendServer {
-	if l.ServerLimits == nil {
-		return ready
-	}
 	free := make([]discovery.BackendServer, 0, len(ready))
 	for _, server := range ready {
 		if !l.ServerLimits.Limited(server.ID) {
--- a/internal/routing/placement/ratelimit_test.go
+++ b/internal/routing/placement/ratelimit_test.go
@@ -19,7 +19,7 @@
 // newRateTable returns a load table of the only entry host, with servers that each name a
 // limit of two requests a second.
 func newRateTable(limited ...string) *LoadTable {
-	l := &LoadTable{Zone: "a", ServerLimits: &serverlimit.Table{Host: 1, Hosts: func() int { return 1 }}}
+	l := &LoadTable{Zone: "a", ServerLimits: serverlimit.Table{Host: 1, Hosts: func() int { return 1 }}}
 	for _, id := range limited {
 		l.ServerLimits.Observe(id, serverlimit.Answer{Limited: true, PerSecond: 2, RequestSentAt: rateStart, ReceivedAt: rateStart})
 	}
--- a/internal/routing/watch/ratelimits.go
+++ b/internal/routing/watch/ratelimits.go
@@ -104,15 +104,27 @@
 // so that statements on different servers are passed on by different monitors, and those of
 // different hosts on the same server mostly by the same ones.
 func relaysOf(s serverlimit.Statement, usable []*openStream) []*openStream {
-	ordered := slices.Clone(usable)
 	if s.Unconfirmed {
-		rand.Shuffle(len(ordered), func(i, j int) { ordered[i], ordered[j] = ordered[j], ordered[i] })
-		return ordered[:min(relaysUnconfirmed, len(ordered))]
+		shuffled := slices.Clone(usable)
+		rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		return shuffled[:min(relaysUnconfirmed, len(shuffled))]
 	}
-	slices.SortFunc(ordered, func(a, b *openStream) int {
-		return cmp.Compare(relayRank(s.Server, a), relayRank(s.Server, b))
-	})
-	return ordered[:min(relays, len(ordered))]
+	ranked := make([]rankedStream, 0, len(usable))
+	for _, o := range usable {
+		ranked = append(ranked, rankedStream{stream: o, rank: relayRank(s.Server, o)})
+	}
+	slices.SortFunc(ranked, func(a, b rankedStream) int { return cmp.Compare(a.rank, b.rank) })
+	var chosen []*openStream
+	for _, r := range ranked[:min(relays, len(ranked))] {
+		chosen = append(chosen, r.stream)
+	}
+	return chosen
+}
+
+// rankedStream is a stream with its rank for the statements on one backend server.
+type rankedStream struct {
+	stream *openStream
+	rank   uint64
 }
 
 // relayRank orders the monitors for the statements on a backend server.
