--- a/internal/settings/storecache/storecache.go
+++ b/internal/settings/storecache/storecache.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/digest"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -26,6 +28,11 @@
 	freshMillis = 1300
 	// maxWaitMillis is the maximum time that one read waits for a change.
 	maxWaitMillis = 2000
+	// wholeBytesPerSecond and wholeBurstBytes bound the replies with the newest record of
+	// each key. When all hosts of a large deployment start at once, the replies would
+	// otherwise exceed the memory and the link of a small host.
+	wholeBytesPerSecond = 1 << 20
+	wholeBurstBytes     = 4 << 20
 )
 
 // Cache holds the state of topics. The zero value is an empty cache. It is safe for
@@ -35,6 +42,8 @@
 
 	mu     sync.Mutex
 	topics map[string]*topic
+	// whole is nil before the first reply with the newest record of each key.
+	whole *rate.Limiter
 }
 
 // topic is the cached state of one topic.
@@ -158,6 +167,9 @@
 	}
 	records, ok := t.since(request.GetFrom())
 	if !ok || request.GetEra() != t.era {
+		if !c.allowWhole(t) {
+			return &digest.ReadReply{}, t.changed, false
+		}
 		reply.Whole = true
 		records = t.all()
 	}
@@ -167,6 +179,19 @@
 	return reply, t.changed, false
 }
 
+// allowWhole reports whether a reply with the newest record of each key may be sent now. The
+// client reads the store itself otherwise. The caller holds the mutex.
+func (c *Cache) allowWhole(t *topic) bool {
+	if c.whole == nil {
+		c.whole = rate.NewLimiter(wholeBytesPerSecond, wholeBurstBytes)
+	}
+	size := 0
+	for key, value := range t.newest {
+		size += len(key) + len(value)
+	}
+	return c.whole.AllowN(time.Now(), size)
+}
+
 // isBehind reports whether the client has read more than this host, in this era of the store
 // or a later one.
 func (t *topic) isBehind(request *digest.ReadRequest) bool {
--- a/internal/settings/storecache/storecache_test.go
+++ b/internal/settings/storecache/storecache_test.go
@@ -174,3 +174,31 @@
 	is.Equal(len(restored.GetRecords()), 3)
 	is.Equal(keys(inEra(2, 9)), []string{"d"})
 }
+
+// TestManyHostsAskForALongList replays the start of all hosts of a large deployment: the
+// replies that one host sends at once are bounded, and the others learn at once that they must
+// read the store.
+func TestManyHostsAskForALongList(t *testing.T) {
+	is := is.New(t)
+	const hosts, entries, entryBytes, boundBytes = 150, 3000, 300, 8 << 20
+	cache := &Cache{}
+	list := platform.Records{Next: 1}
+	for n := range entries {
+		list.List = append(list.List, platform.Record{Key: fmt.Sprint("server-", n), Value: make([]byte, entryBytes)})
+	}
+	cache.Update(TopicRead{Topic: "t", Records: list, Complete: true, ConfirmedAt: boottime.Now()})
+	served, bytes := 0, 0
+	for range hosts {
+		reply := read(t, cache, -1, maxWaitMillis)
+		if reply.GetKnown() {
+			served++
+			is.Equal(len(reply.GetRecords()), entries)
+		}
+		for _, r := range reply.GetRecords() {
+			bytes += len(r.GetValue())
+		}
+	}
+	is.True(served >= 1)
+	is.True(bytes <= boundBytes)
+	is.True(read(t, cache, 1, 0).GetKnown()) // a host that lacks no more than changes is served
+}
--- a/internal/settings/storewatcher/follower.go
+++ b/internal/settings/storewatcher/follower.go
@@ -15,6 +15,8 @@
 	// replyTimeoutMillis is the time limit of a call to the store, in addition to
 	// its wait for a change.
 	replyTimeoutMillis = 700
+	// pageMillis is the time limit of each page of the newest records.
+	pageMillis = 1300
 	// retryMillis is the pause after a failed call.
 	retryMillis = 300
 	// pauseSlackMillis is how much longer than its time limit an operation may take in a
@@ -119,9 +121,6 @@
 		// An immediate answer shortens the time without a confirmed state.
 		waitMillis = 0
 	}
-	deadline := time.Now().Add(time.Duration(waitMillis+replyTimeoutMillis) * time.Millisecond)
-	ctx, stop := context.WithDeadline(ctx, deadline)
-	defer stop()
 	records, err := f.readRecords(ctx, waitMillis)
 	if err == nil && f.isOtherEra(records.Era) && f.synced {
 		f.synced = false
@@ -143,8 +142,11 @@
 // readRecords reads the newest record of each key, or the changes once synced is set.
 func (f *follower) readRecords(ctx context.Context, waitMillis int64) (platform.Records, error) {
 	if !f.synced {
-		return f.watcher.Store.Newest(ctx, f.topic)
+		return f.watcher.Store.Newest(ctx, f.topic, pageMillis)
 	}
+	deadline := time.Now().Add(time.Duration(waitMillis+replyTimeoutMillis) * time.Millisecond)
+	ctx, stop := context.WithDeadline(ctx, deadline)
+	defer stop()
 	return f.watcher.Store.Read(ctx, f.topic, f.next, waitMillis)
 }
 
--- a/internal/settings/storewatcher/peers.go
+++ b/internal/settings/storewatcher/peers.go
@@ -24,9 +24,12 @@
 	// catchUpWaitMillis replaces peerWaitMillis after this host has read the store
 	// itself, because the other entry host may be behind until its own next read.
 	catchUpWaitMillis = changeWaitMillis + serversPauseMillis + 100
-	// firstReadMillis is the time limit of the first read at another entry host. Until it has
-	// ended, this host serves nobody, and the other one may be down.
-	firstReadMillis = 100
+	// firstConnectMillis is the time limit of the first connection to another entry host.
+	// Until it has ended, this host serves nobody, and the other one may be down.
+	firstConnectMillis = 100
+	// wholeReplyMillis is the additional time limit of a reply with the newest record of each
+	// key, which may be a long list.
+	wholeReplyMillis = 700
 	// ageSlackMillis is the allowance for the time that calls take in addition to
 	// their waits.
 	ageSlackMillis = 100
@@ -107,13 +110,13 @@
 		waitMillis = catchUpWaitMillis
 	}
 	limitMillis := waitMillis + peerReplyTimeoutMillis
-	if !f.read {
-		limitMillis = firstReadMillis
+	if !f.synced {
+		limitMillis += wholeReplyMillis
 	}
 	deadline := time.Now().Add(time.Duration(limitMillis) * time.Millisecond)
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
-	if err := f.peer.connect(ctx, address); err != nil {
+	if err := f.connect(ctx, address); err != nil {
 		return topicRead{}, err
 	}
 	// A negative offset requests the newest record of each key.
@@ -151,6 +154,16 @@
 	return 2*f.waitMillis + f.pauseMillis + ageSlackMillis
 }
 
+// connect opens the connection to another entry host unless it is open.
+func (f *follower) connect(ctx context.Context, address string) error {
+	if f.read {
+		return f.peer.connect(ctx, address)
+	}
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(firstConnectMillis*time.Millisecond))
+	defer stop()
+	return f.peer.connect(ctx, address)
+}
+
 // connect dials address unless a connection is open.
 func (p *peerConn) connect(ctx context.Context, address string) error {
 	if p.conn != nil {
--- a/internal/settings/storewatcher/peers_test.go
+++ b/internal/settings/storewatcher/peers_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,3 +112,45 @@
 	const topics, readerCalls = 2, 10
 	is.True(calls.Load() <= topics*hosts*2+readerCalls)
 }
+
+// TestManyHostsReadALongList replays the return of all hosts of a deployment with thousands of
+// backend servers, while none of them can be asked: all read the list at once from a store
+// with a limited rate, which takes longer than the limit of a single reply. Each of them gets
+// it in about the time that the store needs to send it to all.
+func TestManyHostsReadALongList(t *testing.T) {
+	is := is.New(t)
+	const hosts, pages, pageBytes, bytesPerMilli, boundSeconds = 40, 6, 160_000, 16_000, 12
+	var mu sync.Mutex
+	sentUntil := time.Now()
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		mu.Lock()
+		if now := time.Now(); sentUntil.Before(now) {
+			sentUntil = now
+		}
+		sentUntil = sentUntil.Add(pageBytes / bytesPerMilli * time.Millisecond)
+		sendAt := sentUntil
+		mu.Unlock()
+		time.Sleep(time.Until(sendAt))
+		page, _ := strconv.Atoi(q.URL.Query().Get("after"))
+		_, _ = fmt.Fprintf(w, `{"items":[{"key":"%d","value":%q}],"has_more":%t,"end":0}`,
+			page+1, base64.StdEncoding.EncodeToString(make([]byte, pageBytes)), page+1 < pages)
+	}))
+	defer store.Close()
+	ctx, stop := context.WithTimeout(t.Context(), boundSeconds*time.Second)
+	defer stop()
+	var group errgroup.Group
+	for range hosts {
+		f := follower{topic: platform.ServersTopic, waitMillis: changeWaitMillis, watcher: &Watcher{
+			Store: &platform.Store{Address: strings.TrimPrefix(store.URL, "http://"), HTTP: store.Client()},
+			Cache: &storecache.Cache{},
+			Log:   slog.New(slog.DiscardHandler),
+		}}
+		group.Go(func() error {
+			for !f.synced && ctx.Err() == nil {
+				f.readOnce(ctx, func(topicRead) {})
+			}
+			return ctx.Err()
+		})
+	}
+	is.NoErr(group.Wait())
+}
