perf: a start of a host logs its list of backend servers in one line

Cause: a host that starts wrote a line for each backend server before it served anyone: 2,996 lines on a deployment of 300 hosts, and over its bound of 1,000 a second, so that other lines were dropped (24 of 30 hosts said so). One line costs 4.8 us (docs/CAPACITY.md), some 0.1 s for 3,000 of them on 0.144 of a core. Change: over 200 new or changed servers of one read take one line.

--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -154,14 +154,19 @@
 	}
 }
 
+// maxLoggedServers bounds the servers of one read that have a log line each. A host that
+// starts reads the whole list while callers wait.
+const maxLoggedServers = 200
+
 // logDifferences writes a log line for each server that was added or removed, or
-// whose state or incarnation changed.
+// whose state or incarnation changed, or one line for many of them.
 func (w *Watcher) logDifferences(before, after discovery.List) {
-	for _, server := range after.All() {
-		old, known := before.Find(server.ID)
-		if known && old.State == server.State && old.BornUnixMillis == server.BornUnixMillis {
-			continue
-		}
+	listed := changedServers(before, after)
+	if len(listed) > maxLoggedServers {
+		w.Log.Info("many backend servers listed", "Servers", len(listed), "Draining", countDraining(listed))
+		listed = nil
+	}
+	for _, server := range listed {
 		w.Log.Info("backend server listed", "Server", server.ID, "Service", server.Service,
 			"Address", server.Address, "Zone", server.Zone, "Born", server.BornUnixMillis, "Draining", server.State == discovery.Draining)
 	}
@@ -171,3 +176,25 @@
 		}
 	}
 }
+
+// changedServers returns the servers that were added, or whose state or incarnation changed.
+func changedServers(before, after discovery.List) []discovery.BackendServer {
+	var changed []discovery.BackendServer
+	for _, server := range after.All() {
+		old, known := before.Find(server.ID)
+		if !known || old.State != server.State || old.BornUnixMillis != server.BornUnixMillis {
+			changed = append(changed, server)
+		}
+	}
+	return changed
+}
+
+func countDraining(servers []discovery.BackendServer) int {
+	count := 0
+	for _, server := range servers {
+		if server.State == discovery.Draining {
+			count++
+		}
+	}
+	return count
+}
