fix: runs of a new engine at the address of one that is gone stay where they are

Cause 1: an entry host without a monitor's word also migrates the runs of engines whose entries were removed. It finds its runs by address, so that once another engine had the address, the runs there would have been moved away, at each change of the list for a minute. Cause 2: a stream of an engine that is listed as draining and has no monitor was given up when it broke before the first copy of its run was announced. Cause 3: with over 270 entry hosts the pause between reports of a changing load was longer than that of an unchanged one, and with over 660 longer than a report is used. Cause 4: each whole answer reserved 32 KB of the memory of all, so that more than 512 small ones at a time would have been lost; 4 KB now.

--- a/internal/backend/monitor/load_test.go
+++ b/internal/backend/monitor/load_test.go
@@ -35,11 +35,13 @@
 	is.True(play(many) >= playMillis/(4*reportMillis+2*pollMillis))
 }
 
-// TestReportsOfAnIdleEngine checks that a load that does not change is still reported, so
-// that the hosts do not take it for unknown.
+// TestReportsOfAnIdleEngine checks that a load that does not change is still reported, and one
+// that changes no later than that, so that the hosts do not take it for unknown.
 func TestReportsOfAnIdleEngine(t *testing.T) {
 	is := is.New(t)
 	var report platform.EngineReport
-	is.True(!due(report, report, false, idleReportMillis-1, 900))
-	is.True(due(report, report, false, idleReportMillis, 900))
+	const manyHosts = 900
+	is.True(due(report, platform.EngineReport{Running: 1}, true, idleReportMillis, manyHosts))
+	is.True(!due(report, report, false, idleReportMillis-1, manyHosts))
+	is.True(due(report, report, false, idleReportMillis, manyHosts))
 }
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -27,9 +27,10 @@
 	// queryTimeoutMillis bounds one query of the engine.
 	queryTimeoutMillis = 500
 	// reportMillis is the least pause between reports of a load that changes, with up to
-	// reportWatchers watching entry hosts. With more of them the pause grows in proportion:
-	// then neither the messages that a monitor sends nor, as large deployments have as many
-	// engines as entry hosts, those that a host receives grow with the deployment.
+	// reportWatchers watching entry hosts. With more of them the pause grows in proportion,
+	// up to idleReportMillis: then neither the messages that a monitor sends nor, as large
+	// deployments have as many engines as entry hosts, those that a host receives grow with
+	// the deployment.
 	reportMillis   = 120
 	reportWatchers = 32
 	// idleReportMillis is the pause between reports of a load that does not change.
@@ -152,7 +153,8 @@
 	changed := placed || reported.Running != report.Running || reported.Queued != report.Queued ||
 		reported.UsedTokens != report.UsedTokens || starting(reported) != starting(report)
 	if changed {
-		return sinceMillis >= max(reportMillis, int64(reportMillis*watchers/reportWatchers))
+		pauseMillis := min(max(watchers, reportWatchers)*reportMillis/reportWatchers, idleReportMillis)
+		return sinceMillis >= int64(pauseMillis)
 	}
 	return sinceMillis >= idleReportMillis
 }
--- a/internal/caller/relay/answermemory.go
+++ b/internal/caller/relay/answermemory.go
@@ -13,7 +13,7 @@
 	// completely before they are forwarded.
 	maxAnswerMemoryBytes = 16 << 20
 	// answerChunkBytes is the size of the pieces in which such an answer is read.
-	answerChunkBytes = 32 << 10
+	answerChunkBytes = 4 << 10
 )
 
 // errAnswerMemory says that the other answers leave no memory for this one.
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -45,11 +45,8 @@
 // destination. If the destination does not continue the run, the stream is resumed
 // at the engine that stopped it.
 func (s *stream) resumeMigrated(ctx context.Context, cause error) bool {
-	loadTable := s.request.relay.LoadTable
-	leaving := loadTable.Leaving(s.attempt.server.ID) ||
-		loadTable.Pauses.Status(s.attempt.server, boottime.Now()).Leaving
 	migration, announced, _ := s.registration.Latest()
-	if !announced && !leaving {
+	if !announced && !s.request.relay.isLeaving(s.attempt.server) {
 		return false
 	}
 	wait, stop := context.WithDeadline(ctx, time.Now().Add(migrationWaitMillis*time.Millisecond))
@@ -151,10 +148,17 @@
 }
 
 // noticeLeaving calls OnLeaving if an engine that a stream now comes from is about to shut
-// down.
+// down, or is not listed any more.
 func (r *Relay) noticeLeaving(server discovery.BackendServer) {
-	listed, ok := r.StoreWatcher.Servers().List.Find(server.ID)
-	if !ok || listed.State == discovery.Draining || r.LoadTable.Pauses.Status(server, boottime.Now()).Leaving {
+	if _, listed := r.StoreWatcher.Servers().List.Find(server.ID); !listed || r.isLeaving(server) {
 		r.OnLeaving()
 	}
 }
+
+// isLeaving reports whether an engine is about to shut down, by its monitor, its entry or its
+// answers.
+func (r *Relay) isLeaving(server discovery.BackendServer) bool {
+	listed, _ := r.StoreWatcher.Servers().List.Find(server.ID)
+	return listed.State == discovery.Draining || r.LoadTable.Leaving(server.ID) ||
+		r.LoadTable.Pauses.Status(server, boottime.Now()).Leaving
+}
--- a/internal/caller/runmigration/runmigration.go
+++ b/internal/caller/runmigration/runmigration.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/signal"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverpause"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -108,7 +109,7 @@
 func (m *Migrator) leaving() (unmonitored []discovery.BackendServer, monitored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, server := range m.candidates(boottime.Now()) {
+	for _, server := range candidates(m.StoreWatcher.Servers().List, &m.LoadTable.Pauses, boottime.Now()) {
 		if m.active[server.ID] || len(m.Migrations.RunsOn(server.Address)) == 0 {
 			continue
 		}
@@ -126,16 +127,23 @@
 }
 
 // candidates returns the backend servers that are about to shut down: by their entries or
-// their answers, or because their entries were removed while they serve what they have.
-func (m *Migrator) candidates(now boottime.Instant) []discovery.BackendServer {
-	list := m.StoreWatcher.Servers().List
-	candidates := list.Gone()
+// their answers, or because their entries were removed while they serve what they have. A
+// server that was removed is gone for good once another one has its address.
+func candidates(list discovery.List, pauses *serverpause.Table, now boottime.Instant) []discovery.BackendServer {
+	var all []discovery.BackendServer
+	addresses := make(map[string]bool)
 	for _, server := range list.All() {
-		if server.State == discovery.Draining || m.LoadTable.Pauses.Status(server, now).Leaving {
-			candidates = append(candidates, server)
+		addresses[server.Address] = true
+		if server.State == discovery.Draining || pauses.Status(server, now).Leaving {
+			all = append(all, server)
 		}
 	}
-	return candidates
+	for _, server := range list.Gone() {
+		if !addresses[server.Address] {
+			all = append(all, server)
+		}
+	}
+	return all
 }
 
 // finish marks an engine as no longer active.
