perf: the ready servers of one service take no memory for the whole list

The list holds the servers of all services, thousands of them on a large deployment; the copy for one request was as large as that since the list is kept in order.

--- a/internal/routing/discovery/discovery.go
+++ b/internal/routing/discovery/discovery.go
@@ -214,7 +214,7 @@
 
 // Ready returns the servers of a service that accept new requests, in order of ID.
 func (l List) Ready(service string, now boottime.Instant) []BackendServer {
-	ready := make([]BackendServer, 0, len(l.byID))
+	var ready []BackendServer
 	for _, m := range l.byID {
 		if m.server.Service != service || m.server.State != Ready {
 			continue
