--- a/internal/trial/endtoend/platform_pause_test.go
+++ b/internal/trial/endtoend/platform_pause_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
 
@@ -29,18 +30,9 @@
 // service.
 func newPauseSite(t *testing.T, engines, plainServices int) *platformSite {
 	t.Helper()
-	s := newPlatformStore(t, int64(1+engines))
-	for n := range engines {
-		s.addEngine(n)
-	}
-	s.addPlainServices(plainServices)
-	s.configure(platformKey)
-	s.settings = s.entrySettings("entry")
-	s.settings.DrainMillis = pauseDrainMillis
-	s.entry = newProgram(t, "entry", "direct-entry", s.write("entry", s.settings))
-	s.entry.start()
-	eventually(t, "entry host ready", s.ready)
-	return s
+	return newAdjustedSite(t, engines, plainServices, func(settings *process.DirectEntry) {
+		settings.DrainMillis = pauseDrainMillis
+	})
 }
 
 // lookups sends requests to the plain service one after the other for pauseLoadMillis.
--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -87,6 +87,12 @@
 // newPlatformSite starts a deployment with one entry host and waits until the entry
 // host is ready.
 func newPlatformSite(t *testing.T, engines, plainServices int) *platformSite {
+	t.Helper()
+	return newAdjustedSite(t, engines, plainServices, func(*process.DirectEntry) {})
+}
+
+// newAdjustedSite is like newPlatformSite, with adjusted settings of the entry host.
+func newAdjustedSite(t *testing.T, engines, plainServices int, adjust func(*process.DirectEntry)) *platformSite {
 	t.Helper()
 	s := newPlatformStore(t, int64(1+engines))
 	for n := range engines {
@@ -94,6 +100,8 @@
 	}
 	s.addPlainServices(plainServices)
 	s.configure(platformKey)
+	s.settings = s.entrySettings("entry")
+	adjust(&s.settings)
 	s.startEntry()
 	eventually(t, "entry host ready", s.ready)
 	return s
@@ -245,7 +253,6 @@
 func (s *platformSite) startEntry() {
 	s.t.Helper()
 	if s.entry == nil {
-		s.settings = s.entrySettings("entry")
 		s.entry = newProgram(s.t, "entry", "direct-entry", s.write("entry", s.settings))
 	}
 	s.entry.start()
