observe: parts of prompts, broken answers and engines that ended in the log

'placed' now names the parts that other requests may have, too, and each answer that an engine breaks off has a line with its events so far, whether anything still listens at its address, and these parts. The check of the address is one connection for each broken answer. No decision changes.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -103,6 +103,7 @@
 			return unreached{err}
 		}
 		q.logLost(a.server, err)
+		q.noticeBroken(ctx, a.server, 0, err)
 		return lost{err}
 	}
 	a.call = call
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -109,7 +109,8 @@
 	q.log("placed", "Server", chosen.Server.ID, "Tokens", q.tokens(), "Prompt", q.caller.PromptTokens, "Hint", q.caller.HintTokens,
 		"LacksRoom", chosen.Lacking != placement.LacksNothing, "Starting", chosen.Starting, "UnreadTokens", chosen.UnreadTokens,
 		"Running", chosen.Running, "UsedTokens", chosen.UsedTokens, "ExpectedTokens", chosen.ExpectedTokens, "KeptTokens", chosen.KeptTokens,
-		"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis)
+		"SameZone", chosen.SameZone, "Leaving", chosen.Leaving, "ReportMillis", chosen.ReportMillis,
+		"Parts", q.caller.SharedParts)
 }
 
 // rank returns the order of the request among those that wait for room.
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
@@ -130,6 +132,9 @@
 	if err != nil {
 		s.request.log("stream not resumed at backend server", "Server", next.server.ID, "Error", err)
 		next.close(ctx.Err() == nil)
+		if !errors.Is(err, ErrNotSent) {
+			s.request.noticeBroken(ctx, next.server, s.events.count, err)
+		}
 		return false
 	}
 	next.call = call
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -76,6 +76,7 @@
 			return s.complete()
 		}
 		s.events.discardPartial()
+		s.request.noticeBroken(ctx, s.attempt.server, s.events.count, err)
 		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
 			return s.abandon(ctx, err)
 		}
