test: prompts with one part in common crash engine after engine, reproduced (fails)

Two whole deployments: eight engines that crash when they begin to answer a request with one part in its prompt, and serve again 1.5 s later as another incarnation; three or four entry hosts, of which one reads the store. Sound requests share the first part. Known red until the fix.

The stand-ins gain an engine that crashes by a part of a prompt, and the store's call that appends records.

--- a/internal/standin/keyedlog/keyedlog.go
+++ b/internal/standin/keyedlog/keyedlog.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -118,6 +119,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /log-newest", l.newest)
 	mux.HandleFunc("GET /log-read", l.read)
+	mux.HandleFunc("POST /log-append", l.append)
 	return l.withFaults(mux)
 }
 
@@ -163,6 +165,49 @@
 	l.changed = make(chan struct{})
 }
 
+// append appends the records in the body, each after its length.
+func (l *Log) append(w http.ResponseWriter, r *http.Request) {
+	name := r.FormValue("topic")
+	body, err := io.ReadAll(r.Body)
+	if err != nil || name == "keyed.op" || name == "keyed.servers" {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	records, ok := decodeAppend(body)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	offset := len(t.records)
+	t.records = append(t.records, records...)
+	l.notifyChange()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"offset": offset, "end": len(t.records)})
+}
+
+// decodeAppend decodes the records of an append. It returns false when they are malformed.
+func decodeAppend(body []byte) ([]record, bool) {
+	const lengthBytes = 4
+	var records []record
+	for len(body) > 0 {
+		if len(body) < lengthBytes {
+			return nil, false
+		}
+		length := int(binary.BigEndian.Uint32(body))
+		body = body[lengthBytes:]
+		if length == 0 || length > len(body) || int(body[0])+1 > length {
+			return nil, false
+		}
+		end := int(body[0]) + 1
+		records = append(records, record{key: string(body[1:end]), value: body[end:length]})
+		body = body[length:]
+	}
+	return records, true
+}
+
 // newest responds with the newest record of each key.
 func (l *Log) newest(w http.ResponseWriter, r *http.Request) {
 	type item struct {
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -138,6 +138,11 @@
 		if faults.StallBefore != 0 && event == faults.StallBefore {
 			stall(w, q, faults)
 		}
+		if faults.crashes(q) {
+			_ = http.NewResponseController(w).Flush()
+			r.OnCrash()
+			panic(http.ErrAbortHandler)
+		}
 		if r.shutDownWithRuns() {
 			panic(http.ErrAbortHandler)
 		}
@@ -145,6 +150,11 @@
 	}
 }
 
+// crashes reports whether the engine crashes when it begins to answer a request.
+func (f Faults) crashes(q *http.Request) bool {
+	return f.CrashPart != "" && strings.Contains(q.Header.Get("Fulmarvalve-Prompt-Prefix"), f.CrashPart+":")
+}
+
 // stall waits for the time of the fault, or until the client is gone.
 func stall(w http.ResponseWriter, q *http.Request, faults Faults) {
 	end := time.After(time.Duration(faults.StallMillis) * time.Millisecond)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -75,6 +75,9 @@
 	// RefuseMigrations makes the server refuse copy requests and continue its runs.
 	// Their streams break when the server shuts down, at the time given to Drain.
 	RefuseMigrations bool
+	// CrashPart is the ID of a part of prompts. The engine calls Replica.OnCrash when it
+	// begins to answer a request with the part; empty for none.
+	CrashPart string
 }
 
 // Arrival is a request that reached a backend server.
@@ -111,6 +114,9 @@
 	ID string
 	// Group is shared by the servers of one service.
 	Group *Group
+	// OnCrash ends the server, with all its connections. It is set before the server
+	// serves.
+	OnCrash func()
 
 	mu     sync.Mutex
 	faults Faults
--- /dev/null
+++ b/internal/trial/endtoend/platform_crash_test.go
@@ -0,0 +1,280 @@
+package endtoend
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
+)
+
+const (
+	// crashedMillis is the time from the crash of an engine until it serves again, as
+	// another incarnation.
+	crashedMillis = 1500
+	// crashCount is the number of crashes after which the part that caused them must be
+	// known, and crashSettleMillis the time from then until all entry hosts keep requests
+	// with the part away from engines.
+	crashCount        = 5
+	crashSettleMillis = 3000
+	// maxSentAfter bounds the requests with the part that reach engines from then on.
+	maxSentAfter = 3
+	// readMillis is the time that an engine takes to read a prompt.
+	readMillis = 100
+
+	crashPart = "bad0"
+	firstPart = "f1"
+)
+
+// crash is the end of an engine by the part of a prompt.
+type crash struct {
+	part string
+	at   time.Time
+}
+
+// crashSite is a deployment whose engines crash when they begin to answer a request with a
+// certain part in its prompt.
+type crashSite struct {
+	*rateLimitSite
+
+	mu      sync.Mutex
+	crashes []crash
+	// servers holds all incarnations of all engines.
+	servers []*replica.Replica
+	// incarnations runs the servers until ctx ends.
+	incarnations errgroup.Group
+	ctx          context.Context //nolint:containedctx // It ends with the test.
+	// next is the number of the newest incarnation.
+	next atomic.Int64
+}
+
+// newCrashSite starts a deployment with that many engines and entry hosts. The first host
+// reads the store, the others read through it.
+func newCrashSite(t *testing.T, engines, entries int) *crashSite {
+	t.Helper()
+	s := &crashSite{rateLimitSite: &rateLimitSite{platformSite: newPlatformStore(t, int64(engines+entries))}}
+	ctx, stop := context.WithCancel(context.Background())
+	s.ctx = ctx
+	t.Cleanup(func() {
+		stop()
+		_ = s.incarnations.Wait()
+	})
+	for n := range engines {
+		pool := newAddressPool(t)
+		server := s.startIncarnation(pool.ip + ":0")
+		settings := s.monitorSettings(&platformEngine{Replica: server, number: n}, pool.ip)
+		settings.Name = fmt.Sprintf("monitor-%d", n)
+		newProgram(t, settings.Name, "direct-backend", s.write(settings.Name, settings)).start()
+	}
+	s.configure(platformKey)
+	readers := []string{}
+	for n := range entries {
+		settings := s.entrySettings(fmt.Sprintf("entry-%d", n))
+		settings.MetricsPort += n
+		if n == 0 {
+			readers = append(readers, settings.ControlAddress)
+		}
+		settings.Readers = readers
+		h := &rateLimitHost{program: newProgram(t, settings.Name, "direct-entry", s.write(settings.Name, settings)), settings: settings}
+		s.hosts = append(s.hosts, h)
+	}
+	s.startHosts(t)
+	s.settings = s.hosts[0].settings
+	return s
+}
+
+// startHosts starts the entry hosts that do not run, and waits until all are ready.
+func (s *crashSite) startHosts(t *testing.T) {
+	t.Helper()
+	for _, h := range s.hosts {
+		if !h.running() {
+			h.start()
+		}
+	}
+	for _, h := range s.hosts {
+		eventually(t, h.name+" ready", func() error { return readyAt(h.settings.ReadyAddress) })
+	}
+}
+
+// startIncarnation starts an engine and registers it. The engine starts again as another
+// incarnation some time after its crash.
+func (s *crashSite) startIncarnation(address string) *replica.Replica {
+	ctx, stop := context.WithCancel(s.ctx)
+	server := &replica.Replica{ID: fmt.Sprintf("engine-%d", s.next.Add(1)), Group: &s.group}
+	server.SetFaults(replica.Faults{CrashPart: crashPart, StallBefore: 1, StallMillis: readMillis})
+	var once sync.Once
+	server.OnCrash = func() {
+		once.Do(func() {
+			s.recordCrash()
+			stop()
+		})
+	}
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	s.incarnations.Go(func() error {
+		defer stop()
+		err := server.Serve(ctx, address, server.Routes())
+		s.restart(server)
+		return err
+	})
+	server.Addr()
+	s.register(server, "engines", "ready")
+	return server
+}
+
+// restart starts the next incarnation of an engine that has crashed.
+func (s *crashSite) restart(server *replica.Replica) {
+	select {
+	case <-s.ctx.Done():
+		return
+	case <-time.After(crashedMillis * time.Millisecond):
+	}
+	s.log.Put("keyed.servers", server.ID, nil)
+	s.startIncarnation(server.Addr())
+}
+
+func (s *crashSite) recordCrash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, crash{part: crashPart, at: time.Now()})
+}
+
+// settledAt returns the time from which requests with the part are kept away, or false when
+// there were too few crashes.
+func (s *crashSite) settledAt() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.crashes) < crashCount {
+		return time.Time{}, false
+	}
+	return s.crashes[crashCount-1].at.Add(crashSettleMillis * time.Millisecond), true
+}
+
+// sentAfter counts the requests with the part that reached engines after a time.
+func (s *crashSite) sentAfter(at time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, server := range s.servers {
+		for _, arrival := range server.Arrivals() {
+			if arrival.At.After(at) && strings.Contains(arrival.Header.Get("Fulmarvalve-Prompt-Prefix"), crashPart) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// checkKeptAway fails the test if more requests with the part than allowed reached engines
+// once the part must have been known.
+func (s *crashSite) checkKeptAway(t *testing.T) {
+	t.Helper()
+	s.mu.Lock()
+	crashes := len(s.crashes)
+	s.mu.Unlock()
+	at, settled := s.settledAt()
+	if !settled {
+		t.Logf("%d crashes", crashes)
+		return
+	}
+	sent := s.sentAfter(at)
+	t.Logf("%d crashes; %d requests with the part were sent to engines from %d ms after crash %d, allowed %d",
+		crashes, sent, crashSettleMillis, crashCount, maxSentAfter)
+	if sent > maxSentAfter {
+		t.Errorf("%d requests with the part were sent to engines after it must have been known, allowed %d", sent, maxSentAfter)
+	}
+}
+
+// checkRequest returns a request of the resumable route whose prompt has the given parts
+// before its own.
+func checkRequest(id string, parts ...string) callerRequest {
+	const events = 3
+	prefix := ""
+	for _, part := range parts {
+		prefix += part + ":100,"
+	}
+	return callerRequest{
+		method: http.MethodPost, target: resumablePath + "x", id: id, key: platformKey, tokens: 4 * events, body: "{}",
+		header: http.Header{"Fulmarvalve-Prompt-Prefix": {prefix + fmt.Sprintf("%x:200", id)}},
+	}
+}
+
+// badRequest returns a request whose prompt has the part that crashes engines.
+func badRequest(id string) callerRequest {
+	return checkRequest(id, firstPart, crashPart)
+}
+
+// soundRequest returns a request with the same first part, and often with another one.
+func soundRequest(id string) callerRequest {
+	if rand.IntN(2) == 0 {
+		return checkRequest(id, firstPart)
+	}
+	return checkRequest(id, firstPart, fmt.Sprintf("a%d", rand.IntN(3)))
+}
+
+// served counts the complete answers.
+func served(replies []callerReply) int {
+	count := 0
+	for _, r := range replies {
+		if r.err == nil && r.status == http.StatusOK && len(r.events()) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// TestPromptPartThatCrashesEngines guards against requests with one part in their prompts that
+// crash engine after engine: once the part must be known, all entry hosts keep them away, and
+// serve requests that share the other parts.
+func TestPromptPartThatCrashesEngines(t *testing.T) {
+	t.Parallel()
+	const engines, entries, soundPauseMillis, badPauseMillis = 8, 4, 50, 200
+	s := newCrashSite(t, engines, entries)
+	before := s.load("before", 2000, soundPauseMillis, soundRequest)
+	var group errgroup.Group
+	group.Go(func() error {
+		s.load("bad", 12_000, badPauseMillis, badRequest)
+		return nil
+	})
+	s.load("storm", 8000, soundPauseMillis, soundRequest)
+	after := s.load("after", 4000, soundPauseMillis, soundRequest)
+	_ = group.Wait()
+	s.checkKeptAway(t)
+	shareBefore := float64(served(before)) / float64(len(before))
+	shareAfter := float64(served(after)) / float64(len(after))
+	t.Logf("served %.2f of the sound requests before, %.2f after", shareBefore, shareAfter)
+	if shareAfter < shareBefore/2 {
+		t.Errorf("%.2f of the sound requests were served after the part must have been known, %.2f before", shareAfter, shareBefore)
+	}
+}
+
+// TestPromptPartThatCrashesEnginesAfterRestart guards against entry hosts that forget the part
+// when all of them restart.
+func TestPromptPartThatCrashesEnginesAfterRestart(t *testing.T) {
+	t.Parallel()
+	const engines, entries, soundPauseMillis, badPauseMillis = 8, 3, 50, 200
+	s := newCrashSite(t, engines, entries)
+	s.load("before", 1000, soundPauseMillis, soundRequest)
+	var group errgroup.Group
+	group.Go(func() error {
+		s.load("bad", 6000, badPauseMillis, badRequest)
+		return nil
+	})
+	s.load("storm", 6000, soundPauseMillis, soundRequest)
+	_ = group.Wait()
+	for _, h := range s.hosts {
+		h.kill()
+	}
+	s.startHosts(t)
+	s.load("bad-after", 3000, badPauseMillis, badRequest)
+	s.checkKeptAway(t)
+}
