fix: answers that end with their connection are not complete when their server has ended

A stream that comes without chunks ends with its connection. When its engine crashed between two events, or before the first one, the caller got a whole answer of status 200, and the crash left no evidence against the prompt. Such an answer now counts as broken off if it has no event, or if nothing listens at the server's address any more. One that ends within an event did before.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -191,6 +191,9 @@
 	if err == nil && answer.StatusCode < http.StatusMultipleChoices && !platform.Signed(answer.Header) {
 		err = errors.New("answer has no signature")
 	}
+	if err == nil && a.call.endsWithConnection() && hasEnded(ctx, a.server.Address) {
+		err = errBrokenOff
+	}
 	a.close(err != nil || answer.StatusCode >= http.StatusInternalServerError)
 	if err != nil {
 		q.logLost(a.server, err)
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -74,6 +74,12 @@
 	write errgroup.Group
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks, so that its end
+// is that of the connection.
+func (c *Call) endsWithConnection() bool {
+	return c.Answer.ContentLength < 0 && len(c.Answer.TransferEncoding) == 0
+}
+
 // Close ends the call and closes its connection.
 func (c *Call) Close() {
 	c.stop()
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -56,6 +56,9 @@
 	series *metrics.Series
 }
 
+// errBrokenOff says that an answer without an end of its own was broken off.
+var errBrokenOff = errors.New("answer was broken off with its connection")
+
 // errCallerGone marks a failure to send events to the caller.
 var errCallerGone = errors.New("events cannot be sent to the caller")
 
@@ -146,7 +149,7 @@
 			return sendErr
 		}
 		if errors.Is(err, io.EOF) && len(s.events.pending) == 0 {
-			return nil
+			return s.checkEnd(ctx)
 		}
 		if err != nil {
 			return errors.Wrap(err, "read stream")
@@ -157,6 +160,18 @@
 	}
 }
 
+// checkEnd returns an error if an answer that ended between two events was broken off. One that
+// ends with its connection shows that only if it has no event, or if its server has ended.
+func (s *stream) checkEnd(ctx context.Context) error {
+	if !s.attempt.call.endsWithConnection() {
+		return nil
+	}
+	if s.events.count == 0 || hasEnded(ctx, s.attempt.server.Address) {
+		return errBrokenOff
+	}
+	return nil
+}
+
 // forward sends the events that data completes to the caller.
 func (s *stream) forward(data []byte) error {
 	events, err := s.events.add(data)
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -124,6 +124,10 @@
 	r.addRun(id, running)
 	defer r.removeRun(id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if faults.EndByClose {
+		// The server of net/http then sends no chunks and closes the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	for event := number(q.Header, "Last-Event-Id") + 1; event <= outputTokens/eventTokens; event++ {
 		select {
 		case <-running.stop:
@@ -138,7 +142,7 @@
 		if faults.StallBefore != 0 && event == faults.StallBefore {
 			stall(w, q, faults)
 		}
-		if faults.crashes(q) {
+		if faults.crashes(q) || (faults.CrashAfter != 0 && event > faults.CrashAfter) {
 			_ = http.NewResponseController(w).Flush()
 			r.OnCrash()
 			panic(http.ErrAbortHandler)
@@ -183,8 +187,8 @@
 	if faults.BreakAfter != 0 && event > faults.BreakAfter {
 		if faults.BreakWithinEvent {
 			_, _ = io.WriteString(w, text[:len(text)/2])
-			_ = http.NewResponseController(w).Flush()
 		}
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = io.WriteString(w, text)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -57,6 +57,11 @@
 	TruncateBody bool
 	// NoContentLength makes a plain service omit the Content-Length header.
 	NoContentLength bool
+	// EndByClose makes streams come without chunks, so that they end with their connection.
+	EndByClose bool
+	// CrashAfter is the number of the event after which the engine calls Replica.OnCrash;
+	// zero for never.
+	CrashAfter int
 	// BreakAfter is the number of the event after which every stream is broken;
 	// zero breaks none.
 	BreakAfter int
