--- a/internal/records/lossreport/lossreport.go
+++ b/internal/records/lossreport/lossreport.go
@@ -24,6 +24,8 @@
 	MigrationFailed Cause = "MigrationFailed"
 	// ServerBroke means that the backend server broke the answer off without notice.
 	ServerBroke Cause = "ServerBroke"
+	// EngineCrashed means that the engine ended without notice.
+	EngineCrashed Cause = "EngineCrashed"
 	// ProcessEnded means that the log of the request ends with its process.
 	ProcessEnded Cause = "ProcessEnded"
 	// FailedByServer means that the backend server answered with a failure.
@@ -117,6 +119,8 @@
 	obstacle string
 	// resumed says that the stream was resumed after a migration.
 	resumed bool
+	// crashed says that an engine ended without notice under the request.
+	crashed bool
 }
 
 // stories collects the lines of each request.
@@ -148,6 +152,10 @@
 		s.obstacle, _ = line.Fields["Obstacle"].(string)
 	case "migrated stream is being resumed":
 		s.resumed = true
+	case "answer broken off":
+		ended, _ := line.Fields["Ended"].(bool)
+		leaving, _ := line.Fields["Leaving"].(bool)
+		s.crashed = s.crashed || (ended && !leaving)
 	case "streamed", "stream lost", "answered", "request refused", "caller disconnected":
 		// A stream that was lost before its first event is also refused; the loss is the
 		// cause.
@@ -212,6 +220,8 @@
 		return NoRoomAtShutdown
 	case s.resumed:
 		return MigrationFailed
+	case s.crashed:
+		return EngineCrashed
 	default:
 		return ServerBroke
 	}
--- a/internal/records/lossreport/lossreport_test.go
+++ b/internal/records/lossreport/lossreport_test.go
@@ -14,6 +14,7 @@
 	streamed   = `{"Time":"2026-01-01T00:00:09Z","Message":"streamed","Request":"r","AimMillis":1800,"MaxPauseMillis":180,`
 	lostLine   = `{"Time":"2026-01-01T00:00:09Z","Message":"stream lost","Request":"r"}`
 	refused    = `{"Time":"2026-01-01T00:00:10Z","Message":"request refused","Request":"r","Reason":`
+	brokenOff  = `{"Time":"2026-01-01T00:00:08Z","Message":"answer broken off","Request":"r",`
 	notMoved   = `{"Time":"2026-01-01T00:00:08Z","Message":"run not migrated","Request":"r","Obstacle":`
 )
 
@@ -35,6 +36,8 @@
 		{"lost after a migration", []string{placedLine, `{"Time":"2026-01-01T00:00:08Z","Message":"migrated stream is being resumed","Request":"r"}`, lostLine}, MigrationFailed},
 		{"server broke off", []string{placedLine, lostLine}, ServerBroke},
 		{"lost before the first event", []string{placedLine, lostLine, refused + `"ReplyLost"}`}, ServerBroke},
+		{"engine crashed", []string{placedLine, brokenOff + `"Ended":true,"Leaving":false}`, lostLine}, EngineCrashed},
+		{"engine ended as announced", []string{placedLine, brokenOff + `"Ended":true,"Leaving":true}`, lostLine}, ServerBroke},
 		{"process ended", []string{placedLine}, ProcessEnded},
 		{"failed by its server", []string{`{"Time":"2026-01-01T00:00:02Z","Message":"answered","Request":"r","Status":500}`}, FailedByServer},
 		{"answered", []string{`{"Time":"2026-01-01T00:00:02Z","Message":"answered","Request":"r","Status":200}`}, ""},
--- a/internal/trial/endtoend/platform_crash_test.go
+++ b/internal/trial/endtoend/platform_crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -310,6 +311,15 @@
 		h.kill()
 	}
 	s.startHosts(t)
+	eventually(t, "all hosts know the part again", func() error {
+		for _, h := range s.hosts {
+			status, err := queryStatus(h.settings.ControlAddress)
+			if err != nil || !slices.Equal(status.QuarantinedParts, []string{crashPart}) {
+				return fmt.Errorf("%s: quarantined parts %v, error %w", h.name, status.QuarantinedParts, err)
+			}
+		}
+		return nil
+	})
 	before := s.crashCount()
 	replies := s.load("bad-after", 3000, badPauseMillis, badRequest)
 	s.checkKeptAway(t)
