fix(dispatch): a request that failed two engines before its first token is not sent to a third

The path knows no parts of prompts, so that further requests of the same kind are still tried, twice each.

--- a/internal/routing/dispatch/dispatch_test.go
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -190,6 +190,27 @@
 	is.Equal(full.calls(), 1)
 }
 
+// TestRequestThatFailsEnginesIsNotSentToEach guards against a request that crashes the engine
+// that begins to answer it, and is sent to one after the other.
+func TestRequestThatFailsEnginesIsNotSentToEach(t *testing.T) {
+	is := is.New(t)
+	var owners []*owner
+	for n := range 4 {
+		o := &owner{name: string(rune('a' + n)), incarnation: 7}
+		o.script = append(o.script, o.refuse(resultcode.EngineFailed, false))
+		o.serve(t)
+		owners = append(owners, o)
+	}
+	result := runner(&picker{owners: owners}, nil).
+		Generate(context.Background(), Request{ID: "r1", Repeatable: true}, &recordingSink{})
+	is.Equal(result.Code, resultcode.EngineFailed)
+	calls := 0
+	for _, o := range owners {
+		calls += o.calls()
+	}
+	is.Equal(calls, maxEngineFailures)
+}
+
 // TestHeartbeatsKeepSlowCallAlive checks that a plain service may take longer than
 // the progress deadline while its owner sends heartbeats.
 func TestHeartbeatsKeepSlowCallAlive(t *testing.T) {
--- a/internal/routing/dispatch/job.go
+++ b/internal/routing/dispatch/job.go
@@ -11,6 +11,10 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
+// maxEngineFailures is the number of engines that may fail before the first token of a request,
+// after which it is not sent to another one: they may crash because of the request.
+const maxEngineFailures = 2
+
 // job is the state of one request on its entry host. It is used by one goroutine.
 type job struct {
 	*Runner
@@ -32,6 +36,8 @@
 	// unknownResult is the result of the last attempt that may have run, or nil if
 	// none has.
 	unknownResult *resultcode.Result
+	// engineFailures is the number of engines that failed before the first token.
+	engineFailures int
 	// connectedAt is the time at which the current connection was opened.
 	connectedAt time.Time
 	// resumed is set when the request continues an earlier delivery, so that the
@@ -200,6 +206,12 @@
 	if j.delivery.Next() > 0 && !j.request.Whole {
 		return false
 	}
+	if code == resultcode.EngineFailed && j.delivery.Next() == 0 {
+		j.engineFailures++
+	}
+	if j.engineFailures >= maxEngineFailures {
+		return false
+	}
 	j.delivery = &delivery.Delivery{RequestID: j.request.ID}
 	return true
 }
