--- a/cmd/root.go
+++ b/cmd/root.go
@@ -94,6 +94,7 @@
 			newExplainCommand(),
 			newTraceCommand(),
 			newDrainCommand(),
+			newReleaseCommand(),
 			newDemoCommand(),
 			newStandinsCommand(),
 			newVersionCommand(),
