test: soak of hosts and store while a prompt part crashes engines; crash records are read less often in an outage

The reads of crash records failed every 0.3 s in an outage of the store, like those of the state whose age matters; now every 1.5 s.

--- a/internal/settings/storewatcher/follower.go
+++ b/internal/settings/storewatcher/follower.go
@@ -17,8 +17,9 @@
 	replyTimeoutMillis = 700
 	// pageMillis is the time limit of each page of the newest records.
 	pageMillis = 1300
-	// retryMillis is the pause after a failed call.
-	retryMillis = 300
+	// stateRetryMillis is the pause after a failed read of the configuration or of the list, on
+	// whose age requests depend.
+	stateRetryMillis = 300
 	// pauseSlackMillis is how much longer than its time limit an operation may take in a
 	// process that was not paused.
 	pauseSlackMillis = 100
@@ -31,8 +32,9 @@
 	waitMillis int64
 	// peerWaitMillis is how long a read waits at another entry host.
 	peerWaitMillis int64
-	// pauseMillis is the pause between reads.
+	// pauseMillis is the pause between reads, and retryMillis that after a failed one.
 	pauseMillis int64
+	retryMillis int64
 	watcher     *Watcher
 
 	// synced is set once all keys were read. Later reads return the changes from
@@ -76,7 +78,7 @@
 	case f.paused:
 		return 0
 	case err != nil:
-		return retryMillis
+		return f.retryMillis
 	default:
 		return f.pauseMillis
 	}
--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -33,6 +33,8 @@
 	crashesPeerWaitMillis = 1500
 	// crashesPauseMillis batches crash records, as several hosts see the same crash.
 	crashesPauseMillis = 30
+	// crashesRetryMillis is the pause after a failed read of crash records.
+	crashesRetryMillis = 1500
 )
 
 // Configuration is a configuration with the time up to which it is confirmed.
@@ -93,25 +95,33 @@
 // Run watches the store until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		f := follower{topic: platform.ConfigurationTopic, waitMillis: changeWaitMillis, peerWaitMillis: peerWaitMillis, watcher: w}
-		return f.run(ctx, w.updateConfiguration)
-	})
-	group.Go(func() error {
-		f := follower{
-			topic: platform.ServersTopic, waitMillis: changeWaitMillis, peerWaitMillis: peerWaitMillis,
-			pauseMillis: serversPauseMillis, watcher: w,
-		}
-		return f.run(ctx, w.updateServers)
-	})
+	configuration := &follower{
+		topic:          platform.ConfigurationTopic,
+		waitMillis:     changeWaitMillis,
+		peerWaitMillis: peerWaitMillis,
+		retryMillis:    stateRetryMillis,
+		watcher:        w,
+	}
+	group.Go(func() error { return configuration.run(ctx, w.updateConfiguration) })
+	servers := &follower{
+		topic:          platform.ServersTopic,
+		waitMillis:     changeWaitMillis,
+		peerWaitMillis: peerWaitMillis,
+		pauseMillis:    serversPauseMillis,
+		retryMillis:    stateRetryMillis,
+		watcher:        w,
+	}
+	group.Go(func() error { return servers.run(ctx, w.updateServers) })
 	if w.OnCrashes != nil {
-		group.Go(func() error {
-			f := follower{
-				topic: platform.CrashesTopic, waitMillis: crashesWaitMillis, peerWaitMillis: crashesPeerWaitMillis,
-				pauseMillis: crashesPauseMillis, watcher: w,
-			}
-			return f.run(ctx, func(r topicRead) { w.OnCrashes(r.records.List) })
-		})
+		crashes := &follower{
+			topic:          platform.CrashesTopic,
+			waitMillis:     crashesWaitMillis,
+			peerWaitMillis: crashesPeerWaitMillis,
+			pauseMillis:    crashesPauseMillis,
+			retryMillis:    crashesRetryMillis,
+			watcher:        w,
+		}
+		group.Go(func() error { return crashes.run(ctx, func(r topicRead) { w.OnCrashes(r.records.List) }) })
 	}
 	return group.Wait()
 }
--- a/internal/trial/endtoend/platform_crash_test.go
+++ b/internal/trial/endtoend/platform_crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/keyedlog"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
 
@@ -330,3 +332,79 @@
 		t.Errorf("%d of %d requests with the part were refused as not run", refused, len(replies))
 	}
 }
+
+var (
+	crashSeed = flag.Uint64("crash-seed", 1, "first seed of TestCrashSoak")
+	crashRuns = flag.Int("crash-runs", 1, "number of seeds of TestCrashSoak")
+)
+
+// TestCrashSoak plays random faults of hosts and of the store while requests with a part that
+// crashes engines go on. Some time after the last fault the part must be kept away, and sound
+// requests must be served.
+func TestCrashSoak(t *testing.T) {
+	t.Parallel()
+	for n := range *crashRuns {
+		seed := *crashSeed + uint64(n)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			const engines, entries, faultMillis, checkMillis, soundPauseMillis, badPauseMillis = 6, 3, 6000, 4000, 50, 200
+			s := newCrashSite(t, engines, entries)
+			s.load("before", 1000, soundPauseMillis, soundRequest)
+			var group errgroup.Group
+			group.Go(func() error {
+				s.load("bad", faultMillis+crashSettleMillis+checkMillis, badPauseMillis, badRequest)
+				return nil
+			})
+			group.Go(func() error {
+				s.injectHostFaults(rand.New(rand.NewPCG(seed, 1)), time.Now().Add(faultMillis*time.Millisecond))
+				return nil
+			})
+			s.load("storm", faultMillis+crashSettleMillis, soundPauseMillis, soundRequest)
+			settled := time.Now()
+			after := s.load("after", checkMillis, soundPauseMillis, soundRequest)
+			_ = group.Wait()
+			sent := s.sentAfter(settled)
+			t.Logf("seed %d: %d crashes, %d requests with the part sent after the faults, %d of %d sound requests served",
+				seed, s.crashCount(), sent, served(after), len(after))
+			if sent > maxSentAfter {
+				t.Errorf("seed %d: %d requests with the part were sent after the faults, allowed %d", seed, sent, maxSentAfter)
+			}
+			if 2*served(after) < len(after) {
+				t.Errorf("seed %d: %d of %d sound requests were served after the faults", seed, served(after), len(after))
+			}
+		})
+	}
+}
+
+// injectHostFaults injects random faults, one after the other, until a time.
+func (s *crashSite) injectHostFaults(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		host := s.hosts[random.IntN(len(s.hosts))]
+		pause := time.Duration(100+random.IntN(900)) * time.Millisecond
+		switch random.IntN(5) {
+		case 0:
+			host.interrupt(func() {
+				host.kill()
+				host.start()
+				time.Sleep(pause)
+			})
+		case 1:
+			for _, h := range s.hosts {
+				h.kill()
+				h.start()
+			}
+		case 2:
+			host.freeze()
+			time.Sleep(pause)
+			host.thaw()
+		case 3:
+			s.log.SetFaults(keyedlog.Faults{RefuseStatus: http.StatusServiceUnavailable})
+			time.Sleep(pause)
+			s.log.SetFaults(keyedlog.Faults{})
+		case 4:
+			s.log.SetFaults(keyedlog.Faults{Unresponsive: true})
+			time.Sleep(pause)
+			s.log.SetFaults(keyedlog.Faults{})
+		}
+		time.Sleep(pause / 2)
+	}
+}
