--- a/internal/settings/storecache/storecache.go
+++ b/internal/settings/storecache/storecache.go
@@ -26,6 +26,9 @@
 	// to reach the store. A client that is ahead of the cache then waits, because
 	// the cache will soon catch up.
 	freshMillis = 1300
+	// lostMillis is the age of the newest data of all topics from which this host is assumed
+	// to have lost the store. It exceeds maxWaitMillis, as the age grows while a read waits.
+	lostMillis = 2600
 	// maxWaitMillis is the maximum time that one read waits for a change.
 	maxWaitMillis = 2000
 	// wholeBytesPerSecond and wholeBurstBytes bound the replies with the newest record of
@@ -155,7 +158,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topic(request.GetTopic())
-	ageMillis := boottime.Now().MillisSince(t.confirmedAt)
+	now := boottime.Now()
+	ageMillis := now.MillisSince(t.confirmedAt)
+	if t.confirmedAt != 0 && !c.reachesStore(now) {
+		return &digest.ReadReply{}, t.changed, false
+	}
 	if t.confirmedAt == 0 || t.isBehind(request) {
 		return &digest.ReadReply{}, t.changed, t.confirmedAt == 0 || ageMillis <= freshMillis
 	}
@@ -179,6 +186,18 @@
 	return reply, t.changed, false
 }
 
+// reachesStore reports whether some topic was confirmed lately. Reads of a topic that changes
+// rarely wait so long that its own age does not say whether this host still reaches the store.
+// The caller holds the mutex.
+func (c *Cache) reachesStore(now boottime.Instant) bool {
+	for _, t := range c.topics {
+		if now.MillisSince(t.confirmedAt) <= lostMillis {
+			return true
+		}
+	}
+	return false
+}
+
 // allowWhole reports whether a reply with the newest record of each key may be sent now. The
 // client reads the store itself otherwise. The caller holds the mutex.
 func (c *Cache) allowWhole(t *topic) bool {
--- a/internal/settings/storecache/storecache_test.go
+++ b/internal/settings/storecache/storecache_test.go
@@ -142,7 +142,7 @@
 	is.Equal(keys(reply), []string{"d"})
 
 	stale := &Cache{}
-	stale.Update(TopicRead{Topic: "t", Records: records(5, "a"), Complete: true, ConfirmedAt: boottime.Now().AddMillis(-2 * freshMillis)})
+	stale.Update(TopicRead{Topic: "t", Records: records(5, "a"), Complete: true, ConfirmedAt: boottime.Now().AddMillis(-2 * lostMillis)})
 	started := time.Now()
 	is.True(!read(t, stale, 7, maxWaitMillis).GetKnown())
 	is.True(time.Since(started) < time.Second)
@@ -202,3 +202,14 @@
 	is.True(bytes <= boundBytes)
 	is.True(read(t, cache, 1, 0).GetKnown()) // a host that lacks no more than changes is served
 }
+
+// TestHostThatLostTheStore checks that old data of a topic is only given out while the host
+// still reads another topic.
+func TestHostThatLostTheStore(t *testing.T) {
+	is := is.New(t)
+	cache := &Cache{}
+	cache.Update(TopicRead{Topic: "t", Records: records(10, "a"), Complete: true, ConfirmedAt: boottime.Now().AddMillis(-2 * lostMillis)})
+	is.True(!read(t, cache, -1, 0).GetKnown())
+	cache.Update(TopicRead{Topic: "other", Records: records(3, "b"), Complete: true, ConfirmedAt: boottime.Now()})
+	is.True(read(t, cache, -1, 0).GetKnown())
+}
--- a/internal/settings/storewatcher/follower.go
+++ b/internal/settings/storewatcher/follower.go
@@ -35,7 +35,9 @@
 	// pauseMillis is the pause between reads, and retryMillis that after a failed one.
 	pauseMillis int64
 	retryMillis int64
-	watcher     *Watcher
+	// interrupt ends a read that waits at the store; nil if nothing does.
+	interrupt *interrupt
+	watcher   *Watcher
 
 	// synced is set once all keys were read. Later reads return the changes from
 	// the offset next on.
@@ -151,6 +153,10 @@
 	deadline := time.Now().Add(time.Duration(waitMillis+replyTimeoutMillis) * time.Millisecond)
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
+	if f.interrupt != nil {
+		f.interrupt.set(stop)
+		defer f.interrupt.set(nil)
+	}
 	return f.watcher.Store.Read(ctx, f.topic, f.next, waitMillis)
 }
 
@@ -200,5 +206,8 @@
 	}
 	f.failing = false
 	f.recoveredAt = boottime.Now()
+	if f.interrupt == nil {
+		f.watcher.longRead.fire()
+	}
 	f.watcher.Log.Info("reading the store succeeded again", "Topic", f.topic)
 }
--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -26,9 +26,9 @@
 	// serversPauseMillis is the pause between reads of the list of backend servers.
 	// It batches changes of the list, which arrive several at a time.
 	serversPauseMillis = 250
-	// crashesWaitMillis is how long a read of crash records waits for one. They are rare and
-	// need no confirmation; the wait bounds how long a dead connection goes unnoticed.
-	crashesWaitMillis = 2000
+	// crashesWaitMillis is how long a read of crash records waits for one. They are rare, and
+	// the other topics show sooner that the store is not reached.
+	crashesWaitMillis = 5000
 	// crashesPeerWaitMillis is the same for a read at another entry host.
 	crashesPeerWaitMillis = 1500
 	// crashesPauseMillis batches crash records, as several hosts see the same crash.
@@ -74,6 +74,8 @@
 	servers       atomic.Pointer[Servers]
 	// evacuatedZones holds the availability zones that are being evacuated.
 	evacuatedZones atomic.Pointer[map[string]bool]
+	// longRead ends the read of crash records that waits at the store.
+	longRead interrupt
 }
 
 // Configuration returns the newest configuration that was read.
@@ -119,6 +121,7 @@
 			peerWaitMillis: crashesPeerWaitMillis,
 			pauseMillis:    crashesPauseMillis,
 			retryMillis:    crashesRetryMillis,
+			interrupt:      &w.longRead,
 			watcher:        w,
 		}
 		group.Go(func() error { return crashes.run(ctx, func(r topicRead) { w.OnCrashes(r.records.List) }) })
