--- a/internal/routing/quarantine/evidence.go
+++ b/internal/routing/quarantine/evidence.go
@@ -22,6 +22,12 @@
 	UntilUnixMillis int64
 }
 
+// holds reports whether the evidence still holds. Evidence with an end that no host would set
+// comes from a host whose time of day is far off.
+func (e Evidence) holds(nowUnixMillis int64) bool {
+	return e.UntilUnixMillis > nowUnixMillis && e.UntilUnixMillis < nowUnixMillis+2*evidenceMillis
+}
+
 // Crash is the crash of an engine while it had a request whose answer had not begun.
 type Crash struct {
 	Server  string
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -130,7 +130,7 @@
 	defer t.mu.Unlock()
 	before := len(t.evidence)
 	for key, e := range t.evidence {
-		if e.UntilUnixMillis <= nowUnixMillis {
+		if !e.holds(nowUnixMillis) {
 			delete(t.evidence, key)
 			t.lapse(key)
 		}
@@ -148,7 +148,7 @@
 func (t *Table) apply(c Change, now boottime.Instant, nowUnixMillis int64) bool {
 	switch c := c.(type) {
 	case Evidence:
-		if c.UntilUnixMillis <= nowUnixMillis {
+		if !c.holds(nowUnixMillis) {
 			t.lapse(c.Key)
 			return false
 		}
