fix: streams of engines that leave go on without a check of their engine

The check whether an engine has ended after it broke an answer off (one connection) stood before the resumption of every migrated stream, and each wrote a line more. An engine that is about to shut down, or is not listed any more, is not checked: its streams break as their runs migrate. TestEnginesThatLeaveAreNoEvidence: four engines that end with waiting requests leave no evidence if they had announced it; without notice they do.

--- a/internal/caller/relay/serverend.go
+++ b/internal/caller/relay/serverend.go
@@ -69,19 +69,21 @@
 	q.relay.Crashes.RecordSound(q.caller.SharedParts)
 }
 
-// noticeBroken logs that an engine broke its answer off, and records it as a crash if the
-// engine has ended before the answer had begun. An engine that was about to shut down, or that
-// is not listed any more, has not crashed.
+// noticeBroken logs that an engine broke its answer off, and records a crash if the engine has
+// ended before the answer had begun. An engine that is about to shut down, or that is not listed
+// any more, does not crash: its streams break as their runs migrate, and go on without delay.
 func (q *request) noticeBroken(ctx context.Context, server discovery.BackendServer, events int, cause error) {
 	if q.service.Engine == nil || ctx.Err() != nil || errors.Is(cause, errCallerGone) {
 		return
 	}
 	_, listed := q.relay.StoreWatcher.Servers().List.Find(server.ID)
-	leaving := !listed || q.relay.isLeaving(server)
+	if !listed || q.relay.isLeaving(server) {
+		return
+	}
 	ended := hasEnded(ctx, server.Address)
-	q.log("answer broken off", "Server", server.ID, "Events", events, "Ended", ended, "Leaving", leaving,
+	q.log("answer broken off", "Server", server.ID, "Events", events, "Ended", ended,
 		"Parts", q.caller.SharedParts, "Error", cause)
-	if !ended || leaving || q.sound {
+	if !ended || q.sound {
 		return
 	}
 	q.relay.Crashes.RecordCrash(quarantine.Crash{
--- a/internal/records/lossreport/lossreport.go
+++ b/internal/records/lossreport/lossreport.go
@@ -154,8 +154,7 @@
 		s.resumed = true
 	case "answer broken off":
 		ended, _ := line.Fields["Ended"].(bool)
-		leaving, _ := line.Fields["Leaving"].(bool)
-		s.crashed = s.crashed || (ended && !leaving)
+		s.crashed = s.crashed || ended
 	case "streamed", "stream lost", "answered", "request refused", "caller disconnected":
 		// A stream that was lost before its first event is also refused; the loss is the
 		// cause.
--- a/internal/trial/endtoend/platform_crash_test.go
+++ b/internal/trial/endtoend/platform_crash_test.go
@@ -1,6 +1,7 @@
 package endtoend
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -10,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
 
 // TestPromptPartThatCrashesEngines guards against requests with one part in their prompts that
@@ -140,3 +143,42 @@
 		})
 	}
 }
+
+// TestEnginesThatLeaveAreNoEvidence guards against prompts that are suspected because engines
+// that had announced their shutdown ended while they waited there.
+func TestEnginesThatLeaveAreNoEvidence(t *testing.T) {
+	t.Parallel()
+	const engines, leaving, requests, noticeMillis, promptMillis = 6, 4, 18, 600, 4000
+	for _, announced := range []bool{true, false} {
+		t.Run(fmt.Sprint("announced ", announced), func(t *testing.T) {
+			t.Parallel()
+			s := newCrashSite(t, engines, 1)
+			for _, server := range s.servers {
+				server.SetFaults(replica.Faults{StallBefore: 1, StallMillis: promptMillis})
+			}
+			var group errgroup.Group
+			for n := range requests {
+				group.Go(func() error {
+					s.send(context.Background(), checkRequest(fmt.Sprint("waits-", n), "fresh"))
+					return nil
+				})
+			}
+			time.Sleep(noticeMillis * time.Millisecond)
+			for _, server := range s.servers[:leaving] {
+				if announced {
+					s.register(server, "engines", "draining")
+				}
+			}
+			time.Sleep(noticeMillis * time.Millisecond)
+			for _, server := range s.servers[:leaving] {
+				server.OnCrash()
+			}
+			time.Sleep(noticeMillis * time.Millisecond)
+			status, err := queryStatus(s.settings.ControlAddress)
+			if err != nil || (len(status.QuarantinedParts) == 0) != announced {
+				t.Errorf("quarantined parts %v, error %v", status.QuarantinedParts, err)
+			}
+			_ = group.Wait()
+		})
+	}
+}
