--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -247,3 +247,23 @@
 	_, _, valid = Encode(Trial{Part: "5c/1e"})
 	is.True(!valid)
 }
+
+// FuzzDecode checks that a record that is decoded is encoded to the same change.
+func FuzzDecode(f *testing.F) {
+	f.Add("5c1e/i-1", []byte(`{"Request":"r","Depth":1,"Sound":true,"UntilUnixMillis":7}`))
+	f.Add("5c1e", []byte(`{"Host":1,"Count":2,"ClaimedAtUnixMillis":3}`))
+	f.Add("5c1e/i-1", []byte{})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		change, err := Decode(key, value)
+		if err != nil {
+			return
+		}
+		text, encoded, valid := Encode(change)
+		if !valid {
+			return
+		}
+		again, err := Decode(text, encoded)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(again, change)
+	})
+}
