--- a/internal/routing/quarantine/fleet_test.go
+++ b/internal/routing/quarantine/fleet_test.go
@@ -27,6 +27,8 @@
 	settledCount  = 5
 	maxSent       = 3
 	maxAttempts   = 3
+	// clockOffMillis bounds how far the hosts' times of day are off.
+	clockOffMillis = 2000
 	// epochMillis is the time of day at the beginning.
 	epochMillis = 1_700_000_000_000
 )
@@ -56,6 +58,8 @@
 
 type simHost struct {
 	table Table
+	// clockMillis is how far the host's time of day is off.
+	clockMillis int64
 	// read is the number of records that the host has read.
 	read int
 }
@@ -100,11 +104,12 @@
 }
 
 func (f *fleet) newHost() *simHost {
-	return &simHost{table: Table{Host: f.random.Uint64()}}
+	return &simHost{table: Table{Host: f.random.Uint64()}, clockMillis: f.random.Int64N(2*clockOffMillis) - clockOffMillis}
 }
 
-func (f *fleet) now() (boottime.Instant, int64) {
-	return boottime.Instant(1).AddMillis(f.nowMillis), epochMillis + f.nowMillis
+// now returns the time since the boot and the time of day on a host.
+func (f *fleet) now(h *simHost) (boottime.Instant, int64) {
+	return boottime.Instant(1).AddMillis(f.nowMillis), epochMillis + f.nowMillis + h.clockMillis
 }
 
 // run lets a number of requests a second arrive until endMillis, with the parts that pick
@@ -127,8 +132,8 @@
 }
 
 func (f *fleet) readRecords() {
-	now, unix := f.now()
 	for _, h := range f.hosts {
+		now, unix := f.now(h)
 		var changes []Change
 		for ; h.read < len(f.records) && f.records[h.read].atMillis+recordMillis <= f.nowMillis; h.read++ {
 			if change, err := Decode(f.records[h.read].key, f.records[h.read].value); err == nil {
@@ -151,7 +156,7 @@
 	f.next++
 	q := &simRequest{id: fmt.Sprintf("request-%d", f.next), parts: parts, host: f.hosts[f.random.IntN(len(f.hosts))]}
 	if _, found := q.host.table.Quarantined(parts); found {
-		now, unix := f.now()
+		now, unix := f.now(q.host)
 		switch d := q.host.table.TryTrial(parts, now, unix).(type) {
 		case PassTrial:
 			q.trial = true
@@ -220,7 +225,7 @@
 			f.lose(q)
 		default:
 			f.served = append(f.served, f.nowMillis)
-			now, _ := f.now()
+			now, _ := f.now(q.host)
 			for _, key := range q.host.table.RecordSound(due[n].parts, now) {
 				f.record(Ended{key})
 			}
@@ -236,7 +241,7 @@
 
 // lose records the loss of a request whose engine has crashed, and sends it again if allowed.
 func (f *fleet) lose(q *simRequest) {
-	now, unix := f.now()
+	now, unix := f.now(q.host)
 	crash := Crash{Server: q.server, Request: q.id, Parts: q.parts, AtUnixMillis: unix}
 	for _, e := range q.host.table.RecordCrash(crash, now) {
 		f.record(e)
