--- a/internal/routing/quarantine/fleet_test.go
+++ b/internal/routing/quarantine/fleet_test.go
@@ -288,10 +288,23 @@
 	}
 }
 
+// badFirst returns a choice of parts in which the bad one comes before one of many that sound
+// requests share, too.
+func (f *fleet) badFirst(badShare float64, bad ...string) func() []string {
+	const subjects = 40
+	return func() []string {
+		subject := fmt.Sprint("subject-", f.random.IntN(subjects))
+		if f.random.Float64() < badShare {
+			return []string{bad[f.random.IntN(len(bad))], subject}
+		}
+		return []string{"f", subject}
+	}
+}
+
 // TestBadPartKeptAwayByFleet replays requests with one part that crash engines, among others
 // that share the parts around it, in fleets of several sizes.
 func TestBadPartKeptAwayByFleet(t *testing.T) {
-	const fromMillis, endMillis = 3000, 70_000
+	const fromMillis, endMillis, badShare = 3000, 70_000, 0.4
 	cases := []struct {
 		name           string
 		hosts, engines int
@@ -301,17 +314,21 @@
 		inUse bool
 		// restartMillis is the time at which all hosts restart; zero for never.
 		restartMillis int64
+		// first says that the bad part is the first one of the prompts.
+		first bool
 		// seedShare is the share of the seeds that are run, as its inverse.
 		seedShare uint64
 	}{
-		{"small", 5, 12, 8, []string{"x"}, false, 0, 1},
-		{"one host", 1, 12, 8, []string{"x"}, false, 0, 1},
-		{"large", 100, 115, 60, []string{"x"}, false, 0, 10},
-		{"few engines", 5, 3, 8, []string{"x"}, false, 0, 1},
-		{"two parts", 5, 12, 12, []string{"x", "y"}, false, 0, 1},
-		{"in use before", 5, 12, 10, []string{"x"}, true, 0, 1},
-		{"hosts restart", 5, 12, 8, []string{"x"}, false, 3500, 1},
-		{"hosts restart later", 5, 12, 8, []string{"x"}, false, 20_000, 1},
+		{"small", 5, 12, 8, []string{"x"}, false, 0, false, 1},
+		{"one host", 1, 12, 8, []string{"x"}, false, 0, false, 1},
+		{"large", 100, 115, 60, []string{"x"}, false, 0, false, 10},
+		{"few engines", 5, 3, 8, []string{"x"}, false, 0, false, 1},
+		{"two parts", 5, 12, 12, []string{"x", "y"}, false, 0, false, 1},
+		{"in use before", 5, 12, 10, []string{"x"}, true, 0, false, 1},
+		{"hosts restart", 5, 12, 8, []string{"x"}, false, 3500, false, 1},
+		{"first part", 5, 12, 8, []string{"x"}, false, 0, true, 1},
+		{"first part, hosts restart", 5, 12, 8, []string{"x"}, false, 3500, true, 1},
+		{"hosts restart later", 5, 12, 8, []string{"x"}, false, 20_000, false, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -322,16 +339,20 @@
 					bad[part] = true
 				}
 				f.bad = func(part string, millis int64) bool { return bad[part] && millis >= fromMillis }
+				choice := f.mixed
+				if c.first {
+					choice = f.badFirst
+				}
+				shareBefore := 0.0
 				if c.inUse {
-					f.run(fromMillis, c.perSecond, f.mixed(0.3, c.bad...))
-				} else {
-					f.run(fromMillis, c.perSecond, f.mixed(0))
+					shareBefore = badShare
 				}
+				f.run(fromMillis, c.perSecond, choice(shareBefore, c.bad...))
 				if c.restartMillis > 0 {
-					f.run(c.restartMillis, c.perSecond, f.mixed(0.4, c.bad...))
+					f.run(c.restartMillis, c.perSecond, choice(badShare, c.bad...))
 					f.restart()
 				}
-				f.run(endMillis, c.perSecond, f.mixed(0.4, c.bad...))
+				f.run(endMillis, c.perSecond, choice(badShare, c.bad...))
 				allowed := maxSent * len(c.bad)
 				if sent := f.sentAfterSettled(); sent > allowed {
 					t.Errorf("seed %d: %d requests with a bad part sent after it must be known, allowed %d; %d crashes",
