--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,27 +60,34 @@
 	return s
 }
 
-// freePorts returns ports that nothing listens on at any address of this machine.
+// freePorts returns ports that nothing listens on at the addresses of a site.
 func freePorts(n int) []int {
 	var found []int
 	for len(found) < n {
 		port := 20000 + rand.IntN(12000)
-		l, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port))
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		dup := false
-		for _, p := range found {
-			dup = dup || p == port
-		}
-		if !dup {
+		if isFree(port) && !slices.Contains(found, port) {
 			found = append(found, port)
 		}
 	}
 	return found
 }
 
+// isFree reports whether nothing listens on a port at the addresses of a site.
+func isFree(port int) bool {
+	ips := []string{"127.0.1.1"}
+	for i := range 9 {
+		ips = append(ips, fmt.Sprintf("127.0.10.%d", i+1), fmt.Sprintf("127.0.20.%d", i+1))
+	}
+	for _, ip := range ips {
+		l, err := net.Listen("tcp", addr(ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 // process is a process of the system.
 type process struct {
 	site     *site
