review: each run has loopback addresses of its own

Cause: of 25 runs that were started five at a time, two couldn't run (exit 2): two scripts had found the same port free at the same moment. Change: a run takes a random part of the loopback range for its store, entry hosts and replicas.

--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -34,6 +34,7 @@
 type site struct {
 	root string // root of the repository
 	dir  string // temporary folder
+	net  string // first three parts of the loopback addresses of this run
 	rec  *record
 
 	store   *store
@@ -53,30 +54,43 @@
 func newSite(root string, rec *record) *site {
 	dir, err := os.MkdirTemp("", "review-")
 	must(err)
-	s := &site{root: root, dir: dir, rec: rec}
-	p := freePorts(7)
+	// Scripts that run at the same time use other addresses.
+	s := &site{root: root, dir: dir, rec: rec, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))}
+	p := s.freePorts(7)
 	s.ports = ports{p[0], p[1], p[2], p[3], p[4], p[5], p[6]}
-	s.store = newStore(fmt.Sprintf("127.0.1.1:%d", s.ports.store))
+	s.store = newStore(addr(s.ip(storeIP), s.ports.store))
 	return s
 }
 
-// freePorts returns ports that nothing listens on at the addresses of a site.
-func freePorts(n int) []int {
+// The last parts of the addresses of the store, and of those before the first entry host and the first
+// replica.
+const (
+	storeIP     = 1
+	entryIPs    = 10
+	serverIPs   = 20
+	maxMachines = 9
+)
+
+// ip returns one of the addresses of the site.
+func (s *site) ip(last int) string { return fmt.Sprintf("%s.%d", s.net, last) }
+
+// freePorts returns ports that nothing listens on at the addresses of the site.
+func (s *site) freePorts(n int) []int {
 	var found []int
 	for len(found) < n {
 		port := 20000 + rand.IntN(12000)
-		if isFree(port) && !slices.Contains(found, port) {
+		if s.isFree(port) && !slices.Contains(found, port) {
 			found = append(found, port)
 		}
 	}
 	return found
 }
 
-// isFree reports whether nothing listens on a port at the addresses of a site.
-func isFree(port int) bool {
-	ips := []string{"127.0.1.1"}
-	for i := range 9 {
-		ips = append(ips, fmt.Sprintf("127.0.10.%d", i+1), fmt.Sprintf("127.0.20.%d", i+1))
+// isFree reports whether nothing listens on a port at the addresses of the site.
+func (s *site) isFree(port int) bool {
+	ips := []string{s.ip(storeIP)}
+	for i := range maxMachines {
+		ips = append(ips, s.ip(entryIPs+i+1), s.ip(serverIPs+i+1))
 	}
 	for _, ip := range ips {
 		l, err := net.Listen("tcp", addr(ip, port))
@@ -109,12 +123,12 @@
 // addEntry adds one of a number of entry hosts; start starts it. Three of them are the seeds.
 func (s *site) addEntry(zone string, entries int) *process {
 	n := len(s.entries) + 1
-	ip := fmt.Sprintf("127.0.10.%d", n)
+	ip := s.ip(entryIPs + n)
 	p := &process{site: s, name: fmt.Sprintf("entry-%d", n), args: []string{"direct-entry"}, ip: ip}
 	s.entries = append(s.entries, p)
 	readers := []string{}
 	for i := 1; i <= min(entries, 3); i++ {
-		readers = append(readers, fmt.Sprintf("127.0.10.%d:%d", i, s.ports.control))
+		readers = append(readers, addr(s.ip(entryIPs+i), s.ports.control))
 	}
 	p.settings = s.write(p.name, map[string]any{
 		"Name": p.name, "Zone": zone,
@@ -131,7 +145,7 @@
 // addServer adds a replica; one with an engine has a process of the system beside it.
 func (s *site) addServer(service, zone string, slots int, engine bool) *server {
 	n := len(s.servers) + 1
-	ip := fmt.Sprintf("127.0.20.%d", n)
+	ip := s.ip(serverIPs + n)
 	sv := newServer(s, fmt.Sprintf("i-%08x", rand.Uint32()), service, zone, addr(ip, s.ports.app), slots, engine)
 	s.servers = append(s.servers, sv)
 	if engine {
