storecache: a position is looked up by era and offset together

Cause: topic.since subtracted an offset of an earlier era, which is larger than any of this one, from the newest offset; the negative difference went into a slice index before the eras were compared. Evidence: "slice bounds out of range [12:0]" at storecache.go:270 in each process that ended, with next smaller than the offset asked for. Ruled out: the follower, which reads all keys again, and the topics; all were hit.

Change: since compares the era and the range of the offset first; such a client gets the newest record of each key.

--- a/internal/settings/storecache/storecache.go
+++ b/internal/settings/storecache/storecache.go
@@ -211,8 +211,8 @@
 		Relayed:      t.relayed,
 		WaitedMillis: now.MillisSince(arrivedAt),
 	}
-	records, ok := t.since(request.GetFrom())
-	if !ok || request.GetEra() != t.era {
+	records, ok := t.since(request.GetEra(), request.GetFrom())
+	if !ok {
 		if !c.allowWhole(t) {
 			return &digest.ReadReply{}, next
 		}
@@ -260,11 +260,14 @@
 }
 
 // since returns the changes from an offset on. It returns false when some of them
-// are no longer cached, or when the offset is negative, by which a client requests
-// the newest record of each key.
-func (t *topic) since(from int64) ([]platform.Record, bool) {
+// are no longer cached, when the offset was given out in another era, or when it is
+// negative, by which a client requests the newest record of each key.
+func (t *topic) since(era, from int64) ([]platform.Record, bool) {
+	if era != t.era || from < 0 || from > t.next {
+		return nil, false
+	}
 	missing := t.next - from
-	if from < 0 || missing > int64(len(t.recent)) {
+	if missing > int64(len(t.recent)) {
 		return nil, false
 	}
 	return t.recent[len(t.recent)-int(missing):], true
--- a/internal/settings/storecache/storecache_test.go
+++ b/internal/settings/storecache/storecache_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -214,6 +215,30 @@
 	is.True(read(t, cache, -1, 0).GetKnown())
 }
 
+// TestAnyPosition guards against the end of a process that is asked from a position that its log does
+// not have: a host of an earlier era of the store may hold a larger offset than there is in this one.
+func TestAnyPosition(t *testing.T) {
+	for _, next := range []int64{0, 3, 2 * recentRecords} {
+		cache := &Cache{}
+		for offset := int64(0); offset <= next; offset++ {
+			r := records(offset, fmt.Sprint(offset%3))
+			r.Era = 2
+			cache.Update(TopicRead{Topic: "t", Records: r, Complete: offset == 0, ConfirmedAt: boottime.Now()})
+		}
+		for _, era := range []int64{math.MinInt64, 0, 1, 2, 3, math.MaxInt64} {
+			for _, from := range []int64{math.MinInt64, -1, 0, next - 1, next, next + 1, next + 12, math.MaxInt64} {
+				is := is.New(t)
+				reply, err := cache.Read(t.Context(), &digest.ReadRequest{Topic: "t", Era: era, From: from})
+				is.NoErr(err)
+				ahead := era > 2 || (era == 2 && from > next)
+				is.Equal(reply.GetKnown(), !ahead)
+				changes := era == 2 && from >= 0 && next-from <= min(next, recentRecords)
+				is.Equal(reply.GetWhole(), !ahead && !changes)
+			}
+		}
+	}
+}
+
 // TestReadUntilConfirmed guards the age of what readers pass on: a client that asks for it is
 // answered at the next confirmation without a change, and learns whether the data was relayed.
 func TestReadUntilConfirmed(t *testing.T) {
--- a/internal/settings/storewatcher/fleet_test.go
+++ b/internal/settings/storewatcher/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -225,6 +226,35 @@
 	is.True(boottime.Now().MillisSince(began) < fleetApplyMax)
 }
 
+// TestFleetOutlivesRestores guards against readers that end when the store comes back from an older,
+// shorter copy: the first one that has read it holds smaller offsets than those that ask it. Each time
+// all hosts have what was written since in time.
+func TestFleetOutlivesRestores(t *testing.T) {
+	t.Parallel()
+	const restores, lostRecords = 3, 12
+	is := is.New(t)
+	store := &keyedlog.Log{}
+	store.Put(platform.ConfigurationTopic, "evacuate/0", []byte("{}"))
+	hosts := startFleet(t, store)
+	awaitEvacuation(t, hosts, "0")
+	for n := range restores {
+		older := store.Copy()
+		zone := fmt.Sprint(n + 1)
+		for range lostRecords {
+			store.Put(platform.ConfigurationTopic, "evacuate/"+zone, []byte("{}"))
+			store.Put(platform.ServersTopic, "s", []byte("{}"))
+			store.Put(platform.CrashesTopic, "c", nil)
+		}
+		awaitEvacuation(t, hosts, zone)
+		boottime.Pause(t.Context(), serversPauseMillis) // all hosts have read the other topics, too
+		store.Restore(older)
+		began := boottime.Now()
+		store.Put(platform.ConfigurationTopic, "evacuate/again-"+zone, []byte("{}"))
+		awaitEvacuation(t, hosts, "again-"+zone)
+		is.True(boottime.Now().MillisSince(began) < fleetApplyMax)
+	}
+}
+
 // TestConfirmedAt guards against data of another host that is taken for newer than it is.
 func TestConfirmedAt(t *testing.T) {
 	const startedAt = boottime.Instant(1_000_000_000_000)
