relay, monitor: an answer that ends with its connection may end as its run was stopped

Cause: a stopped run closes its stream without its end, which without framing is a clean end of the connection; the entry host only checked whether the engine still listens, and a leaving engine does. Evidence: the log has "engine announced its shutdown" before, "streamed" at the stop, and the message of the move 20 to 200 ms after it. Ruled out: notices that come late.

Change: the monitor records its orders to stop runs and tells an entry host that asks whether the run of an ended answer was stopped; an entry host records its own orders. Without an answer, such an end at an engine that leaves counts as broken off. Streams and buffered answers share the check. A message that a run was stopped without a handle no longer leads to a new run at its source.

--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -171,6 +171,7 @@
 
 // copyAndPublish copies a run and reports the result to the entry hosts.
 func (m *Monitor) copyAndPublish(ctx context.Context, step migration.Step, stop bool) platform.Copy {
+	firstStop := stop && m.orderStop(step.Run.RequestID)
 	reply, err := m.Engines.Copy(ctx, m.EngineAddress, step.Run.RequestID, step.Destination.Address, stop)
 	if err != nil || !reply.Done {
 		m.Log.Warn("copy of run failed", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
@@ -182,6 +183,9 @@
 	if reply.Handle != "" {
 		m.publishMove(moveOf(step, reply, stop))
 	}
+	if firstStop && reply.Status == http.StatusNotFound {
+		m.noteNotStopped(step.Run.RequestID)
+	}
 	return reply
 }
 
@@ -207,7 +211,7 @@
 	}
 }
 
-// stay is a run that was not stopped for a migration.
+// stay is a run that is not known to be stopped for a migration.
 type stay struct {
 	move *sighting.Move
 	run  migration.Run
@@ -218,23 +222,18 @@
 	obstacle migration.Obstacle
 }
 
-// unmigrated returns the runs that were not stopped for a migration. Their final
+// unmigrated returns the runs that are not known to be stopped for a migration. Their final
 // messages name the copies that were made while the runs continued, if any.
 func (m *Monitor) unmigrated() []stay {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var all []stay
 	for _, run := range m.latest.Runs {
-		latest := m.migrations[run.RequestID]
-		if latest.GetStopped() {
+		move := m.finalMove(run.RequestID)
+		if move.GetStopped() {
 			continue
 		}
-		move := &sighting.Move{
-			RequestId:   run.RequestID,
-			Handle:      latest.GetHandle(),
-			Destination: latest.GetDestination(),
-			Final:       true,
-		}
+		move.Stopped = m.stops.ordered[run.RequestID]
 		obstacle, ok := m.obstacles[run.RequestID]
 		if !ok {
 			obstacle = migration.NoTime
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -74,6 +74,8 @@
 	// obstacles holds the newest reason other than a lack of time why a run could not
 	// be migrated since the shutdown notice, by request ID.
 	obstacles map[string]migration.Obstacle
+	// stops holds the orders to stop runs since the engine started.
+	stops stopOrders
 	// placed is the number of requests that entry hosts have placed since the
 	// latest report.
 	placed    int
@@ -213,7 +215,9 @@
 	m.observeSpeed(report, now)
 	if restarted {
 		m.engineID = ""
+		m.stops = stopOrders{}
 	}
+	m.stops.observe(report)
 	if restarted || !report.Leaving {
 		m.leavesAt = 0
 	}
--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -87,6 +87,9 @@
 			case message.GetReservation() != nil:
 				m.answerReservation(w, message.GetReservation())
 				continue
+			case message.GetEndedRequestId() != "":
+				m.answerEnded(w, message.GetEndedRequestId())
+				continue
 			}
 			m.storeAdvice(message)
 		}
--- /dev/null
+++ b/internal/backend/monitor/stoporders_test.go
@@ -0,0 +1,88 @@
+package monitor
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/migration"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+// TestEndOfAnAnswer guards against an answer that a stopped run leaves half done and that passes for
+// complete, and against complete answers that are taken for broken: what a monitor says of a run whose
+// answer has ended.
+func TestEndOfAnAnswer(t *testing.T) {
+	leaving := platform.EngineReport{BornUnixMillis: 1, Leaving: true, LeavesInMillis: 60_000}
+	ready := platform.EngineReport{BornUnixMillis: 1}
+	for _, tt := range []struct {
+		name    string
+		reports []platform.EngineReport
+		// stops are the answers of the engine to the orders to stop the run; zero for none.
+		stops []int
+		want  *sighting.Move
+	}{
+		{"no order, engine stays", []platform.EngineReport{ready}, nil, &sighting.Move{Final: true}},
+		{"no order, engine leaves", []platform.EngineReport{ready, leaving}, nil, &sighting.Move{Final: true}},
+		{"monitor started after the notice", []platform.EngineReport{leaving}, nil, nil},
+		{"engine started again", []platform.EngineReport{ready, {BornUnixMillis: 2, Leaving: true}}, nil, nil},
+		{"stopped", []platform.EngineReport{ready, leaving}, []int{http.StatusOK}, &sighting.Move{Stopped: true, Handle: "h", Destination: "d:1", Final: true}},
+		{"stopped, not copied", []platform.EngineReport{ready, leaving}, []int{http.StatusServiceUnavailable}, &sighting.Move{Stopped: true, Handle: "h", Final: true}},
+		{"ended before the order", []platform.EngineReport{ready, leaving}, []int{http.StatusNotFound}, &sighting.Move{Final: true}},
+		{"order without an answer", []platform.EngineReport{ready, leaving}, []int{0}, nil},
+		{"order without an answer, then none such", []platform.EngineReport{ready, leaving}, []int{0, http.StatusNotFound}, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var group errgroup.Group
+			m := &Monitor{KeepRuns: true, Metrics: &metrics.Registry{}, Log: slog.New(slog.DiscardHandler)}
+			for _, report := range tt.reports {
+				m.applyReport(t.Context(), &group, report, boottime.Now())
+			}
+			for _, status := range tt.stops {
+				m.stopAt(t, status)
+			}
+			w := m.addWatcher()
+			for len(w.outbox) > 0 {
+				<-w.outbox
+			}
+			m.answerEnded(w, "r")
+			if tt.want == nil {
+				is.Equal(len(w.outbox), 0)
+				return
+			}
+			is.Equal(len(w.outbox), 1)
+			got := (<-w.outbox).GetMove()
+			is.Equal(got.GetRequestId(), "r")
+			is.Equal([]bool{got.GetStopped(), got.GetFinal()}, []bool{tt.want.GetStopped(), tt.want.GetFinal()})
+			is.Equal([]string{got.GetHandle(), got.GetDestination()}, []string{tt.want.GetHandle(), tt.want.GetDestination()})
+		})
+	}
+}
+
+// stopAt orders an engine that answers with a status to stop the run "r"; with zero it breaks off.
+func (m *Monitor) stopAt(t *testing.T, status int) {
+	t.Helper()
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+		if status != http.StatusNotFound {
+			_ = json.NewEncoder(w).Encode(map[string]any{"handle": "h"})
+		}
+	}))
+	defer engine.Close()
+	m.EngineAddress = strings.TrimPrefix(engine.URL, "http://")
+	m.Engines = &platform.Engines{HTTP: engine.Client(), Orders: engine.Client()}
+	m.copyAndPublish(t.Context(), migration.Step{Run: migration.Run{RequestID: "r"}, Destination: migration.Destination{Address: "d:1"}}, true)
+}
--- /dev/null
+++ b/internal/caller/relay/answerend.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+)
+
+// askEndMillis is the time for which a request waits for the monitor of an engine that is not about
+// to shut down to say whether the engine has stopped its run.
+const askEndMillis = 300
+
+// errBrokenOff says that an answer without an end of its own was broken off.
+var errBrokenOff = errors.New("answer was broken off with its connection")
+
+// errRunStopped says that an answer ended as its engine has stopped, or may have stopped, the run for
+// a migration.
+var errRunStopped = errors.New("engine may have stopped the run of the answer")
+
+// checkEnd returns an error if an answer that has ended may have been broken off. An answer that ends
+// with its connection does not show that itself: the connection also ends with the server, and when
+// an engine stops a run for its migration. The registration is that of the answer at an engine.
+func (q *request) checkEnd(ctx context.Context, a *attempt, r *Registration) error {
+	switch {
+	case !a.call.endsWithConnection():
+		return nil
+	case hasEnded(ctx, a.server.Address):
+		return errors.Mark(errBrokenOff, errServerEnded)
+	case q.service.Engine != nil && q.mayBeStopped(ctx, a.server, r):
+		return errors.Mark(errBrokenOff, errRunStopped)
+	default:
+		return nil
+	}
+}
+
+// checkBufferedEnd is like checkEnd for an answer that was read completely and is not a stream.
+func (q *request) checkBufferedEnd(ctx context.Context, a *attempt) error {
+	if q.service.Engine == nil {
+		return q.checkEnd(ctx, a, nil)
+	}
+	r := q.relay.Migrations.Register(q.caller.ID, a.server.Address, func() placement.Generation { return q.generation(0) })
+	defer r.Unregister()
+	return q.checkEnd(ctx, a, r)
+}
+
+// mayBeStopped reports whether an engine has stopped the run of an answer that has ended, or may have.
+// Without a reply of its monitor, an engine that is about to shut down may have, as only such engines
+// are ordered to.
+func (q *request) mayBeStopped(ctx context.Context, server discovery.BackendServer, r *Registration) bool {
+	asked := q.relay.AskEnded(server.ID, q.caller.ID)
+	waitMillis := askEndMillis
+	leaving := q.relay.mayLeave(server)
+	if leaving {
+		waitMillis = migrationWaitMillis
+	}
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(waitMillis)*time.Millisecond))
+	defer stop()
+	var last Migration
+	if asked || leaving || r.StopOrdered() {
+		last, _ = r.AwaitStopped(ctx)
+	}
+	unknown := !last.Stopped && !last.Final
+	leaving = q.relay.mayLeave(server)
+	stopped := last.Stopped || (unknown && (leaving || r.StopOrdered()))
+	q.log("answer ended with its connection", "Server", server.ID, "MayBeStopped", stopped, "MonitorAsked", asked,
+		"Stopped", last.Stopped, "Final", last.Final, "Leaving", leaving)
+	return stopped
+}
--- /dev/null
+++ b/internal/caller/relay/answerend_test.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
+	"github.com/fulmarvalve/fulmarvalve/platform"
+)
+
+// TestBufferedAnswerThatEndsWithItsConnection guards against an answer that is no stream, and that
+// passes for complete although the engine may have stopped its run. The engine is not listed any more.
+func TestBufferedAnswerThatEndsWithItsConnection(t *testing.T) {
+	engine := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(engine.Close)
+	const length = 10
+	for name, tt := range map[string]struct {
+		// length is that of the answer, or negative if it ends with its connection.
+		length  int64
+		service routetable.Service
+		// told is what the monitor says; nil if it is not reached.
+		told     *Migration
+		complete bool
+	}{
+		"monitor says stopped":     {-1, rigEngine, &Migration{Stopped: true, Source: platform.Handle{ID: "h"}}, false},
+		"monitor says may be":      {-1, rigEngine, &Migration{Stopped: true, Final: true}, false},
+		"monitor says not stopped": {-1, rigEngine, &Migration{Final: true}, true},
+		"monitor does not know":    {-1, rigEngine, &Migration{}, false},
+		"monitor not reached":      {-1, rigEngine, nil, false},
+		"with a length":            {length, rigEngine, &Migration{Stopped: true}, true},
+		"plain service":            {-1, routetable.Service{Name: "plain"}, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			migrations := &Migrations{}
+			relay := &Relay{
+				StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: migrations, Log: slog.New(slog.DiscardHandler),
+				AskEnded: func(_, request string) bool {
+					if tt.told != nil {
+						told := *tt.told
+						told.RequestID = request
+						migrations.Announce(told)
+					}
+					return tt.told != nil
+				},
+			}
+			q := &request{relay: relay, service: tt.service, caller: platform.CallerRequest{ID: "r"}}
+			a := &attempt{
+				server: discovery.BackendServer{ID: "e", Address: engine.Listener.Addr().String()},
+				call:   &Call{Answer: &http.Response{ContentLength: tt.length}},
+			}
+			err := q.checkBufferedEnd(context.Background(), a)
+			is.Equal(err == nil, tt.complete)
+			is.True(err == nil || errors.Is(err, errBrokenOff))
+			is.Equal(len(migrations.RunsOn(a.server.Address)), 0)
+		})
+	}
+}
+
+var rigEngine = routetable.Service{Name: "lm", Engine: &routetable.Engine{MemoryTokens: 30_000}}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -61,15 +61,6 @@
 	a.assignment.End(failed, boottime.Now())
 }
 
-// checkEnd returns an error if an answer that ended with its connection was broken off, as its
-// server has ended.
-func (a *attempt) checkEnd(ctx context.Context) error {
-	if a.call.endsWithConnection() && hasEnded(ctx, a.server.Address) {
-		return errors.Mark(errBrokenOff, errServerEnded)
-	}
-	return nil
-}
-
 // run sends the request to one backend server after the other, until there is an
 // answer for the caller or no further attempt is allowed.
 func (q *request) run() {
@@ -238,7 +229,7 @@
 		err = errors.New("answer has no signature")
 	}
 	if err == nil {
-		err = a.checkEnd(ctx)
+		err = q.checkBufferedEnd(ctx, a)
 	}
 	if isLoserCancelled(ctx) {
 		a.close(false)
--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -13,8 +13,8 @@
 type Migration struct {
 	// RequestID is the request ID that the caller chose.
 	RequestID string
-	// Stopped says that the source has stopped the run. Otherwise the run still
-	// generates, and the copy lacks the tokens generated after it was made.
+	// Stopped says that the source has stopped the run, or may have in a final message. Otherwise
+	// the run still generates, and the copy lacks the tokens generated after it was made.
 	Stopped bool
 	// Final says that no later message about the run follows.
 	Final bool
@@ -52,6 +52,9 @@
 
 	// latest is the newest migration; nil when there is none.
 	latest *Migration
+	// stopOrdered says that this host has ordered the engine to stop the run, and that the engine
+	// may have.
+	stopOrdered bool
 	// changed is closed when latest changes.
 	changed chan struct{}
 }
@@ -84,6 +87,36 @@
 	defer r.migrations.mu.Unlock()
 	r.engine = engine
 	r.latest = nil
+	r.stopOrdered = false
+}
+
+// OrderStop records that this host is about to order the engine of a run to stop it. It returns
+// false if there is no open stream of the run, or if the order is not the first one.
+func (m *Migrations) OrderStop(requestID string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.registered[requestID]
+	if !ok || r.stopOrdered {
+		return false
+	}
+	r.stopOrdered = true
+	return true
+}
+
+// WithdrawStop records that the engine has not stopped the run.
+func (m *Migrations) WithdrawStop(requestID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.registered[requestID]; ok {
+		r.stopOrdered = false
+	}
+}
+
+// StopOrdered reports whether this host has ordered the engine to stop the run.
+func (r *Registration) StopOrdered() bool {
+	r.migrations.mu.Lock()
+	defer r.migrations.mu.Unlock()
+	return r.stopOrdered
 }
 
 // Announce stores a migration for its stream. A migration of a request without an
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -56,6 +56,10 @@
 	Reserve func(ctx context.Context, server, request string, generation placement.Generation) bool
 	// OnPlaced is called when a request was placed at an engine.
 	OnPlaced func(server, request string, generation placement.Generation)
+	// AskEnded asks the monitor of an engine whether the engine has stopped the run of an answer that
+	// has ended; the reply is a final message in Migrations. It returns false when the monitor is
+	// not reached.
+	AskEnded func(server, request string) bool
 	// OnLeaving is called when a backend server has answered for the first time that it is
 	// leaving, and when a stream begins to come from such a server; it must not block.
 	OnLeaving func()
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -71,7 +71,7 @@
 	if !announced || !migration.Stopped {
 		migration, announced = s.registration.AwaitStopped(wait)
 	}
-	if !announced {
+	if !announced || !migration.resumable() {
 		return false
 	}
 	s.request.log("migrated stream is being resumed", "From", s.attempt.server.Address, "To", migration.Destination,
@@ -172,11 +172,17 @@
 // noticeLeaving calls OnLeaving if an engine that a stream now comes from is about to shut
 // down, or is not listed any more.
 func (r *Relay) noticeLeaving(server discovery.BackendServer) {
-	if _, listed := r.StoreWatcher.Servers().List.Find(server.ID); !listed || r.isLeaving(server) {
+	if r.mayLeave(server) {
 		r.OnLeaving()
 	}
 }
 
+// mayLeave reports whether an engine is about to shut down, or is not listed any more.
+func (r *Relay) mayLeave(server discovery.BackendServer) bool {
+	_, listed := r.StoreWatcher.Servers().List.Find(server.ID)
+	return !listed || r.isLeaving(server)
+}
+
 // isLeaving reports whether an engine is about to shut down, by its monitor, its entry or its
 // answers.
 func (r *Relay) isLeaving(server discovery.BackendServer) bool {
--- a/internal/caller/relay/serverend.go
+++ b/internal/caller/relay/serverend.go
@@ -145,8 +145,7 @@
 	if silent || errors.Is(cause, errCallerGone) {
 		return
 	}
-	_, listed := q.relay.StoreWatcher.Servers().List.Find(server.ID)
-	if !listed || q.relay.isLeaving(server) {
+	if q.relay.mayLeave(server) {
 		return
 	}
 	ended := errors.Is(cause, errServerEnded) || hasEnded(ctx, server.Address)
@@ -160,7 +159,7 @@
 // noticeRefused records the crash of a server that has refused a connection under the requests that it
 // answered a moment ago. A later check may find the next incarnation at the same address.
 func (r *Relay) noticeRefused(server discovery.BackendServer, cause error) {
-	if _, listed := r.StoreWatcher.Servers().List.Find(server.ID); !listed || r.isLeaving(server) {
+	if r.mayLeave(server) {
 		return
 	}
 	if errors.Is(cause, syscall.ECONNREFUSED) {
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -65,9 +65,6 @@
 	series *metrics.Series
 }
 
-// errBrokenOff says that an answer without an end of its own was broken off.
-var errBrokenOff = errors.New("answer was broken off with its connection")
-
 // errServerEnded marks an error of an answer whose server has ended.
 var errServerEnded = errors.New("backend server has ended")
 
@@ -178,7 +175,7 @@
 	if s.attempt.call.endsWithConnection() && s.events.count == 0 {
 		return errBrokenOff
 	}
-	return s.attempt.checkEnd(ctx)
+	return s.request.checkEnd(ctx, s.attempt, s.registration)
 }
 
 // forward sends the events that data completes to the caller.
--- a/internal/caller/runmigration/runmigration.go
+++ b/internal/caller/runmigration/runmigration.go
@@ -335,6 +335,7 @@
 // copy copies a run and announces the result to its stream.
 func (e *evacuation) copy(ctx context.Context, step migration.Step, stop bool) platform.Copy {
 	startedAt := boottime.Now()
+	firstStop := stop && e.migrator.Migrations.OrderStop(step.Run.RequestID)
 	reply, err := e.migrator.Engines.Copy(ctx, e.server.Address, step.Run.RequestID, step.Destination.Address, stop)
 	e.migrator.Log.Info("run copied", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 		"Stop", stop, "Done", reply.Done, "Tokens", step.Run.Tokens, "Remaining", step.Run.Remaining,
@@ -343,6 +344,9 @@
 		e.migrator.Log.Warn("copy of run failed", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 			"Stop", stop, "Status", reply.Status, "Error", err)
 	}
+	if firstStop && reply.Status == http.StatusNotFound {
+		e.migrator.Migrations.WithdrawStop(step.Run.RequestID)
+	}
 	if reply.Handle == "" {
 		return reply
 	}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -200,6 +200,7 @@
 		Ends:         ends,
 		Reserve:      h.watch.Reserve,
 		OnPlaced:     h.watch.NotifyPlaced,
+		AskEnded:     h.watch.AskEnded,
 		OnLeaving:    h.migrator.Wake,
 		Metrics:      h.metrics,
 		Log:          h.Log,
--- a/internal/routing/watch/streams.go
+++ b/internal/routing/watch/streams.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// AskEnded asks an engine's monitor whether the engine has stopped the run of an answer that has
+// ended. The reply is a final migration. It returns false when the monitor is not reached.
+func (w *Watch) AskEnded(server, request string) bool {
+	o, ok := w.streams.find(server)
+	if !ok {
+		return false
+	}
+	err := o.send(&sighting.Advice{EndedRequestId: request})
+	if err != nil {
+		w.Log.Warn("engine monitor not asked for the end of a run", "Request", request, "Server", server, "Error", err)
+	}
+	return err == nil
+}
+
 // newPlacement returns the message that announces a request at an engine.
 func newPlacement(request string, g placement.Generation) *sighting.Advice {
 	return &sighting.Advice{Placement: &sighting.Placement{
--- a/internal/trial/endtoend/platform_unframed_test.go
+++ b/internal/trial/endtoend/platform_unframed_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
@@ -47,3 +49,72 @@
 		})
 	}
 }
+
+// TestMovedStreamThatEndsWithItsConnection guards against a stream without chunks whose run is stopped
+// for a migration and that reaches the caller as complete: the connection ends as that of a complete
+// answer does, and the leaving engine still listens.
+func TestMovedStreamThatEndsWithItsConnection(t *testing.T) {
+	t.Parallel()
+	const noticeMillis = 4000
+	for _, c := range []struct {
+		name   string
+		target string
+		events int
+		// before runs before the request, atNotice directly after the shutdown notice.
+		before, atNotice func(*platformSite, *platformEngine)
+		moved            bool
+	}{
+		{"stopped by the monitor", streamPath, 450, nil, nil, true},
+		{"stopped by the monitor, resumable", resumablePath, 450, nil, nil, true},
+		{"kept, as there is no room elsewhere", streamPath, 450, nil, func(_ *platformSite, e *platformEngine) {
+			e.SetFaults(replica.Faults{EndByClose: true, RefuseCopies: true})
+		}, false},
+		{"stopped by the monitor, entry removed", streamPath, 450, nil, func(s *platformSite, e *platformEngine) {
+			s.log.Put("keyed.servers", e.ID, nil)
+		}, true},
+		{"stopped by the entry host", streamPath, 450, func(_ *platformSite, e *platformEngine) { e.monitor.kill() }, func(s *platformSite, e *platformEngine) {
+			s.register(e.Replica, "engines", "draining")
+		}, true},
+		{"complete before the shutdown", streamPath, 120, nil, func(s *platformSite, e *platformEngine) {
+			s.register(e.Replica, "engines", "draining")
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newPlatformSite(t, 2, 0)
+			s.setEngineFaults(replica.Faults{EndByClose: true})
+			for _, e := range s.engines {
+				if c.before != nil {
+					c.before(s, e)
+				}
+			}
+			var group errgroup.Group
+			var got callerReply
+			group.Go(func() error {
+				request := streamRequest("unframed", c.events)
+				request.target = c.target
+				got = s.send(context.Background(), request)
+				return nil
+			})
+			e := s.activeEngine()
+			e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
+			if c.atNotice != nil {
+				c.atNotice(s, e)
+			}
+			is.NoErr(group.Wait())
+			is.NoErr(got.err)
+			is.Equal(got.events(), eventNumbers(c.events)) // each event once, in order
+			started, continued := 0, 0
+			for _, a := range s.arrivals() {
+				if a.Header.Get("Kv-From") == "" {
+					started++
+				} else {
+					continued++
+				}
+			}
+			is.Equal(started, 1)
+			is.Equal(continued > 0, c.moved)
+		})
+	}
+}
