relay: a success without a signature counts as lost on every path

Cause: only answers that are read whole were checked. Evidence: the same spoiled header ended with 502 on plain routes and with 200 on those of streams.

Change: request.open, through which every request is sent, closes the call of such an answer and reports it as lost: plain, hedged, streamed, resumed and moved.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -225,9 +225,6 @@
 func (q *request) bufferAnswer(ctx context.Context, a *attempt) outcome {
 	answer := a.call.Answer
 	body, err := q.answer.readAll(answer.Body)
-	if err == nil && answer.StatusCode < http.StatusMultipleChoices && !platform.Signed(answer.Header) {
-		err = errors.New("answer has no signature")
-	}
 	if err == nil {
 		err = q.checkBufferedEnd(ctx, a)
 	}
--- a/internal/caller/relay/hedge_test.go
+++ b/internal/caller/relay/hedge_test.go
@@ -61,6 +61,14 @@
 			}
 			answer(nth, w, r)
 		}, 200, "2", 2, metrics.HedgeSecondWon},
+		"hedge is answered without a signature": {func(_ *hedgeRig, nth int, w http.ResponseWriter, r *http.Request) {
+			if nth == 2 {
+				_, _ = w.Write([]byte("unsigned"))
+				return
+			}
+			time.Sleep(2 * lateMillis * time.Millisecond)
+			answer(nth, w, r)
+		}, 200, "1", 2, metrics.HedgeFirstWon},
 		"first attempt fails while the hedge is open": {func(_ *hedgeRig, nth int, w http.ResponseWriter, r *http.Request) {
 			if nth == 1 {
 				time.Sleep(lateMillis * time.Millisecond)
--- a/internal/caller/relay/observation.go
+++ b/internal/caller/relay/observation.go
@@ -15,8 +15,12 @@
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
+// errUnsigned says that a success has no signature, so that the server may not have made it.
+var errUnsigned = errors.New("answer has no signature")
+
 // open sends the request to a backend server and records what the answer says of the
-// server. All requests to backend servers are sent by it.
+// server. All requests to backend servers are sent by it. An answer that is a success has a
+// signature: open closes the call otherwise, and the request may have run.
 func (q *request) open(ctx context.Context, server discovery.BackendServer, r platform.ServerRequest) (*Call, error) {
 	if q.quarantined() {
 		return nil, errors.Mark(errors.Wrapf(errQuarantined, "request to %s", server.ID), ErrNotSent)
@@ -35,11 +39,22 @@
 	if r.ContinueFrom == (platform.Handle{}) && mayRun(call, err) {
 		q.runs++
 	}
-	if err == nil {
-		q.observeRateLimit(server.ID, call.Answer, sentAt)
-		q.observePause(server, call.Answer)
+	if err != nil {
+		return nil, err
+	}
+	q.observeRateLimit(server.ID, call.Answer, sentAt)
+	q.observePause(server, call.Answer)
+	if isUnsignedSuccess(call.Answer) {
+		call.Close()
+		return nil, errors.Wrapf(errUnsigned, "status %d from %s", call.Answer.StatusCode, server.ID)
 	}
-	return call, err
+	return call, nil
+}
+
+// isUnsignedSuccess reports whether an answer is a success that lacks the server's signature.
+func isUnsignedSuccess(answer *http.Response) bool {
+	return answer.StatusCode < http.StatusMultipleChoices &&
+		!platform.NotRun(answer.StatusCode, answer.Header) && !platform.Signed(answer.Header)
 }
 
 // watchedCall is a call whose time without an answer is watched. A nil watchedCall is not.
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -53,7 +53,9 @@
 	r.mu.Lock()
 	arrival.Ran = true
 	r.mu.Unlock()
-	w.Header().Set("Fulmarvalve-Response-Signature", id)
+	if !faults.Unsigned {
+		w.Header().Set("Fulmarvalve-Response-Signature", id)
+	}
 	if q.Header.Get("Fulmarvalve-Token-Usage") != "" {
 		r.stream(w, q, arrival, faults)
 		return
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -57,6 +57,8 @@
 	TruncateBody bool
 	// NoContentLength makes a plain service omit the Content-Length header.
 	NoContentLength bool
+	// Unsigned makes answers lack the server's signature.
+	Unsigned bool
 	// EndByClose makes streams come without chunks, so that they end with their connection.
 	EndByClose bool
 	// CrashAfter is the number of the event after which the engine calls Replica.OnCrash;
