relay: a stream may come from a plain service

Cause: stream.forward read the number of tokens in an event from the engine of the service, which a plain service does not have; the way of an answer follows from the kind of its route. Evidence: "nil pointer dereference" in stream.forward in each process that ended.

Change: Service.OutputTokens answers zero for a plain service. The limit on silence asks for events, not tokens. A stopping host estimates a stream at a plain service like any other; runs of a plain server that leaves are not looked for. EngineService replaces three copies of the same look-up.

--- a/internal/caller/relay/answerend_test.go
+++ b/internal/caller/relay/answerend_test.go
@@ -67,4 +67,18 @@
 	}
 }
 
+// TestLongestMillis guards against a stream that is accepted by a stopping host which cannot finish it,
+// as its route leads to a plain service.
+func TestLongestMillis(t *testing.T) {
+	is := is.New(t)
+	const maxTokens = 900
+	plain := routetable.Service{Name: "plain"}
+	longest := func(service routetable.Service, kind routetable.Kind) int64 {
+		q := &request{service: service, route: routetable.Route{Kind: kind}, caller: platform.CallerRequest{MaxOutputTokens: maxTokens}}
+		return q.longestMillis()
+	}
+	is.Equal(longest(plain, routetable.Stream), longest(rigEngine, routetable.Stream))
+	is.Equal(longest(plain, routetable.Idempotent), int64(plainServiceMillis))
+}
+
 var rigEngine = routetable.Service{Name: "lm", Engine: &routetable.Engine{MemoryTokens: 30_000}}
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -177,7 +177,7 @@
 	// the retry goes to another entry host.
 	stoppingRetryMillis = 50
 	// plainServiceMillis is the assumed maximum time of an answer of a plain
-	// service.
+	// service that is no stream.
 	plainServiceMillis = 300
 	// promptMillis is the assumed time to the first event of a generation on a busy
 	// engine, and tokenMillis the assumed time for each further token.
@@ -223,7 +223,7 @@
 	if refusal, ok := q.checkQuarantine(); !ok {
 		return refusal, false
 	}
-	if q.service.Engine != nil {
+	if q.service.Engine != nil || q.route.Kind == routetable.Stream {
 		q.output = q.relay.Outputs.Estimate(route.Name, q.caller.HintTokens, q.caller.MaxOutputTokens)
 		q.outputTokens = q.output.Remaining(0)
 	}
@@ -243,7 +243,7 @@
 // longestMillis returns the time in which the answer is complete, even if it is far
 // longer than the caller's estimate.
 func (q *request) longestMillis() int64 {
-	if q.service.Engine == nil {
+	if q.service.Engine == nil && q.route.Kind != routetable.Stream {
 		return plainServiceMillis
 	}
 	output := q.caller.MaxOutputTokens
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -39,7 +39,8 @@
 	// header is the header of the first answer. It is written with the first
 	// event.
 	header http.Header
-	// produced is the number of tokens in the events that were sent to the caller.
+	// produced is the number of tokens in the events that were sent to the caller. It is zero at a
+	// plain service.
 	produced atomic.Int64
 	// sample records the output for the estimates of further requests.
 	sample *outputestimate.Sample
@@ -192,7 +193,7 @@
 	}
 	s.interrupted = boottime.Now().MillisSince(s.lastEventAt) > slowSendMillis
 	s.expectEvent()
-	produced := s.events.count * max(s.request.service.Engine.TokensPerEvent, 1)
+	produced := s.request.service.OutputTokens(s.events.count)
 	s.produced.Store(int64(produced))
 	s.sample.SetProduced(produced)
 	return nil
@@ -238,7 +239,7 @@
 // deadline of the request applies.
 func (s *stream) setReadDeadline() error {
 	q := s.request
-	if s.produced.Load() == 0 || !q.route.Resumable || q.runs >= q.route.MaxAttempts {
+	if s.events.count == 0 || !q.route.Resumable || q.runs >= q.route.MaxAttempts {
 		return s.attempt.call.conn.SetReadDeadline(time.Time{})
 	}
 	return s.attempt.call.conn.SetReadDeadline(s.nextEventBy)
--- a/internal/caller/runmigration/runmigration.go
+++ b/internal/caller/runmigration/runmigration.go
@@ -113,6 +113,9 @@
 		if m.active[server.ID] || len(m.Migrations.RunsOn(server.Address)) == 0 {
 			continue
 		}
+		if _, ok := m.StoreWatcher.EngineService(server.Service); !ok {
+			continue // a stream of a plain service has no run to migrate
+		}
 		if m.Monitored(server.ID) {
 			monitored = true
 			continue
@@ -302,12 +305,8 @@
 
 // destinations returns the engines that runs can be migrated to.
 func (e *evacuation) destinations() []migration.Destination {
-	table := e.migrator.StoreWatcher.Configuration().RouteTable
-	if table == nil {
-		return nil
-	}
-	service, ok := table.Service(e.server.Service)
-	if !ok || service.Engine == nil {
+	service, ok := e.migrator.StoreWatcher.EngineService(e.server.Service)
+	if !ok {
 		return nil
 	}
 	ready := e.migrator.StoreWatcher.Ready(e.server.Service, boottime.Now())
--- a/internal/routing/routetable/routetable.go
+++ b/internal/routing/routetable/routetable.go
@@ -118,6 +118,15 @@
 	LowestPriority int
 }
 
+// OutputTokens returns the number of tokens in events of a stream. The events of a plain service
+// hold none.
+func (s Service) OutputTokens(events int) int {
+	if s.Engine == nil {
+		return 0
+	}
+	return events * max(s.Engine.TokensPerEvent, 1)
+}
+
 // Account is a client account.
 type Account struct {
 	Name string
--- a/internal/routing/watch/advice.go
+++ b/internal/routing/watch/advice.go
@@ -9,7 +9,6 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/signal"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 )
 
@@ -94,7 +93,7 @@
 // newDestinationPlan returns the plan for the engines of a service; it is empty when the
 // service is not known or has no engines.
 func (w *Watch) newDestinationPlan(name string) destinationPlan {
-	service, ok := w.engineService(name)
+	service, ok := w.StoreWatcher.EngineService(name)
 	if !ok {
 		return destinationPlan{}
 	}
@@ -110,17 +109,6 @@
 	}
 }
 
-// engineService returns a service of the configuration. It returns false when the service
-// has no engines.
-func (w *Watch) engineService(name string) (routetable.Service, bool) {
-	table := w.StoreWatcher.Configuration().RouteTable
-	if table == nil {
-		return routetable.Service{}, false
-	}
-	service, ok := table.Service(name)
-	return service, ok && service.Engine != nil
-}
-
 // leavingEngines returns the engines of a service that are about to shut down.
 func (w *Watch) leavingEngines(service string) []migration.Engine {
 	list := w.StoreWatcher.Servers().List
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -155,13 +155,8 @@
 // engines returns the engines in the discovery list.
 func (w *Watch) engines() map[identity]discovery.BackendServer {
 	engines := make(map[identity]discovery.BackendServer)
-	table := w.StoreWatcher.Configuration().RouteTable
-	if table == nil {
-		return engines
-	}
 	for _, server := range w.StoreWatcher.Servers().List.All() {
-		service, ok := table.Service(server.Service)
-		if ok && service.Engine != nil {
+		if _, ok := w.StoreWatcher.EngineService(server.Service); ok {
 			engines[identity{server.ID, server.BornUnixMillis}] = server
 		}
 	}
--- a/internal/settings/storewatcher/storewatcher.go
+++ b/internal/settings/storewatcher/storewatcher.go
@@ -98,6 +98,17 @@
 	return Configuration{}
 }
 
+// EngineService returns a service of the newest configuration. It returns false when there is none
+// with that name, or when it is a plain service.
+func (w *Watcher) EngineService(name string) (routetable.Service, bool) {
+	table := w.Configuration().RouteTable
+	if table == nil {
+		return routetable.Service{}, false
+	}
+	service, ok := table.Service(name)
+	return service, ok && service.Engine != nil
+}
+
 // Servers returns the newest list of backend servers that was read.
 func (w *Watcher) Servers() Servers {
 	if known := w.servers.Load(); known != nil {
