platform, hostlist: an odd entry names nothing, and the others hold

Cause: a key that is no UTF-8 text can't stand in a message between entry hosts, so that every read at a reader failed; IDs, addresses and numbers were checked for their type only; the host list of the older roles was decoded as one document.

--- a/internal/platform/hostlist/client.go
+++ b/internal/platform/hostlist/client.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/exchange"
 )
@@ -48,12 +50,39 @@
 	if resp.Status != http.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "list hosts: status %d", resp.Status)
 	}
-	var list List
-	if err := exchange.Decode(resp, &list); err != nil {
+	hosts, err := decodeList(resp.Body)
+	if err != nil {
 		return nil, errors.Wrap(exchange.NewOutcomeError(ErrUnavailable, err), "list hosts")
 	}
-	c.remember(resp.Header.Get("ETag"), list.Hosts)
-	return slices.Clone(list.Hosts), nil
+	c.remember(resp.Header.Get("ETag"), hosts)
+	return slices.Clone(hosts), nil
+}
+
+// decodeList decodes the host list. It leaves out entries that describe no host, as another writer
+// may have left them. Each entry is decoded by itself, so that the others hold.
+func decodeList(body []byte) ([]Host, error) {
+	list := gjson.GetBytes(body, "Hosts")
+	if !list.IsArray() && (!list.Exists() || list.Type != gjson.Null) {
+		return nil, errors.New("answer has no list of hosts")
+	}
+	var hosts []Host
+	list.ForEach(func(_, entry gjson.Result) bool {
+		var host Host
+		if json.Unmarshal([]byte(entry.Raw), &host) == nil && host.isUsable() {
+			hosts = append(hosts, host)
+		}
+		return true
+	})
+	return hosts, nil
+}
+
+// isUsable reports whether the entry names a host, with an address that can be called or none.
+func (h Host) isUsable() bool {
+	if h.Name == "" || h.PeerAddress == "" {
+		return h.Name != ""
+	}
+	address, err := netip.ParseAddrPort(h.PeerAddress)
+	return err == nil && address.Port() != 0
 }
 
 // Register adds the host to the host list, or replaces the entry with its name. It is
--- a/internal/settings/storewatcher/fleet_test.go
+++ b/internal/settings/storewatcher/fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -255,6 +256,43 @@
 	}
 }
 
+// TestFleetFollowsPastOddEntries guards against hosts that stop following the list of backend servers
+// at the readers, as a record that another writer left in it can't be passed on. Hosts that start later
+// find the record among the newest ones.
+func TestFleetFollowsPastOddEntries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store := &keyedlog.Log{}
+	store.Put(platform.ConfigurationTopic, "evacuate/old", []byte("{}"))
+	hosts := startFleet(t, store)
+	awaitEvacuation(t, hosts, "old")
+	boottime.Pause(t.Context(), 1000)
+	others := made(hosts[fleetReaders:])
+	deep := strings.Repeat("[", 100_000)
+	for n, odd := range []struct{ key, value string }{
+		{"od\xff", "{}"},
+		{"", "{}"},
+		{"odd\r\n", deep},
+		{"odd", deep},
+		{"odd", `{"service":"plain","address":"127.0.0.1:70000","zone":"a","state":"ready"}`},
+		{"odd", `{"service":"plain","address":"127.0.0.1:7000","zone":"a","state":"ready","slots":1e400}`},
+		{"od\xfe", `{"service":"plain","address":"127.0.0.1:7000","zone":"a","state":"ready"}`},
+	} {
+		store.Put(platform.ServersTopic, odd.key, []byte(odd.value))
+		store.Put(platform.ConfigurationTopic, odd.key, []byte(odd.value))
+		id, began := fmt.Sprint("s", n), boottime.Now()
+		store.Put(platform.ServersTopic, id, []byte(`{"service":"plain","address":"127.0.0.1:7001","zone":"a","state":"ready","seq":1,"born":1}`))
+		for _, h := range hosts {
+			for _, listed := h.watcher.Servers().List.Find(id); !listed; _, listed = h.watcher.Servers().List.Find(id) {
+				is.True(boottime.Now().MillisSince(began) < fleetApplyMax)
+				boottime.Pause(t.Context(), 1)
+			}
+			is.Equal(len(h.watcher.Servers().List.All()), n+1) // none of the odd ones
+		}
+	}
+	is.Equal(made(hosts[fleetReaders:]), others) // all read on at the readers
+}
+
 // TestConfirmedAt guards against data of another host that is taken for newer than it is.
 func TestConfirmedAt(t *testing.T) {
 	const startedAt = boottime.Instant(1_000_000_000_000)
