relay: a promise that a server did not state is not passed on for requests that may run once

Beside it: an answer 408, 429 or 503 of a server that had run the request, without the statement that it had not, reached the caller unchanged, and these statuses promise that it has not run.

Change: request.finish answers such a request with 502 if it may not be repeated. The stand-ins can write earlier refusals, on every path.

--- a/internal/caller/relay/hedge_test.go
+++ b/internal/caller/relay/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -61,6 +62,17 @@
 			}
 			answer(nth, w, r)
 		}, 200, "2", 2, metrics.HedgeSecondWon},
+		"hedge is answered by an earlier refusal first": {func(g *hedgeRig, nth int, w http.ResponseWriter, r *http.Request) {
+			if nth == 1 {
+				g.hang(r)
+				return
+			}
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nFulmarvalve-Request-Id: earlier\r\n"+
+				"Fulmarvalve-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"+
+				"HTTP/1.1 200 OK\r\nFulmarvalve-Response-Signature: s\r\nArrival: 2\r\nContent-Length: 3\r\n\r\nr/2")
+			_ = conn.Close()
+		}, 200, "2", 2, metrics.HedgeSecondWon},
 		"hedge is answered without a signature": {func(_ *hedgeRig, nth int, w http.ResponseWriter, r *http.Request) {
 			if nth == 2 {
 				_, _ = w.Write([]byte("unsigned"))
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
 // outcome is the result of an attempt.
@@ -167,6 +168,11 @@
 	switch o := last.(type) {
 	case answered:
 		q.log("answered", "Server", o.server, "Status", o.status)
+		if platform.PromisesNotRun(o.status) && !q.route.Retryable() {
+			// The server did not state that it has not run the request.
+			q.refuse(Refusal{Code: resultcode.ReplyLost})
+			return
+		}
 		q.countAnswered()
 		q.exchange.Respond(o.status, o.header, o.body)
 	case streamed:
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -7,8 +7,14 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
+// earlierRefusal is the refusal of an earlier request.
+const earlierRefusal = "HTTP/1.1 503 Service Unavailable\r\nFulmarvalve-Request-Id: earlier\r\n" +
+	"Fulmarvalve-Not-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nfull"
+
 // lateCrashMillis is the time from an answer until the server crashes because of its request.
 const lateCrashMillis = 20
 
@@ -35,6 +41,9 @@
 	if faults.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	for range faults.EarlierRefusals {
+		_, _ = io.WriteString(serving.Conn(q), earlierRefusal)
+	}
 	w.Header().Set("Fulmarvalve-Request-Id", q.Header.Get("Fulmarvalve-Request-Id"))
 	id, ended := r.identity()
 	if expected := q.Header.Get("Fulmarvalve-Expect-Instance"); expected != "" && expected != id {
@@ -56,7 +65,7 @@
 	if !faults.Unsigned {
 		w.Header().Set("Fulmarvalve-Response-Signature", id)
 	}
-	if q.Header.Get("Fulmarvalve-Token-Usage") != "" {
+	if q.Header.Get("Fulmarvalve-Token-Usage") != "" && faults.Status == 0 {
 		r.stream(w, q, arrival, faults)
 		return
 	}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -35,7 +35,7 @@
 
 // Faults holds the faults of a backend server. The zero value injects none.
 type Faults struct {
-	// Status is the status with which a plain service responds to a request that
+	// Status is the status with which the server responds to a request that
 	// has run; zero means 200.
 	Status int
 	// Decline refuses every request with status 503 and a header that says that the
@@ -52,6 +52,9 @@
 	// ForeignAnswer makes a plain service send a response to another request before
 	// the right one.
 	ForeignAnswer bool
+	// EarlierRefusals is the number of times that the server writes the refusal of an earlier
+	// request once more before each answer. It does so when a request has arrived.
+	EarlierRefusals int
 	// TruncateBody makes a plain service close the connection after half of the
 	// response body.
 	TruncateBody bool
--- a/internal/standin/serving/serving.go
+++ b/internal/standin/serving/serving.go
@@ -73,9 +73,25 @@
 	}
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// Conn returns the connection of a request that a Listener serves. What is written to it comes before
+// the response.
+func Conn(r *http.Request) net.Conn {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // serve serves handler on ln until ctx ends, then closes all connections.
 func serve(ctx context.Context, ln net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeoutSeconds * time.Second}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeoutSeconds * time.Second,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		<-ctx.Done()
