relay: a silent stream stays at its engine until another one takes it, and no two work on it for long

Cause: the silence ended the read of the answer for good, and the connection to the first engine was closed only once the other's answer had begun. Evidence: the first engine's events up to 670 ms after the second began, and "stream lost" after "stream not resumed ... 503".

Change: the silence is noticed below the body, where the read can go on; the request is sent elsewhere meanwhile, and the first engine is let go 250 ms after that, or when the other's answer begins. A server that declines leaves the stream where it is.

--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -7,7 +7,9 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,6 +70,11 @@
 	Answer *http.Response
 
 	conn net.Conn
+	// onSilence is called when the read deadline has passed. If it returns true, it has set another
+	// one and the call is read on. Nil ends the read.
+	onSilence func() bool
+	// closed is set once the connection was closed by Close.
+	closed atomic.Bool
 	// stop cancels the hook that closes the connection when the context ends.
 	stop func() bool
 	// write runs the writing of a large body.
@@ -80,8 +87,20 @@
 	return c.Answer.ContentLength < 0 && len(c.Answer.TransferEncoding) == 0
 }
 
+// Read reads bytes of the answer from the connection. A body can't be read on after an error, so that
+// the user of the call decides on a silence before there is one.
+func (c *Call) Read(p []byte) (int, error) {
+	for {
+		n, err := c.conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onSilence == nil || !c.onSilence() {
+			return n, err
+		}
+	}
+}
+
 // Close ends the call and closes its connection.
 func (c *Call) Close() {
+	c.closed.Store(true)
 	c.stop()
 	_ = c.conn.Close()
 	// The write of the body ends with the connection. Its error is dropped, as the
@@ -109,7 +128,7 @@
 		call.Close()
 		return nil, errors.Wrapf(err, "send request to %s", out.Address)
 	}
-	call.Answer, err = readAnswer(conn, out) //nolint:bodyclose // Call.Close closes the connection, which ends the body
+	call.Answer, err = readAnswer(call, out) //nolint:bodyclose // Call.Close closes the connection, which ends the body
 	if err != nil {
 		call.Close()
 		return nil, errors.Wrapf(err, "read answer from %s", out.Address)
@@ -150,8 +169,8 @@
 
 // readAnswer reads the status and the header of the answer to out. It skips
 // informational answers and up to maxSkippedAnswers answers to other requests.
-func readAnswer(conn net.Conn, out Outbound) (*http.Response, error) {
-	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+func readAnswer(call *Call, out Outbound) (*http.Response, error) {
+	limited := &io.LimitedReader{R: call, N: maxHeadBytes}
 	reader := bufio.NewReaderSize(limited, responseBufferBytes)
 	request := &http.Request{Method: out.Method}
 	for skipped := 0; skipped <= maxSkippedAnswers; {
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -14,17 +14,25 @@
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
+// overlapMillis is the time for which the server that a stream comes from may go on with the request
+// after it was sent to another one, whose answer has not begun. If the other one declines it meanwhile,
+// the stream can still stay where it is.
+const overlapMillis = 250
+
 // migrationWaitMillis is the time for which a stream waits for the migration of its run,
 // after the stream was broken by an engine that is about to shut down.
 const migrationWaitMillis = 1200
 
 // resume resumes a stream that broke: at the copy of a migrated run, or, if the
 // route is resumable, as a new generation after the last event. It returns false
-// when neither is possible. A server that did not run the request is followed by another one.
+// when neither is possible.
 func (s *stream) resume(ctx context.Context, cause error) bool {
-	if s.resumeMigrated(ctx, cause) {
-		return true
-	}
+	return s.resumeMigrated(ctx, cause) || s.regenerateOnce(ctx, cause)
+}
+
+// regenerateOnce resumes the stream as a new generation at one other server. It returns false when no
+// server continues it. One that did not run the request is followed by another one.
+func (s *stream) regenerateOnce(ctx context.Context, cause error) bool {
 	runs := s.request.runs
 	for dials := 0; dials < maxDials && s.request.runs == runs && ctx.Err() == nil; dials++ {
 		if !s.mayRegenerate(cause) {
@@ -141,9 +149,12 @@
 }
 
 // open sends the request to a further server. If the server continues the stream,
-// it becomes the new source.
+// it becomes the new source. Two servers do not work on the request for longer than overlapMillis.
 func (s *stream) open(ctx context.Context, next *attempt, r platform.ServerRequest) bool {
+	source := s.attempt.call
+	limit := time.AfterFunc(overlapMillis*time.Millisecond, source.Close)
 	call, err := s.request.open(ctx, next.server, r)
+	limit.Stop()
 	if err != nil {
 		s.request.log("stream not resumed at backend server", "Server", next.server.ID, "Error", err)
 		next.close(ctx.Err() == nil)
@@ -158,8 +169,10 @@
 		next.close(false)
 		return false
 	}
+	call.onSilence = func() bool { return s.staysAfterSilence(ctx) }
 	s.attempt.close(false)
 	s.attempt = next
+	s.events.discardPartial()
 	s.expectEvent()
 	s.interrupted = true
 	s.recentPauses = pauseforecast.Recent{}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -35,6 +35,9 @@
 	// attempt is the current source of the stream.
 	attempt      *attempt
 	events       eventSplitter
+	// switched is set when the stream has gone on at another server during a read of its attempt
+	// before.
+	switched bool
 	registration *Registration
 	// header is the header of the first answer. It is written with the first
 	// event.
@@ -76,6 +79,7 @@
 // is resumed at another backend server if possible.
 func (q *request) stream(ctx context.Context, a *attempt) outcome {
 	s := &stream{request: q, attempt: a, header: platform.CallerHeader(a.call.Answer.Header)}
+	a.call.onSilence = func() bool { return s.staysAfterSilence(ctx) }
 	s.registration = q.relay.Migrations.Register(q.caller.ID, a.server.Address, s.generation)
 	defer s.registration.Unregister()
 	q.relay.noticeLeaving(a.server)
@@ -88,6 +92,10 @@
 			complete = true
 			return s.complete()
 		}
+		if s.switched {
+			s.switched = false
+			continue
+		}
 		s.events.discardPartial()
 		s.request.noticeBroken(ctx, s.attempt.server, s.events.count, err)
 		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
@@ -155,6 +163,9 @@
 			return err
 		}
 		n, err := body.Read(buffer)
+		if s.switched {
+			return err
+		}
 		if sendErr := s.forward(buffer[:n]); sendErr != nil {
 			return sendErr
 		}
