--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -33,11 +33,11 @@
 type stream struct {
 	request *request
 	// attempt is the current source of the stream.
-	attempt      *attempt
-	events       eventSplitter
+	attempt *attempt
+	events  eventSplitter
 	// switched is set when the stream has gone on at another server during a read of its attempt
 	// before.
-	switched bool
+	switched     bool
 	registration *Registration
 	// header is the header of the first answer. It is written with the first
 	// event.
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -38,13 +38,7 @@
 		w.Header().Set("Server-Limit", r.rateLimit)
 	}
 	r.mu.Unlock()
-	if faults.Leaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	for range faults.EarlierRefusals {
-		_, _ = io.WriteString(serving.Conn(q), earlierRefusal)
-	}
-	w.Header().Set("Fulmarvalve-Request-Id", q.Header.Get("Fulmarvalve-Request-Id"))
+	beginAnswer(w, q, faults)
 	id, ended := r.identity()
 	if expected := q.Header.Get("Fulmarvalve-Expect-Instance"); expected != "" && expected != id {
 		w.Header().Set("Fulmarvalve-Replica-Id", id)
@@ -83,6 +77,17 @@
 	}
 }
 
+// beginAnswer sets the headers of every answer, after what a fault writes before it.
+func beginAnswer(w http.ResponseWriter, q *http.Request, faults Faults) {
+	for range faults.EarlierRefusals {
+		_, _ = io.WriteString(serving.Conn(q), earlierRefusal)
+	}
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	w.Header().Set("Fulmarvalve-Request-Id", q.Header.Get("Fulmarvalve-Request-Id"))
+}
+
 // runPlain runs a request of a plain service. The request is broken when the server ends.
 func (r *Replica) runPlain(q *http.Request, ended <-chan struct{}, millis int) {
 	r.holdHung(q)
--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -307,3 +307,27 @@
 	})
 	return found
 }
+
+// sendInBackground sends a request and returns a function that waits for the reply.
+func (s *platformSite) sendInBackground(r callerRequest) (await func() callerReply) {
+	s.t.Helper()
+	var group errgroup.Group
+	var got callerReply
+	group.Go(func() error {
+		got = s.send(context.Background(), r)
+		return nil
+	})
+	return func() callerReply {
+		_ = group.Wait()
+		return got
+	}
+}
+
+// setOthersFaults sets the faults of the engines other than e.
+func (s *platformSite) setOthersFaults(e *platformEngine, f replica.Faults) {
+	for _, other := range s.engines {
+		if other != e {
+			other.SetFaults(f)
+		}
+	}
+}
