--- a/internal/backend/engineowner/fixture_test.go
+++ b/internal/backend/engineowner/fixture_test.go
@@ -83,9 +83,15 @@
 
 // start runs an Owner and its engine until the test ends.
 func start(t *testing.T, server *standin.Server) *Owner {
+	t.Helper()
+	return startAt(t, server, server.Handler())
+}
+
+// startAt is like start with another handler of the calls of the engine.
+func startAt(t *testing.T, server *standin.Server, handler http.Handler) *Owner {
 	t.Helper()
 	is := is.New(t)
-	web := httptest.NewServer(server.Handler())
+	web := httptest.NewServer(handler)
 	document, err := operatorfile.Parse([]byte(`{
 		"Services": [{"Name": "coaching", "Kind": "Generation", "Model": "coach"}],
 		"Models": [{"Name": "coach", "Version": "1", "Replicas": 1}],
