--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -17,7 +17,7 @@
 // overlapMillis is the time for which the server that a stream comes from may go on with the request
 // after it was sent to another one, whose answer has not begun. If the other one declines it meanwhile,
 // the stream can still stay where it is.
-const overlapMillis = 250
+const overlapMillis = 100
 
 // migrationWaitMillis is the time for which a stream waits for the migration of its run,
 // after the stream was broken by an engine that is about to shut down.
