--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -13,8 +13,8 @@
 type Migration struct {
 	// RequestID is the request ID that the caller chose.
 	RequestID string
-	// Stopped says that the source has stopped the run, or may have in a final message. Otherwise
-	// the run still generates, and the copy lacks the tokens generated after it was made.
+	// Stopped says that the source has stopped the run; in a final message, that it may have.
+	// Otherwise the run still generates, and the copy lacks the tokens generated after it was made.
 	Stopped bool
 	// Final says that no later message about the run follows.
 	Final bool
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -35,8 +35,8 @@
 	// attempt is the current source of the stream.
 	attempt *attempt
 	events  eventSplitter
-	// switched is set when the stream has gone on at another server during a read of its attempt
-	// before.
+	// switched is set when the stream went on at another server while the answer of the one before
+	// was read.
 	switched     bool
 	registration *Registration
 	// header is the header of the first answer. It is written with the first
