--- a/internal/settings/storewatcher/fleet_test.go
+++ b/internal/settings/storewatcher/fleet_test.go
@@ -231,7 +231,6 @@
 // shorter copy: the first one that has read it holds smaller offsets than those that ask it. Each time
 // all hosts have what was written since in time.
 func TestFleetOutlivesRestores(t *testing.T) {
-	t.Parallel()
 	const restores, lostRecords = 3, 12
 	is := is.New(t)
 	store := &keyedlog.Log{}
@@ -260,7 +259,6 @@
 // at the readers, as a record that another writer left in it can't be passed on. Hosts that start later
 // find the record among the newest ones.
 func TestFleetFollowsPastOddEntries(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	store := &keyedlog.Log{}
 	store.Put(platform.ConfigurationTopic, "evacuate/old", []byte("{}"))
