test: runs that start and runs that go on from a copy are counted in one place

Cause: the test of moved streams without chunks counted them like the one of migrations without a monitor. Change: countRuns; the assertions are as they were.

--- a/internal/trial/endtoend/platform_migration_test.go
+++ b/internal/trial/endtoend/platform_migration_test.go
@@ -119,14 +119,7 @@
 			is.NoErr(group.Wait())
 			is.NoErr(got.err)
 			is.Equal(got.events(), eventNumbers(events)) // each event once, in order
-			started, continued := 0, 0
-			for _, a := range s.arrivals() {
-				if a.Header.Get("Kv-From") == "" {
-					started++
-				} else {
-					continued++
-				}
-			}
+			started, continued := s.countRuns()
 			is.Equal(started, 1)
 			is.True(continued >= 1)
 			is.Equal(e.Running(), 0)
--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -331,3 +331,15 @@
 		}
 	}
 }
+
+// countRuns counts the arrivals that started a run, and those that continued one from its copy.
+func (s *platformSite) countRuns() (started, continued int) {
+	for _, a := range s.arrivals() {
+		if a.Header.Get("Kv-From") == "" {
+			started++
+		} else {
+			continued++
+		}
+	}
+	return started, continued
+}
--- a/internal/trial/endtoend/platform_unframed_test.go
+++ b/internal/trial/endtoend/platform_unframed_test.go
@@ -99,14 +99,7 @@
 			got := await()
 			is.NoErr(got.err)
 			is.Equal(got.events(), eventNumbers(c.events)) // each event once, in order
-			started, continued := 0, 0
-			for _, a := range s.arrivals() {
-				if a.Header.Get("Kv-From") == "" {
-					started++
-				} else {
-					continued++
-				}
-			}
+			started, continued := s.countRuns()
 			is.Equal(started, 1)
 			is.Equal(continued > 0, c.moved)
 		})
