httpserver, relay, lifecycle: logs and metrics tell why and how a stop cut a request

`answer cut` says why an answer did not reach its caller, whether the request was sent to a server and how much time it had left; `CutAnswers` counts them by cause. `drained` says how many requests were open at the end, how many began during the stop, how much of the grace period was left and how many signals came. No decision is changed.

--- a/internal/caller/httpserver/exchange.go
+++ b/internal/caller/httpserver/exchange.go
@@ -17,6 +17,9 @@
 	Body    []byte
 	// Context is canceled when the caller disconnects or the process stops.
 	Context context.Context //nolint:containedctx // its lifetime is that of one exchange
+	// OnCut, if the handler sets it, is called after Handle when the complete response did not
+	// reach the connection.
+	OnCut func(Cut)
 
 	connection *connection
 	// closeAfter is set when the connection is closed after this response.
@@ -32,6 +35,20 @@
 	err error
 }
 
+// Cut says why a response did not reach the connection completely.
+type Cut string
+
+const (
+	// CutByCaller means that the caller had closed the connection.
+	CutByCaller Cut = "CallerDisconnected"
+	// CutByStop means that the process was ending.
+	CutByStop Cut = "Stopped"
+	// CutByHandler means that the handler aborted the response.
+	CutByHandler Cut = "Aborted"
+	// CutByWrite means that the connection failed.
+	CutByWrite Cut = "WriteFailed"
+)
+
 // ErrResponseAborted means that the handler aborted an incomplete response.
 var ErrResponseAborted = errors.New("response aborted before its end")
 
@@ -139,6 +156,20 @@
 	}
 }
 
+// cut returns why the response is incomplete.
+func (x *Exchange) cut() Cut {
+	switch {
+	case x.CallerDisconnected():
+		return CutByCaller
+	case x.Context.Err() != nil:
+		return CutByStop
+	case x.err == nil || errors.Is(x.err, ErrResponseAborted):
+		return CutByHandler
+	default:
+		return CutByWrite
+	}
+}
+
 // finish flushes the rest of the response and reports whether the complete
 // response was sent.
 func (x *Exchange) finish() bool {
--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -69,6 +69,8 @@
 	closing atomic.Bool
 	// open counts the requests that are being handled.
 	open atomic.Int64
+	// begun counts the requests whose heads were read.
+	begun atomic.Int64
 
 	mu sync.Mutex
 	// idle holds the connections that wait for their next request.
@@ -108,6 +110,11 @@
 	return int(s.open.Load())
 }
 
+// Begun returns the number of requests whose heads were read since the start.
+func (s *Server) Begun() int {
+	return int(s.begun.Load())
+}
+
 // CloseAfterAnswers makes the server close each connection after the response to
 // its next request.
 func (s *Server) CloseAfterAnswers() {
@@ -192,6 +199,7 @@
 		c.refuse(headStatus(err), err)
 		return false
 	}
+	c.server.begun.Add(1)
 	c.server.open.Add(1)
 	defer c.server.open.Add(-1)
 	body, err := c.readBody(request, limits)
@@ -244,6 +252,9 @@
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	_ = watch.Wait()
 	if !x.finish() {
+		if x.OnCut != nil {
+			x.OnCut(x.cut())
+		}
 		c.abort(x)
 		return false
 	}
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpserver"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
@@ -157,6 +158,12 @@
 	return q.relay.Metrics.Series(q.account.Name, q.route.Name)
 }
 
+// recordCut records that the answer did not reach the caller completely.
+func (q *request) recordCut(cut httpserver.Cut) {
+	q.relay.Metrics.CountCut(string(cut))
+	q.log("answer cut", "Cause", cut, "Sent", len(q.tried) > 0, "Begun", q.exchange.Begun(), "LeftMillis", q.remainingMillis())
+}
+
 // finish sends the caller the final answer, unless it was streamed.
 func (q *request) finish(ctx context.Context, last outcome) {
 	if q.exchange.CallerDisconnected() {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -143,6 +143,7 @@
 		answer:       answerReservation{memory: &r.answerMemory},
 	}
 	defer q.answer.release()
+	x.OnCut = q.recordCut
 	if refusal, ok := q.check(r.StoreWatcher.Configuration()); !ok {
 		q.refuse(refusal)
 		return
--- a/internal/records/metrics/metrics.go
+++ b/internal/records/metrics/metrics.go
@@ -50,6 +50,7 @@
 	rejectedFrames expvar.Map
 	migrations     expvar.Map
 	unresponsive   expvar.Map
+	cuts           expvar.Map
 	// migrationPause holds the times for which migrated generations paused.
 	migrationPause timer
 	hedges         hedgeTimers
@@ -150,6 +151,12 @@
 	r.migrationPause.record(d)
 }
 
+// CountCut counts an answer that did not reach its caller completely, by the cause. The cause must
+// come from a fixed set, since the registry keeps a counter for each one.
+func (r *Registry) CountCut(cause string) {
+	r.cuts.Add(cause, 1)
+}
+
 // CountRejectedFrame counts a rejected frame by the reason. The reason must come
 // from a fixed set, since the registry keeps a counter for each one.
 func (r *Registry) CountRejectedFrame(reason string) {
--- a/internal/records/metrics/query.go
+++ b/internal/records/metrics/query.go
@@ -38,6 +38,8 @@
 	// Unresponsive is the number of requests that were placed otherwise because a backend server
 	// is unresponsive, by what was done.
 	Unresponsive map[string]int64
+	// CutAnswers is the number of answers that did not reach their callers completely, by cause.
+	CutAnswers map[string]int64
 	// RejectedFrames is the number of rejected frames by reason.
 	RejectedFrames map[string]int64
 	// Moves is the number of planned migrations of generations by outcome.
@@ -83,6 +85,7 @@
 		LongPauses:     r.longPauses.Value(),
 		EventMicros:    r.eventMicros.Value(),
 		Unresponsive:   counts(&r.unresponsive),
+		CutAnswers:     counts(&r.cuts),
 		RejectedFrames: counts(&r.rejectedFrames),
 		Moves:          counts(&r.migrations),
 		MovePause:      r.migrationPause.quantiles(),
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -140,7 +140,7 @@
 	})
 	err = group.Wait()
 	h.storeCalls.LogTotals(h.Log)
-	h.Log.Info("stopped", "Name", h.Settings.Name, "Open", h.server.Open())
+	h.Log.Info("stopped", "Name", h.Settings.Name, "CutAnswers", h.metrics.Snapshot().CutAnswers)
 	return err
 }
 
@@ -351,6 +351,7 @@
 	graceMillis := int64(h.Settings.GraceSeconds*millisPerSecond) - shutdownReserveMillis
 	deadline := time.Now().Add(time.Duration(graceMillis) * time.Millisecond)
 	h.shutdownAt.Store(int64(boottime.Now().AddMillis(graceMillis)))
+	begun := h.server.Begun()
 	h.server.CloseAfterAnswers()
 	h.Log.Info("stopping", "Open", h.server.Open(), "Deadline", deadline)
 	idleTimer := time.NewTimer(idleConnectionMillis * time.Millisecond)
@@ -364,5 +365,7 @@
 	if open > 0 {
 		h.Log.Warn("aborting open requests at the end of the grace period", "Open", open)
 	}
+	h.Log.Info("drained", "Open", open, "Signals", life.Signals(), "LeftMillis", time.Until(deadline).Milliseconds(),
+		"Begun", h.server.Begun()-begun)
 	return nil
 }
--- a/internal/role/lifecycle/lifecycle.go
+++ b/internal/role/lifecycle/lifecycle.go
@@ -8,6 +8,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +26,8 @@
 	// Drain ends before Abort or together with it.
 	Drain context.Context
 	Abort context.Context
+	// Signals returns the number of signals to stop that the process has received.
+	Signals func() int
 	// Reload is nil for processes that read their settings only at the start.
 	Reload *Reload
 }
@@ -40,11 +43,13 @@
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
 	done := make(chan struct{})
+	var received atomic.Int64
 	var group errgroup.Group
 	group.Go(func() error {
 		for _, end := range []context.CancelFunc{drainNow, abortNow} {
 			select {
 			case <-signals:
+				received.Add(1)
 				end()
 			case <-done:
 				return nil
@@ -52,7 +57,7 @@
 		}
 		return nil
 	})
-	err := run(Lifecycle{Drain: drain, Abort: abort})
+	err := run(Lifecycle{Drain: drain, Abort: abort, Signals: func() int { return int(received.Load()) }})
 	close(done)
 	_ = group.Wait()
 	return err
