--- a/internal/trial/endtoend/platform_client_test.go
+++ b/internal/trial/endtoend/platform_client_test.go
@@ -141,3 +141,22 @@
 	response, _ := io.ReadAll(bufio.NewReader(conn))
 	return string(response)
 }
+
+// readUntilEnd sends the text unchanged, calls begun, and returns all that is received until the
+// connection ends, with the error that ended it if it was not closed in order.
+func (s *platformSite) readUntilEnd(text string, begun func()) callerReply {
+	s.t.Helper()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(context.Background(), "tcp", s.settings.CallerAddress)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, text); err != nil {
+		s.t.Fatal(err)
+	}
+	begun()
+	_ = conn.SetReadDeadline(waitDeadline())
+	body, err := io.ReadAll(conn)
+	return callerReply{body: string(body), err: err}
+}
--- a/internal/trial/endtoend/platform_migration_test.go
+++ b/internal/trial/endtoend/platform_migration_test.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// setPlainFaults sets the faults of all backend servers of the plain service.
+func (s *platformSite) setPlainFaults(f replica.Faults) {
+	for _, server := range s.plainServices {
+		server.SetFaults(f)
+	}
+}
+
 // setEngineFaults sets the faults of all engines.
 func (s *platformSite) setEngineFaults(f replica.Faults) {
 	for _, e := range s.engines {
