lifecycle: a repeated SIGTERM does not cut the requests of a direct role

Callers saw the connections of all open requests closed when a process that was stopping got SIGTERM again (TestPlannedStopCutsNoAnswer/signals that are repeated: 12 of 12 open calls, and no call of the stop was answered).

Cause: the second signal ended the drain. That is a choice of the operator in roles whose drain has no limit. The direct roles have the grace period of the platform, which ends them itself, and whoever repeats a signal means the same stop. There a repeated SIGTERM is now counted and has no effect; a repeated interrupt from a terminal still ends the process. The older roles are as before (TestSecondSignalEndsDrain).

--- a/cmd/backend.go
+++ b/cmd/backend.go
@@ -26,7 +26,7 @@
 				return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
 			}
 			host := &backendhost.Host{Settings: settings, Log: log, Version: Version}
-			return withCode(ExitFailure, lifecycle.WithSignals(ctx, host.Run))
+			return withCode(ExitFailure, lifecycle.WithSignals(ctx, lifecycle.RepeatAborts, host.Run))
 		},
 	}
 }
--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -61,7 +61,7 @@
 func runDirect[T any](ctx context.Context, c *cli.Command, load func(string) (T, error), role func(T, *slog.Logger) roleRunner) error {
 	reload := lifecycle.CatchReload()
 	defer reload.Stop()
-	return lifecycle.WithSignals(ctx, func(life lifecycle.Lifecycle) error {
+	return lifecycle.WithSignals(ctx, lifecycle.RepeatIgnored, func(life lifecycle.Lifecycle) error {
 		life.Reload = reload
 		return runRole(ctx, c, life, load, role)
 	})
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -46,7 +46,7 @@
 				return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
 			}
 			host := &entryhost.Host{Settings: settings, Log: log, Version: Version}
-			return withCode(ExitFailure, lifecycle.WithSignals(ctx, host.Run))
+			return withCode(ExitFailure, lifecycle.WithSignals(ctx, lifecycle.RepeatAborts, host.Run))
 		},
 	}
 }
--- a/internal/role/lifecycle/lifecycle.go
+++ b/internal/role/lifecycle/lifecycle.go
@@ -20,7 +20,7 @@
 
 // Lifecycle holds the two stages of the shutdown of a process. The first signal ends
 // the Drain context: the process admits no new work, and open requests run to their
-// end. The second signal ends the Abort context: the requests that are still open are
+// end. A further signal may end the Abort context: the requests that are still open are
 // aborted.
 type Lifecycle struct {
 	// Drain ends before Abort or together with it.
@@ -32,9 +32,26 @@
 	Reload *Reload
 }
 
+// Repeat says what a termination signal does to a process that already drains.
+type Repeat int
+
+const (
+	// RepeatAborts ends the Abort context.
+	RepeatAborts Repeat = iota
+	// RepeatIgnored has no effect. It is for processes whose drain is bounded by the grace period of a
+	// platform, which ends them itself and may repeat the signal. A repeated interrupt, which comes
+	// from a terminal, still ends the Abort context.
+	RepeatIgnored
+)
+
+// aborts reports whether a signal that follows another one ends the Abort context.
+func (r Repeat) aborts(received os.Signal) bool {
+	return r == RepeatAborts || received == os.Interrupt
+}
+
 // WithSignals calls run with a lifecycle that follows interrupt and termination
 // signals, and returns its error.
-func WithSignals(parent context.Context, run func(Lifecycle) error) error {
+func WithSignals(parent context.Context, repeat Repeat, run func(Lifecycle) error) error {
 	abort, abortNow := context.WithCancel(parent)
 	defer abortNow()
 	drain, drainNow := context.WithCancel(abort)
@@ -46,16 +63,17 @@
 	var received atomic.Int64
 	var group errgroup.Group
 	group.Go(func() error {
-		for _, end := range []context.CancelFunc{drainNow, abortNow} {
+		for {
 			select {
-			case <-signals:
-				received.Add(1)
-				end()
+			case next := <-signals:
+				if received.Add(1) > 1 && repeat.aborts(next) {
+					abortNow()
+				}
+				drainNow()
 			case <-done:
 				return nil
 			}
 		}
-		return nil
 	})
 	err := run(Lifecycle{Drain: drain, Abort: abort, Signals: func() int { return int(received.Load()) }})
 	close(done)
