httpserver, directentry: a stop ends with answers, and only once no connection is left

Callers of a stopping entry host saw their connection closed without an answer: calls that were open at the end of the grace period, calls that were read just before the process ended, and all of them logged as refused with 504.

Cause: the process ended as soon as one sample, taken every 50 ms, showed no open request, and at the end of the grace period. Either way all connections were closed at once, before the handlers had answered. Requests whose head was being read, and connections that were accepted and not read, were not counted; a connection could be closed as idle after its request had been read. A stream without chunks was ended in order, so that it looked complete. A grace period shorter than 2.6 s was outlived.

Now the server counts a request from its first byte, under the lock by which waiting connections are closed. Once no request is open it accepts what is established, closes what waits, looks once more for a request that has crossed, and ends when no connection is left. At the end of the grace period open requests are cancelled and answered: 503 if they were not sent, 502 otherwise. What has no answer after 200 ms is reset. The wait follows the boot-time clock, as the grace period does.

--- /dev/null
+++ b/internal/caller/httpserver/connection.go
@@ -0,0 +1,150 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+)
+
+// connection is the connection of one caller.
+type connection struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// acceptedAt is the time at which the connection was accepted.
+	acceptedAt time.Time
+
+	// state, used and closing are guarded by the server's mutex.
+	state connectionState
+	// used says that a request has begun on the connection.
+	used bool
+	// closing says that the wait for the next request was ended by a stop.
+	closing bool
+}
+
+// connectionState says what a connection does.
+type connectionState int
+
+const (
+	// waiting means that no byte of the next request was read.
+	waiting connectionState = iota
+	// reading means that a request has begun and was not read completely.
+	reading
+	// handling means that a request was read and its response was not written completely.
+	handling
+)
+
+// serveOne handles the next request and reports whether the connection may be
+// used for another one.
+func (c *connection) serveOne(ctx context.Context) bool {
+	limits := c.server.limits()
+	if !c.awaitRequest(limits) {
+		return false
+	}
+	defer c.server.setState(c, waiting)
+	request, err := c.readHead(limits)
+	if err != nil {
+		c.refuse(headStatus(err), err)
+		return false
+	}
+	body, err := c.readBody(request, limits)
+	if err != nil {
+		c.refuse(bodyStatus(err), err)
+		return false
+	}
+	c.server.setState(c, handling)
+	return c.answer(ctx, request, body)
+}
+
+// awaitRequest waits for the first byte of a request. It returns false when none comes.
+func (c *connection) awaitRequest(limits routetable.Limits) bool {
+	if c.reader.Buffered() > 0 {
+		return c.server.beginRequest(c)
+	}
+	if err := c.server.beginWait(c, time.Now().Add(time.Duration(limits.IdleMillis)*time.Millisecond)); err != nil {
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	if err != nil && c.server.isClosing(c) {
+		err = c.lookOnce()
+	}
+	return err == nil && c.server.beginRequest(c)
+}
+
+// lookOnce looks for a request that has arrived although the wait for it has been ended.
+func (c *connection) lookOnce() error {
+	if err := c.conn.SetReadDeadline(time.Now().Add(lookMillis * time.Millisecond)); err != nil {
+		return err
+	}
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// answer passes the request to the handler and cancels its context when the
+// caller disconnects. It reports whether the connection may be reused.
+func (c *connection) answer(ctx context.Context, request *http.Request, body []byte) bool {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x := &Exchange{
+		Request:    request,
+		Body:       body,
+		Context:    ctx,
+		connection: c,
+		closeAfter: request.Close,
+	}
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
+	var watch errgroup.Group
+	var answered atomic.Bool
+	watch.Go(func() error {
+		_, err := c.reader.Peek(1)
+		if err != nil && !answered.Load() {
+			cancel(errCallerDisconnected)
+		}
+		return nil
+	})
+	c.server.Handler.Handle(x)
+	answered.Store(true)
+	// A read deadline in the past unblocks the goroutine that watches the
+	// connection.
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	_ = watch.Wait()
+	if !x.finish() {
+		if x.OnCut != nil {
+			x.OnCut(x.cut())
+		}
+		c.abort(x)
+		return false
+	}
+	return !x.closeAfter && context.Cause(ctx) == nil
+}
+
+// abort prepares to close a connection in the middle of a response. Without
+// chunked transfer encoding the end of the connection would look like the end of
+// the body, so the connection is reset to make the truncation visible.
+func (c *connection) abort(x *Exchange) {
+	if !x.chunked {
+		c.reset()
+	}
+}
+
+// reset makes the close of the connection a reset.
+func (c *connection) reset() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// errCallerDisconnected is the cancellation cause of an exchange's context when
+// the caller closed its connection.
+var errCallerDisconnected = errors.New("caller closed its connection")
--- a/internal/caller/httpserver/exchange.go
+++ b/internal/caller/httpserver/exchange.go
@@ -15,7 +15,7 @@
 	// read into Body.
 	Request *http.Request
 	Body    []byte
-	// Context is canceled when the caller disconnects or the process stops.
+	// Context is canceled when the caller disconnects, and with ErrStopped when the process stops.
 	Context context.Context //nolint:containedctx // its lifetime is that of one exchange
 	// OnCut, if the handler sets it, is called after Handle when the complete response did not
 	// reach the connection.
@@ -78,6 +78,11 @@
 	return errors.Is(context.Cause(x.Context), errCallerDisconnected)
 }
 
+// Stopped reports whether the process is ending, so that the handler must end the response now.
+func (x *Exchange) Stopped() bool {
+	return errors.Is(context.Cause(x.Context), ErrStopped)
+}
+
 // Begun reports whether the status line and headers were written.
 func (x *Exchange) Begun() bool {
 	return x.begun
@@ -119,6 +124,9 @@
 func (x *Exchange) writeHead(status int, header http.Header) {
 	x.begun = true
 	x.setDeadline()
+	if x.connection.server.reached(draining) {
+		x.closeAfter = true
+	}
 	w := x.connection.writer
 	_, err := w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	x.setError(err)
@@ -161,7 +169,7 @@
 	switch {
 	case x.CallerDisconnected():
 		return CutByCaller
-	case x.Context.Err() != nil:
+	case x.Stopped():
 		return CutByStop
 	case x.err == nil || errors.Is(x.err, ErrResponseAborted):
 		return CutByHandler
--- a/internal/caller/httpserver/read.go
+++ b/internal/caller/httpserver/read.go
@@ -151,6 +151,9 @@
 	if status == 0 {
 		return
 	}
+	if status == http.StatusRequestTimeout && c.server.reached(aborting) {
+		status = http.StatusServiceUnavailable
+	}
 	c.server.Log.Info("failed to read request", "Status", status, "Error", cause)
 	x := &Exchange{connection: c, closeAfter: true, Request: &http.Request{Method: http.MethodGet}}
 	x.Respond(status, make(http.Header), nil)
--- /dev/null
+++ b/internal/caller/httpserver/shutdown.go
@@ -0,0 +1,227 @@
+package httpserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// lookMillis is the time for which a connection that is closed in a stop is read once more, as a
+	// request may have arrived.
+	lookMillis = 5
+	// newConnectionMillis is the time for which a new connection may send its first request although
+	// waiting connections are closed.
+	newConnectionMillis = 1000
+	// acceptMillis is the time for which connections are still accepted once the server finishes, so
+	// that those that are established get an answer.
+	acceptMillis = 20
+	// lastResponseMillis is the time that requests have to write their responses when Run ends.
+	lastResponseMillis = 200
+)
+
+// ErrStopped is the cancellation cause of an exchange's context when Run ends.
+var ErrStopped = errors.New("process stops")
+
+// errClosing says that no further request is read from a connection.
+var errClosing = errors.New("connection is being closed")
+
+// stage is a stage of a planned stop. The stages follow each other; the zero value means that there
+// is no stop.
+type stage int
+
+const (
+	// draining: each response says that its connection is closed after it.
+	draining stage = iota + 1
+	// finishing: no connection is accepted or waits for a further request.
+	finishing
+	// aborting: the requests that are not handled yet are refused.
+	aborting
+)
+
+// Drain makes the server close each connection after the response that is written next.
+func (s *Server) Drain() {
+	s.advance(draining)
+}
+
+// CloseIdle closes the connections that wait for a further request. A new connection may still
+// send its first one.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		if c.state == waiting && (c.used || s.stage >= aborting || time.Since(c.acceptedAt) >= newConnectionMillis*time.Millisecond) {
+			s.endWait(c)
+		}
+	}
+}
+
+// Finish stops accepting connections, closes those that wait for a further request, and waits until all
+// others have ended or ctx ends. It returns the number of requests that are still open.
+func (s *Server) Finish(ctx context.Context) int {
+	s.advance(finishing)
+	s.stopAccepting()
+	s.CloseIdle()
+	for {
+		s.mu.Lock()
+		ended, open, changed := len(s.connections) == 0 && !s.accepting, s.requests, s.changed
+		s.mu.Unlock()
+		if ended {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return open
+		case <-changed:
+		}
+	}
+}
+
+// stopAccepting closes the listener, after the connections that are already established were accepted.
+func (s *Server) stopAccepting() {
+	type deadliner interface{ SetDeadline(time.Time) error }
+	listener, ok := s.Listener.(deadliner)
+	if !ok || listener.SetDeadline(time.Now().Add(acceptMillis*time.Millisecond)) != nil {
+		_ = s.Listener.Close()
+	}
+}
+
+// abort ends the wait for requests and the reading of those that have begun, gives open requests
+// lastResponseMillis, and resets all connections that are left.
+func (s *Server) abort() {
+	s.advance(aborting)
+	s.CloseIdle()
+	s.endReads()
+	timer := time.NewTimer(lastResponseMillis * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		ended, changed := len(s.connections) == 0 && !s.accepting, s.changed
+		s.mu.Unlock()
+		if ended {
+			return
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timer.C:
+		}
+		s.closeAll()
+		return
+	}
+}
+
+// advance moves the stop to a stage, unless it is past it.
+func (s *Server) advance(to stage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stage = max(s.stage, to)
+}
+
+func (s *Server) reached(at stage) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stage >= at
+}
+
+// endWait ends the wait of a connection for its next request. The caller holds mu.
+func (s *Server) endWait(c *connection) {
+	c.closing = true
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// endReads ends the reading of requests that were not read completely.
+func (s *Server) endReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		if c.state == reading {
+			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// closeAll resets all connections.
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.reset()
+		_ = c.conn.Close()
+	}
+}
+
+func (s *Server) add(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections == nil {
+		s.connections = make(map[*connection]struct{})
+	}
+	s.connections[c] = struct{}{}
+}
+
+func (s *Server) remove(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+	s.notify()
+}
+
+func (s *Server) endAccept() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting = false
+	s.notify()
+}
+
+// notify wakes those that wait for a change. The caller holds mu.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// beginWait sets the time until which a connection waits for its next request. It fails if the
+// connection is to be closed instead.
+func (s *Server) beginWait(c *connection, until time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stage >= finishing {
+		if c.used || s.stage >= aborting {
+			return errClosing
+		}
+		until = c.acceptedAt.Add(newConnectionMillis * time.Millisecond)
+	}
+	return c.conn.SetReadDeadline(until)
+}
+
+func (s *Server) isClosing(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.closing
+}
+
+// beginRequest counts a request whose first byte has been read. It returns false if the process ends
+// before the request could be read.
+func (s *Server) beginRequest(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stage >= aborting {
+		return false
+	}
+	s.begun.Add(1)
+	s.requests++
+	c.used = true
+	c.state = reading
+	return true
+}
+
+// setState records what a connection does.
+func (s *Server) setState(c *connection, state connectionState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.state != waiting && state == waiting {
+		s.requests--
+	}
+	c.state = state
+}
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -76,7 +76,7 @@
 		last = q.attempt(ctx)
 		result = conclusive(result, last)
 		switch last.(type) {
-		case unplaced, noRoom, tooLarge, rateLimited, quarantined:
+		case unplaced, noRoom, tooLarge, stopping, rateLimited, quarantined:
 			q.finish(ctx, result)
 			return
 		case unreached, superseded:
--- a/internal/caller/relay/check.go
+++ b/internal/caller/relay/check.go
@@ -91,11 +91,16 @@
 // checkShutdown refuses a request that the process might not finish before it
 // ends.
 func (q *request) checkShutdown() (Refusal, bool) {
-	shutdownAt := q.relay.ShutdownAt()
+	shutdownAt := q.relay.Stop().EndsAt
 	if shutdownAt == 0 || q.arrivedAt.AddMillis(q.longestMillis()) < shutdownAt {
 		return Refusal{}, true
 	}
-	return Refusal{resultcode.Leaving, stoppingRetryMillis}, false
+	return q.leavingRefusal(), false
+}
+
+// leavingRefusal returns the refusal of a request that has not run.
+func (q *request) leavingRefusal() Refusal {
+	return Refusal{resultcode.Leaving, stoppingRetryMillis}
 }
 
 // longestMillis returns the time in which the answer is complete, even if it is far
--- a/internal/caller/relay/hedge_rig_test.go
+++ b/internal/caller/relay/hedge_rig_test.go
@@ -123,7 +123,7 @@
 		Ends:         &serverend.Watch{},
 		OnLeaving:    func() {},
 		Bounds:       func() Bounds { return Bounds{RevokeMillis: 60_000, ApplyMillis: 60_000} },
-		ShutdownAt:   func() boottime.Instant { return 0 },
+		Stop:         func() Stop { return Stop{} },
 		Metrics:      &metrics.Registry{},
 		Log:          logger,
 	}
--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -22,6 +22,9 @@
 // noRoom says that no engine had room for the request while it could be on time.
 type noRoom struct{}
 
+// stopping says that the process ends before the request would be answered.
+type stopping struct{}
+
 // rateLimited says that every server that could take the request is held back, by its rate
 // limit or by a pause that it asked for. The first of them accepts a request again at until.
 type rateLimited struct{ until boottime.Instant }
@@ -64,6 +67,7 @@
 
 func (unplaced) outcome()       {}
 func (noRoom) outcome()         {}
+func (stopping) outcome()       {}
 func (rateLimited) outcome()    {}
 func (tooLarge) outcome()       {}
 func (quarantined) outcome()    {}
@@ -146,6 +150,18 @@
 	}
 }
 
+// lostCode returns the result code of a request whose answer was lost.
+func (q *request) lostCode(ctx context.Context) resultcode.Code {
+	switch {
+	case q.exchange.Stopped():
+		return resultcode.DrainCut
+	case ctx.Err() != nil:
+		return resultcode.DeadlineCut
+	default:
+		return resultcode.ReplyLost
+	}
+}
+
 // countAnswered counts a request that a backend server answered.
 func (q *request) countAnswered() {
 	q.relay.Metrics.CountResult(uint32(resultcode.OK))
@@ -172,6 +188,9 @@
 		q.exchange.Abort()
 		return
 	}
+	if q.exchange.Stopped() && !mayHaveRun(last) {
+		last = stopping{}
+	}
 	switch o := last.(type) {
 	case answered:
 		q.log("answered", "Server", o.server, "Status", o.status)
@@ -183,6 +202,8 @@
 		q.countAnswered()
 		q.exchange.Respond(o.status, o.header, o.body)
 	case streamed:
+	case stopping:
+		q.refuse(q.leavingRefusal())
 	case tooLarge:
 		q.refuse(Refusal{resultcode.EnginesFull, 0})
 	case quarantined:
@@ -195,11 +216,7 @@
 		q.log("backend servers hold the request back", "UntilMillis", untilMillis)
 		q.refuse(Refusal{resultcode.ServersLimited, max(untilMillis, declinedRetryMillis)})
 	case lost:
-		code := resultcode.ReplyLost
-		if ctx.Err() != nil {
-			code = resultcode.DeadlineCut
-		}
-		q.refuse(Refusal{Code: code})
+		q.refuse(Refusal{Code: q.lostCode(ctx)})
 	case declined:
 		q.refuse(Refusal{resultcode.EngineRefused, declinedRetryMillis})
 	default:
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -62,11 +62,10 @@
 	OnLeaving func()
 	// Bounds returns the current bounds. They may change between requests.
 	Bounds func() Bounds
-	// ShutdownAt returns the time at which the process will end, or zero while it
-	// was not requested to stop.
-	ShutdownAt func() boottime.Instant
-	Metrics    *metrics.Registry
-	Log        *slog.Logger
+	// Stop returns the planned stop of the process; its zero value while there is none.
+	Stop    func() Stop
+	Metrics *metrics.Registry
+	Log     *slog.Logger
 
 	returns      returnSchedule
 	answerMemory answerMemory
@@ -83,6 +82,14 @@
 	ApplyMillis int64
 }
 
+// Stop is a planned stop of the process. The zero value means none.
+type Stop struct {
+	// ReroutedAt is the time by which the platform sends new connections to other hosts.
+	ReroutedAt boottime.Instant
+	// EndsAt is the time at which open requests are ended.
+	EndsAt boottime.Instant
+}
+
 // request is a request of a caller that is being handled.
 type request struct {
 	relay    *Relay
--- a/internal/records/boottime/boottime.go
+++ b/internal/records/boottime/boottime.go
@@ -39,6 +39,21 @@
 	return i < other
 }
 
+// recheckMillis bounds the time by which PauseUntil returns late if the host was suspended.
+const recheckMillis = 100
+
+// PauseUntil waits until the given instant or until ctx ends. The time for which the host is suspended
+// counts.
+func PauseUntil(ctx context.Context, at Instant) {
+	for ctx.Err() == nil {
+		left := at.MillisSince(Now())
+		if left <= 0 {
+			return
+		}
+		Pause(ctx, min(left, recheckMillis))
+	}
+}
+
 // Pause waits for the given number of milliseconds or until ctx ends.
 func Pause(ctx context.Context, millis int64) {
 	if millis <= 0 {
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -12,7 +12,6 @@
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
@@ -56,12 +55,6 @@
 	// bounds the age at which keys are accepted. The share is below one, so that the
 	// platform sends callers to other hosts before this one must refuse their keys.
 	readyShare = 0.6
-	// idleConnectionMillis is how long a process that is shutting down keeps idle
-	// connections open. By then, the platform has stopped sending it requests.
-	idleConnectionMillis = 2600
-	// shutdownReserveMillis is the part of the grace period that is kept in reserve
-	// at its end, after open requests are aborted.
-	shutdownReserveMillis = 300
 
 	millisPerSecond = 1000
 )
@@ -88,9 +81,8 @@
 	// bounds limit the age at which the cached configuration is used. They may
 	// change when the settings are reloaded.
 	bounds atomic.Pointer[relay.Bounds]
-	// shutdownAt is the boottime.Instant at which the process aborts its open
-	// requests. It is zero until the process has been signalled to stop.
-	shutdownAt atomic.Int64
+	// stop is nil until the process has been signalled to stop.
+	stop atomic.Pointer[relay.Stop]
 }
 
 // Run serves until the lifecycle's drain has ended.
@@ -136,7 +128,7 @@
 	group.Go(func() error { return life.Reload.Run(ctx, h.reload) })
 	group.Go(func() error {
 		defer end()
-		return h.awaitShutdown(life)
+		return h.awaitStop(life)
 	})
 	err = group.Wait()
 	h.storeCalls.LogTotals(h.Log)
@@ -205,7 +197,7 @@
 		Metrics:      h.metrics,
 		Log:          h.Log,
 		Bounds:       func() relay.Bounds { return *h.bounds.Load() },
-		ShutdownAt:   func() boottime.Instant { return boottime.Instant(h.shutdownAt.Load()) },
+		Stop:         h.plannedStop,
 	}
 	h.storeWatcher.OnEnded = handler.NoticeUnlisted
 	h.relay = handler
@@ -328,7 +320,7 @@
 
 // ready reports whether the process can serve requests that carry a key.
 func (h *Host) ready() bool {
-	if h.shutdownAt.Load() != 0 {
+	if h.plannedStop() != (relay.Stop{}) {
 		return false
 	}
 	configuration := h.storeWatcher.Configuration()
@@ -338,34 +330,3 @@
 	readyMillis := int64(readyShare * float64(h.bounds.Load().RevokeMillis))
 	return boottime.Now().MillisSince(configuration.ConfirmedAt) < readyMillis
 }
-
-// awaitShutdown waits for the signal to stop. It then keeps accepting connections
-// until the platform has detected the shutdown, and waits for open requests to end
-// within the grace period.
-func (h *Host) awaitShutdown(life lifecycle.Lifecycle) error {
-	select {
-	case <-life.Drain.Done():
-	case <-life.Abort.Done():
-		return nil
-	}
-	graceMillis := int64(h.Settings.GraceSeconds*millisPerSecond) - shutdownReserveMillis
-	deadline := time.Now().Add(time.Duration(graceMillis) * time.Millisecond)
-	h.shutdownAt.Store(int64(boottime.Now().AddMillis(graceMillis)))
-	begun := h.server.Begun()
-	h.server.CloseAfterAnswers()
-	h.Log.Info("stopping", "Open", h.server.Open(), "Deadline", deadline)
-	idleTimer := time.NewTimer(idleConnectionMillis * time.Millisecond)
-	defer idleTimer.Stop()
-	select {
-	case <-idleTimer.C:
-	case <-life.Abort.Done():
-	}
-	h.server.CloseIdle()
-	open := life.AwaitIdle(h.server.Open, deadline)
-	if open > 0 {
-		h.Log.Warn("aborting open requests at the end of the grace period", "Open", open)
-	}
-	h.Log.Info("drained", "Open", open, "Signals", life.Signals(), "LeftMillis", time.Until(deadline).Milliseconds(),
-		"Begun", h.server.Begun()-begun)
-	return nil
-}
--- a/internal/role/directentry/status.go
+++ b/internal/role/directentry/status.go
@@ -1,6 +1,7 @@
 package directentry
 
 import (
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
@@ -35,7 +36,7 @@
 		Name:              h.Settings.Name,
 		Role:              roleName,
 		Zone:              h.Settings.Zone,
-		Leaving:           h.shutdownAt.Load() != 0,
+		Leaving:           h.plannedStop() != (relay.Stop{}),
 		OpenRequests:      h.server.Open(),
 		QuarantinedTraits: h.quarantine.QuarantinedTraits(),
 		Beliefs: []peer.CachedState{
--- /dev/null
+++ b/internal/role/directentry/stop.go
@@ -0,0 +1,83 @@
+package directentry
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/role/lifecycle"
+)
+
+const (
+	// rerouteMillis is the time after the signal by which the platform has seen that the process is
+	// not ready and sends new connections to other hosts.
+	rerouteMillis = 2600
+	// reserveMillis is the time before the end of the grace period at which open requests are ended, so
+	// that their callers still get an answer. It is at most reserveShare of the grace period.
+	reserveMillis = 500
+	reserveShare  = 0.125
+)
+
+// plannedStop returns the planned stop of the process; its zero value while there is none.
+func (h *Host) plannedStop() relay.Stop {
+	if stop := h.stop.Load(); stop != nil {
+		return *stop
+	}
+	return relay.Stop{}
+}
+
+// stopAt returns the planned stop of a process that is signalled to stop at the given time.
+func stopAt(signalledAt boottime.Instant, graceSeconds float64) relay.Stop {
+	graceMillis := graceSeconds * millisPerSecond
+	return relay.Stop{
+		ReroutedAt: signalledAt.AddMillis(rerouteMillis),
+		EndsAt:     signalledAt.AddMillis(int64(graceMillis - min(reserveMillis, reserveShare*graceMillis))),
+	}
+}
+
+// awaitStop waits for the signal to stop, and then until all requests have ended or the grace period is
+// nearly over. Callers are served as before until the platform has turned to other hosts; from then on
+// only requests whose deadline comes before the end are.
+func (h *Host) awaitStop(life lifecycle.Lifecycle) error {
+	select {
+	case <-life.Drain.Done():
+	case <-life.Abort.Done():
+		return nil
+	}
+	stop := stopAt(boottime.Now(), h.Settings.GraceSeconds)
+	h.stop.Store(&stop)
+	h.server.Drain()
+	// Requests that wait for room and would be cut are refused at once.
+	h.waiting.Signal()
+	begun := h.server.Begun()
+	h.Log.Info("stopping", "Open", h.server.Open(), "EndsInMillis", stop.EndsAt.MillisSince(boottime.Now()))
+	open := h.drain(life.Abort, stop)
+	if open > 0 {
+		h.Log.Warn("aborting open requests at the end of the grace period", "Open", open)
+	}
+	h.Log.Info("drained", "Open", open, "Signals", life.Signals(), "LeftMillis", stop.EndsAt.MillisSince(boottime.Now()),
+		"Begun", h.server.Begun()-begun)
+	return nil
+}
+
+// drain waits until no request is open and no further one can come, or until the stop ends. It returns
+// the number of requests that are still open.
+func (h *Host) drain(ctx context.Context, stop relay.Stop) int {
+	ctx, end := context.WithCancel(ctx)
+	var timer errgroup.Group
+	timer.Go(func() error {
+		boottime.PauseUntil(ctx, stop.EndsAt)
+		end()
+		return nil
+	})
+	boottime.PauseUntil(ctx, stop.ReroutedAt)
+	h.server.CloseIdle()
+	lifecycle.Lifecycle{Abort: ctx}.AwaitIdle(h.server.Open, time.Time{})
+	open := h.server.Finish(ctx)
+	end()
+	_ = timer.Wait()
+	return open
+}
