relay: in a stop, a request is sent only if its deadline comes before the end

Cause: a stopping host admitted a call of a plain service while 300 ms were left, and a stream by its usual length. What waited for room when the stop began, what was repeated and what was hedged was not checked at all.

Now the deadline of the request decides, before each time that it is sent. What waits for room is refused at once when the stop begins.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -102,6 +102,9 @@
 
 // attempt sends the request to one backend server and returns the outcome.
 func (q *request) attempt(ctx context.Context) outcome {
+	if !q.endsInTime(boottime.Now()) {
+		return stopping{}
+	}
 	a, refused := q.placeWithRoom(ctx)
 	if a == nil {
 		return refused
--- a/internal/caller/relay/check.go
+++ b/internal/caller/relay/check.go
@@ -85,14 +85,12 @@
 		q.output = q.relay.Outputs.Estimate(route.Name, q.caller.HintTokens, q.caller.MaxOutputTokens)
 		q.outputTokens = q.output.Remaining(0)
 	}
-	return q.checkShutdown()
+	return q.checkStop()
 }
 
-// checkShutdown refuses a request that the process might not finish before it
-// ends.
-func (q *request) checkShutdown() (Refusal, bool) {
-	shutdownAt := q.relay.Stop().EndsAt
-	if shutdownAt == 0 || q.arrivedAt.AddMillis(q.longestMillis()) < shutdownAt {
+// checkStop refuses a request that the process might not finish before it ends.
+func (q *request) checkStop() (Refusal, bool) {
+	if q.endsInTime(boottime.Now()) {
 		return Refusal{}, true
 	}
 	return q.leavingRefusal(), false
@@ -103,6 +101,21 @@
 	return Refusal{resultcode.Leaving, stoppingRetryMillis}
 }
 
+// endsInTime reports whether a request that is sent to a server now has its final answer before a
+// planned stop ends it. Its deadline decides. Until the platform has turned to other hosts, it is
+// enough that the answer is expected in time.
+func (q *request) endsInTime(now boottime.Instant) bool {
+	stop := q.relay.Stop()
+	switch {
+	case stop.EndsAt == 0 || q.deadlineAt.Before(stop.EndsAt):
+		return true
+	case now.Before(stop.ReroutedAt):
+		return now.AddMillis(q.longestMillis()).Before(stop.EndsAt)
+	default:
+		return false
+	}
+}
+
 // longestMillis returns the time in which the answer is complete, even if it is far
 // longer than the caller's estimate.
 func (q *request) longestMillis() int64 {
@@ -113,7 +126,7 @@
 	if output == 0 {
 		output = estimateFactor * q.outputTokens
 	}
-	return promptMillis + int64(output)*tokenMillis
+	return promptMillis + int64(output)*tokenMillis + eventTimeoutMillis
 }
 
 // checkKey finds the client account of the request's API key.
--- a/internal/caller/relay/hedge.go
+++ b/internal/caller/relay/hedge.go
@@ -220,6 +220,9 @@
 // placeHedge selects a server for a hedge and opens an assignment there. It returns nil when no
 // server takes it.
 func (q *request) placeHedge(now boottime.Instant) *attempt {
+	if !q.endsInTime(now) {
+		return nil
+	}
 	ready := q.relay.StoreWatcher.Ready(q.service.Name, now)
 	placed := q.relay.LoadTable.Place(ready, placement.Request{Service: q.service, Tried: q.tried, Hedge: true}, now)
 	if placed.Assignment == nil {
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -52,6 +52,9 @@
 		if placed.Assignment == nil && q.quarantined() {
 			return nil, quarantined{}
 		}
+		if placed.Assignment == nil && !q.endsInTime(boottime.Now()) {
+			return nil, stopping{}
+		}
 		if placed.Assignment == nil {
 			return nil, unplacedOutcome(placed)
 		}
@@ -118,7 +121,7 @@
 func (q *request) awaitRoom(ctx context.Context) (placement.Placement, bool) {
 	var placed placement.Placement
 	ok := q.relay.Waiting.Wait(ctx, q.rank(), func() bool {
-		if q.quarantined() {
+		if q.quarantined() || !q.endsInTime(boottime.Now()) {
 			placed = placement.Placement{}
 			return true
 		}
