directentry: a stop keeps to the grace period that the settings file names now

A process whose settings file was given a shorter grace period after the start kept to the one it had read, outlived the new one and would be killed with its open requests. The file may change without a signal. It is read again when a stop begins; if it is invalid then, the period that was read before holds.

--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifecycle"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 )
 
 const (
@@ -47,7 +48,8 @@
 	case <-life.Abort.Done():
 		return nil
 	}
-	stop := stopAt(boottime.Now(), h.Settings.GraceSeconds)
+	signalledAt := boottime.Now()
+	stop := stopAt(signalledAt, h.graceSeconds())
 	h.stop.Store(&stop)
 	h.server.Drain()
 	// Requests that wait for room and would be cut are refused at once.
@@ -63,6 +65,17 @@
 	return nil
 }
 
+// graceSeconds returns the grace period in the settings file, which may have changed since it was read.
+// If the file is invalid now, it returns the one that was read before.
+func (h *Host) graceSeconds() float64 {
+	settings, err := process.LoadDirectEntry(h.SettingsPath)
+	if err != nil {
+		h.Log.Error("failed to reload settings", "Path", h.SettingsPath, "Error", err)
+		return h.Settings.GraceSeconds
+	}
+	return settings.GraceSeconds
+}
+
 // drain waits until no request is open and no further one can come, or until the stop ends. It returns
 // the number of requests that are still open.
 func (h *Host) drain(ctx context.Context, stop relay.Stop) int {
--- a/internal/trial/endtoend/platform_stop_test.go
+++ b/internal/trial/endtoend/platform_stop_test.go
@@ -262,3 +262,29 @@
 	is.True(answer.err != nil) // a reset, not an end
 	is.Equal(s.entry.exitCode(), 0)
 }
+
+// TestPlannedStopKeepsToChangedGrace guards against a process that outlives its grace period, which was
+// shortened in the settings file after the start: it would be killed with its open requests.
+func TestPlannedStopKeepsToChangedGrace(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const graceMillis, runMillis = 1500, 7000
+	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = stopGraceSeconds })
+	s.setPlainFaults(replica.Faults{RunMillis: runMillis})
+	await := s.sendInBackground(callerRequest{method: http.MethodPost, target: oncePath, id: "open", key: platformKey, body: "{}"})
+	eventually(t, "the call has reached the server", func() error {
+		if len(s.arrivals()) == 0 {
+			return errNotYet
+		}
+		return nil
+	})
+	s.settings.GraceSeconds = float64(graceMillis) / 1000
+	s.write("entry", s.settings)
+	begun := time.Now()
+	s.entry.terminate()
+	got := await()
+	is.True(time.Since(begun) < graceMillis*time.Millisecond)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(s.entry.exitCode(), 0)
+}
