--- a/internal/routing/quarantine/fleet_answers_test.go
+++ b/internal/routing/quarantine/fleet_answers_test.go
@@ -111,43 +111,8 @@
 // time and crashes its server afterwards, among polls and calls that come once. It guards against a
 // call that its own answers clear.
 func TestAnsweredBadCallKeptAwayByFleet(t *testing.T) {
-	const fromMillis, endMillis = 3000, 60_000
-	cases := []struct {
-		name           string
-		hosts, servers int
-		perSecond      float64
-		badShare       float64
-		restartMillis  int64
-		seedShare      uint64
-	}{
-		{"few servers", 5, 4, 40, 0.05, 0, 1},
-		{"often, hosts just started", 5, 4, 40, 0.3, 0, 1},
-		{"seldom", 5, 4, 40, 0.01, 0, 1},
-		{"hosts restart", 5, 4, 40, 0.05, 8000, 1},
-		{"large", 100, 12, 200, 0.02, 0, 10},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			for seed := range max(*seeds/c.seedShare, 1) {
-				f := newAnswerFleet(seed, c.hosts, c.servers)
-				bad := badCallTrait()
-				f.bad = func(trait string, millis int64) bool { return trait == bad && millis >= fromMillis }
-				f.run(fromMillis, c.perSecond, f.callsOf(0))
-				if c.restartMillis > 0 {
-					f.run(c.restartMillis, c.perSecond, f.callsOf(c.badShare))
-					f.restart()
-				}
-				f.run(endMillis, c.perSecond, f.callsOf(c.badShare))
-				if sent := f.sentAfterSettled(callSettledCount); sent > maxSent {
-					t.Errorf("seed %d: bad call sent %d times after it must be known, allowed %d; %d crashes",
-						seed, sent, maxSent, len(f.crashMillis))
-				}
-				served, refused := countIn(f.served, 20_000, endMillis), countIn(f.refused, 20_000, endMillis)
-				if refused*20 > served {
-					t.Errorf("seed %d: %d sound calls refused, %d served", seed, refused, served)
-				}
-			}
-		})
+	for _, c := range badCallCases {
+		t.Run(c.name, func(t *testing.T) { c.run(t, answeringFleet) })
 	}
 }
 
@@ -195,83 +160,17 @@
 // after answers, under polls and calls that come once. It guards against sound calls that are refused
 // as their answers settle late.
 func TestAnsweredPollsServedWhileServersCrash(t *testing.T) {
-	const beforeMillis, endMillis = 12_000, 50_000
-	cases := []struct {
-		name           string
-		hosts, servers int
-		perSecond      float64
-		everyMillis    int64
-		count          int
-		restart        bool
-		seedShare      uint64
-	}{
-		{"one after the other", 5, 4, 40, 900, 1, false, 1},
-		{"one after the other, quickly", 5, 12, 40, 300, 1, false, 1},
-		{"all at once", 5, 4, 40, 5000, 4, false, 1},
-		{"all at once, few calls", 5, 4, 5, 5000, 4, false, 1},
-		{"one after the other, few calls", 5, 4, 2, 900, 1, false, 1},
-		{"all at once, hosts restart each time", 5, 4, 40, 5000, 4, true, 1},
-		{"all at once, each host sees few calls", 100, 12, 60, 8000, 12, false, 10},
-	}
+	cases := append([]crashCase{{"one after the other, quickly", 5, 12, 40, 300, 1, false, 1}}, pollCrashCases...)
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			for seed := range max(*seeds/c.seedShare, 1) {
-				f := newAnswerFleet(seed, c.hosts, c.servers)
-				f.run(beforeMillis, c.perSecond, f.callsOf(0))
-				for f.nowMillis < endMillis {
-					if c.restart {
-						f.restart()
-						f.run(f.nowMillis+200, c.perSecond, f.callsOf(0))
-					}
-					for _, n := range f.random.Perm(len(f.engines))[:c.count] {
-						f.crash(f.engines[n])
-					}
-					f.run(f.nowMillis+c.everyMillis, c.perSecond, f.callsOf(0))
-				}
-				if len(f.refused)*50 > len(f.served) {
-					t.Errorf("seed %d: %d sound calls refused, %d served", seed, len(f.refused), len(f.served))
-				}
-				if len(f.waited)*2 > len(f.served) {
-					t.Errorf("seed %d: %d sound calls told to wait, %d served", seed, len(f.waited), len(f.served))
-				}
-			}
-		})
+		t.Run(c.name, func(t *testing.T) { c.runPolls(t, answeringFleet) })
 	}
 }
 
 // TestAnsweredPartsServedWhileEnginesCrash replays engines that crash for other reasons under requests
 // of parts in use. It guards against sound parts that are refused as answers settle late.
 func TestAnsweredPartsServedWhileEnginesCrash(t *testing.T) {
-	const endMillis = 40_000
-	cases := []struct {
-		name           string
-		hosts, engines int
-		perSecond      float64
-		everyMillis    int64
-		count          int
-		seedShare      uint64
-	}{
-		{"two of twelve now and then", 5, 12, 8, 3300, 2, 1},
-		{"many at once", 100, 115, 150, 5000, 17, 10},
-		{"all at once", 5, 12, 8, 10_000, 12, 1},
-		{"one after the other", 5, 12, 8, 400, 1, 1},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			for seed := range max(*seeds/c.seedShare, 1) {
-				f := newAnswerFleet(seed, c.hosts, c.engines)
-				f.run(3000, c.perSecond, f.mixed(0))
-				for f.nowMillis < endMillis {
-					for _, n := range f.random.Perm(len(f.engines))[:c.count] {
-						f.crash(f.engines[n])
-					}
-					f.run(f.nowMillis+c.everyMillis, c.perSecond, f.mixed(0))
-				}
-				if len(f.refused)*50 > len(f.served) {
-					t.Errorf("seed %d: %d sound requests refused, %d served", seed, len(f.refused), len(f.served))
-				}
-			}
-		})
+	for _, c := range partCrashCases {
+		t.Run(c.name, func(t *testing.T) { c.runParts(t, answeringFleet) })
 	}
 }
 
--- a/internal/routing/quarantine/fleet_test.go
+++ b/internal/routing/quarantine/fleet_test.go
@@ -411,37 +411,8 @@
 // TestCrashesWithoutBadPart replays engines that crash at once or one after the other for
 // another reason, under requests of parts in use.
 func TestCrashesWithoutBadPart(t *testing.T) {
-	const endMillis = 40_000
-	cases := []struct {
-		name           string
-		hosts, engines int
-		perSecond      float64
-		// everyMillis is the time between crashes of count engines.
-		everyMillis int64
-		count       int
-		seedShare   uint64
-	}{
-		{"two of twelve now and then", 5, 12, 8, 3300, 2, 1},
-		{"many at once", 100, 115, 150, 5000, 17, 10},
-		{"all at once", 5, 12, 8, 10_000, 12, 1},
-		{"one after the other", 5, 12, 8, 400, 1, 1},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			for seed := range max(*seeds/c.seedShare, 1) {
-				f := newFleet(seed, c.hosts, c.engines)
-				f.run(3000, c.perSecond, f.mixed(0))
-				for f.nowMillis < endMillis {
-					for _, n := range f.random.Perm(len(f.engines))[:c.count] {
-						f.crash(f.engines[n])
-					}
-					f.run(f.nowMillis+c.everyMillis, c.perSecond, f.mixed(0))
-				}
-				if len(f.refused)*50 > len(f.served) {
-					t.Errorf("seed %d: %d sound requests refused, %d served", seed, len(f.refused), len(f.served))
-				}
-			}
-		})
+	for _, c := range partCrashCases {
+		t.Run(c.name, func(t *testing.T) { c.runParts(t, plainFleet) })
 	}
 }
 
