httpserver, directentry: the last answers of a stop keep to its grace period

At the end of a stop open requests had 200 ms to write their answers, however short the grace period was. With one of 1 s, whose last eighth is 125 ms, the process outlived it while a caller did not end its request; with one of 2 s hardly anything was left (a soak on a machine with a load of 42 saw the exit 2.085 s after the signal).

The time at which connections are closed is now set with the stop: half of the reserve is for answers, at most 200 ms.

--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -67,6 +67,8 @@
 
 	// begun counts the requests whose first byte was read.
 	begun atomic.Int64
+	// closeBy is the boottime.Instant set by CloseBy; zero for none.
+	closeBy atomic.Int64
 
 	mu sync.Mutex
 	// stage only advances.
@@ -95,7 +97,7 @@
 		<-ctx.Done()
 		_ = s.Listener.Close()
 		cancel(ErrStopped)
-		s.abort()
+		s.abort(context.WithoutCancel(ctx))
 		return nil
 	})
 	s.accept(func(c *connection) {
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 )
 
 const (
@@ -17,7 +19,7 @@
 	// acceptMillis is the time for which connections are still accepted once the server finishes, so
 	// that those that are established get an answer.
 	acceptMillis = 20
-	// lastResponseMillis is the time that requests have to write their responses when Run ends.
+	// lastResponseMillis is the time that requests have at most to write their responses when Run ends.
 	lastResponseMillis = 200
 )
 
@@ -57,25 +59,18 @@
 	}
 }
 
+// CloseBy sets the time by which all connections are closed once Run ends.
+func (s *Server) CloseBy(at boottime.Instant) {
+	s.closeBy.Store(int64(at))
+}
+
 // Finish stops accepting connections, closes those that wait for a further request, and waits until all
 // others have ended or ctx ends. It returns the number of requests that are still open.
 func (s *Server) Finish(ctx context.Context) int {
 	s.advance(finishing)
 	s.stopAccepting()
 	s.CloseIdle()
-	for {
-		s.mu.Lock()
-		ended, open, changed := len(s.connections) == 0 && !s.accepting, s.requests, s.changed
-		s.mu.Unlock()
-		if ended {
-			return 0
-		}
-		select {
-		case <-ctx.Done():
-			return open
-		case <-changed:
-		}
-	}
+	return s.awaitEnd(ctx)
 }
 
 // stopAccepting closes the listener, after the connections that are already established were accepted.
@@ -88,27 +83,41 @@
 }
 
 // abort ends the wait for requests and the reading of those that have begun, gives open requests
-// lastResponseMillis, and resets all connections that are left.
-func (s *Server) abort() {
+// time to write their responses, and resets all connections that are left when ctx ends or that time is over.
+func (s *Server) abort(ctx context.Context) {
 	s.advance(aborting)
 	s.CloseIdle()
 	s.endReads()
-	timer := time.NewTimer(lastResponseMillis * time.Millisecond)
-	defer timer.Stop()
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(s.lastResponse()))
+	defer stop()
+	s.awaitEnd(ctx)
+	s.closeAll()
+}
+
+// lastResponse returns the time that open requests have to write their responses.
+func (s *Server) lastResponse() time.Duration {
+	left := lastResponseMillis * time.Millisecond
+	if at := boottime.Instant(s.closeBy.Load()); at != 0 {
+		left = min(left, time.Duration(at-boottime.Now()))
+	}
+	return left
+}
+
+// awaitEnd waits until no connection is left and none is accepted, or until ctx ends. It returns the
+// number of requests that are still open.
+func (s *Server) awaitEnd(ctx context.Context) int {
 	for {
 		s.mu.Lock()
-		ended, changed := len(s.connections) == 0 && !s.accepting, s.changed
+		ended, open, changed := len(s.connections) == 0 && !s.accepting, s.requests, s.changed
 		s.mu.Unlock()
 		if ended {
-			return
+			return 0
 		}
 		select {
+		case <-ctx.Done():
+			return open
 		case <-changed:
-			continue
-		case <-timer.C:
 		}
-		s.closeAll()
-		return
 	}
 }
 
--- a/internal/caller/httpserver/shutdown_test.go
+++ b/internal/caller/httpserver/shutdown_test.go
@@ -19,6 +19,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 )
 
@@ -201,6 +202,25 @@
 	}
 }
 
+// TestEndKeepsToCloseBy guards against a server that waits for a caller which does not end its request
+// until the process has outlived its grace period.
+func TestEndKeepsToCloseBy(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const leftMillis = 20
+	s := startStoppable(t, untilStopped{})
+	conn := dial(t, s.address)
+	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nx")
+	is.NoErr(err)
+	for s.Open() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	begun := time.Now()
+	s.CloseBy(boottime.Now().AddMillis(leftMillis))
+	s.end()
+	is.True(time.Since(begun) < lastResponseMillis*time.Millisecond)
+}
+
 // TestFinishServesEstablishedConnections guards against connections that are reset although they were
 // established before the server stopped accepting.
 func TestFinishServesEstablishedConnections(t *testing.T) {
--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -30,13 +30,16 @@
 	return relay.Stop{}
 }
 
-// stopAt returns the planned stop of a process that is signalled to stop at the given time.
-func stopAt(signalledAt boottime.Instant, graceSeconds float64) relay.Stop {
+// stopAt returns the planned stop of a process that is signalled to stop at the given time, and the time
+// at which the connections that are left are closed.
+func stopAt(signalledAt boottime.Instant, graceSeconds float64) (stop relay.Stop, closeBy boottime.Instant) {
 	graceMillis := graceSeconds * millisPerSecond
-	return relay.Stop{
+	reserve := min(reserveMillis, reserveShare*graceMillis)
+	stop = relay.Stop{
 		ReroutedAt: signalledAt.AddMillis(rerouteMillis),
-		EndsAt:     signalledAt.AddMillis(int64(graceMillis - min(reserveMillis, reserveShare*graceMillis))),
+		EndsAt:     signalledAt.AddMillis(int64(graceMillis - reserve)),
 	}
+	return stop, signalledAt.AddMillis(int64(graceMillis - reserve/2))
 }
 
 // awaitStop waits for the signal to stop, and then until all requests have ended or the grace period is
@@ -49,8 +52,9 @@
 		return nil
 	}
 	signalledAt := boottime.Now()
-	stop := stopAt(signalledAt, h.graceSeconds())
+	stop, closeBy := stopAt(signalledAt, h.graceSeconds())
 	h.stop.Store(&stop)
+	h.server.CloseBy(closeBy)
 	h.server.Drain()
 	// Requests that wait for room and would be cut are refused at once.
 	h.waiting.Signal()
