--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -18,7 +18,7 @@
 	rerouteMillis = 2600
 	// reserveMillis is the time before the end of the grace period at which open requests are ended, so
 	// that their callers still get an answer. It is at most reserveShare of the grace period.
-	reserveMillis = 500
+	reserveMillis = 300
 	reserveShare  = 0.125
 )
 
