httpserver: limits of a stop hold for every read, and what is read at the end is refused

Found by a review of the fix, each with a test that failed on it: - a new connection that sends nothing held the process until the end of the grace period, as it kept the read deadline of an idle connection (TestFinishDoesNotAwaitSilentConnection); - a request that was read when the process ended had its connection closed without an answer (TestEndAnswersWhatItReads); - the time limit of a head or body could replace the end of reading, so that the request was reset instead of refused (TestEndAnswersRequestWhoseReadBegins).

Cause: read deadlines were set in several places without a look at the stage of the stop. Now all are set under the server's mutex with the limit of the stage, and what was read completely when the process ends is refused as not run.

--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -23,12 +23,10 @@
 	// acceptedAt is the time at which the connection was accepted.
 	acceptedAt time.Time
 
-	// state, used and closing are guarded by the server's mutex.
+	// state and used are guarded by the server's mutex.
 	state connectionState
 	// used says that a request has begun on the connection.
 	used bool
-	// closing says that the wait for the next request was ended by a stop.
-	closing bool
 }
 
 // connectionState says what a connection does.
@@ -62,31 +60,44 @@
 		return false
 	}
 	c.server.setState(c, handling)
+	if c.server.reached(aborting) {
+		c.refuse(http.StatusServiceUnavailable, errNotHandled)
+		return false
+	}
 	return c.answer(ctx, request, body)
 }
 
 // awaitRequest waits for the first byte of a request. It returns false when none comes.
 func (c *connection) awaitRequest(limits routetable.Limits) bool {
-	if c.reader.Buffered() > 0 {
-		return c.server.beginRequest(c)
-	}
-	if err := c.server.beginWait(c, time.Now().Add(time.Duration(limits.IdleMillis)*time.Millisecond)); err != nil {
-		return false
-	}
-	_, err := c.reader.Peek(1)
-	if err != nil && c.server.isClosing(c) {
-		err = c.lookOnce()
+	if c.reader.Buffered() == 0 {
+		if err := c.server.readUntil(c, time.Now().Add(time.Duration(limits.IdleMillis)*time.Millisecond)); err != nil {
+			return false
+		}
+		_, err := c.reader.Peek(1)
+		if err != nil && (!isTimeout(err) || !c.hasArrived()) {
+			return false
+		}
 	}
-	return err == nil && c.server.beginRequest(c)
+	c.server.beginRequest(c)
+	return true
 }
 
-// lookOnce looks for a request that has arrived although the wait for it has been ended.
-func (c *connection) lookOnce() error {
-	if err := c.conn.SetReadDeadline(time.Now().Add(lookMillis * time.Millisecond)); err != nil {
-		return err
+// hasArrived reports whether a request has arrived although the time to wait for it is over. A process
+// that gets no processor for lookMillis reads nothing in one look, so there are several.
+func (c *connection) hasArrived() bool {
+	for range looks {
+		if c.conn.SetReadDeadline(time.Now().Add(lookMillis*time.Millisecond)) != nil {
+			return false
+		}
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return true
+		}
+		if !isTimeout(err) {
+			return false
+		}
 	}
-	_, err := c.reader.Peek(1)
-	return err
+	return false
 }
 
 // answer passes the request to the handler and cancels its context when the
--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -111,8 +111,14 @@
 
 // accept passes each new connection to serve until the listener is closed.
 func (s *Server) accept(serve func(*connection)) {
-	for {
+	for retried := false; ; {
 		conn, err := s.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) && !retried {
+			// The time may have passed before a connection that is established was accepted.
+			retried = true
+			s.stopAccepting()
+			continue
+		}
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			_ = s.Listener.Close()
 			s.endAccept()
@@ -156,12 +162,12 @@
 	if l.MaxBodyBytes <= 0 {
 		l.MaxBodyBytes = DefaultBodyBytes
 	}
-	if l.IdleMillis <= 0 {
-		l.IdleMillis = DefaultIdleMillis
-	}
 	if l.HeaderMillis <= 0 {
 		l.HeaderMillis = DefaultHeadMillis
 	}
+	if l.IdleMillis <= 0 {
+		l.IdleMillis = DefaultIdleMillis
+	}
 	return l
 }
 
--- a/internal/caller/httpserver/read.go
+++ b/internal/caller/httpserver/read.go
@@ -29,7 +29,7 @@
 // size limits.
 func (c *connection) readHead(limits routetable.Limits) (*http.Request, error) {
 	deadline := time.Now().Add(time.Duration(limits.HeaderMillis) * time.Millisecond)
-	if err := c.conn.SetReadDeadline(deadline); err != nil {
+	if err := c.server.readUntil(c, deadline); err != nil {
 		return nil, err
 	}
 	head, err := c.peekHead(limits.MaxHeaderBytes)
@@ -82,7 +82,7 @@
 	if request.Body == nil || request.ContentLength == 0 {
 		return nil, nil
 	}
-	if err := c.conn.SetReadDeadline(time.Now().Add(bodyTimeoutMillis * time.Millisecond)); err != nil {
+	if err := c.server.readUntil(c, time.Now().Add(bodyTimeoutMillis*time.Millisecond)); err != nil {
 		return nil, err
 	}
 	if err := c.sendContinue(request); err != nil {
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// lookMillis is the time for which a connection that is closed in a stop is read once more, as a
-	// request may have arrived.
+	// lookMillis is the time of each of the looks at a connection before it is closed, as a request may
+	// have arrived.
 	lookMillis = 5
+	looks      = 3
 	// newConnectionMillis is the time for which a new connection may send its first request although
 	// waiting connections are closed.
 	newConnectionMillis = 1000
@@ -26,8 +27,8 @@
 // ErrStopped is the cancellation cause of an exchange's context when Run ends.
 var ErrStopped = errors.New("process stops")
 
-// errClosing says that no further request is read from a connection.
-var errClosing = errors.New("connection is being closed")
+// errNotHandled says that a request was read when the process was ending.
+var errNotHandled = errors.New("request came when the process was ending")
 
 // stage is a stage of a planned stop. The stages follow each other; the zero value means that there
 // is no stop.
@@ -36,7 +37,9 @@
 const (
 	// draining: each response says that its connection is closed after it.
 	draining stage = iota + 1
-	// finishing: no connection is accepted or waits for a further request.
+	// closingIdle: no connection waits for a further request; a new one waits for its first.
+	closingIdle
+	// finishing: no connection is accepted either.
 	finishing
 	// aborting: the requests that are not handled yet are refused.
 	aborting
@@ -47,16 +50,11 @@
 	s.advance(draining)
 }
 
-// CloseIdle closes the connections that wait for a further request. A new connection may still
-// send its first one.
+// CloseIdle closes the connections that wait for a further request, from now on. A new connection may
+// still send its first one.
 func (s *Server) CloseIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.connections {
-		if c.state == waiting && (c.used || s.stage >= aborting || time.Since(c.acceptedAt) >= newConnectionMillis*time.Millisecond) {
-			s.endWait(c)
-		}
-	}
+	s.advance(closingIdle)
+	s.limitReads(waiting)
 }
 
 // CloseBy sets the time by which all connections are closed once Run ends.
@@ -67,9 +65,9 @@
 // Finish stops accepting connections, closes those that wait for a further request, and waits until all
 // others have ended or ctx ends. It returns the number of requests that are still open.
 func (s *Server) Finish(ctx context.Context) int {
+	s.CloseIdle()
 	s.advance(finishing)
 	s.stopAccepting()
-	s.CloseIdle()
 	return s.awaitEnd(ctx)
 }
 
@@ -86,8 +84,8 @@
 // time to write their responses, and resets all connections that are left when ctx ends or that time is over.
 func (s *Server) abort(ctx context.Context) {
 	s.advance(aborting)
-	s.CloseIdle()
-	s.endReads()
+	s.limitReads(waiting)
+	s.limitReads(reading)
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(s.lastResponse()))
 	defer stop()
 	s.awaitEnd(ctx)
@@ -134,23 +132,44 @@
 	return s.stage >= at
 }
 
-// endWait ends the wait of a connection for its next request. The caller holds mu.
-func (s *Server) endWait(c *connection) {
-	c.closing = true
-	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
-}
-
-// endReads ends the reading of requests that were not read completely.
-func (s *Server) endReads() {
+// limitReads applies the limits of the stage to the connections in a state.
+func (s *Server) limitReads(state connectionState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
-		if c.state == reading {
-			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		if until := s.readLimit(c); c.state == state && !until.IsZero() {
+			_ = c.conn.SetReadDeadline(until)
 		}
 	}
 }
 
+// readUntil sets the time until which a connection is read, at most the limit of the stage. All times
+// for reads are set here or in limitReads, under the mutex, so that none replaces a limit.
+func (s *Server) readUntil(c *connection, until time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limit := s.readLimit(c); !limit.IsZero() && limit.Before(until) {
+		until = limit
+	}
+	return c.conn.SetReadDeadline(until)
+}
+
+// readLimit returns the time after which a connection is not read in the stage; the zero time for no
+// limit. The caller holds mu.
+func (s *Server) readLimit(c *connection) time.Time {
+	past := time.Unix(1, 0)
+	switch {
+	case s.stage >= aborting && c.state != handling:
+		return past
+	case s.stage < closingIdle || c.state != waiting:
+		return time.Time{}
+	case c.used:
+		return past
+	default:
+		return c.acceptedAt.Add(newConnectionMillis * time.Millisecond)
+	}
+}
+
 // closeAll resets all connections.
 func (s *Server) closeAll() {
 	s.mu.Lock()
@@ -190,39 +209,14 @@
 	s.changed = make(chan struct{})
 }
 
-// beginWait sets the time until which a connection waits for its next request. It fails if the
-// connection is to be closed instead.
-func (s *Server) beginWait(c *connection, until time.Time) error {
+// beginRequest counts a request whose first byte has been read.
+func (s *Server) beginRequest(c *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stage >= finishing {
-		if c.used || s.stage >= aborting {
-			return errClosing
-		}
-		until = c.acceptedAt.Add(newConnectionMillis * time.Millisecond)
-	}
-	return c.conn.SetReadDeadline(until)
-}
-
-func (s *Server) isClosing(c *connection) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return c.closing
-}
-
-// beginRequest counts a request whose first byte has been read. It returns false if the process ends
-// before the request could be read.
-func (s *Server) beginRequest(c *connection) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stage >= aborting {
-		return false
-	}
 	s.begun.Add(1)
 	s.requests++
 	c.used = true
 	c.state = reading
-	return true
 }
 
 // setState records what a connection does.
--- /dev/null
+++ b/internal/caller/httpserver/stoprace_test.go
@@ -0,0 +1,176 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+)
+
+// TestFinishDoesNotAwaitSilentConnection guards against a stop that lasts until the end of its grace
+// period because a caller has connected shortly before and sends nothing.
+func TestFinishDoesNotAwaitSilentConnection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const slackMillis = 1000
+	s := startStoppable(t, echo{})
+	_ = dial(t, s.address)
+	for s.connectionCount() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the connection waits for its first request now
+	s.Drain()
+	s.CloseIdle()
+	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add((newConnectionMillis+slackMillis)*time.Millisecond))
+	defer stop()
+	is.Equal(s.Finish(ctx), 0)
+	is.NoErr(ctx.Err()) // all connections have ended before
+}
+
+func (s runningServer) connectionCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.connections)
+}
+
+// deadlineHook calls a function before a read deadline is set.
+type deadlineHook struct {
+	net.Conn
+
+	beforeDeadline func(at time.Time)
+	readBytes      *atomic.Int64
+}
+
+func (h deadlineHook) SetReadDeadline(at time.Time) error {
+	h.beforeDeadline(at)
+	return h.Conn.SetReadDeadline(at)
+}
+
+func (h deadlineHook) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	h.readBytes.Add(int64(n))
+	return n, err
+}
+
+// hookListener accepts connections whose read deadlines call a function.
+type hookListener struct {
+	*net.TCPListener
+
+	beforeDeadline func(at time.Time)
+	readBytes      atomic.Int64
+}
+
+func (l *hookListener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return deadlineHook{conn, l.beforeDeadline, &l.readBytes}, nil
+}
+
+// startHooked is like startStoppable and calls a function before each read deadline of a connection.
+func startHooked(t *testing.T, beforeDeadline func(at time.Time)) (runningServer, *hookListener) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hooked := &hookListener{TCPListener: listener.(*net.TCPListener), beforeDeadline: beforeDeadline}
+	s := &Server{
+		Listener: hooked, Handler: untilStopped{}, Log: slog.New(slog.DiscardHandler),
+		Limits: func() routetable.Limits { return routetable.Limits{} },
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return s.Run(ctx) })
+	end := sync.OnceFunc(func() {
+		stop()
+		_ = group.Wait()
+	})
+	t.Cleanup(end)
+	return runningServer{s, listener.Addr().String(), end}, hooked
+}
+
+// TestEndAnswersWhatItReads guards against a request that arrives when the process ends, is read, and has
+// its connection closed without an answer: its caller can't tell that it has not run.
+func TestEndAnswersWhatItReads(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const text = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"
+	var conn net.Conn
+	var once sync.Once
+	s, listener := startHooked(t, func(at time.Time) {
+		if at.Before(time.Now()) {
+			once.Do(func() { _, _ = io.WriteString(conn, text) })
+		}
+	})
+	conn = dial(t, s.address)
+	for s.connectionCount() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the connection waits for its first request now
+	s.end()
+	if listener.readBytes.Load() < int64(len(text)) {
+		return // not read, which the reset shows to the caller
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.NoErr(response.Body.Close())
+}
+
+// TestEndAnswersRequestWhoseReadBegins guards against a request whose head or body begins to be read in
+// the moment in which the process ends: the time limit of that read must not replace the end of it, by
+// which the request gets its refusal.
+func TestEndAnswersRequestWhoseReadBegins(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		text string
+		// limit is the number of the read deadline, from one, that is set when the process ends.
+		limit int64
+	}{
+		"head": {"POST / HTTP/1.1\r\nHos", 2},
+		"body": {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nx", 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var deadlines atomic.Int64
+			reached, readsEnded := make(chan struct{}), make(chan struct{})
+			endReads := sync.OnceFunc(func() { close(readsEnded) })
+			s, _ := startHooked(t, func(at time.Time) {
+				if at.Before(time.Now()) {
+					endReads()
+					return
+				}
+				if deadlines.Add(1) == tt.limit {
+					close(reached)
+					select {
+					case <-readsEnded:
+					case <-time.After(lastResponseMillis / 4 * time.Millisecond): // the server may hold its mutex here
+					}
+				}
+			})
+			conn := dial(t, s.address)
+			_, err := io.WriteString(conn, tt.text)
+			is.NoErr(err)
+			<-reached
+			s.end()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.NoErr(response.Body.Close())
+		})
+	}
+}
