relay: an answer without a length is not whole if its checks have ended with the request

A plain answer or a stream that ends with its connection is whole only if its server is still up and has not stopped the run. When a stop or the deadline ended the request during these checks, the cancelled connection attempt counted as a server that is up, and the answer was sent on as complete.

TestEndedServerOfAnAnswerAtAStop failed for both before.

--- a/internal/caller/relay/answerend.go
+++ b/internal/caller/relay/answerend.go
@@ -32,6 +32,9 @@
 		return errors.Mark(errBrokenOff, errServerEnded)
 	case q.service.Engine != nil && q.mayBeStopped(ctx, a.server, r):
 		return errors.Mark(errBrokenOff, errRunStopped)
+	case ctx.Err() != nil:
+		// The checks have ended with the request, so that they show nothing.
+		return errors.Mark(errBrokenOff, ctx.Err())
 	default:
 		return nil
 	}
