directentry: a stop does not wait for the settings file

The file is read again for the grace period. A read that hangs kept the host ready and its stop from beginning. The stop now begins with the period that is known, and takes the newer one when it has been read.

TestPlannedStopBeginsWithoutTheSettingsFile failed before: ready 0.5 s after SIGTERM.

--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -20,6 +20,8 @@
 	// that their callers still get an answer. It is at most reserveShare of the grace period.
 	reserveMillis = 300
 	reserveShare  = 0.125
+	// checkMillis is the pause between two looks at the time until the end of the stop.
+	checkMillis = 50
 )
 
 // plannedStop returns the planned stop of the process; its zero value while there is none.
@@ -52,19 +54,23 @@
 		return nil
 	}
 	signalledAt := boottime.Now()
-	stop, closeBy := stopAt(signalledAt, h.graceSeconds())
-	h.stop.Store(&stop)
-	h.server.CloseBy(closeBy)
+	h.setStop(signalledAt, h.Settings.GraceSeconds)
 	h.server.Drain()
+	// The stop does not wait for the settings file, whose read may hang.
+	var reread errgroup.Group
+	reread.Go(func() error {
+		h.setStop(signalledAt, h.graceSeconds())
+		return nil
+	})
 	// Requests that wait for room and would be cut are refused at once.
 	h.waiting.Signal()
 	begun := h.server.Begun()
-	h.Log.Info("stopping", "Open", h.server.Open(), "EndsInMillis", stop.EndsAt.MillisSince(boottime.Now()))
-	open := h.drain(life.Abort, stop)
+	h.Log.Info("stopping", "Open", h.server.Open(), "EndsInMillis", h.millisToEnd())
+	open := h.drain(life.Abort, signalledAt.AddMillis(rerouteMillis))
 	if open > 0 {
 		h.Log.Warn("aborting open requests at the end of the grace period", "Open", open)
 	}
-	h.Log.Info("drained", "Open", open, "Signals", life.Signals(), "LeftMillis", stop.EndsAt.MillisSince(boottime.Now()),
+	h.Log.Info("drained", "Open", open, "Signals", life.Signals(), "LeftMillis", h.millisToEnd(),
 		"Begun", h.server.Begun()-begun)
 	return nil
 }
@@ -80,17 +86,32 @@
 	return settings.GraceSeconds
 }
 
+// setStop stores the planned stop.
+func (h *Host) setStop(signalledAt boottime.Instant, graceSeconds float64) {
+	stop, closeBy := stopAt(signalledAt, graceSeconds)
+	h.stop.Store(&stop)
+	h.server.CloseBy(closeBy)
+}
+
+// millisToEnd returns the time until open requests are ended.
+func (h *Host) millisToEnd() int64 {
+	return h.plannedStop().EndsAt.MillisSince(boottime.Now())
+}
+
 // drain waits until no request is open and no further one can come, or until the stop ends. It returns
 // the number of requests that are still open.
-func (h *Host) drain(ctx context.Context, stop relay.Stop) int {
+func (h *Host) drain(ctx context.Context, reroutedAt boottime.Instant) int {
 	ctx, end := context.WithCancel(ctx)
 	var timer errgroup.Group
 	timer.Go(func() error {
-		boottime.PauseUntil(ctx, stop.EndsAt)
+		// The end of the stop may come nearer meanwhile.
+		for left := h.millisToEnd(); left > 0 && ctx.Err() == nil; left = h.millisToEnd() {
+			boottime.Pause(ctx, min(left, checkMillis))
+		}
 		end()
 		return nil
 	})
-	boottime.PauseUntil(ctx, stop.ReroutedAt)
+	boottime.PauseUntil(ctx, reroutedAt)
 	h.server.CloseIdle()
 	lifecycle.Lifecycle{Abort: ctx}.AwaitIdle(h.server.Open, time.Time{})
 	open := h.server.Finish(ctx)
--- /dev/null
+++ b/internal/trial/endtoend/platform_stopsettings_test.go
@@ -0,0 +1,32 @@
+package endtoend
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+// TestPlannedStopBeginsWithoutTheSettingsFile guards against a stop that begins only once the settings
+// file has been read again: while that read hangs, the entry host stays ready and does not drain.
+func TestPlannedStopBeginsWithoutTheSettingsFile(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const graceMillis, noticeMillis = 1000, 500
+	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = graceMillis / 1000 })
+	path := filepath.Join(s.directory, "entry.json")
+	is.NoErr(os.Remove(path))
+	const readWrite = 0o600
+	is.NoErr(syscall.Mkfifo(path, readWrite)) // a read of it hangs, as it has no writer
+	begun := time.Now()
+	s.entry.terminate()
+	time.Sleep(noticeMillis * time.Millisecond)
+	is.True(s.ready() != nil) // the platform must hear at once that the host stops
+	is.Equal(s.entry.exitCode(), 0)
+	is.True(s.entry.loggedAt("stopped").Sub(begun) < graceMillis*time.Millisecond)
+}
