relay: a request that a stop refuses draws on no retry budget, nor on a full engine

The check whether a request ends in time came after its retry had been counted, and a waiting request that asks a full engine for memory was not checked if no pass of the queue had run since the signal. Both read in a review; no test failed.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -70,6 +70,10 @@
 	q.relay.Retries.CountFirst(q.service.Name, boottime.Now())
 	var last, result outcome = unplaced{}, unplaced{}
 	for sent, dials := 0, 0; q.runs < q.route.MaxAttempts && dials+q.hedgeDials < maxDials; dials++ {
+		if !q.endsInTime(boottime.Now()) {
+			result = conclusive(result, stopping{})
+			break
+		}
 		if dials > 0 && !q.allowRetry(last) {
 			break
 		}
@@ -102,9 +106,6 @@
 
 // attempt sends the request to one backend server and returns the outcome.
 func (q *request) attempt(ctx context.Context) outcome {
-	if !q.endsInTime(boottime.Now()) {
-		return stopping{}
-	}
 	a, refused := q.placeWithRoom(ctx)
 	if a == nil {
 		return refused
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -87,6 +87,9 @@
 		if ok || ctx.Err() != nil {
 			return placed, ok
 		}
+		if !q.endsInTime(boottime.Now()) {
+			return placement.Placement{}, true
+		}
 		if full := q.placeAtFullEngine(placed.Chosen); full.Assignment != nil {
 			return full, true
 		}
