test: half an answer to another request before the own one on its connection (fails)

Failing test for a fault: TestAnswerAfterCutAnswerToAnother. A server that stops in the head of an answer to another request, or of an informational one, and then sends the answer on the same connection.

--- a/internal/caller/relay/cutanswer_test.go
+++ b/internal/caller/relay/cutanswer_test.go
@@ -106,3 +106,32 @@
 		is.True(!errors.Is(err, ErrNotSent))
 	}
 }
+
+// TestAnswerAfterCutAnswerToAnother guards against an answer that is put together from the beginning
+// of an answer to another request and the answer that follows it.
+func TestAnswerAfterCutAnswerToAnother(t *testing.T) {
+	own := strings.Replace(cutLength, "200 OK", "500 Internal Server Error", 1)
+	for name, before := range map[string]string{
+		"answer":             cutForeign,
+		"answer, late ID":    "HTTP/1.1 200 OK\r\nFulmarvalve-Response-Signature: o\r\nContent-Length: 5\r\nFulmarvalve-Request-Id: other\r\n\r\nother",
+		"informational":      cutHints,
+		"refusal":            "HTTP/1.1 503 Service Unavailable\r\nFulmarvalve-Not-Executed: 1\r\nFulmarvalve-Request-Id: other\r\nContent-Length: 0\r\n\r\n",
+		"chunked, no status": "HTTP/1.1 200 \r\nTransfer-Encoding: chunked\r\nFulmarvalve-Request-Id: other\r\n\r\n1\r\no\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set, read := cutServer(t)
+			for n := range len(before) + 1 {
+				set(cutanswer.Whole(before[:n] + own))
+				answer, body, err := read(http.MethodPost)
+				if err != nil {
+					continue
+				}
+				signatures := strings.Join(answer.Header.Values("Fulmarvalve-Response-Signature"), ",")
+				if answer.StatusCode != http.StatusInternalServerError || body != "whole answer" || signatures != "s" {
+					t.Errorf("%q before the answer: got status %d, signature %q, body %q", before[:n], answer.StatusCode, signatures, body)
+				}
+			}
+		})
+	}
+}
