--- a/internal/standin/cutanswer/cutanswer.go
+++ b/internal/standin/cutanswer/cutanswer.go
@@ -62,7 +62,13 @@
 // Server is an http.Handler that answers each request with the answer that was set last. It is safe
 // for concurrent use.
 type Server struct {
-	answer atomic.Pointer[Answer]
+	answer   atomic.Pointer[Answer]
+	requests atomic.Int64
+}
+
+// Requests returns the number of requests that have arrived.
+func (s *Server) Requests() int64 {
+	return s.requests.Load()
 }
 
 // Set sets the answer to further requests.
@@ -72,6 +78,7 @@
 
 // ServeHTTP sends the answer that was set last.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.requests.Add(1)
 	s.answer.Load().Serve(w, r)
 }
 
