relay: a head that goes on with another head is no answer

What callers saw (in the test; no report of it): a 500 as a 200 or a 503, a success with two signatures, and 503 for a request that has run.

Cause: a server that stops within the head of an answer to another request and then answers on the same connection. Its status line stands at the end of the line that was broken off, in the reason or in a value, and the heads are read as one.

Ruled out: a head that just ends (TestCutAnswerIsNotWhole).

Change: a head with a status line in its reason or in a value is an error, after which the request may have run.

--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -50,6 +52,13 @@
 // may never end.
 var ErrTooLarge = errors.New("answer is too large")
 
+// ErrMergedHeads says that a head was broken off and that another one followed it, so that neither
+// of them is known.
+var ErrMergedHeads = errors.New("answer begins within the head of another one")
+
+// statusLine matches the beginning of the head of an answer.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( |$)`)
+
 // Outbound is a request to a backend server.
 type Outbound struct {
 	// ID is the request ID that the caller chose.
@@ -178,6 +187,9 @@
 		if err != nil {
 			return nil, markTooLarge(err, limited)
 		}
+		if hasMergedHeads(answer) {
+			return nil, ErrMergedHeads
+		}
 		if answer.StatusCode < http.StatusOK {
 			continue
 		}
@@ -195,6 +207,19 @@
 	return nil, ErrOtherRequest
 }
 
+// hasMergedHeads reports whether a line of a head goes on with the beginning of another head.
+func hasMergedHeads(answer *http.Response) bool {
+	if statusLine.MatchString(answer.Status) {
+		return true
+	}
+	for _, values := range answer.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // markTooLarge marks an error with ErrTooLarge if the limit has caused it.
 func markTooLarge(err error, limited *io.LimitedReader) error {
 	if limited.N > 0 {
