--- a/internal/caller/relay/hedge_rig_test.go
+++ b/internal/caller/relay/hedge_rig_test.go
@@ -22,6 +22,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/crashlog"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/hedge"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/quarantine"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
@@ -39,6 +40,9 @@
 	rigServers  = 3
 	safePath    = "/look/"
 	unsafePath  = "/book/"
+	// streamPath and resumablePath lead to streams.
+	streamPath    = "/draft/"
+	resumablePath = "/check/"
 )
 
 // hedgeRig is a relay that has learnt the answer times of its routes, with callers and with plain
@@ -96,11 +100,15 @@
 }
 
 func rigConfiguration() string {
-	route := func(path, kind string, attempts int) string {
+	route := func(path, kind string, attempts int, resumable bool) string {
 		return fmt.Sprintf(`{"name":%q,"host":"desk.example","path_prefix":%q,"kind":%q,"timeout_ms":8000,"slo_ms":100,`+
-			`"priority":0,"service":"plain","max_attempts":%d,"public":true}`, path, path, kind, attempts)
+			`"priority":0,"service":"plain","max_attempts":%d,"resumable":%t,"public":true}`, path, path, kind, attempts, resumable)
 	}
-	return `{"version":1,"routes":[` + route(safePath, "safe", 2) + `,` + route(unsafePath, "unsafe", 1) + `],"services":[{"name":"plain"}],` +
+	routes := strings.Join([]string{
+		route(safePath, "safe", 2, false), route(unsafePath, "unsafe", 1, false),
+		route(streamPath, "streaming", 1, false), route(resumablePath, "streaming", 2, true),
+	}, ",")
+	return `{"version":1,"routes":[` + routes + `],"services":[{"name":"plain"}],` +
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]}`
 }
 
@@ -117,10 +125,12 @@
 		Migrations:   &Migrations{},
 		Retries:      &Retries{Ratio: 0.2, Slack: 50, Hosts: func() int { return 1 }, WindowMillis: 10_000},
 		Hedges:       &hedge.Table{Ratio: 0.2},
+		Outputs:      &outputestimate.Model{},
 		ServerLimits: &loadTable.ServerLimits,
 		Quarantine:   table,
 		Crashes:      &crashlog.Log{Store: store, Table: table, Log: logger},
 		Ends:         &serverend.Watch{},
+		OnPlaced:     func(string, string, placement.Generation) {},
 		OnLeaving:    func() {},
 		Bounds:       func() Bounds { return Bounds{RevokeMillis: 60_000, ApplyMillis: 60_000} },
 		Stop:         func() Stop { return Stop{} },
