relay: a resumed stream that ends without an event of its own is broken off

What callers saw (in the test): a 200 with the first events and the end of a complete stream, when the stream had gone on with a new generation or at the copy of its run, and that server closed after the head of an answer with neither a length nor chunks.

Cause: an answer that ends with its connection counts as broken off if it has no event. The events of the servers before were counted, too.

Ruled out: heads that are cut, and answers in chunks (same test).

Change: only the events of the answer itself count. An engine that has nothing left to send and says so neither by a length nor by chunks is then cut at the caller, too.

--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -173,6 +173,7 @@
 	s.attempt.close(false)
 	s.attempt = next
 	s.events.discardPartial()
+	s.eventsBefore = s.events.count
 	s.expectEvent()
 	s.interrupted = true
 	s.recentPauses = pauseforecast.Recent{}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -35,6 +35,8 @@
 	// attempt is the current source of the stream.
 	attempt *attempt
 	events  eventSplitter
+	// eventsBefore is the number of events that came from sources before the current one.
+	eventsBefore int
 	// switched is set when the stream went on at another server while the answer of the one before
 	// was read.
 	switched     bool
@@ -182,9 +184,9 @@
 }
 
 // checkEnd returns an error if an answer that ended between two events was broken off. One that
-// ends with its connection shows that if it has no event.
+// ends with its connection shows that if it has no event of its own, also after those of other sources.
 func (s *stream) checkEnd(ctx context.Context) error {
-	if s.attempt.call.endsWithConnection() && s.events.count == 0 {
+	if s.attempt.call.endsWithConnection() && s.events.count == s.eventsBefore {
 		return errBrokenOff
 	}
 	return s.request.checkEnd(ctx, s.attempt, s.registration)
