hostlist: a list that was cut is no shorter list

What was seen (in the test): a host list with neither a length nor chunks that was cut was taken for one with fewer hosts, or with none.

Cause: entries are decoded one by one, so that odd ones do no harm, with a library that reads the beginning of a value as if it were whole.

Ruled out: lists with a length or in chunks, whose end shows.

Change: the body is checked to be one whole JSON value first. TestOddEntries still passes.

--- a/internal/platform/hostlist/client.go
+++ b/internal/platform/hostlist/client.go
@@ -59,8 +59,12 @@
 }
 
 // decodeList decodes the host list. It leaves out entries that describe no host, as another writer
-// may have left them. Each entry is decoded by itself, so that the others hold.
+// may have left them. Each entry is decoded by itself, so that the others hold. The body must be whole,
+// as gjson also reads the beginning of one.
 func decodeList(body []byte) ([]Host, error) {
+	if !gjson.ValidBytes(body) {
+		return nil, errors.New("answer is no whole JSON value")
+	}
 	list := gjson.GetBytes(body, "Hosts")
 	if !list.IsArray() && (!list.Exists() || list.Type != gjson.Null) {
 		return nil, errors.New("answer has no list of hosts")
