test: heads of answers cut by a server of the real program's callers

The stand-in of a backend server stops any number of bytes before the end of the head of its answers, or of its reply to the last copy request of a run.

--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/cutanswer"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
@@ -59,6 +60,10 @@
 	if !faults.Unsigned {
 		w.Header().Set("Fulmarvalve-Response-Signature", id)
 	}
+	if faults.CutHead != 0 && !faults.CutCopies {
+		cutHead(w, faults)
+		return
+	}
 	if q.Header.Get("Fulmarvalve-Token-Usage") != "" && faults.Status == 0 {
 		r.stream(w, q, arrival, faults)
 		return
@@ -127,6 +132,19 @@
 	return from == "" || r.Group.redeem(from, q.Header.Get("Fulmarvalve-Request-Id"))
 }
 
+// cutHead sends the beginning of the head of an answer and closes the connection.
+func cutHead(w http.ResponseWriter, faults Faults) {
+	var head strings.Builder
+	_, _ = head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&head)
+	_, _ = fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n", len(plainBody))
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	cutanswer.Answer{Text: head.String(), Bytes: max(0, head.Len()-faults.CutHead), Reset: faults.CutByReset}.Send(conn)
+}
+
 // plain responds as a plain service.
 func (r *Replica) plain(w http.ResponseWriter, faults Faults) {
 	const body = plainBody
--- a/internal/standin/replica/faults.go
+++ b/internal/standin/replica/faults.go
@@ -27,6 +27,14 @@
 	TruncateBody bool
 	// NoContentLength makes a plain service omit the Content-Length header.
 	NoContentLength bool
+	// CutHead is the number of bytes before the end of the head at which the server stops to send
+	// answers and closes the connection; zero for none.
+	CutHead int
+	// CutByReset makes the connection of such an answer end with a reset.
+	CutByReset bool
+	// CutCopies makes the reply to the last copy request of a run end there instead, and leaves
+	// answers whole.
+	CutCopies bool
 	// Unsigned makes answers lack the server's signature.
 	Unsigned bool
 	// EndByClose makes streams come without chunks, so that they end with their connection.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -276,14 +276,13 @@
 	_ = json.NewDecoder(q.Body).Decode(&message)
 	r.mu.Lock()
 	running, ok := r.runs[message.ID]
-	refused := r.faults.RefuseCopies
-	stays := r.faults.RefuseMigrations
+	faults := r.faults
 	r.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if stays {
+	if faults.RefuseMigrations {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -294,8 +293,12 @@
 	r.mu.Lock()
 	created := running.events
 	r.mu.Unlock()
+	if faults.CutCopies && message.Last {
+		cutHead(w, faults)
+		return
+	}
 	reply := map[string]any{"handle": r.Group.issue(message.ID), "created": created}
-	if refused {
+	if faults.RefuseCopies {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	_ = json.NewEncoder(w).Encode(reply)
