test: heads cut by the engines and services of the path through owners

Stand-ins of engines and plain services end upcoming answers within their heads, one byte more each time. Calls of a plain service: ReplyLost and one run for each of 80 cuts (TestOwnerCallWithCutHead); streams and whole answers of engines go on whole (TestEngineFaults/answers_that_end_within_their_heads).

--- a/internal/standin/cutanswer/cutanswer.go
+++ b/internal/standin/cutanswer/cutanswer.go
@@ -54,6 +54,11 @@
 	return Answer{Text: text, Bytes: len(text)}
 }
 
+// CutBefore returns a text without its last bytes, or nothing of it if it is shorter.
+func CutBefore(text string, missing int) Answer {
+	return Answer{Text: text, Bytes: max(0, len(text)-missing)}
+}
+
 // HeadBytes returns the size of the first head in a text, with the empty line that ends it.
 func HeadBytes(text string) int {
 	return strings.Index(text, headEnd) + len(headEnd)
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/cutanswer"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
@@ -15,6 +16,9 @@
 // cancelledReason is the reason in the Finished event of a cancelled generation.
 const cancelledReason = engine.ReasonErrorPrefix + "cancelled"
 
+// streamHead is the head of a response that Faults.CutHeads cuts.
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
 	var c engine.Completion
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c); err != nil {
@@ -33,6 +37,12 @@
 	if c.ResumeFrom == 0 && serving.TakeOne(&s.Faults.LoseAnswers) {
 		panic(http.ErrAbortHandler)
 	}
+	if c.ResumeFrom == 0 {
+		if missing := serving.TakeNext(&s.Faults.CutHeads); missing > 0 {
+			cutanswer.CutBefore(streamHead, int(missing)).Serve(w, r)
+			return
+		}
+	}
 	s.writeStream(w, r, st)
 }
 
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -34,6 +34,9 @@
 	// LoseAnswers is the number of upcoming generations that start but whose
 	// connection is dropped before the response.
 	LoseAnswers atomic.Int64
+	// CutHeads is the number of upcoming generations that start but whose response ends within its
+	// head: that number of bytes before the end of the head, so that each one gets one byte more.
+	CutHeads atomic.Int64
 	// LoseOrders is the number of upcoming orders that take effect but whose
 	// connection is dropped before the response.
 	LoseOrders atomic.Int64
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -12,9 +12,13 @@
 	"github.com/gorilla/mux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/plainservice"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/cutanswer"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
+// answerHead is the head of a response that Faults.CutHeads cuts.
+const answerHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 12\r\n\r\n"
+
 // Faults holds the faults that a test injects. They may be switched while the
 // service runs.
 type Faults struct {
@@ -27,6 +31,9 @@
 	// LoseAnswers is the number of upcoming requests that run but whose connection
 	// is dropped before the response.
 	LoseAnswers atomic.Int64
+	// CutHeads is the number of upcoming requests that run but whose response ends within its head:
+	// that number of bytes before the end of the head, so that each request gets one byte more.
+	CutHeads atomic.Int64
 	// LoseTides drops the connection of every request for tides that has run.
 	LoseTides atomic.Bool
 }
@@ -187,6 +194,10 @@
 	if serving.TakeOne(&s.Faults.LoseAnswers) {
 		panic(http.ErrAbortHandler)
 	}
+	if missing := serving.TakeNext(&s.Faults.CutHeads); missing > 0 {
+		cutanswer.CutBefore(answerHead, int(missing)).Serve(w, r)
+		return
+	}
 	if s.Faults.Unresponsive.Load() {
 		<-r.Context().Done()
 		return
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -68,6 +68,12 @@
 		r.stream(w, q, arrival, faults)
 		return
 	}
+	r.answerPlain(w, q, arrival, faults, ended)
+}
+
+// answerPlain runs a request of a plain service and answers it. The request is broken when the
+// server ends.
+func (r *Replica) answerPlain(w http.ResponseWriter, q *http.Request, arrival *Arrival, faults Faults, ended <-chan struct{}) {
 	r.runPlain(q, ended, faults.RunMillis)
 	if faults.Crashes(*arrival) && !faults.CrashAfterAnswer {
 		r.OnCrash()
@@ -142,7 +148,9 @@
 	if err != nil {
 		return
 	}
-	cutanswer.Answer{Text: head.String(), Bytes: max(0, head.Len()-faults.CutHead), Reset: faults.CutByReset}.Send(conn)
+	cut := cutanswer.CutBefore(head.String(), faults.CutHead)
+	cut.Reset = faults.CutByReset
+	cut.Send(conn)
 }
 
 // plain responds as a plain service.
--- a/internal/standin/serving/fault.go
+++ b/internal/standin/serving/fault.go
@@ -12,13 +12,18 @@
 // TakeOne decrements n if it is above zero and reports whether it was. Stand-ins
 // use it for faults that apply to a number of upcoming requests.
 func TakeOne(n *atomic.Int64) bool {
+	return TakeNext(n) > 0
+}
+
+// TakeNext is like TakeOne and returns what n was; zero if it was not above zero.
+func TakeNext(n *atomic.Int64) int64 {
 	for {
 		left := n.Load()
 		if left <= 0 {
-			return false
+			return 0
 		}
 		if n.CompareAndSwap(left, left-1) {
-			return true
+			return left
 		}
 	}
 }
--- a/internal/trial/endtoend/engine_faults_test.go
+++ b/internal/trial/endtoend/engine_faults_test.go
@@ -40,6 +40,7 @@
 		}},
 		{"stalled streams", func(_ *testing.T, s *engine.Server) { s.StallOpenStreams() }},
 		{"lost answers", func(_ *testing.T, s *engine.Server) { s.Faults.LoseAnswers.Store(4) }},
+		{"answers that end within their heads", func(_ *testing.T, s *engine.Server) { s.Faults.CutHeads.Store(4) }},
 	}
 	d := newDeployment(t, withShortTimeouts(layout{entries: 1, engines: 1}))
 	for _, tt := range tests {
@@ -61,7 +62,7 @@
 // checkFaultsInjected returns an error while faults that were set have not all
 // taken effect.
 func checkFaultsInjected(f *engine.Faults) error {
-	left := f.ForeignTokens.Load() + f.ForeignEnds.Load() + f.DuplicateTokens.Load() + f.OmitTokens.Load() + f.LoseAnswers.Load()
+	left := f.ForeignTokens.Load() + f.ForeignEnds.Load() + f.DuplicateTokens.Load() + f.OmitTokens.Load() + f.LoseAnswers.Load() + f.CutHeads.Load()
 	if left > 0 {
 		return errors.Newf("%d faults have not taken effect", left)
 	}
--- a/internal/trial/endtoend/platform_cuthead_test.go
+++ b/internal/trial/endtoend/platform_cuthead_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpapi"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
@@ -94,3 +97,29 @@
 		})
 	}
 }
+
+// TestOwnerCallWithCutHead guards against a caller of the path through owners that gets a success, or is
+// told that its request has not run, for a response whose head the service has not sent whole.
+func TestOwnerCallWithCutHead(t *testing.T) {
+	t.Parallel()
+	const maxMissing = 80
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 1, engines: 1, plainServices: 1})
+	d.waitKeyBinding(t)
+	service := d.backends[1].plainService
+	c := newCaller(d.entries[0])
+	for missing := 1; missing <= maxMissing; missing++ {
+		path := fmt.Sprint("/bookings?missing=", missing)
+		before := service.Bookings()
+		service.Faults.CutHeads.Store(int64(missing))
+		booking, err := c.call(http.MethodPost, path, newKey())
+		is.NoErr(err)
+		is.Equal(booking.header.Get(httpapi.HeaderResult), strconv.Itoa(int(resultcode.ReplyLost)))
+		is.Equal(service.Bookings(), before+1) // it ran once
+		service.Faults.CutHeads.Store(0)
+		// An answer shows that the calls do not crash their service.
+		booking, err = c.call(http.MethodPost, path, newKey())
+		is.NoErr(err)
+		is.Equal(booking.status, http.StatusOK)
+	}
+}
