test: an answer of a hedged call that is broken off while the other attempt is open

TestCutAnswerOfHedgedCall: the first attempt is cut, the hedge is, or both: the whole answer of the other attempt, or 502.

--- a/internal/caller/relay/cutrequest_test.go
+++ b/internal/caller/relay/cutrequest_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/cutanswer"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -53,8 +54,10 @@
 	// answers holds the answers to the arrivals of each request by its ID, in order.
 	answers map[string][]cutanswer.Answer
 	// moved says that the run of each first answer moves to another server before the answer ends.
-	moved  bool
-	client *http.Client
+	moved bool
+	// delayMillis, if it is set, returns the time after which an arrival is answered.
+	delayMillis func(nth int) int
+	client      *http.Client
 }
 
 func newCutRig(t *testing.T) *cutRig {
@@ -66,6 +69,9 @@
 		g.mu.Lock()
 		answers := g.answers[id]
 		g.mu.Unlock()
+		if g.delayMillis != nil {
+			time.Sleep(time.Duration(g.delayMillis(nth)) * time.Millisecond)
+		}
 		if g.moved && nth == 1 {
 			g.sendAndMove(w, id, answers[0])
 			return
@@ -149,6 +155,50 @@
 	}
 }
 
+// TestCutAnswerOfHedgedCall guards against a hedged call that ends with an answer of one attempt that its
+// server broke off, while the other attempt is open.
+func TestCutAnswerOfHedgedCall(t *testing.T) {
+	for name, tt := range map[string]struct {
+		// firstMillis and secondMillis are the times after which the attempts are answered.
+		firstMillis, secondMillis int
+		// firstCut and secondCut say which of the answers is cut.
+		firstCut, secondCut bool
+		status              int
+		outcome             string
+	}{
+		"first cut, hedge open": {2 * lateMillis, 3 * lateMillis, true, false, http.StatusOK, metrics.HedgeSecondWon},
+		"hedge cut, first open": {3 * lateMillis, 0, false, true, http.StatusOK, metrics.HedgeFirstWon},
+		"both cut":              {2 * lateMillis, 0, true, true, http.StatusBadGateway, metrics.HedgeBothFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g := newCutRig(t)
+			g.delayMillis = func(nth int) int {
+				if nth == 1 {
+					return tt.firstMillis
+				}
+				return tt.secondMillis
+			}
+			const step = 27
+			for bytes := 9; bytes < len(wholeAnswer); bytes += step {
+				answers := []cutanswer.Answer{cutanswer.Whole(wholeAnswer), cutanswer.Whole(wholeAnswer)}
+				for i, cut := range []bool{tt.firstCut, tt.secondCut} {
+					if cut {
+						answers[i].Bytes = bytes
+					}
+				}
+				got, arrivals := g.ask(http.MethodPost, safePath, answers...)
+				is.NoErr(got.err)
+				is.Equal(got.status, tt.status)
+				is.Equal(arrivals, 2)
+				is.True(got.status != http.StatusOK || got.body == "whole answer")
+			}
+			is.True(g.outcomes()[tt.outcome] > 0)
+		})
+	}
+}
+
 // TestCutStreamIsNotComplete guards against a stream that reaches its caller as complete although an
 // answer that it came from was broken off. Answers follow one another; an arrival after them is refused.
 func TestCutStreamIsNotComplete(t *testing.T) {
