httpserver: a response that can have no body names no length

What callers saw (in the test): Content-Length: 0 in the responses to HEAD, and with 204 and 304, whatever the length of the backend server's body is.

Cause: the length of the body that was read from the server was always named.

Change: a response that can have no body names no length and has none.

--- a/internal/caller/httpserver/exchange.go
+++ b/internal/caller/httpserver/exchange.go
@@ -52,16 +52,25 @@
 // ErrResponseAborted means that the handler aborted an incomplete response.
 var ErrResponseAborted = errors.New("response aborted before its end")
 
-// Respond writes a complete response with the given body.
+// Respond writes a complete response with the given body, which is left out if the response can
+// have none. It then names no length, as that would be the length of another response's body.
 func (x *Exchange) Respond(status int, header http.Header, body []byte) {
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	x.writeHead(status, header)
-	if x.Request.Method != http.MethodHead {
-		x.write(body)
+	if !x.mayHaveBody(status) {
+		header.Del("Content-Length")
+		body = nil
+	} else {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	x.writeHead(status, header)
+	x.write(body)
 	x.ended = true
 }
 
+// mayHaveBody reports whether a response with a status to the request can have a body.
+func (x *Exchange) mayHaveBody(status int) bool {
+	return x.Request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Begin starts a response of unknown length.
 func (x *Exchange) Begin(status int, header http.Header) {
 	if x.Request.ProtoAtLeast(1, 1) {
