--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/cutanswer"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/serving"
 )
 
@@ -59,10 +60,20 @@
 	if !faults.Unsigned {
 		w.Header().Set("Fulmarvalve-Response-Signature", id)
 	}
+	if faults.CutHead != 0 && !faults.CutCopies {
+		cutHead(w, faults)
+		return
+	}
 	if q.Header.Get("Fulmarvalve-Token-Usage") != "" && faults.Status == 0 {
 		r.stream(w, q, arrival, faults)
 		return
 	}
+	r.answerPlain(w, q, arrival, faults, ended)
+}
+
+// answerPlain runs a request of a plain service and answers it. The request is broken when the
+// server ends.
+func (r *Replica) answerPlain(w http.ResponseWriter, q *http.Request, arrival *Arrival, faults Faults, ended <-chan struct{}) {
 	r.runPlain(q, ended, faults.RunMillis)
 	if faults.Crashes(*arrival) && !faults.CrashAfterAnswer {
 		r.OnCrash()
@@ -127,6 +138,21 @@
 	return from == "" || r.Group.redeem(from, q.Header.Get("Fulmarvalve-Request-Id"))
 }
 
+// cutHead sends the beginning of the head of an answer and closes the connection.
+func cutHead(w http.ResponseWriter, faults Faults) {
+	var head strings.Builder
+	_, _ = head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&head)
+	_, _ = fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n", len(plainBody))
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	cut := cutanswer.CutBefore(head.String(), faults.CutHead)
+	cut.Reset = faults.CutByReset
+	cut.Send(conn)
+}
+
 // plain responds as a plain service.
 func (r *Replica) plain(w http.ResponseWriter, faults Faults) {
 	const body = plainBody
