--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -209,17 +210,23 @@
 
 // hasMergedHeads reports whether a line of a head goes on with the beginning of another head.
 func hasMergedHeads(answer *http.Response) bool {
-	if statusLine.MatchString(answer.Status) {
+	if holdsStatusLine(answer.Status) {
 		return true
 	}
 	for _, values := range answer.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
+		if slices.ContainsFunc(values, holdsStatusLine) {
 			return true
 		}
 	}
 	return false
 }
 
+// holdsStatusLine reports whether a text holds the beginning of a head. The protocol's name is looked for
+// first, as that costs less than the expression and few texts have it.
+func holdsStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/") && statusLine.MatchString(text)
+}
+
 // markTooLarge marks an error with ErrTooLarge if the limit has caused it.
 func markTooLarge(err error, limited *io.LimitedReader) error {
 	if limited.N > 0 {
