monitor, directbackend: a planned stop completes the moves of runs that were begun

Cause: the first signal cancelled everything. The engine had been ordered to stop a run, and the reply with the handle of the copy was not awaited; runs that were still to be moved stayed until the engine ended; queued messages were dropped.

Ruled out: that entry hosts make up for it. Their own migration begins once the list says that the engine leaves, and knows nothing of an order of another process.

Now the monitor asks its engine once more on the signal. The end of the time is no final word about runs that were not ordered to stop: entry hosts may still move them. With nothing to move the process ends as soon as the engine has answered.

--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -49,7 +49,8 @@
 func (m *Monitor) migrateAll(ctx context.Context, leavesAt boottime.Instant) {
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(leavesAt.MillisSince(boottime.Now()))*time.Millisecond))
 	defer stop()
-	defer m.publishFinal()
+	// While there is time, the entry hosts migrate the runs that this process leaves to them.
+	defer func() { m.publishFinal(leavesAt.MillisSince(boottime.Now()) > lastMigrationMillis) }()
 	boottime.Pause(ctx, adviceMillis)
 	attempts := make(map[string]int)
 	for ctx.Err() == nil {
@@ -62,14 +63,19 @@
 			boottime.Pause(ctx, replanMillis)
 			continue
 		}
+		if !m.completesBeforeStop(step) {
+			return
+		}
 		if !m.reserve(ctx, step) {
 			continue
 		}
 		m.assign(step)
 		attempts[step.Run.RequestID]++
+		m.addCopy(1)
 		if m.migrate(ctx, step, left) {
 			attempts[step.Run.RequestID] = maxAttempts
 		}
+		m.addCopy(-1)
 	}
 }
 
@@ -201,9 +207,14 @@
 }
 
 // publishFinal reports to the entry hosts that the remaining runs will not be
-// migrated, so that the streams of these runs do not wait for a migration.
-func (m *Monitor) publishFinal() {
+// migrated, so that the streams of these runs do not wait for a migration. The argument
+// handedOver says that the entry hosts may still migrate those that the engine was not ordered to
+// stop.
+func (m *Monitor) publishFinal(handedOver bool) {
 	for _, stay := range m.unmigrated() {
+		if handedOver && !stay.move.GetStopped() {
+			continue
+		}
 		m.Metrics.CountMigration(migrationStayed)
 		m.Log.Info("run not migrated", "Request", stay.move.GetRequestId(), "Copied", stay.move.GetDestination() != "",
 			"Obstacle", stay.obstacle.String(), "Tokens", stay.run.Tokens, "Remaining", stay.run.Remaining, "Events", stay.events)
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -58,6 +58,9 @@
 
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
+	// openStreams is the number of streams of entry hosts, with those whose watcher was removed
+	// already.
+	openStreams int
 	// latest is the newest report of the engine.
 	latest platform.EngineReport
 	// reportedAt is the time of latest; zero before the first report.
@@ -67,7 +70,9 @@
 	// leavesAt is the time at which the engine will shut down; zero while no
 	// shutdown is announced.
 	leavesAt boottime.Instant
-	advice   advice
+	// stop is the state of a planned stop of this process.
+	stop   plannedStop
+	advice advice
 	// migrations holds the latest message about each run that was copied since the
 	// shutdown notice, by request ID.
 	migrations map[string]*sighting.Move
@@ -117,11 +122,14 @@
 func (m *Monitor) follow(ctx context.Context, group *errgroup.Group) {
 	ticker := time.NewTicker(pollMillis * time.Millisecond)
 	defer ticker.Stop()
+	migrations, cancel := m.migrationContext(ctx)
+	defer cancel()
 	var reported platform.EngineReport
 	var reportedAt boottime.Instant
 	// placed says that requests were placed since the last report of a load.
 	lost, placed := false, false
 	for ctx.Err() == nil {
+		queriedAt := boottime.Now()
 		report, err := m.queryReport(ctx)
 		now := boottime.Now()
 		switch {
@@ -135,13 +143,14 @@
 		}
 		if err == nil {
 			m.identify(ctx)
-			m.applyReport(ctx, group, report, now)
+			m.applyReport(migrations, group, report, now)
 			placed = m.resetPlacements() || placed
 			if due(reported, report, placed, now.MillisSince(reportedAt), m.watching()) {
 				m.publish(m.lockedLoad(report))
 				reported, reportedAt, placed = report, now, false
 			}
 		}
+		m.noteQuery(queriedAt)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -241,14 +250,16 @@
 	m.Log.Info("engine is shutting down", "Engine", m.EngineAddress, "InMillis", leavesAt.MillisSince(now), "Runs", len(report.Runs))
 	m.publish(shutdownNotice(leavesAt, now, false))
 	if m.KeepRuns {
-		m.publishFinal()
+		m.publishFinal(false)
 		return
 	}
+	m.addShutdown(1)
 	group.Go(func() error {
 		m.requestAdvice(ctx, leavesAt)
 		return nil
 	})
 	group.Go(func() error {
+		defer m.addShutdown(-1)
 		m.migrateAll(ctx, leavesAt)
 		return nil
 	})
--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -1,10 +1,13 @@
 package monitor
 
 import (
+	"context"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 // publish queues a message for every watching entry host. A host whose outbox is
@@ -64,8 +67,11 @@
 
 // Watch serves the stream of one entry host until either side ends it.
 func (m *Monitor) Watch(stream sighting.DRPCLookout_WatchStream) error {
-	w := m.addWatcher()
-	defer m.removeWatcher(w)
+	w, ok := m.addWatcher()
+	if !ok {
+		return errStopping
+	}
+	defer m.endStream(w)
 	group, ctx := errgroup.WithContext(stream.Context())
 	group.Go(func() error {
 		for {
@@ -99,7 +105,7 @@
 			select {
 			case s, open := <-w.outbox:
 				if !open {
-					return stream.Close()
+					return closeAfterDelivery(ctx, stream)
 				}
 				if err := stream.Send(s); err != nil {
 					return err
@@ -112,12 +118,27 @@
 	return group.Wait()
 }
 
+// closeAfterDelivery ends a stream after its last message. A connection that is closed with data of
+// the entry host unread is reset, and the messages that the host has not read are lost with it. So
+// the host closes it first, which ends ctx.
+func closeAfterDelivery(ctx context.Context, stream sighting.DRPCLookout_WatchStream) error {
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	transport.AwaitClose(ctx)
+	return stream.Close()
+}
+
 // addWatcher adds a watcher and queues the current load for it, and the shutdown
-// notice if there is one.
-func (m *Monitor) addWatcher() *watcher {
+// notice if there is one. It returns false if the process is about to end.
+func (m *Monitor) addWatcher() (*watcher, bool) {
 	w := &watcher{outbox: make(chan *sighting.Sighting, outboxLength)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stop.closed {
+		return nil, false
+	}
+	m.openStreams++
 	if m.watchers == nil {
 		m.watchers = make(map[*watcher]struct{})
 	}
@@ -126,7 +147,15 @@
 	if m.leavesAt != 0 {
 		w.outbox <- shutdownNotice(m.leavesAt, boottime.Now(), false)
 	}
-	return w
+	return w, true
+}
+
+// endStream records the end of the stream of a watcher.
+func (m *Monitor) endStream(w *watcher) {
+	m.removeWatcher(w)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.openStreams--
 }
 
 // removeWatcher removes a watcher and closes its outbox.
--- a/internal/backend/monitor/stoporders_test.go
+++ b/internal/backend/monitor/stoporders_test.go
@@ -51,7 +51,7 @@
 			for _, status := range tt.stops {
 				m.stopAt(t, status)
 			}
-			w := m.addWatcher()
+			w, _ := m.addWatcher()
 			for len(w.outbox) > 0 {
 				<-w.outbox
 			}
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -21,6 +21,15 @@
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
+const (
+	millisPerSecond = 1000
+	// reserveMillis is the time before the end of the grace period at which migrations are cancelled,
+	// so that their messages still reach the entry hosts. It is at most reserveShare of the grace
+	// period.
+	reserveMillis = 500
+	reserveShare  = 0.25
+)
+
 // Host is the process beside one engine. Its fields must be set before Run.
 type Host struct {
 	Settings process.DirectBackend
@@ -29,7 +38,7 @@
 	Log          *slog.Logger
 }
 
-// Run serves until the drain of the lifecycle begins.
+// Run serves until the drain of the lifecycle begins and the migrations in progress have ended.
 func (h *Host) Run(life lifecycle.Lifecycle) error {
 	peers, err := transport.ListenPeers(life.Abort, h.Settings.PeerAddress())
 	if err != nil {
@@ -58,8 +67,8 @@
 	}
 	server := &transport.Server{Listener: peers, Handler: mux}
 	h.Log.Info("serving", "Name", h.Settings.Name, "Engine", h.Settings.EngineAddress)
-	ctx, stop := context.WithCancel(life.Drain)
-	defer stop()
+	ctx, end := context.WithCancel(life.Abort)
+	defer end()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return engineMonitor.Run(ctx) })
 	group.Go(func() error { return server.Run(ctx) })
@@ -68,11 +77,36 @@
 		return transport.HTTPServer{Listener: metricsListener, Handler: registry.Handler()}.Run(ctx)
 	})
 	group.Go(func() error { return life.Reload.Run(ctx, h.reload) })
+	group.Go(func() error {
+		defer end()
+		h.awaitStop(ctx, life, engineMonitor)
+		return nil
+	})
 	err = group.Wait()
-	h.Log.Info("stopped", "Name", h.Settings.Name)
+	h.Log.Info("stopped", "Name", h.Settings.Name, "Signals", life.Signals())
 	return err
 }
 
+// awaitStop waits for the signal to stop, and then until the monitor has completed what it has begun
+// or the grace period is nearly over.
+func (h *Host) awaitStop(ctx context.Context, life lifecycle.Lifecycle, engineMonitor *monitor.Monitor) {
+	select {
+	case <-life.Drain.Done():
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil || h.Settings.GraceSeconds == 0 {
+		return
+	}
+	engineMonitor.Stop(ctx, migrationsEnd(boottime.Now(), h.Settings.GraceSeconds))
+}
+
+// migrationsEnd returns the time by which the migrations of a process must have ended that is
+// signalled to stop at the given time.
+func migrationsEnd(signalledAt boottime.Instant, graceSeconds float64) boottime.Instant {
+	graceMillis := graceSeconds * millisPerSecond
+	return signalledAt.AddMillis(int64(graceMillis - min(reserveMillis, reserveShare*graceMillis)))
+}
+
 // reload reads and validates the settings file again. Changed settings take effect
 // only after a restart, so the result is only logged.
 func (h *Host) reload() {
--- a/internal/settings/process/direct.go
+++ b/internal/settings/process/direct.go
@@ -106,6 +106,10 @@
 	MetricsPort int `validate:"min=1,max=65535"`
 	// EngineAddress is the address of the model engine beside the process.
 	EngineAddress string `validate:"required,ipport"`
+	// GraceSeconds is the time from the first termination signal to the exit of the
+	// process, in seconds, within which begun migrations are completed. Zero means that
+	// the process ends at once.
+	GraceSeconds float64 `validate:"min=0,max=3600"`
 	// KeepRuns disables the migration of generations away from an engine that is
 	// about to shut down. It serves as a baseline for comparison.
 	KeepRuns bool
--- a/internal/standin/replica/faults.go
+++ b/internal/standin/replica/faults.go
@@ -52,6 +52,10 @@
 	// RefuseMigrations makes the server refuse copy requests and continue its runs.
 	// Their streams break when the server shuts down, at the time given to Drain.
 	RefuseMigrations bool
+	// CopyMillis is the duration of one copy of a run; zero means the usual one.
+	CopyMillis int
+	// BreakAtShutdown makes the server break the runs that are left at the time given to Drain.
+	BreakAtShutdown bool
 	// CrashPart is the ID of a part of prompts. The engine calls Replica.OnCrash when it
 	// begins to answer a request with the part; empty for none.
 	CrashPart string
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -6,6 +6,7 @@
 package replica
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -24,7 +25,7 @@
 	eventTokens = 4
 	// memoryTokens is the memory of an engine, in tokens.
 	memoryTokens = 34_000
-	// copyMillis is the duration of one copy of a run, in milliseconds.
+	// copyMillis is the usual duration of one copy of a run, in milliseconds.
 	copyMillis = 20
 	// lateReadMillis is how long a server that responded early continues to read
 	// the body, in milliseconds.
@@ -192,7 +193,7 @@
 
 // Drain makes the server report that it is draining and that it will shut down at the
 // given time. From then on, the runs that Faults.RefuseMigrations has kept on the server
-// are broken; otherwise the server continues to serve.
+// are broken, and with Faults.BreakAtShutdown all that are left; otherwise the server continues to serve.
 func (r *Replica) Drain(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -200,11 +201,12 @@
 }
 
 // shutDownWithRuns reports whether the server breaks its runs: the time of its shutdown
-// has passed, and Faults.RefuseMigrations is set.
+// has passed, and a fault says that it does.
 func (r *Replica) shutDownWithRuns() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.faults.RefuseMigrations && !r.shutdownAt.IsZero() && time.Now().After(r.shutdownAt)
+	breaks := r.faults.RefuseMigrations || r.faults.BreakAtShutdown
+	return breaks && !r.shutdownAt.IsZero() && time.Now().After(r.shutdownAt)
 }
 
 // Arrivals returns copies of the requests that have arrived so far.
@@ -278,6 +280,7 @@
 	running, ok := r.runs[message.ID]
 	refused := r.faults.RefuseCopies
 	stays := r.faults.RefuseMigrations
+	millis := cmp.Or(r.faults.CopyMillis, copyMillis)
 	r.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -290,7 +293,7 @@
 	if message.Last {
 		close(running.stop)
 	}
-	time.Sleep(copyMillis * time.Millisecond)
+	time.Sleep(time.Duration(millis) * time.Millisecond)
 	r.mu.Lock()
 	created := running.events
 	r.mu.Unlock()
--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -161,6 +161,7 @@
 		MetricsPort:     platformPeerPort + 1,
 		EngineAddress:   e.Addr(),
 		MemoryMegabytes: 200,
+		GraceSeconds:    4,
 	}
 }
 
