monitor: a lost reply to a stop order ends the wait of the stream

Cause: the final messages covered the runs of the engine's newest report. A run that was stopped is in no report, so that an order whose reply was lost (the engine or the time of a planned stop ended first) had no last word.

Ruled out: a further attempt, as it takes its runs from the same report.

Now orders without a reply are remembered, and their runs get a final message, which says that they may have been stopped and names an earlier copy, if there is one.

--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -202,6 +202,9 @@
 		m.migrations = make(map[string]*sighting.Move)
 	}
 	m.migrations[move.GetRequestId()] = move
+	if move.GetStopped() {
+		m.stops.answer(move.GetRequestId())
+	}
 	m.mu.Unlock()
 	m.publish(&sighting.Sighting{Move: move})
 }
@@ -220,6 +223,9 @@
 			"Obstacle", stay.obstacle.String(), "Tokens", stay.run.Tokens, "Remaining", stay.run.Remaining, "Events", stay.events)
 		m.publish(&sighting.Sighting{Move: stay.move})
 	}
+	for _, move := range m.unansweredStops() {
+		m.publish(&sighting.Sighting{Move: move})
+	}
 }
 
 // stay is a run that is not known to be stopped for a migration.
--- a/internal/backend/monitor/stoporders.go
+++ b/internal/backend/monitor/stoporders.go
@@ -13,6 +13,8 @@
 	complete bool
 	// ordered holds the request IDs of the runs.
 	ordered map[string]bool
+	// unanswered holds those of ordered for which no reply has said how the copy ended.
+	unanswered map[string]bool
 }
 
 // observe takes in a report of the engine.
@@ -27,14 +29,22 @@
 	first := !s.ordered[requestID]
 	if s.ordered == nil {
 		s.ordered = make(map[string]bool)
+		s.unanswered = make(map[string]bool)
 	}
 	s.ordered[requestID] = true
+	s.unanswered[requestID] = true
 	return first
 }
 
 // withdraw records that the engine has not stopped the run.
 func (s *stopOrders) withdraw(requestID string) {
 	delete(s.ordered, requestID)
+	delete(s.unanswered, requestID)
+}
+
+// answer records that a reply has said how the copy of a stopped run ended.
+func (s *stopOrders) answer(requestID string) {
+	delete(s.unanswered, requestID)
 }
 
 // orderStop records that the engine is about to be ordered to stop a run. It returns whether it
@@ -71,6 +81,24 @@
 	m.send(w, &sighting.Sighting{Move: move})
 }
 
+// unansweredStops returns the final messages about the runs that the engine was ordered to stop, without
+// a reply that says how the copy ended, and that it reports no more.
+func (m *Monitor) unansweredStops() []*sighting.Move {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []*sighting.Move
+	reported := runningIDs(m.latest)
+	for id := range m.stops.unanswered {
+		if reported[id] {
+			continue
+		}
+		move := m.finalMove(id)
+		move.Stopped = true
+		all = append(all, move)
+	}
+	return all
+}
+
 // finalMove returns the last message about a run, with the copy of it if there is one. The caller
 // holds the mutex.
 func (m *Monitor) finalMove(requestID string) *sighting.Move {
--- a/internal/backend/monitor/stoporders_test.go
+++ b/internal/backend/monitor/stoporders_test.go
@@ -86,3 +86,42 @@
 	m.Engines = &platform.Engines{HTTP: engine.Client(), Orders: engine.Client()}
 	m.copyAndPublish(t.Context(), migration.Step{Run: migration.Run{RequestID: "r"}, Destination: migration.Destination{Address: "d:1"}}, true)
 }
+
+// TestStopOrderWithoutReplyEndsTheWait guards against a stream that waits in vain for the migration of
+// its run: the engine has stopped the run, reports it no more, and its reply was lost.
+func TestStopOrderWithoutReplyEndsTheWait(t *testing.T) {
+	leaving := platform.EngineReport{BornUnixMillis: 1, Leaving: true, LeavesInMillis: 60_000}
+	for _, tt := range []struct {
+		name string
+		// stops are the answers of the engine to the orders to stop the run; zero for none.
+		stops []int
+		// finals is the number of final messages about the run.
+		finals int
+	}{
+		{"no reply", []int{0}, 1},
+		{"stopped", []int{http.StatusOK}, 0},
+		{"no reply, then stopped", []int{0, http.StatusOK}, 0},
+		{"ended before the order", []int{http.StatusNotFound}, 1},
+	} {
+		for _, handedOver := range []bool{false, true} {
+			t.Run(tt.name, func(t *testing.T) {
+				is := is.New(t)
+				var group errgroup.Group
+				m := &Monitor{KeepRuns: true, Metrics: &metrics.Registry{}, Log: slog.New(slog.DiscardHandler)}
+				m.applyReport(t.Context(), &group, leaving, boottime.Now())
+				w, _ := m.addWatcher()
+				for _, status := range tt.stops {
+					m.stopAt(t, status)
+				}
+				m.publishFinal(handedOver)
+				finals := 0
+				for len(w.outbox) > 0 {
+					if (<-w.outbox).GetMove().GetFinal() {
+						finals++
+					}
+				}
+				is.Equal(finals, tt.finals)
+			})
+		}
+	}
+}
