lifecycle, backend: a drain that ends reports what it cuts, and releases what waits

Callers of requests that were open at a backend server when its drain ended (DrainSeconds, or a second signal) got OwnerSilent (504) about 2 s later, also for requests that waited in the queue and had not run.

Cause: all parts of the process ended at the same moment. The owner recorded the results of what it cut, but its calls were closed before they were sent. Idempotent plain calls were not ended at all, and requests in the queue were left open.

Ruled out: the entry host. It handles DrainCut and refusals, it only never got them.

Now the servers of a process end after its other parts, once no client waits for an answer, at most 2 s later. When the owner ends, it refuses the requests that wait with Leaving, as nothing of them has run, and ends those that run with DrainCut.

TestBackendDrainEndReportsResults and TestBackendDrainEndReleasesWaiting, with both ways to end a drain: before, all 5 open requests of each run ended with OwnerSilent (504). After: 502 DrainCut for what ran, 503 Leaving for what waited, 3 of 3 runs with -race. TestSecondSignalEndsDrain and TestDrainDeadline are unchanged and pass.

--- a/internal/backend/engineowner/engineowner.go
+++ b/internal/backend/engineowner/engineowner.go
@@ -96,6 +96,8 @@
 	mu sync.Mutex
 	// jobs holds the open generations by request ID.
 	jobs map[string]*job
+	// ending is set when Run ends. No generation is started any more.
+	ending bool
 	// applied is the operator file whose policy the admission controller uses.
 	applied  *operatorfile.Document
 	pace     pace
@@ -156,13 +158,21 @@
 	o.pace = pace{micros: initialStepMicros}
 }
 
-// Run processes generations until ctx ends. Generations that are still open then are
-// truncated. To avoid that, call Leave first and wait until Open returns 0.
+// Run processes generations until ctx ends. It then refuses the requests that wait, and
+// ends those that run with DrainCut. To avoid that, call Leave first and wait until Open
+// returns 0.
 func (o *Owner) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	group.Go(func() error { return o.tick(ctx) })
 	group.Go(func() error { return o.watchCache(ctx) })
-	group.Go(func() error { return o.background.Run(ctx) })
+	group.Go(func() error { return o.background.Run(running) })
+	group.Go(func() error {
+		defer stop()
+		<-ctx.Done()
+		o.refuseWaiting()
+		return nil
+	})
 	return errors.Wrap(group.Wait(), "run engine owner")
 }
 
@@ -195,6 +205,9 @@
 func (o *Owner) startNext(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.ending {
+		return
+	}
 	o.adoptConfiguration()
 	for _, admit := range o.Admission.Next(now) {
 		j, open := o.jobs[admit.RequestID]
--- a/internal/backend/engineowner/finish.go
+++ b/internal/backend/engineowner/finish.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// refuseWaiting ends the admission of requests, and refuses those that wait. Nothing of
+// them has run, so they may run at another backend server.
+func (o *Owner) refuseWaiting() {
+	o.mu.Lock()
+	o.leaving.Store(true)
+	o.ending = true
+	var waiting []*job
+	for _, j := range o.jobs {
+		if !j.running {
+			waiting = append(waiting, j)
+		}
+	}
+	o.mu.Unlock()
+	for _, j := range waiting {
+		o.finish(j, resultcode.Leaving, "the process ended before the start")
+	}
+}
+
 // abandoned reports whether an idempotent generation has had no reader for
 // abandonedAfterSeconds.
 func (j *job) abandoned(now time.Time) bool {
--- a/internal/backend/engineowner/load.go
+++ b/internal/backend/engineowner/load.go
@@ -50,6 +50,10 @@
 	return open
 }
 
+// Served returns the number of clients that have not disconnected. Each disconnects when
+// it has received its answer.
+func (o *Owner) Served() int { return o.clients.Served() }
+
 // Leave starts draining: no new work is admitted, and open generations run to their
 // end. Leave waits for an admission in progress, so that Open counts its request.
 func (o *Owner) Leave() {
--- a/internal/backend/serviceowner/load.go
+++ b/internal/backend/serviceowner/load.go
@@ -60,5 +60,9 @@
 	return open
 }
 
+// Served returns the number of clients that have not disconnected. Each disconnects when
+// it has received its answer.
+func (o *Owner) Served() int { return o.clients.Served() }
+
 // Leave starts draining: no new work is admitted.
 func (o *Owner) Leave() { o.leaving.Store(true) }
--- a/internal/backend/serviceowner/reply.go
+++ b/internal/backend/serviceowner/reply.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/background"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/permitcheck"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/replay"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/plainservice"
@@ -55,11 +56,14 @@
 
 // failure converts an error of the plain service to a result. ErrRefused means that
 // nothing was sent, so that the call certainly did not run. After any other error
-// the call may have run.
-func failure(err error) *resultcode.Result {
+// the call may have run. ctx is the context of the call.
+func failure(ctx context.Context, err error) *resultcode.Result {
 	if errors.Is(err, plainservice.ErrRefused) {
 		return resultcode.New(resultcode.EngineRefused, "%v", err).WithRetryAt(permitcheck.RetryAt(time.Now()))
 	}
+	if errors.Is(context.Cause(ctx), background.ErrEnded) {
+		return resultcode.New(resultcode.DrainCut, "the process ended")
+	}
 	return resultcode.New(resultcode.ReplyLost, "%v", err)
 }
 
--- a/internal/backend/serviceowner/serviceowner.go
+++ b/internal/backend/serviceowner/serviceowner.go
@@ -64,7 +64,7 @@
 	running atomic.Int64
 	clients permitcheck.Clients
 	// background runs the non-idempotent calls, which continue when the connection
-	// that started them breaks.
+	// that started them breaks. Idempotent calls end with it.
 	background background.Group
 }
 
@@ -75,8 +75,10 @@
 	o.background.Prepare()
 }
 
-// Run runs submitted calls and evicts expired replies until ctx ends.
+// Run runs submitted calls and evicts expired replies until ctx ends. Calls that are
+// still open then end with DrainCut.
 func (o *Owner) Run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, o.Leave)()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return o.evict(ctx) })
 	group.Go(func() error { return o.background.Run(ctx) })
@@ -176,9 +178,11 @@
 		return nil, refusal
 	}
 	defer o.running.Add(-1)
+	ctx, stop := o.background.Bind(ctx)
+	defer stop()
 	reply, err := o.callService(ctx, in)
 	if err != nil {
-		return nil, failure(err)
+		return nil, failure(ctx, err)
 	}
 	return replyOf(reply), nil
 }
@@ -270,7 +274,7 @@
 		err = o.storeReply(id, reply)
 	}
 	if err != nil {
-		result := failure(err)
+		result := failure(ctx, err)
 		code, reason = result.Code, result.Reason
 	}
 	evictAt := time.Now().Add(time.Duration(o.Settings.HoldSeconds) * time.Second)
--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -55,6 +55,8 @@
 	Run(context.Context) error
 	Leave()
 	Open() int
+	// Served returns the number of entry hosts that have not received their answers.
+	Served() int
 	Load() *message.Load
 }
 
@@ -96,11 +98,13 @@
 		DrainSeconds:  h.Settings.DrainSeconds,
 		StopAdmission: h.leave,
 		Open:          h.owner.Open,
+		Servers: []lifecycle.Part{
+			(&transport.Server{Listener: peers, Handler: h.handler()}).Run,
+			transport.HTTPServer{Listener: metricsListener, Handler: h.metricsHandler()}.Run,
+		},
+		Unsent: h.owner.Served,
 	}
-	server := &transport.Server{Listener: peers, Handler: h.handler()}
 	parts := []lifecycle.Part{
-		server.Run,
-		transport.HTTPServer{Listener: metricsListener, Handler: h.metricsHandler()}.Run,
 		h.owner.Run,
 		h.metrics.Run,
 		h.configuration.Run,
--- /dev/null
+++ b/internal/trial/endtoend/drain_end_test.go
@@ -0,0 +1,192 @@
+package endtoend
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpapi"
+	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+)
+
+// longTokens is the length of an answer that is still open when its drain ends.
+const longTokens = 3000
+
+// longCallMillis is the time of a call that is still open when its drain ends.
+const longCallMillis = 20000
+
+// resultOfReply returns the result code that the header of a reply carries.
+func resultOfReply(r reply) resultcode.Code {
+	number, _ := strconv.Atoi(r.header.Get(httpapi.HeaderResult))
+	return resultcode.Code(number)
+}
+
+// openRequest is a request that is open when a drain ends.
+type openRequest struct {
+	name string
+	send func(*caller) (reply, error)
+
+	reply reply
+	err   error
+}
+
+// wholeRequests returns one request of each kind that is answered in one piece.
+func wholeRequests() []*openRequest {
+	generation := func(class, key string) func(*caller) (reply, error) {
+		return func(c *caller) (reply, error) {
+			r := newRequest(class, prompts(1, longTokens)[0])
+			r.key = key
+			return c.complete(r)
+		}
+	}
+	return []*openRequest{
+		{name: "generation", send: generation("programme", "")},
+		{name: "generation with a key", send: generation("agreement", newKey())},
+		{name: "call", send: func(c *caller) (reply, error) { return c.call(http.MethodGet, "/tides", "") }},
+		{name: "call with a key", send: func(c *caller) (reply, error) { return c.call(http.MethodPost, "/bookings", newKey()) }},
+	}
+}
+
+// openAtBackends sends the requests and waits until each is open at a backend server. The returned group
+// ends with the replies.
+func openAtBackends(t *testing.T, d *deployment, requests []*openRequest) *errgroup.Group {
+	t.Helper()
+	group := &errgroup.Group{}
+	for _, r := range requests {
+		group.Go(func() error {
+			r.reply, r.err = r.send(newCaller(d.entries[0]))
+			return nil
+		})
+	}
+	eventually(t, "the requests are open at backend servers", func() error {
+		open, err := d.openRequests()
+		sum := 0
+		for _, count := range open {
+			sum += count
+		}
+		if err == nil && sum < len(requests) {
+			return errors.Newf("%d requests are open, want %d", sum, len(requests))
+		}
+		return err
+	})
+	return group
+}
+
+// slowCalls makes all plain services slower than any drain.
+func (d *deployment) slowCalls() {
+	for _, b := range d.backends {
+		if b.plainService != nil {
+			b.plainService.Faults.SlowMillis.Store(longCallMillis)
+		}
+	}
+}
+
+// TestBackendDrainEndReportsResults guards against entry hosts that learn nothing of the requests that a
+// process beside a backend server cuts when its drain ends.
+func TestBackendDrainEndReportsResults(t *testing.T) {
+	t.Parallel()
+	for _, tt := range drainEnds {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t, layout{entries: 1, engines: 1, plainServices: 1, changeBackend: tt.changeBackend})
+			d.waitKeyBinding(t)
+			d.slowCalls()
+			requests := wholeRequests()
+			group := openAtBackends(t, d, requests)
+			d.waitGenerations(t, 2)
+			for _, b := range d.backends {
+				tt.stop(t, b)
+			}
+			is.NoErr(group.Wait())
+			for _, r := range requests {
+				r.check(t, http.StatusBadGateway, resultcode.DrainCut)
+			}
+			for _, b := range d.backends {
+				is.Equal(b.exitCode(), 0)
+			}
+		})
+	}
+}
+
+// TestBackendDrainEndReleasesWaiting guards against requests that wait in the queue of a backend server
+// whose drain ends, and that end as if they might have run.
+func TestBackendDrainEndReleasesWaiting(t *testing.T) {
+	t.Parallel()
+	for _, tt := range drainEnds {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t, layout{entries: 1, engines: 1, changeBackend: func(s *process.Backend) {
+				tt.changeBackend(s)
+				s.MaxRunning = 1
+			}})
+			d.waitKeyBinding(t)
+			requests := wholeRequests()[:2]
+			first, waiting := requests[:1], requests[1:]
+			firstGroup := openAtBackends(t, d, first)
+			d.waitGenerations(t, 1)
+			waitingGroup := openAtBackends(t, d, waiting)
+			eventually(t, "a request waits", func() error {
+				if open, err := d.openRequests(); err != nil || open[d.backends[0]] < 2 {
+					return errors.Newf("open requests: %v, %v", open, err)
+				}
+				return nil
+			})
+			tt.stop(t, d.backends[0])
+			is.NoErr(firstGroup.Wait())
+			is.NoErr(waitingGroup.Wait())
+			first[0].check(t, http.StatusBadGateway, resultcode.DrainCut)
+			waiting[0].check(t, http.StatusServiceUnavailable, resultcode.Leaving)
+			is.Equal(d.backends[0].exitCode(), 0)
+		})
+	}
+}
+
+// waitGenerations waits until the engines run a number of generations.
+func (d *deployment) waitGenerations(t *testing.T, want int) {
+	t.Helper()
+	eventually(t, "generations run", func() error {
+		if running := d.backends[0].engine.OpenGenerations(); running < want {
+			return errors.Newf("%d generations run, want %d", running, want)
+		}
+		return nil
+	})
+}
+
+// drainEnd is a way in which a drain ends with open requests.
+type drainEnd struct {
+	name         string
+	drainSeconds int
+	signals      int
+}
+
+var drainEnds = []drainEnd{
+	{"deadline of the drain", 1, 1},
+	{"second signal", 0, 2},
+}
+
+func (e drainEnd) changeBackend(s *process.Backend) { s.DrainSeconds = e.drainSeconds }
+
+// stop begins the drain of a process, and ends it if it has no deadline.
+func (e drainEnd) stop(t *testing.T, b *backendServer) {
+	t.Helper()
+	b.terminate()
+	waitDraining(t, b.program, b.settings.PeerAddress)
+	if e.signals > 1 {
+		b.terminate()
+	}
+}
+
+// check checks how the request ended.
+func (r *openRequest) check(t *testing.T, status int, result resultcode.Code) {
+	t.Helper()
+	if r.err != nil || r.reply.status != status || resultOfReply(r.reply) != result {
+		t.Errorf("%s: status %d, result %v, error %v, %s", r.name, r.reply.status, resultOfReply(r.reply), r.err, r.reply.body)
+	}
+}
