entry host: a drain that ends answers the requests that are open

Callers saw their connection closed without an answer (EOF) about 2 s after the drain of an entry host had ended with open requests (DrainSeconds, or a second signal): generations and calls, with and without a key. A caller that was still sending its request when nothing else was open saw the same. A stream of HTTP/1.0 that was cut ended in order.

Cause: the HTTP server waited 2 s for its open requests, but told none of them, and then closed their connections.

Now the contexts of open requests end with a cause when the server stops. A request that was sent ends with DrainCut (502), one that was not sent or not read completely with Leaving (503). A stream that has begun is truncated, without a result: its generation goes on, and the caller resumes it at another entry host. What is left after 2 s is reset, and so is a truncated stream without chunks.

--- a/internal/caller/httpapi/answer.go
+++ b/internal/caller/httpapi/answer.go
@@ -167,6 +167,9 @@
 // Alive does nothing, since nothing is sent before the end.
 func (b *bufferedAnswer) Alive(message.GenerationState) error { return nil }
 
+// responseBegun returns false, since nothing is sent before the end.
+func (b *bufferedAnswer) responseBegun() bool { return false }
+
 // end writes the complete response, or the error response.
 func (b *bufferedAnswer) end(result *resultcode.Result) {
 	w := b.writer
--- a/internal/caller/httpapi/buffered_stream.go
+++ b/internal/caller/httpapi/buffered_stream.go
@@ -31,6 +31,9 @@
 	return b.stream.Alive(state)
 }
 
+// responseBegun reports whether the head of the response was written.
+func (b *bufferedStream) responseBegun() bool { return b.stream.responseBegun() }
+
 // end sends the buffered tokens of a complete generation, and the last event.
 func (b *bufferedStream) end(result *resultcode.Result) {
 	if result.Code.Info().Outcome == resultcode.Complete && len(b.texts) > 0 {
--- a/internal/caller/httpapi/completion.go
+++ b/internal/caller/httpapi/completion.go
@@ -76,7 +76,7 @@
 // generate runs the request and writes its response.
 func (a *API) generate(w http.ResponseWriter, r *http.Request, request dispatch.Request, stream bool, span Span) {
 	sink := newSink(w, &request, stream, span)
-	a.run(r.Context(), sink, span, func(ctx context.Context) *resultcode.Result {
+	a.run(r, sink, span, func(ctx context.Context) *resultcode.Result {
 		return a.Runner.Generate(ctx, request, sink)
 	})
 }
--- a/internal/caller/httpapi/httpapi.go
+++ b/internal/caller/httpapi/httpapi.go
@@ -157,8 +157,13 @@
 	}
 	if a.Draining() {
 		release()
-		return nil, resultcode.New(resultcode.Leaving, "the entry host accepts no new work").
-			WithRetryAt(now.Add(retryAfterMillis * time.Millisecond))
+		return nil, leavingRefusal(now)
 	}
 	return release, nil
 }
+
+// leavingRefusal returns the refusal of a request while the process drains.
+func leavingRefusal(now time.Time) *resultcode.Result {
+	return resultcode.New(resultcode.Leaving, "the entry host accepts no new work").
+		WithRetryAt(now.Add(retryAfterMillis * time.Millisecond))
+}
--- a/internal/caller/httpapi/run.go
+++ b/internal/caller/httpapi/run.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/dispatch"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 // keepAliveHeartbeats is the number of heartbeat intervals without an event after
@@ -21,14 +23,17 @@
 	dispatch.Sink
 	// keepAlive sends keep-alive comments to the caller until ctx is canceled.
 	keepAlive(ctx context.Context, heartbeatMillis int) error
+	// responseBegun reports whether a part of the response was sent.
+	responseBegun() bool
 	// end completes the response with the result of the request.
 	end(result *resultcode.Result)
 }
 
 // run executes a request, sends keep-alive comments meanwhile, and completes the
-// response.
-func (a *API) run(ctx context.Context, sink responseSink, span Span, execute func(context.Context) *resultcode.Result) {
-	ctx, stop := context.WithCancel(ctx)
+// response. A stream that the end of the process cuts is truncated, since its generation
+// continues and the caller can resume it at another entry host.
+func (a *API) run(r *http.Request, sink responseSink, span Span, execute func(context.Context) *resultcode.Result) {
+	ctx, stop := context.WithCancel(r.Context())
 	defer stop()
 	var group errgroup.Group
 	group.Go(func() error { return sink.keepAlive(ctx, a.HeartbeatMillis) })
@@ -38,6 +43,9 @@
 	// which execute detects itself.
 	_ = group.Wait()
 	span.Ended(result, time.Now())
+	if transport.Stopped(r.Context()) && sink.responseBegun() && result.Code.Info().Outcome != resultcode.Complete {
+		transport.Abort(r)
+	}
 	sink.end(result)
 }
 
--- a/internal/caller/httpapi/stream.go
+++ b/internal/caller/httpapi/stream.go
@@ -105,6 +105,13 @@
 	s.writer.WriteHeader(http.StatusOK)
 }
 
+// responseBegun reports whether the head of the response was written.
+func (s *stream) responseBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
 // end sends the last event, or an error response if nothing was sent before.
 func (s *stream) end(result *resultcode.Result) {
 	if !s.begun {
@@ -191,7 +198,7 @@
 	sink := newStream(w, token.RequestID, "", span)
 	sink.position = from
 	sink.open()
-	a.run(r.Context(), sink, span, func(ctx context.Context) *resultcode.Result {
+	a.run(r, sink, span, func(ctx context.Context) *resultcode.Result {
 		return a.Runner.Resume(ctx, token, from, sink)
 	})
 }
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -71,11 +71,12 @@
 		DrainSeconds:  h.Settings.DrainSeconds,
 		StopAdmission: h.leave,
 		Open:          h.rateLimiter.Open,
+		Servers: []lifecycle.Part{
+			(&transport.Server{Listener: listeners.peers, Handler: h.handler()}).Run,
+			transport.HTTPServer{Listener: listeners.metrics, Handler: h.metricsHandler()}.Run,
+		},
 	}
-	server := &transport.Server{Listener: listeners.peers, Handler: h.handler()}
 	return program.Run(
-		server.Run,
-		transport.HTTPServer{Listener: listeners.metrics, Handler: h.metricsHandler()}.Run,
 		transport.HTTPServer{Listener: listeners.callers, Handler: h.newAPI().Routes()}.Run,
 		h.metrics.Run,
 		h.configuration.Run,
--- a/internal/routing/dispatch/call.go
+++ b/internal/routing/dispatch/call.go
@@ -88,7 +88,7 @@
 			return j.handleReply(reply, sentAt)
 		}
 		if ctx.Err() != nil {
-			return Reply{}, j.interruptedCall(ctx, sent)
+			return Reply{}, j.interruptedCall(ctx, sent || !errors.Is(err, transport.ErrDial))
 		}
 		if !errors.Is(err, transport.ErrDial) {
 			sent = true
@@ -111,9 +111,12 @@
 }
 
 // interruptedCall returns the result of a call that ended because the caller
-// disconnected or the deadline passed.
+// disconnected, the deadline passed or the process ends. sent reports whether the owner
+// may have received it.
 func (j *job) interruptedCall(ctx context.Context, sent bool) *resultcode.Result {
 	switch {
+	case transport.Stopped(ctx):
+		return j.stopped(sent)
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return resultcode.New(resultcode.Cancelled, "the caller went away")
 	case sent:
--- a/internal/routing/dispatch/job.go
+++ b/internal/routing/dispatch/job.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/retrybudget"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 // maxEngineFailures is the number of engines that may fail before the first token of a request,
@@ -65,9 +66,13 @@
 	}
 }
 
-// checkEnded returns the final result of a request whose caller disconnected or
-// whose deadline passed before the next attempt, or nil if the request continues.
+// checkEnded returns the final result of a request whose caller disconnected, whose
+// deadline passed before the next attempt or which the end of the process cuts, or nil
+// if the request continues.
 func (j *job) checkEnded(ctx context.Context) *resultcode.Result {
+	if transport.Stopped(ctx) {
+		return leavingResult()
+	}
 	if ctx.Err() != nil {
 		return resultcode.New(resultcode.Cancelled, "the caller went away")
 	}
--- a/internal/routing/dispatch/outcome.go
+++ b/internal/routing/dispatch/outcome.go
@@ -1,6 +1,14 @@
 package dispatch
 
-import "github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
+import (
+	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
+)
+
+// leavingRetryMillis is the delay after which a request that an ending process refuses
+// is retried elsewhere.
+const leavingRetryMillis = 1000
 
 // notePossibleRun keeps the result of the last attempt that may have run. A
 // request whose key is bound needs none, since it is retried only after a
@@ -26,3 +34,20 @@
 func (j *job) brokenPath(cause error) *resultcode.Result {
 	return resultcode.New(resultcode.OwnerSilent, "the path to %s broke: %v", j.target.Backend, cause)
 }
+
+// stopped returns the result of a request that the end of this process cuts. sent
+// reports whether an owner may have received it. A request whose key is bound may also
+// have been sent by another entry host, so it is not reported as not run.
+func (j *job) stopped(sent bool) *resultcode.Result {
+	if sent || j.permit != nil {
+		return resultcode.New(resultcode.DrainCut, "the entry host ended before the answer of %s", j.target.Backend)
+	}
+	return leavingResult()
+}
+
+// leavingResult returns the refusal of a request that this process does not send since
+// it ends.
+func leavingResult() *resultcode.Result {
+	return resultcode.New(resultcode.Leaving, "the entry host ends").
+		WithRetryAt(time.Now().Add(leavingRetryMillis * time.Millisecond))
+}
--- a/internal/routing/dispatch/relay.go
+++ b/internal/routing/dispatch/relay.go
@@ -35,7 +35,7 @@
 			return result
 		}
 		if ctx.Err() != nil || errors.Is(err, errSink) {
-			return j.abandon(ctx)
+			return j.abandon(ctx, sent || !errors.Is(err, transport.ErrDial))
 		}
 		j.recordDisturbed(err.Error())
 		if !errors.Is(err, transport.ErrDial) {
@@ -86,10 +86,13 @@
 	return context.WithDeadline(ctx, j.request.Deadline)
 }
 
-// abandon ends a request whose caller disconnected or whose deadline passed. A
-// caller that disconnected may resume on another entry host, so only a passed
-// deadline cancels the generation.
-func (j *job) abandon(ctx context.Context) *resultcode.Result {
+// abandon ends a request whose caller disconnected, whose deadline passed or which the
+// end of the process cuts. sent reports whether the owner may have received it. A caller
+// may resume on another entry host, so only a passed deadline cancels the generation.
+func (j *job) abandon(ctx context.Context, sent bool) *resultcode.Result {
+	if transport.Stopped(ctx) {
+		return j.stopped(sent)
+	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return resultcode.New(resultcode.Cancelled, "the caller went away")
 	}
--- a/internal/trial/endtoend/drain_end_test.go
+++ b/internal/trial/endtoend/drain_end_test.go
@@ -1,9 +1,15 @@
 package endtoend
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -86,6 +92,109 @@
 	}
 }
 
+// TestDrainEndAnswersOpenRequests guards against connections that an entry host closes without an answer
+// when its drain ends with open requests.
+func TestDrainEndAnswersOpenRequests(t *testing.T) {
+	t.Parallel()
+	for _, tt := range drainEnds {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := newDeployment(t, layout{
+				entries: 1, engines: 1, plainServices: 1,
+				changeEntry: func(s *process.Entry) { s.DrainSeconds = tt.drainSeconds },
+			})
+			d.waitKeyBinding(t)
+			d.slowCalls()
+			requests := wholeRequests()
+			group := openAtBackends(t, d, requests)
+			for range tt.signals {
+				d.entries[0].terminate()
+				waitLeaving(d.entries[0])
+			}
+			is.NoErr(group.Wait())
+			for _, r := range requests {
+				r.check(t, http.StatusBadGateway, resultcode.DrainCut)
+			}
+			is.Equal(d.entries[0].exitCode(), 0)
+		})
+	}
+}
+
+// waitLeaving waits until an entry host refuses work or has ended.
+func waitLeaving(e *entryHost) {
+	for e.running() {
+		response, err := http.Get("http://" + e.settings.CallerAddress + "/healthz") //nolint:noctx // bounded by the test
+		if err != nil {
+			return
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return
+		}
+		time.Sleep(pollMillis * time.Millisecond)
+	}
+}
+
+// TestDrainEndShowsCutStreams guards against a stream of HTTP/1.0, whose body ends with its connection,
+// that looks complete when a drain cuts it.
+func TestDrainEndShowsCutStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 1, engines: 1, changeEntry: func(s *process.Entry) { s.DrainSeconds = 1 }})
+	body := newRequest("programme", prompts(1, longTokens)[0]).body(true)
+	head := "POST /v1/completions HTTP/1.0\r\n" + accountHeaders("programme") + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	conn := dialCaller(t, d.entries[0])
+	_, err := conn.Write(append([]byte(head), body...))
+	is.NoErr(err)
+	_, err = io.ReadFull(conn, make([]byte, 2000))
+	is.NoErr(err)
+	d.entries[0].terminate()
+	rest, err := io.ReadAll(conn)
+	ended := strings.Contains(string(rest), resultcode.DrainCut.String())
+	is.True(ended || err != nil)
+	is.Equal(d.entries[0].exitCode(), 0)
+}
+
+// TestDrainEndAnswersRequestBeingRead guards against an entry host that ends while it reads a request and
+// closes the connection without an answer.
+func TestDrainEndAnswersRequestBeingRead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 1, engines: 1})
+	conn := dialCaller(t, d.entries[0])
+	_, err := io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\n"+accountHeaders("programme")+"Content-Length: 100\r\n\r\n{")
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond)
+	d.entries[0].terminate()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get(httpapi.HeaderResult), strconv.Itoa(int(resultcode.Leaving)))
+	is.Equal(d.entries[0].exitCode(), 0)
+}
+
+// accountHeaders returns the first header lines of a request of the default account.
+func accountHeaders(class string) string {
+	return "Host: entry\r\n" + httpapi.HeaderAccount + ": " + account + "\r\n" + httpapi.HeaderClass + ": " + class + "\r\n"
+}
+
+// dialCaller opens a connection to an entry host, which the test's end closes.
+func dialCaller(t *testing.T, e *entryHost) net.Conn {
+	t.Helper()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(t.Context(), "tcp", e.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(waitDeadline()); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
 // TestBackendDrainEndReportsResults guards against entry hosts that learn nothing of the requests that a
 // process beside a backend server cuts when its drain ends.
 func TestBackendDrainEndReportsResults(t *testing.T) {
