entry host: the responses of a drain end their connections

Callers with kept connections went on to send requests over them to an entry host that drained, until the process was gone. A request that arrived in the last moment could then lose its connection.

Cause: only the last stage of the HTTP server's stop marks responses with `Connection: close`. While open streams were awaited, nothing did.

Now each response whose head is written after the drain has begun ends its connection.

--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -77,7 +77,7 @@
 		},
 	}
 	return program.Run(
-		transport.HTTPServer{Listener: listeners.callers, Handler: h.newAPI().Routes()}.Run,
+		transport.HTTPServer{Listener: listeners.callers, Handler: h.newAPI().Routes(), Leaving: h.leaving.isSet}.Run,
 		h.metrics.Run,
 		h.configuration.Run,
 		h.poller.Run,
--- a/internal/trial/endtoend/drain_end_test.go
+++ b/internal/trial/endtoend/drain_end_test.go
@@ -175,6 +175,30 @@
 	is.Equal(d.entries[0].exitCode(), 0)
 }
 
+// TestDrainClosesKeptConnections guards against callers that keep sending over open connections to an
+// entry host that drains, since its responses don't say that the connection ends.
+func TestDrainClosesKeptConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, layout{entries: 1, engines: 1})
+	c := newCaller(d.entries[0])
+	kept := newCaller(d.entries[0])
+	kept.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	is.NoErr(d.checkUnstreamed(kept, newRequest("programme", "tokens=5 before")))
+	streams := newReaderGroup(d, "programme", prompts(1, 200), c)
+	streams.started.Wait()
+	d.entries[0].terminate()
+	waitDraining(t, d.entries[0].program, d.entries[0].settings.PeerAddress)
+	response, err := kept.send(t.Context(), http.MethodPost, "/v1/completions",
+		newRequest("programme", "").header(), newRequest("programme", "tokens=5 after").body(false))
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Close)
+	streams.checkComplete(t, d)
+	is.Equal(d.entries[0].exitCode(), 0)
+}
+
 // accountHeaders returns the first header lines of a request of the default account.
 func accountHeaders(class string) string {
 	return "Host: entry\r\n" + httpapi.HeaderAccount + ": " + account + "\r\n" + httpapi.HeaderClass + ": " + class + "\r\n"
--- a/internal/wire/transport/httpserver.go
+++ b/internal/wire/transport/httpserver.go
@@ -33,6 +33,9 @@
 type HTTPServer struct {
 	Listener net.Listener
 	Handler  http.Handler
+	// Leaving reports whether each connection is to end with its next response. Nil
+	// means that it never is.
+	Leaving func() bool
 }
 
 // Run serves until ctx ends. It then cancels the contexts of open requests with
@@ -43,7 +46,7 @@
 	defer cancel(nil)
 	open := &connections{}
 	server := &http.Server{
-		Handler:           s.Handler,
+		Handler:           s.closing(s.Handler),
 		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
 		BaseContext:       func(net.Listener) context.Context { return requests },
 		ConnContext:       withConnection,
@@ -71,6 +74,47 @@
 	return group.Wait()
 }
 
+// closing returns a handler whose responses end their connections while Leaving reports
+// true.
+func (s HTTPServer) closing(next http.Handler) http.Handler {
+	if s.Leaving == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, leaving: s.Leaving}, r)
+	})
+}
+
+// closingWriter is a response that may end its connection, which is decided when its
+// head is written.
+type closingWriter struct {
+	http.ResponseWriter
+	leaving func() bool
+	begun   bool
+}
+
+// WriteHeader writes the head of the response.
+func (w *closingWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the response of net/http, for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *closingWriter) begin() {
+	if !w.begun && w.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
+
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
