lifecycle: the deadline of a drain begins with the drain

A drain outlived DrainSeconds by up to 2 s when the host list did not answer: callers were cut that much later than the operator had set, and a platform that kills the process after DrainSeconds cut them without a result.

Cause: the process told the host list that it leaves, with a time limit of 2 s of its own, before the deadline of the drain was computed.

Now the deadline is computed first, and the registration ends with it. StopAdmission also receives the deadline.

--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -119,7 +119,7 @@
 
 // leave stops the admission of new work and publishes the new state in the
 // platform's host list.
-func (h *Host) leave(ctx context.Context) {
+func (h *Host) leave(ctx context.Context, _ time.Time) {
 	h.owner.Leave()
 	h.announce(ctx, hostlist.StateLeaving)
 }
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -88,7 +88,7 @@
 
 // leave stops the admission of new requests and publishes the new state in the
 // platform's host list.
-func (h *Host) leave(ctx context.Context) {
+func (h *Host) leave(ctx context.Context, _ time.Time) {
 	h.leaving.set()
 	h.poller.Register(ctx)
 }
--- a/internal/role/lifecycle/program.go
+++ b/internal/role/lifecycle/program.go
@@ -27,8 +27,9 @@
 	// DrainSeconds limits the drain. Zero means no limit: the drain waits for all
 	// requests.
 	DrainSeconds int
-	// StopAdmission stops the admission of new work and notifies the platform.
-	StopAdmission func(ctx context.Context)
+	// StopAdmission stops the admission of new work and notifies the platform. The
+	// drain ends at endsAt, which is zero if it has no limit.
+	StopAdmission func(ctx context.Context, endsAt time.Time)
 	// Open returns the number of requests that have not ended.
 	Open func() int
 	// Servers are the parts over which other processes get answers. They end after
@@ -86,9 +87,10 @@
 		return ctx.Err()
 	case <-p.Life.Drain.Done():
 	}
-	p.StopAdmission(ctx)
+	endsAt := drainDeadline(p.DrainSeconds)
+	p.stopAdmission(ctx, endsAt)
 	p.Log.Info("draining", "Open", p.Open())
-	open := p.Life.AwaitIdle(p.Open, drainDeadline(p.DrainSeconds))
+	open := p.Life.AwaitIdle(p.Open, endsAt)
 	if open > 0 {
 		p.Log.Warn("aborting open requests after the drain deadline or a second signal", "Open", open)
 		return nil
@@ -97,6 +99,16 @@
 	return nil
 }
 
+// stopAdmission calls StopAdmission with a context that ends with the drain.
+func (p Program) stopAdmission(ctx context.Context, endsAt time.Time) {
+	if !endsAt.IsZero() {
+		bounded, stop := context.WithDeadline(ctx, endsAt)
+		defer stop()
+		ctx = bounded
+	}
+	p.StopAdmission(ctx, endsAt)
+}
+
 // awaitSent waits a bounded time until no answer is unsent.
 func (p Program) awaitSent(serving context.Context) {
 	if p.Unsent == nil {
--- a/internal/trial/endtoend/drain_end_test.go
+++ b/internal/trial/endtoend/drain_end_test.go
@@ -219,6 +219,38 @@
 	return conn
 }
 
+// TestDrainEndsInTimeBesideSlowHostList guards against a drain that outlives its deadline since the host
+// list, which it notifies first, doesn't answer.
+func TestDrainEndsInTimeBesideSlowHostList(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const endMillis = 1800 // the deadline, and time to send the result
+	d := newDeployment(t, layout{
+		entries: 1, engines: 1,
+		changeEntry:   func(s *process.Entry) { s.DrainSeconds = 1 },
+		changeBackend: func(s *process.Backend) { s.DrainSeconds = 1 },
+	})
+	d.waitKeyBinding(t)
+	d.site.HostList.Faults.SlowMillis.Store(longCallMillis)
+	for _, p := range []*program{d.backends[0].program, d.entries[0].program} {
+		prompt := prompts(1, longTokens)[0]
+		s, err := newCaller(d.entries[0]).stream(newRequest("programme", prompt))
+		is.NoErr(err)
+		answer := newTranscript(d.output(prompt))
+		is.NoErr(answer.readUntil(s, tokensBeforeFault))
+		begun := time.Now()
+		p.terminate()
+		is.NoErr(checkTruncated(answer, s))
+		is.True(time.Since(begun) < endMillis*time.Millisecond)
+		s.close()
+		is.Equal(p.exitCode(), 0)
+		if p == d.backends[0].program {
+			p.start()
+			d.waitKeyBinding(t)
+		}
+	}
+}
+
 // TestBackendDrainEndReportsResults guards against entry hosts that learn nothing of the requests that a
 // process beside a backend server cuts when its drain ends.
 func TestBackendDrainEndReportsResults(t *testing.T) {
