backend: a process that leaves waits for requests that chose it before

Callers of calls that may run once got OwnerSilent (504) although nothing had run, and their keys stayed spent, when an idle backend server was stopped.

Cause: an entry host picks a backend server, binds the key to it in the log, and then connects. An owner without an open request ended at once on SIGTERM, in between. It waited for clients that had disconnected, but not for those still to come.

Ruled out: stale choices after that time. Each reply of the owner says that it is leaving, and a refusal is recorded, so that the key is bound anew.

Now an owner that leaves stays for at least 4 s, the longest time of a binding and a dial, within DrainSeconds. It refuses what arrives with a record, and the entry host sends it elsewhere.

--- a/internal/backend/engineowner/load.go
+++ b/internal/backend/engineowner/load.go
@@ -39,12 +39,12 @@
 // number of open generations plus recently ended answers that have not been read,
 // or the number of connected clients if that is larger. The unread answers count
 // because a caller whose connection broke may reconnect to read them. While the
-// process is draining, Open is at least 1 as long as a client may reconnect.
+// process is draining, Open is at least 1 as long as a client may connect.
 func (o *Owner) Open() int {
 	now := time.Now()
 	unread := o.PermitChecker.Unread(o.Settings.HoldSeconds, now)
 	open := max(o.Replay.OpenRequests()+unread, o.clients.Served())
-	if open == 0 && o.leaving.Load() && o.clients.MayReconnect(now) {
+	if open == 0 && o.leaving.Load() && o.clients.MayConnect(now) {
 		return 1
 	}
 	return open
@@ -60,6 +60,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.leaving.Store(true)
+	o.clients.Leave(time.Now())
 }
 
 // Call fails: an engine does not serve calls of plain services.
--- a/internal/backend/permitcheck/clients.go
+++ b/internal/backend/permitcheck/clients.go
@@ -14,6 +14,13 @@
 // (dispatch.reconnectPauseMillis) and its dial timeout (transport.dialTimeoutMillis).
 const reconnectMillis = 2000
 
+// arrivalMillis is how long a draining process waits for clients that chose it before it
+// left. An entry host binds the idempotency key of a request to the process before it
+// connects, and the key is spent if the process ends in between. The value is not less
+// than the sum of the time limits of a binding (leaseholder.claimTimeoutMillis) and of a
+// dial (transport.dialTimeoutMillis).
+const arrivalMillis = 4000
+
 // Clients counts the entry hosts that are being served. The zero value is ready for
 // use. It is safe for concurrent use.
 type Clients struct {
@@ -21,6 +28,15 @@
 	// reconnectUntil is the time until which the client that disconnected last may
 	// reconnect, in nanoseconds since the Unix epoch.
 	reconnectUntil atomic.Int64
+	// arriveUntil is the time until which clients that chose the process before it left
+	// may connect, in nanoseconds since the Unix epoch. It is zero before Leave.
+	arriveUntil atomic.Int64
+}
+
+// Leave records that the process admits no new work from now on. Only the first call has
+// an effect.
+func (c *Clients) Leave(now time.Time) {
+	c.arriveUntil.CompareAndSwap(0, now.Add(arrivalMillis*time.Millisecond).UnixNano())
 }
 
 // Serve calls deliver and counts the client as served until it disconnects. It waits
@@ -47,7 +63,8 @@
 // Served returns the number of clients that have not disconnected.
 func (c *Clients) Served() int { return int(c.served.Load()) }
 
-// MayReconnect reports whether a client that has disconnected may still reconnect.
-func (c *Clients) MayReconnect(now time.Time) bool {
-	return now.UnixNano() < c.reconnectUntil.Load()
+// MayConnect reports whether a client that has disconnected may still reconnect, or one
+// that chose the process before it left may still connect.
+func (c *Clients) MayConnect(now time.Time) bool {
+	return now.UnixNano() < max(c.reconnectUntil.Load(), c.arriveUntil.Load())
 }
--- a/internal/backend/permitcheck/clients_test.go
+++ b/internal/backend/permitcheck/clients_test.go
@@ -23,10 +23,22 @@
 	})
 	<-delivered
 	is.Equal(c.Served(), 1)
-	is.True(!c.MayReconnect(time.Now()))
+	is.True(!c.MayConnect(time.Now()))
 	disconnect()
 	is.NoErr(group.Wait())
 	is.Equal(c.Served(), 0)
-	is.True(c.MayReconnect(time.Now()))
-	is.True(!c.MayReconnect(time.Now().Add(reconnectMillis * time.Millisecond)))
+	is.True(c.MayConnect(time.Now()))
+	is.True(!c.MayConnect(time.Now().Add(reconnectMillis * time.Millisecond)))
+}
+
+// TestClientsMayArrive checks that a process that leaves waits for clients that chose it
+// before, counted from the first call of Leave.
+func TestClientsMayArrive(t *testing.T) {
+	is := is.New(t)
+	c := &Clients{}
+	now := time.Now()
+	c.Leave(now)
+	c.Leave(now.Add(time.Second))
+	is.True(c.MayConnect(now.Add((arrivalMillis - 1) * time.Millisecond)))
+	is.True(!c.MayConnect(now.Add(arrivalMillis * time.Millisecond)))
 }
--- a/internal/backend/serviceowner/load.go
+++ b/internal/backend/serviceowner/load.go
@@ -49,12 +49,12 @@
 // Open returns the amount of open work, for which a drain has to wait. It is the
 // number of running calls plus recent replies that have not been read, or the number
 // of connected clients if that is larger. While the process is draining, Open is at
-// least 1 as long as a client may reconnect.
+// least 1 as long as a client may connect.
 func (o *Owner) Open() int {
 	now := time.Now()
 	unread := o.PermitChecker.Unread(o.Settings.HoldSeconds, now)
 	open := max(int(o.running.Load())+unread, o.clients.Served())
-	if open == 0 && o.leaving.Load() && o.clients.MayReconnect(now) {
+	if open == 0 && o.leaving.Load() && o.clients.MayConnect(now) {
 		return 1
 	}
 	return open
@@ -65,4 +65,7 @@
 func (o *Owner) Served() int { return o.clients.Served() }
 
 // Leave starts draining: no new work is admitted.
-func (o *Owner) Leave() { o.leaving.Store(true) }
+func (o *Owner) Leave() {
+	o.leaving.Store(true)
+	o.clients.Leave(time.Now())
+}
--- a/internal/trial/endtoend/drain_end_test.go
+++ b/internal/trial/endtoend/drain_end_test.go
@@ -355,3 +355,30 @@
 		t.Errorf("%s: status %d, result %v, error %v, %s", r.name, r.reply.status, resultOfReply(r.reply), r.err, r.reply.body)
 	}
 }
+
+// TestIdleBackendDrainKeepsKeys guards against a call whose key is bound to a backend server that leaves
+// and ends before the call arrives, so that the key is spent although nothing has run.
+func TestIdleBackendDrainKeepsKeys(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const callers, logMillis = 12, 200
+	d := newDeployment(t, layout{entries: 1, engines: 1, plainServices: 2})
+	d.waitKeyBinding(t)
+	d.site.Journal.Faults.SlowMillis.Store(logMillis)
+	var group errgroup.Group
+	for n := range callers {
+		group.Go(func() error {
+			r, err := newCaller(d.entries[0]).call(http.MethodPost, "/bookings", newKey())
+			if err != nil || r.status != http.StatusOK {
+				t.Errorf("booking %d: status %d, error %v, %s", n, r.status, err, r.body)
+			}
+			return nil
+		})
+	}
+	sleepMillis(t, logMillis/2)
+	draining := d.backends[1]
+	draining.terminate()
+	is.NoErr(group.Wait())
+	is.Equal(draining.exitCode(), 0)
+	is.Equal(d.backends[1].plainService.Bookings()+d.backends[2].plainService.Bookings(), callers)
+}
