transport: the end of a drain drops no request that has crossed it

Callers of an entry host that ended a drain lost their connections without an answer (EOF, connection reset), over kept and over new connections, among them requests that had been read completely.

Cause: the server of net/http closes a connection without an answer when it has read a request after its shutdown began. It also closes connections that wait for a request without a look whether one has arrived, and the system resets connections that are established and not accepted when the listener is closed.

Ruled out: the count of open requests. A request that it misses is refused with Leaving, but net/http never passed it to the handler.

Now a server that stops accepts for 20 ms more, then takes what is established and closes the listener in one step, ends the wait of connections, each after one more look, and answers what it finds with 503 and `Connection: close`. net/http is closed once no connection is left. What is left after 2 s is reset.

--- /dev/null
+++ b/internal/wire/transport/callerconnection.go
@@ -0,0 +1,205 @@
+package transport
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// acceptMillis is the time for which a server that stops still accepts connections,
+	// so that those that are established get an answer.
+	acceptMillis = 20
+	// newConnectionMillis is the time for which a new connection may send its first
+	// request although the server stops.
+	newConnectionMillis = 1000
+	// lookMillis is the time for which a connection that is closed in a stop is read once
+	// more, as a request may have arrived.
+	lookMillis = 5
+	// finishPollMillis is the period at which a server that stops looks for connections
+	// that wait for a request.
+	finishPollMillis = 5
+)
+
+// callerConnections is the listener of a server, and holds its open connections. The
+// server of net/http drops a request that it reads after its own shutdown has begun,
+// so callerConnections ends connections that wait for a request without it.
+type callerConnections struct {
+	net.Listener
+
+	// established holds connections that were established before the listener was
+	// closed. Only Accept uses it.
+	established []net.Conn
+
+	mu        sync.Mutex
+	open      map[*callerConnection]struct{}
+	accepting bool
+}
+
+func newCallerConnections(listener net.Listener) *callerConnections {
+	return &callerConnections{Listener: listener, open: make(map[*callerConnection]struct{}), accepting: true}
+}
+
+// Accept waits for the next connection. Once the listener's deadline has passed, it
+// closes the listener and returns the connections that were established by then.
+func (c *callerConnections) Accept() (net.Conn, error) {
+	if len(c.established) == 0 {
+		conn, err := c.Listener.Accept()
+		if err == nil {
+			return &callerConnection{Conn: conn, acceptedAt: time.Now()}, nil
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.established = closeListener(c.Listener)
+			err = net.ErrClosed
+		}
+		if len(c.established) == 0 {
+			return nil, c.endAccept(err)
+		}
+	}
+	conn := c.established[0]
+	c.established = c.established[1:]
+	return &callerConnection{Conn: conn, acceptedAt: time.Now()}, nil
+}
+
+// endAccept records that the listener is closed if err says so. It returns err as
+// net/http expects it.
+func (c *callerConnections) endAccept(err error) error {
+	if !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepting = false
+	return http.ErrServerClosed
+}
+
+// observe records a change of a connection's state.
+func (c *callerConnections) observe(conn net.Conn, state http.ConnState) {
+	own, ok := conn.(*callerConnection)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.open[own] = struct{}{}
+		own.beginWait()
+	case http.StateIdle:
+		own.beginWait()
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, own)
+	default:
+	}
+}
+
+// finish stops accepting connections and ends those that wait for a request, until none
+// is left or the deadline passes. It makes the close of those that are left a reset.
+func (c *callerConnections) finish(deadline time.Time) {
+	c.stopAccepting()
+	ticker := time.NewTicker(finishPollMillis * time.Millisecond)
+	defer ticker.Stop()
+	for !c.endWaits() && time.Now().Before(deadline) {
+		<-ticker.C
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.resetOnClose()
+	}
+}
+
+// stopAccepting closes the listener, after the connections that are already established
+// were accepted.
+func (c *callerConnections) stopAccepting() {
+	type deadliner interface{ SetDeadline(time.Time) error }
+	listener, ok := c.Listener.(deadliner)
+	if !ok || listener.SetDeadline(time.Now().Add(acceptMillis*time.Millisecond)) != nil {
+		_ = c.Close()
+	}
+}
+
+// endWaits ends the wait of each connection for its next request, and reports whether no
+// connection is left.
+func (c *callerConnections) endWaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.endWait()
+	}
+	return !c.accepting && len(c.open) == 0
+}
+
+// callerConnection is the connection of one caller.
+type callerConnection struct {
+	net.Conn
+	acceptedAt time.Time
+
+	mu sync.Mutex
+	// waiting says that no byte of the next request was read.
+	waiting bool
+	// used says that a request has begun on the connection.
+	used bool
+	// closing says that the wait for the next request was ended.
+	closing bool
+}
+
+// Read reads from the connection. When the wait for a request was ended, it looks once
+// more whether one has arrived.
+func (c *callerConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+		_ = c.SetReadDeadline(time.Now().Add(lookMillis * time.Millisecond))
+		n, err = c.Conn.Read(p)
+	}
+	if n > 0 {
+		c.beginRequest()
+	}
+	return n, err
+}
+
+func (c *callerConnection) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+func (c *callerConnection) beginWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+}
+
+// beginRequest records that a request has begun. If the wait for it was being ended, the
+// rest of its head may be read.
+func (c *callerConnection) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		_ = c.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
+	}
+	c.waiting, c.closing, c.used = false, false, true
+}
+
+// endWait ends the wait for the next request, unless the connection is new.
+func (c *callerConnection) endWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isNew := !c.used && time.Since(c.acceptedAt) < newConnectionMillis*time.Millisecond
+	if !c.waiting || c.closing || isNew {
+		return
+	}
+	c.closing = true
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// resetOnClose makes the close of the connection a reset.
+func (c *callerConnection) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/internal/wire/transport/httpserver.go
+++ b/internal/wire/transport/httpserver.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +13,7 @@
 const (
 	// headerTimeoutMillis is the maximum time for reading the header of a request.
 	headerTimeoutMillis = 5000
-	// shutdownTimeoutMillis is the maximum time for completing open requests when a
+	// shutdownTimeoutMillis is the maximum time for answering open requests when a
 	// server stops.
 	shutdownTimeoutMillis = 2000
 )
@@ -39,14 +38,15 @@
 }
 
 // Run serves until ctx ends. It then cancels the contexts of open requests with
-// ErrStopped, gives these requests a bounded time to write their responses, and resets
-// the connections that are left, so that no incomplete response looks complete.
+// ErrStopped, answers each request whose connection was established before, and resets
+// the connections that are left after a bounded time, so that no incomplete response
+// looks complete.
 func (s HTTPServer) Run(ctx context.Context) error {
 	requests, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
-	open := &connections{}
+	open := newCallerConnections(s.Listener)
 	server := &http.Server{
-		Handler:           s.closing(s.Handler),
+		Handler:           s.closing(requests),
 		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
 		BaseContext:       func(net.Listener) context.Context { return requests },
 		ConnContext:       withConnection,
@@ -56,16 +56,11 @@
 	group.Go(func() error {
 		<-ctx.Done()
 		cancel(ErrStopped)
-		bounded, stop := context.WithDeadline(context.WithoutCancel(ctx), time.Now().Add(shutdownTimeoutMillis*time.Millisecond))
-		defer stop()
-		if err := server.Shutdown(bounded); err != nil {
-			open.resetOnClose()
-			return server.Close()
-		}
-		return nil
+		open.finish(time.Now().Add(shutdownTimeoutMillis * time.Millisecond))
+		return server.Close()
 	})
 	group.Go(func() error {
-		err := server.Serve(s.Listener)
+		err := server.Serve(open)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -75,13 +70,11 @@
 }
 
 // closing returns a handler whose responses end their connections while Leaving reports
-// true.
-func (s HTTPServer) closing(next http.Handler) http.Handler {
-	if s.Leaving == nil {
-		return next
-	}
+// true, and once the context of requests has ended.
+func (s HTTPServer) closing(requests context.Context) http.Handler {
+	leaving := func() bool { return requests.Err() != nil || s.Leaving != nil && s.Leaving() }
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&closingWriter{ResponseWriter: w, leaving: s.Leaving}, r)
+		s.Handler.ServeHTTP(&closingWriter{ResponseWriter: w, leaving: leaving}, r)
 	})
 }
 
@@ -126,46 +119,8 @@
 // caller can detect. Without chunks, the end of the connection would look like the end
 // of the body, so the connection is reset.
 func Abort(r *http.Request) {
-	if conn, ok := r.Context().Value(connectionKey{}).(net.Conn); ok && !r.ProtoAtLeast(1, 1) {
-		resetOnClose(conn)
+	if conn, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok && !r.ProtoAtLeast(1, 1) {
+		conn.resetOnClose()
 	}
 	panic(http.ErrAbortHandler)
 }
-
-// resetOnClose makes the close of a connection a reset.
-func resetOnClose(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
-// connections holds the open connections of a server. It is safe for concurrent use.
-type connections struct {
-	mu   sync.Mutex
-	open map[net.Conn]struct{}
-}
-
-// observe records a change of a connection's state.
-func (c *connections) observe(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		if c.open == nil {
-			c.open = make(map[net.Conn]struct{})
-		}
-		c.open[conn] = struct{}{}
-	case http.StateClosed, http.StateHijacked:
-		delete(c.open, conn)
-	default:
-	}
-}
-
-// resetOnClose makes the close of each open connection a reset.
-func (c *connections) resetOnClose() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.open {
-		resetOnClose(conn)
-	}
-}
