test: a call that the end of a drain cuts is answered to a repeat, from one run

With a log of 300 ms a call the key was not bound before the drain of 2 s ended, in 1 run beside heavy load; the call then ended with LogUnavailable, not run. The test uses 100 ms and 4 s.

--- a/internal/trial/endtoend/drain_end_test.go
+++ b/internal/trial/endtoend/drain_end_test.go
@@ -384,6 +384,36 @@
 	is.Equal(d.backends[1].plainService.Bookings()+d.backends[2].plainService.Bookings(), callers)
 }
 
+// TestDrainCutCallIsAnsweredElsewhere checks that a call whose key is bound while its entry host drains, and
+// which the end of the drain cuts, gets its answer from its only run when the caller repeats it.
+func TestDrainCutCallIsAnsweredElsewhere(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const logMillis, runMillis = 100, 8000
+	d := newDeployment(t, layout{entries: 2, engines: 1, plainServices: 1, changeEntry: func(s *process.Entry) { s.DrainSeconds = 4 }})
+	d.waitKeyBinding(t)
+	service := d.backends[1].plainService
+	service.Faults.SlowMillis.Store(runMillis)
+	d.site.Journal.Faults.SlowMillis.Store(logMillis)
+	key := newKey()
+	cut := &openRequest{name: "booking", send: func(c *caller) (reply, error) { return c.call(http.MethodPost, "/bookings", key) }}
+	var group errgroup.Group
+	group.Go(func() error {
+		cut.reply, cut.err = cut.send(newCaller(d.entries[0]))
+		return nil
+	})
+	sleepMillis(t, logMillis/2)
+	is.Equal(service.Received(), 0)
+	d.entries[0].terminate()
+	is.NoErr(group.Wait())
+	cut.check(t, http.StatusBadGateway, resultcode.DrainCut)
+	repeated, err := cut.send(newCaller(d.entries[1]))
+	is.NoErr(err)
+	is.Equal(repeated.status, http.StatusOK)
+	is.Equal(service.Bookings(), 1)
+	is.Equal(d.entries[0].exitCode(), 0)
+}
+
 // drainCallers is the number of callers of each kind of connection around a drain.
 const drainCallers = 8
 
