--- a/internal/trial/endtoend/client_test.go
+++ b/internal/trial/endtoend/client_test.go
@@ -223,7 +223,8 @@
 		text, err := s.reader.ReadString('\n')
 		s.raw.WriteString(text)
 		if err != nil {
-			return e, errors.Mark(errors.Newf("stream truncated after %d bytes: %v", s.raw.Len(), err), errTruncated)
+			return e, errors.Mark(errors.Newf("stream with status %d and result %s truncated after %d bytes: %v",
+				s.response.StatusCode, s.response.Header.Get(httpapi.HeaderResult), s.raw.Len(), err), errTruncated)
 		}
 		line := strings.TrimSuffix(text, "\n")
 		if id, ok := strings.CutPrefix(line, "id: "); ok {
