--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -71,12 +71,13 @@
 		DrainSeconds:  h.Settings.DrainSeconds,
 		StopAdmission: h.leave,
 		Open:          h.rateLimiter.Open,
+		Servers: []lifecycle.Part{
+			(&transport.Server{Listener: listeners.peers, Handler: h.handler()}).Run,
+			transport.HTTPServer{Listener: listeners.metrics, Handler: h.metricsHandler()}.Run,
+		},
 	}
-	server := &transport.Server{Listener: listeners.peers, Handler: h.handler()}
 	return program.Run(
-		server.Run,
-		transport.HTTPServer{Listener: listeners.metrics, Handler: h.metricsHandler()}.Run,
-		transport.HTTPServer{Listener: listeners.callers, Handler: h.newAPI().Routes()}.Run,
+		transport.HTTPServer{Listener: listeners.callers, Handler: h.newAPI().Routes(), Leaving: h.leaving.isSet}.Run,
 		h.metrics.Run,
 		h.configuration.Run,
 		h.poller.Run,
@@ -87,7 +88,7 @@
 
 // leave stops the admission of new requests and publishes the new state in the
 // platform's host list.
-func (h *Host) leave(ctx context.Context) {
+func (h *Host) leave(ctx context.Context, _ time.Time) {
 	h.leaving.set()
 	h.poller.Register(ctx)
 }
--- /dev/null
+++ b/internal/wire/transport/httpserver.go
@@ -0,0 +1,126 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// headerTimeoutMillis is the maximum time for reading the header of a request.
+	headerTimeoutMillis = 5000
+	// shutdownTimeoutMillis is the maximum time for answering open requests when a
+	// server stops.
+	shutdownTimeoutMillis = 2000
+)
+
+// ErrStopped is the cancellation cause of the contexts of requests that are open when
+// their server stops.
+var ErrStopped = errors.New("process stops")
+
+// Stopped reports whether the context of a request has ended since its server stops.
+func Stopped(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), ErrStopped)
+}
+
+// HTTPServer serves HTTP on one listener with the server of net/http. Its fields must be
+// set before Run.
+type HTTPServer struct {
+	Listener net.Listener
+	Handler  http.Handler
+	// Leaving reports whether each connection is to end with its next response. Nil
+	// means that it never is.
+	Leaving func() bool
+}
+
+// Run serves until ctx ends. It then cancels the contexts of open requests with
+// ErrStopped, answers each request whose connection was established before, and resets
+// the connections that are left after a bounded time, so that no incomplete response
+// looks complete.
+func (s HTTPServer) Run(ctx context.Context) error {
+	requests, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
+	open := newCallerConnections(s.Listener)
+	server := &http.Server{
+		Handler:           s.closing(requests),
+		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
+		BaseContext:       func(net.Listener) context.Context { return requests },
+		ConnContext:       withConnection,
+		ConnState:         open.observe,
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		cancel(ErrStopped)
+		open.finish(time.Now().Add(shutdownTimeoutMillis * time.Millisecond))
+		return server.Close()
+	})
+	group.Go(func() error {
+		err := server.Serve(open)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrap(err, "serve HTTP")
+	})
+	return group.Wait()
+}
+
+// closing returns a handler whose responses end their connections while Leaving reports
+// true, and once the context of requests has ended.
+func (s HTTPServer) closing(requests context.Context) http.Handler {
+	leaving := func() bool { return requests.Err() != nil || s.Leaving != nil && s.Leaving() }
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.Handler.ServeHTTP(&closingWriter{ResponseWriter: w, leaving: leaving}, r)
+	})
+}
+
+// closingWriter is a response that may end its connection, which is decided when its
+// head is written.
+type closingWriter struct {
+	http.ResponseWriter
+	leaving func() bool
+	begun   bool
+}
+
+// WriteHeader writes the head of the response.
+func (w *closingWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the response of net/http, for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *closingWriter) begin() {
+	if !w.begun && w.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// Abort ends the handling of a request whose response is incomplete, in a way that the
+// caller can detect. Without chunks, the end of the connection would look like the end
+// of the body, so the connection is reset.
+func Abort(r *http.Request) {
+	if conn, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok && !r.ProtoAtLeast(1, 1) {
+		conn.resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
