test: a complete stream without chunks is cut where its run was stopped before

Callers see a stream broken off after its last event. Its run was stopped at an engine that drains, the other engine refused the copy, and the run went on where it was and ended there. The engine sends no chunks, so the entry host asks its monitor whether it has stopped the run, and the monitor replies with the stop from before.

Not fixed: the entry host can't tell the old stop from a second one of the same run, and must not take a stopped answer for a complete one. The monitor would have to forget the stop once the run goes on there.

--- a/internal/trial/endtoend/platform_unframed_test.go
+++ b/internal/trial/endtoend/platform_unframed_test.go
@@ -105,3 +105,24 @@
 		})
 	}
 }
+
+// TestStreamThatEndsWhereItWasStopped guards against a complete stream without chunks that is cut, since its
+// engine had stopped the run for a migration before, which the other engine refused.
+func TestStreamThatEndsWhereItWasStopped(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const noticeMillis, events = 4000, 250
+	s := newPlatformSite(t, 2, 0)
+	s.setEngineFaults(replica.Faults{EndByClose: true})
+	await := s.sendInBackground(streamRequest("returned", events))
+	e := s.activeEngine()
+	s.setOthersFaults(e, replica.Faults{EndByClose: true, Decline: true})
+	e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
+	s.register(e.Replica, "engines", "draining")
+	got := await()
+	is.NoErr(got.err)
+	is.Equal(got.events(), eventNumbers(events))
+	started, continued := s.countRuns()
+	is.Equal(started, 1)
+	is.True(continued > 0) // the run was stopped, and went on where it was
+}
