--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -74,7 +74,7 @@
 // answerPlain runs a request of a plain service and answers it. The request is broken when the
 // server ends.
 func (r *Replica) answerPlain(w http.ResponseWriter, q *http.Request, arrival *Arrival, faults Faults, ended <-chan struct{}) {
-	r.runPlain(q, ended, faults.RunMillis)
+	r.runPlain(q, arrival, ended, faults.RunMillis)
 	if faults.Crashes(*arrival) && !faults.CrashAfterAnswer {
 		r.OnCrash()
 		r.holdDark(q)
@@ -82,6 +82,7 @@
 	}
 	r.holdDark(q)
 	r.plain(w, faults)
+	r.note(&arrival.AnsweredAt)
 	if faults.Crashes(*arrival) {
 		time.Sleep(lateCrashMillis * time.Millisecond)
 		r.OnCrash()
@@ -99,13 +100,21 @@
 	w.Header().Set("Fulmarvalve-Request-Id", q.Header.Get("Fulmarvalve-Request-Id"))
 }
 
+// note sets a time of an arrival to now.
+func (r *Replica) note(at *time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*at = time.Now()
+}
+
 // runPlain runs a request of a plain service. The request is broken when the server ends.
-func (r *Replica) runPlain(q *http.Request, ended <-chan struct{}, millis int) {
+func (r *Replica) runPlain(q *http.Request, arrival *Arrival, ended <-chan struct{}, millis int) {
 	r.holdHung(q)
 	select {
 	case <-ended:
 		panic(http.ErrAbortHandler)
 	case <-q.Context().Done():
+		r.note(&arrival.DisconnectedAt)
 		panic(http.ErrAbortHandler)
 	case <-time.After(time.Duration(millis) * time.Millisecond):
 	}
@@ -206,9 +215,7 @@
 		case <-ended:
 			panic(http.ErrAbortHandler)
 		case <-q.Context().Done():
-			r.mu.Lock()
-			arrival.DisconnectedAt = time.Now()
-			r.mu.Unlock()
+			r.note(&arrival.DisconnectedAt)
 			return
 		case <-time.After(eventMillis * time.Millisecond):
 		}
@@ -223,10 +230,17 @@
 		}
 		r.holdDark(q)
 		if r.shutDownWithRuns() {
+			r.note(&arrival.BrokenAt)
 			panic(http.ErrAbortHandler)
 		}
+		if faults.BreakAfter != 0 && event > faults.BreakAfter {
+			r.note(&arrival.BrokenAt)
+		}
 		r.sendEvent(w, running, event, faults)
 	}
+	if q.Context().Err() == nil {
+		r.note(&arrival.AnsweredAt)
+	}
 }
 
 // Crashes reports whether the server calls Replica.OnCrash under a request.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -47,6 +47,10 @@
 	// DisconnectedAt is the time at which the client closed the connection before
 	// the end of the response; zero if it did not.
 	DisconnectedAt time.Time
+	// AnsweredAt is the time at which the complete response was written; zero if it was not.
+	AnsweredAt time.Time
+	// BrokenAt is the time at which a fault of the server broke off the response; zero if none did.
+	BrokenAt time.Time
 }
 
 // Group holds the handles of copied runs, which the backend servers of a service
--- a/internal/trial/endtoend/process_test.go
+++ b/internal/trial/endtoend/process_test.go
@@ -54,6 +54,8 @@
 	role    string
 	path    string
 	logPath string
+	// environment is added to the environment of the process.
+	environment []string
 
 	command *exec.Cmd
 	// ended is closed when the process ends.
@@ -82,8 +84,9 @@
 	// A group of its own cannot become orphaned while the test runs, which would end
 	// a frozen process with SIGHUP.
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	command.Env = append(os.Environ(), p.environment...)
 	if *processors > 0 {
-		command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", *processors))
+		command.Env = append(command.Env, fmt.Sprintf("GOMAXPROCS=%d", *processors))
 	}
 	if err := command.Start(); err != nil {
 		p.t.Fatal(err)
