transport, directentry: a silent connection to the readiness port does not hold the process

The servers of probes and metrics gave their open connections 2 s when the process ends, 0.3 s before the end of its grace period. One connection that had sent nothing was enough for the process to be killed; its callers had their answers by then.

The time is now a field, 50 ms for these servers.

--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -56,6 +56,10 @@
 	// platform sends callers to other hosts before this one must refuse their keys.
 	readyShare = 0.6
 
+	// probeShutdownMillis is the time for answering open probes and queries of metrics when
+	// the process ends. It must end within its grace period.
+	probeShutdownMillis = 50
+
 	millisPerSecond = 1000
 )
 
@@ -122,9 +126,11 @@
 	group.Go(func() error { return h.metrics.Run(ctx) })
 	group.Go(func() error { return h.storeCalls.Run(ctx, h.Log) })
 	group.Go(func() error {
-		return transport.HTTPServer{Listener: metricsListener, Handler: h.metrics.Handler()}.Run(ctx)
+		return transport.HTTPServer{Listener: metricsListener, Handler: h.metrics.Handler(), ShutdownMillis: probeShutdownMillis}.Run(ctx)
+	})
+	group.Go(func() error {
+		return transport.HTTPServer{Listener: ready, Handler: h.readinessHandler(), ShutdownMillis: probeShutdownMillis}.Run(ctx)
 	})
-	group.Go(func() error { return transport.HTTPServer{Listener: ready, Handler: h.readinessHandler()}.Run(ctx) })
 	group.Go(func() error { return life.Reload.Run(ctx, h.reload) })
 	group.Go(func() error {
 		defer end()
--- a/internal/wire/transport/httpserver.go
+++ b/internal/wire/transport/httpserver.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -13,9 +14,8 @@
 const (
 	// headerTimeoutMillis is the maximum time for reading the header of a request.
 	headerTimeoutMillis = 5000
-	// shutdownTimeoutMillis is the maximum time for answering open requests when a
-	// server stops.
-	shutdownTimeoutMillis = 2000
+	// DefaultShutdownMillis is the default of HTTPServer.ShutdownMillis.
+	DefaultShutdownMillis = 2000
 )
 
 // ErrStopped is the cancellation cause of the contexts of requests that are open when
@@ -32,6 +32,9 @@
 type HTTPServer struct {
 	Listener net.Listener
 	Handler  http.Handler
+	// ShutdownMillis is the maximum time for answering open requests when the server
+	// stops. Zero means DefaultShutdownMillis.
+	ShutdownMillis int
 	// Leaving reports whether each connection is to end with its next response. Nil
 	// means that it never is.
 	Leaving func() bool
@@ -56,7 +59,7 @@
 	group.Go(func() error {
 		<-ctx.Done()
 		cancel(ErrStopped)
-		open.finish(time.Now().Add(shutdownTimeoutMillis * time.Millisecond))
+		open.finish(time.Now().Add(time.Duration(cmp.Or(s.ShutdownMillis, DefaultShutdownMillis)) * time.Millisecond))
 		return server.Close()
 	})
 	group.Go(func() error {
