--- a/internal/trial/endtoend/platform_stopgrace_test.go
+++ b/internal/trial/endtoend/platform_stopgrace_test.go
@@ -26,12 +26,6 @@
 			is := is.New(t)
 			const graceMillis, runMillis = 3000, 7000
 			s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = graceMillis / 1000 })
-			// The race detector otherwise delays the exit by a second.
-			s.entry.terminate()
-			is.Equal(s.entry.exitCode(), 0)
-			s.entry.environment = []string{"GORACE=atexit_sleep_ms=0"}
-			s.startEntry()
-			eventually(t, "entry host ready", s.ready)
 			s.setPlainFaults(replica.Faults{RunMillis: runMillis})
 			await := s.sendInBackground(callerRequest{method: http.MethodPost, target: oncePath, id: "open", key: platformKey, body: "{}"})
 			eventually(t, "the call has reached the server", func() error {
