--- a/internal/caller/httpserver/shutdown_test.go
+++ b/internal/caller/httpserver/shutdown_test.go
@@ -52,12 +52,24 @@
 	end     func()
 }
 
+// startStoppable runs a server with the handler on a listener of its own.
 func startStoppable(t *testing.T, handler Handler) runningServer {
+	t.Helper()
+	return startOn(t, listenLocally(t), handler)
+}
+
+func listenLocally(t *testing.T) *net.TCPListener {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return listener.(*net.TCPListener)
+}
+
+// startOn runs a server until it is ended or the test ends.
+func startOn(t *testing.T, listener net.Listener, handler Handler) runningServer {
+	t.Helper()
 	s := &Server{
 		Listener: listener, Handler: handler, Log: slog.New(slog.DiscardHandler),
 		Limits: func() routetable.Limits { return routetable.Limits{} },
--- a/internal/caller/httpserver/stoprace_test.go
+++ b/internal/caller/httpserver/stoprace_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -13,9 +12,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
-
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 )
 
 // TestFinishDoesNotAwaitSilentConnection guards against a stop that lasts until the end of its grace
@@ -82,24 +78,8 @@
 // startHooked is like startStoppable and calls a function before each read deadline of a connection.
 func startHooked(t *testing.T, beforeDeadline func(at time.Time)) (runningServer, *hookListener) {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	hooked := &hookListener{TCPListener: listener.(*net.TCPListener), beforeDeadline: beforeDeadline}
-	s := &Server{
-		Listener: hooked, Handler: untilStopped{}, Log: slog.New(slog.DiscardHandler),
-		Limits: func() routetable.Limits { return routetable.Limits{} },
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { return s.Run(ctx) })
-	end := sync.OnceFunc(func() {
-		stop()
-		_ = group.Wait()
-	})
-	t.Cleanup(end)
-	return runningServer{s, listener.Addr().String(), end}, hooked
+	hooked := &hookListener{TCPListener: listenLocally(t), beforeDeadline: beforeDeadline}
+	return startOn(t, hooked, untilStopped{}), hooked
 }
 
 // TestEndAnswersWhatItReads guards against a request that arrives when the process ends, is read, and has
