--- a/internal/result/resultcode/table.go
+++ b/internal/result/resultcode/table.go
@@ -85,7 +85,7 @@
 	// KeySpent means that the idempotency key is bound to an owner that no longer
 	// exists.
 	KeySpent Code = 308
-	// DrainCut means that the operator's drain deadline ended the generation.
+	// DrainCut means that a drain ended before the request did.
 	DrainCut Code = 309
 )
 
@@ -127,5 +127,5 @@
 	{NotHeld, "NotHeld", Unknown, RepeatWithKey, http.StatusGone, false, "The generation is no longer held for replay."},
 	{Cancelled, "Cancelled", Unknown, RepeatWithKey, 499, false, "The caller went away."},
 	{KeySpent, "KeySpent", Unknown, RepeatNever, http.StatusConflict, false, "The key is bound to an owner that is gone; whether it ran is not known."},
-	{DrainCut, "DrainCut", Unknown, RepeatWithKey, http.StatusBadGateway, false, "The operator's drain deadline cut the generation."},
+	{DrainCut, "DrainCut", Unknown, RepeatWithKey, http.StatusBadGateway, false, "A drain ended before the request did."},
 }
