test: raw text is sent over a new connection in one place

sendRaw and readUntilEnd opened their connections alike. The assertions are unchanged; the two tests that use them pass. A comment of the callers' server said that all read deadlines are set in two places; it means those of the wait and the read of a request.

--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// readUntil sets the time until which a connection is read, at most the limit of the stage. All times
-// for reads are set here or in limitReads, under the mutex, so that none replaces a limit.
+// readUntil sets the time until which a connection is read, at most the limit of the stage. Times for
+// the wait and the read of a request are set here or in limitReads, under the mutex, so that none replaces a limit.
 func (s *Server) readUntil(c *connection, until time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/trial/endtoend/platform_client_test.go
+++ b/internal/trial/endtoend/platform_client_test.go
@@ -128,15 +128,8 @@
 // entry host closes the connection or 1 s has passed.
 func (s *platformSite) sendRaw(text string) string {
 	s.t.Helper()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(context.Background(), "tcp", s.settings.CallerAddress)
-	if err != nil {
-		s.t.Fatal(err)
-	}
+	conn := s.openWith(text)
 	defer func() { _ = conn.Close() }()
-	if _, err := io.WriteString(conn, text); err != nil {
-		s.t.Fatal(err)
-	}
 	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
 	response, _ := io.ReadAll(bufio.NewReader(conn))
 	return string(response)
@@ -145,18 +138,25 @@
 // readUntilEnd sends the text unchanged, calls begun, and returns all that is received until the
 // connection ends, with the error that ended it if it was not closed in order.
 func (s *platformSite) readUntilEnd(text string, begun func()) callerReply {
+	s.t.Helper()
+	conn := s.openWith(text)
+	defer func() { _ = conn.Close() }()
+	begun()
+	_ = conn.SetReadDeadline(waitDeadline())
+	body, err := io.ReadAll(conn)
+	return callerReply{body: string(body), err: err}
+}
+
+// openWith opens a connection to the entry host and sends the text unchanged.
+func (s *platformSite) openWith(text string) net.Conn {
 	s.t.Helper()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(context.Background(), "tcp", s.settings.CallerAddress)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
 	if _, err := io.WriteString(conn, text); err != nil {
 		s.t.Fatal(err)
 	}
-	begun()
-	_ = conn.SetReadDeadline(waitDeadline())
-	body, err := io.ReadAll(conn)
-	return callerReply{body: string(body), err: err}
+	return conn
 }
