transport, httpserver: a listener that stops refuses connections before it is closed

The system resets what is in the queue of a listener that is closed. The older roles looked into the queue once more, and connections came between the look and the close; the direct entry host did not look at all, and closed its listener at once at the end of the grace period. Ruled out: attaching a filter that drops opening segments (not supported on this machine, and callers would wait for a second); a smaller backlog (admits one connection more). Change: both servers share StoppingListener. Before the last look the listener is bound to an interface that does not exist: new connections are refused at once, handshakes that have begun are completed, and all that is established is accepted. A new connection may send its request for 50 ms when Run ends. TestEndAnswersWhatItReads waits longer, so that its connection is not a new one, as before.

--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -11,7 +11,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +58,7 @@
 // Server accepts callers' connections. Its exported fields must be set before
 // Run.
 type Server struct {
-	Listener net.Listener
+	Listener *transport.StoppingListener
 	Handler  Handler
 	Log      *slog.Logger
 	// Limits returns the limits in force. Zero values select the defaults.
@@ -95,7 +94,7 @@
 	var group errgroup.Group
 	group.Go(func() error {
 		<-ctx.Done()
-		_ = s.Listener.Close()
+		s.Listener.StopAccepting()
 		cancel(ErrStopped)
 		s.abort(context.WithoutCancel(ctx))
 		return nil
@@ -111,17 +110,10 @@
 
 // accept passes each new connection to serve until the listener is closed.
 func (s *Server) accept(serve func(*connection)) {
-	for retried := false; ; {
+	defer s.endAccept()
+	for {
 		conn, err := s.Listener.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) && !retried {
-			// The time may have passed before a connection that is established was accepted.
-			retried = true
-			s.stopAccepting()
-			continue
-		}
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-			_ = s.Listener.Close()
-			s.endAccept()
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
--- a/internal/caller/httpserver/httpserver_test.go
+++ b/internal/caller/httpserver/httpserver_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 // echo responds with the request's body.
@@ -41,7 +42,7 @@
 		t.Fatal(err)
 	}
 	s := &Server{
-		Listener: listener,
+		Listener: &transport.StoppingListener{Listener: listener},
 		Handler:  handler,
 		Log:      slog.New(slog.DiscardHandler),
 		Limits:   func() routetable.Limits { return limits },
--- /dev/null
+++ b/internal/caller/httpserver/newconnections_test.go
@@ -0,0 +1,68 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// connectUntilRefused sends requests, each over a new connection, until a connection is refused. It
+// returns an error if a connection was established and did not carry a response.
+func connectUntilRefused(address string, responses *atomic.Int64) error {
+	for {
+		conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "connect")
+		}
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		if err == nil {
+			_, err = http.ReadResponse(bufio.NewReader(conn), nil) //nolint:bodyclose // no response has a body
+		}
+		_ = conn.Close()
+		if err != nil {
+			return errors.Wrapf(err, "after %d responses", responses.Load())
+		}
+		responses.Add(1)
+	}
+}
+
+// TestStopResetsNoNewConnection guards against connections that are established while the server stops,
+// and reset by the system as it closes the listener before they were accepted.
+func TestStopResetsNoNewConnection(t *testing.T) {
+	t.Parallel()
+	for name, stop := range map[string]func(runningServer){
+		"when idle":                   func(s runningServer) { s.Drain(); s.Finish(context.Background()) },
+		"when the grace period ended": func(runningServer) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const rounds, callers, loadMillis = 40, 8, 5
+			var group errgroup.Group
+			for range rounds {
+				s := startStoppable(t, echo{})
+				var responses atomic.Int64
+				for range callers {
+					group.Go(func() error { return connectUntilRefused(s.address, &responses) })
+				}
+				time.Sleep(loadMillis * time.Millisecond)
+				stop(s)
+				s.end()
+			}
+			is.NoErr(group.Wait())
+		})
+	}
+}
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -17,9 +17,8 @@
 	// newConnectionMillis is the time for which a new connection may send its first request although
 	// waiting connections are closed.
 	newConnectionMillis = 1000
-	// acceptMillis is the time for which connections are still accepted once the server finishes, so
-	// that those that are established get an answer.
-	acceptMillis = 20
+	// lastConnectionMillis is that time once Run ends.
+	lastConnectionMillis = 50
 	// lastResponseMillis is the time that requests have at most to write their responses when Run ends.
 	lastResponseMillis = 200
 )
@@ -67,19 +66,10 @@
 func (s *Server) Finish(ctx context.Context) int {
 	s.CloseIdle()
 	s.advance(finishing)
-	s.stopAccepting()
+	s.Listener.StopAccepting()
 	return s.awaitEnd(ctx)
 }
 
-// stopAccepting closes the listener, after the connections that are already established were accepted.
-func (s *Server) stopAccepting() {
-	type deadliner interface{ SetDeadline(time.Time) error }
-	listener, ok := s.Listener.(deadliner)
-	if !ok || listener.SetDeadline(time.Now().Add(acceptMillis*time.Millisecond)) != nil {
-		_ = s.Listener.Close()
-	}
-}
-
 // abort ends the wait for requests and the reading of those that have begun, gives open requests
 // time to write their responses, and resets all connections that are left when ctx ends or that time is over.
 func (s *Server) abort(ctx context.Context) {
@@ -158,12 +148,15 @@
 // limit. The caller holds mu.
 func (s *Server) readLimit(c *connection) time.Time {
 	past := time.Unix(1, 0)
+	isNew := c.state == waiting && !c.used
 	switch {
+	case s.stage >= aborting && isNew:
+		return c.acceptedAt.Add(lastConnectionMillis * time.Millisecond)
 	case s.stage >= aborting && c.state != handling:
 		return past
 	case s.stage < closingIdle || c.state != waiting:
 		return time.Time{}
-	case c.used:
+	case !isNew:
 		return past
 	default:
 		return c.acceptedAt.Add(newConnectionMillis * time.Millisecond)
--- a/internal/caller/httpserver/shutdown_test.go
+++ b/internal/caller/httpserver/shutdown_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 // recorder responds after a while with the request's body and records it.
@@ -71,7 +72,7 @@
 func startOn(t *testing.T, listener net.Listener, handler Handler) runningServer {
 	t.Helper()
 	s := &Server{
-		Listener: listener, Handler: handler, Log: slog.New(slog.DiscardHandler),
+		Listener: &transport.StoppingListener{Listener: listener}, Handler: handler, Log: slog.New(slog.DiscardHandler),
 		Limits: func() routetable.Limits { return routetable.Limits{} },
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -238,6 +239,7 @@
 func TestFinishServesEstablishedConnections(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
+	const closeMillis = 40 // the listener is closed by then
 	s := startStoppable(t, echo{})
 	conn := dial(t, s.address)
 	var group errgroup.Group
@@ -247,7 +249,7 @@
 		}
 		return nil
 	})
-	time.Sleep(2 * acceptMillis * time.Millisecond)
+	time.Sleep(closeMillis * time.Millisecond)
 	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
 	is.NoErr(err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/internal/caller/httpserver/stoprace_test.go
+++ b/internal/caller/httpserver/stoprace_test.go
@@ -99,7 +99,7 @@
 	for s.connectionCount() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	time.Sleep(20 * time.Millisecond) // the connection waits for its first request now
+	time.Sleep(2 * lastConnectionMillis * time.Millisecond) // the wait for its first request ends with the process
 	s.end()
 	if listener.readBytes.Load() < int64(len(text)) {
 		return // not read, which the reset shows to the caller
--- a/internal/caller/relay/hedge_rig_test.go
+++ b/internal/caller/relay/hedge_rig_test.go
@@ -30,6 +30,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storecache"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/keyedlog"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -143,7 +144,7 @@
 		g.t.Fatal(err)
 	}
 	g.address = listener.Addr().String()
-	server := &httpserver.Server{Listener: listener, Log: logger, Handler: g.relay, Limits: func() routetable.Limits { return routetable.Limits{} }}
+	server := &httpserver.Server{Listener: &transport.StoppingListener{Listener: listener}, Log: logger, Handler: g.relay, Limits: func() routetable.Limits { return routetable.Limits{} }}
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return watcher.Run(ctx) })
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -207,7 +207,12 @@
 	}
 	h.storeWatcher.OnEnded = handler.NoticeUnlisted
 	h.relay = handler
-	h.server = &httpserver.Server{Listener: callers, Log: h.Log, Limits: h.limits, Handler: handler}
+	h.server = &httpserver.Server{
+		Listener: &transport.StoppingListener{Listener: callers},
+		Log:      h.Log,
+		Limits:   h.limits,
+		Handler:  handler,
+	}
 }
 
 // newStore creates the client of the store, with the counter of its calls, and the cache through
--- a/internal/wire/transport/callerconnection.go
+++ b/internal/wire/transport/callerconnection.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// acceptMillis is the time for which a server that stops still accepts connections,
-	// so that those that are established get an answer.
-	acceptMillis = 20
 	// newConnectionMillis is the time for which a new connection may send its first
 	// request although the server stops.
 	newConnectionMillis = 1000
@@ -29,11 +26,7 @@
 // server of net/http drops a request that it reads after its own shutdown has begun,
 // so callerConnections ends connections that wait for a request without it.
 type callerConnections struct {
-	net.Listener
-
-	// established holds connections that were established before the listener was
-	// closed. Only Accept uses it.
-	established []net.Conn
+	StoppingListener
 
 	mu        sync.Mutex
 	open      map[*callerConnection]struct{}
@@ -41,27 +34,19 @@
 }
 
 func newCallerConnections(listener net.Listener) *callerConnections {
-	return &callerConnections{Listener: listener, open: make(map[*callerConnection]struct{}), accepting: true}
+	return &callerConnections{
+		StoppingListener: StoppingListener{Listener: listener},
+		open:             make(map[*callerConnection]struct{}),
+		accepting:        true,
+	}
 }
 
-// Accept waits for the next connection. Once the listener's deadline has passed, it
-// closes the listener and returns the connections that were established by then.
+// Accept waits for the next connection, as net/http expects it.
 func (c *callerConnections) Accept() (net.Conn, error) {
-	if len(c.established) == 0 {
-		conn, err := c.Listener.Accept()
-		if err == nil {
-			return &callerConnection{Conn: conn, acceptedAt: time.Now()}, nil
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.established = closeListener(c.Listener)
-			err = net.ErrClosed
-		}
-		if len(c.established) == 0 {
-			return nil, c.endAccept(err)
-		}
+	conn, err := c.StoppingListener.Accept()
+	if err != nil {
+		return nil, c.endAccept(err)
 	}
-	conn := c.established[0]
-	c.established = c.established[1:]
 	return &callerConnection{Conn: conn, acceptedAt: time.Now()}, nil
 }
 
@@ -100,7 +85,7 @@
 // finish stops accepting connections and ends those that wait for a request, until none
 // is left or the deadline passes. It makes the close of those that are left a reset.
 func (c *callerConnections) finish(deadline time.Time) {
-	c.stopAccepting()
+	c.StopAccepting()
 	ticker := time.NewTicker(finishPollMillis * time.Millisecond)
 	defer ticker.Stop()
 	for !c.endWaits() && time.Now().Before(deadline) {
@@ -113,16 +98,6 @@
 	}
 }
 
-// stopAccepting closes the listener, after the connections that are already established
-// were accepted.
-func (c *callerConnections) stopAccepting() {
-	type deadliner interface{ SetDeadline(time.Time) error }
-	listener, ok := c.Listener.(deadliner)
-	if !ok || listener.SetDeadline(time.Now().Add(acceptMillis*time.Millisecond)) != nil {
-		_ = c.Close()
-	}
-}
-
 // endWaits ends the wait of each connection for its next request, and reports whether no
 // connection is left.
 func (c *callerConnections) endWaits() bool {
