httpserver, transport: what a kept connection has received is read before it is closed, however late the process runs

Callers saw: nothing that was reported. A stop closed waiting connections after looks of 5 ms each; a process that gets no processor for so long lets the time limit of a look pass before it reads, and closed a connection whose request had been received. Change: both servers ask the socket for unread bytes directly before the close; no looks, no wait.

--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 // connection is the connection of one caller.
@@ -82,11 +83,10 @@
 	return true
 }
 
-// hasArrived reports whether a request has arrived although the time to wait for it is over. A process
-// that gets no processor for lookMillis reads nothing in one look, so there are several.
+// hasArrived reports whether a request has arrived although the time to wait for it is over.
 func (c *connection) hasArrived() bool {
-	for range looks {
-		if c.conn.SetReadDeadline(time.Now().Add(lookMillis*time.Millisecond)) != nil {
+	for transport.HasUnread(c.conn) {
+		if c.conn.SetReadDeadline(time.Time{}) != nil {
 			return false
 		}
 		_, err := c.reader.Peek(1)
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// lookMillis is the time of each of the looks at a connection before it is closed, as a request may
-	// have arrived.
-	lookMillis = 5
-	looks      = 3
 	// newConnectionMillis is the time for which a new connection may send its first request although
 	// waiting connections are closed.
 	newConnectionMillis = 1000
--- a/internal/caller/httpserver/stoprace_test.go
+++ b/internal/caller/httpserver/stoprace_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -45,7 +48,9 @@
 	net.Conn
 
 	beforeDeadline func(at time.Time)
-	readBytes      *atomic.Int64
+	// afterTimeout is called after each read that its deadline has ended, unless it is nil.
+	afterTimeout func()
+	readBytes    *atomic.Int64
 }
 
 func (h deadlineHook) SetReadDeadline(at time.Time) error {
@@ -53,9 +58,16 @@
 	return h.Conn.SetReadDeadline(at)
 }
 
+func (h deadlineHook) SyscallConn() (syscall.RawConn, error) {
+	return h.Conn.(syscall.Conn).SyscallConn()
+}
+
 func (h deadlineHook) Read(p []byte) (int, error) {
 	n, err := h.Conn.Read(p)
 	h.readBytes.Add(int64(n))
+	if h.afterTimeout != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		h.afterTimeout()
+	}
 	return n, err
 }
 
@@ -64,6 +76,7 @@
 	*net.TCPListener
 
 	beforeDeadline func(at time.Time)
+	afterTimeout   func()
 	readBytes      atomic.Int64
 }
 
@@ -72,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return deadlineHook{conn, l.beforeDeadline, &l.readBytes}, nil
+	return deadlineHook{conn, l.beforeDeadline, l.afterTimeout, &l.readBytes}, nil
 }
 
 // startHooked is like startStoppable and calls a function before each read deadline of a connection.
@@ -110,6 +123,47 @@
 	is.NoErr(response.Body.Close())
 }
 
+// TestCloseIdleReadsInAStarvedProcess guards against a kept connection that is closed although a request
+// has been received on it: a process that gets no processor lets each time limit pass before it reads.
+func TestCloseIdleReadsInAStarvedProcess(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const text, longMillis = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx", 100
+	var conn net.Conn
+	var stopping atomic.Bool
+	receive := sync.OnceFunc(func() { _, _ = io.WriteString(conn, text) })
+	listener := &hookListener{
+		TCPListener: listenLocally(t),
+		beforeDeadline: func(at time.Time) {
+			if left := time.Until(at); left < longMillis*time.Millisecond {
+				time.Sleep(left)
+			}
+		},
+		afterTimeout: func() {
+			if stopping.Load() {
+				receive()
+			}
+		},
+	}
+	s := startOn(t, listener, echo{})
+	conn = dial(t, s.address)
+	reader := bufio.NewReader(conn)
+	readResponse := func() {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+	_, err := io.WriteString(conn, text)
+	is.NoErr(err)
+	readResponse()
+	time.Sleep(20 * time.Millisecond) // the connection waits for its next request now
+	stopping.Store(true)
+	s.CloseIdle()
+	readResponse()
+}
+
 // TestEndAnswersRequestWhoseReadBegins guards against a request whose head or body begins to be read in
 // the moment in which the process ends: the time limit of that read must not replace the end of it, by
 // which the request gets its refusal.
--- a/internal/wire/transport/callerconnection.go
+++ b/internal/wire/transport/callerconnection.go
@@ -14,9 +14,6 @@
 	// newConnectionMillis is the time for which a new connection may send its first
 	// request although the server stops.
 	newConnectionMillis = 1000
-	// lookMillis is the time for which a connection that is closed in a stop is read once
-	// more, as a request may have arrived.
-	lookMillis = 5
 	// finishPollMillis is the period at which a server that stops looks for connections
 	// that wait for a request.
 	finishPollMillis = 5
@@ -123,12 +120,12 @@
 	closing bool
 }
 
-// Read reads from the connection. When the wait for a request was ended, it looks once
-// more whether one has arrived.
+// Read reads from the connection. When the wait for a request was ended, one that has
+// arrived is still read.
 func (c *callerConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
-		_ = c.SetReadDeadline(time.Now().Add(lookMillis * time.Millisecond))
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() && HasUnread(c.Conn) {
+		_ = c.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
--- a/internal/wire/transport/stoppinglistener.go
+++ b/internal/wire/transport/stoppinglistener.go
@@ -4,7 +4,6 @@
 	"math"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,24 +54,6 @@
 	}
 }
 
-// errNoSocket means that a listener has no socket.
-var errNoSocket = errors.New("listener without a socket")
-
-// withSocket calls use with the descriptor of a listener.
-func withSocket(listener net.Listener, use func(descriptor int) error) error {
-	socket, ok := listener.(syscall.Conn)
-	if !ok {
-		return errNoSocket
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "socket of listener")
-	}
-	var used error
-	err = raw.Control(func(fd uintptr) { used = use(int(fd)) })
-	return errors.CombineErrors(err, used)
-}
-
 // noInterface is the index of a network interface that does not exist.
 const noInterface = math.MaxInt32
 
