--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -75,7 +75,11 @@
 			return false
 		}
 		_, err := c.reader.Peek(1)
-		if err != nil && (!isTimeout(err) || !c.hasArrived()) {
+		if err != nil && !isTimeout(err) {
+			return false
+		}
+		if err != nil && !c.hasArrived() {
+			c.server.noteClosedWaiting()
 			return false
 		}
 	}
--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -66,6 +66,8 @@
 
 	// begun counts the requests whose first byte was read.
 	begun atomic.Int64
+	// closedWaiting counts the connections that a planned stop closed as no request had arrived.
+	closedWaiting atomic.Int64
 	// closeBy is the boottime.Instant set by CloseBy; zero for none.
 	closeBy atomic.Int64
 
@@ -145,6 +147,11 @@
 	return int(s.begun.Load())
 }
 
+// ClosedWaiting returns the number of connections that a planned stop closed as no request had arrived.
+func (s *Server) ClosedWaiting() int {
+	return int(s.closedWaiting.Load())
+}
+
 // limits returns the limits in force, with defaults for those that are not set.
 func (s *Server) limits() routetable.Limits {
 	l := s.Limits()
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -198,6 +198,13 @@
 	s.changed = make(chan struct{})
 }
 
+// noteClosedWaiting counts a connection that is closed as no request has arrived, if a stop closes it.
+func (s *Server) noteClosedWaiting() {
+	if s.reached(closingIdle) {
+		s.closedWaiting.Add(1)
+	}
+}
+
 // beginRequest counts a request whose first byte has been read.
 func (s *Server) beginRequest(c *connection) {
 	s.mu.Lock()
--- a/internal/caller/httpserver/stoprace_test.go
+++ b/internal/caller/httpserver/stoprace_test.go
@@ -35,6 +35,7 @@
 	defer stop()
 	is.Equal(s.Finish(ctx), 0)
 	is.NoErr(ctx.Err()) // all connections have ended before
+	is.Equal(s.ClosedWaiting(), 1)
 }
 
 func (s runningServer) connectionCount() int {
@@ -162,6 +163,7 @@
 	stopping.Store(true)
 	s.CloseIdle()
 	readResponse()
+	is.Equal(s.ClosedWaiting(), 0)
 }
 
 // TestEndAnswersRequestWhoseReadBegins guards against a request whose head or body begins to be read in
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -138,7 +138,8 @@
 	})
 	err = group.Wait()
 	h.storeCalls.LogTotals(h.Log)
-	h.Log.Info("stopped", "Name", h.Settings.Name, "CutAnswers", h.metrics.Snapshot().CutAnswers)
+	h.Log.Info("stopped", "Name", h.Settings.Name, "CutAnswers", h.metrics.Snapshot().CutAnswers,
+		"ClosedWaiting", h.server.ClosedWaiting(), "AcceptedLast", h.server.Listener.AcceptedLast())
 	return err
 }
 
--- a/internal/wire/transport/stoppinglistener.go
+++ b/internal/wire/transport/stoppinglistener.go
@@ -4,6 +4,7 @@
 	"math"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,14 @@
 	// established holds connections that were established before the listener was closed. Only Accept
 	// uses it.
 	established []net.Conn
+	// acceptedLast is the number of connections that were ever in established.
+	acceptedLast atomic.Int64
+}
+
+// AcceptedLast returns the number of connections that were established and not accepted when the listener
+// was closed. Accept has returned them or will.
+func (l *StoppingListener) AcceptedLast() int {
+	return int(l.acceptedLast.Load())
 }
 
 // Accept waits for the next connection. After StopAccepting it returns the connections that are
@@ -33,6 +42,7 @@
 			return conn, err
 		}
 		l.established = closeListener(l.Listener)
+		l.acceptedLast.Store(int64(len(l.established)))
 	}
 	if len(l.established) == 0 {
 		return nil, net.ErrClosed
