httpserver: a stop that ends late still answers open requests

Callers saw: in a planned stop, a call that may run once ends with a reset connection and no answer, if the entry host stood still (a) for the end of its grace period, or (b) until shortly before the signal.

Cause: open requests get the time until closeBy for their answers. A process that stood still handles the end after closeBy (a), or counts the signal from the beginning of the standstill, so that closeBy lies in the past at once (b). The time was then negative, and all connections were reset before the handlers could answer, even with the whole real grace period left.

Change: open requests have at least 50 ms. If the platform kills the process meanwhile, they lose nothing that the reset did not take.

Not changed: in (b) open requests are ended (502) at once, although nothing may have come before the end of the standstill.

--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -19,8 +19,10 @@
 	newConnectionMillis = 1000
 	// lastConnectionMillis is that time once Run ends.
 	lastConnectionMillis = 50
-	// lastResponseMillis is the time that requests have at most to write their responses when Run ends.
-	lastResponseMillis = 200
+	// lastResponseMillis is the time that requests have at most to write their responses when Run ends,
+	// and leastResponseMillis the time that they have if Run ends late, as the process stood still.
+	lastResponseMillis  = 200
+	leastResponseMillis = 50
 )
 
 // ErrStopped is the cancellation cause of an exchange's context when Run ends.
@@ -56,7 +58,8 @@
 	s.limitReads(waiting)
 }
 
-// CloseBy sets the time by which all connections are closed once Run ends.
+// CloseBy sets the time by which all connections are closed once Run ends. If Run ends shortly before
+// that time or after it, open requests still get a short time to write their responses.
 func (s *Server) CloseBy(at boottime.Instant) {
 	s.closeBy.Store(int64(at))
 }
@@ -88,7 +91,7 @@
 	if at := boottime.Instant(s.closeBy.Load()); at != 0 {
 		left = min(left, time.Duration(at-boottime.Now()))
 	}
-	return left
+	return max(left, leastResponseMillis*time.Millisecond)
 }
 
 // awaitEnd waits until no connection is left and none is accepted, or until ctx ends. It returns the
