httpserver: 100 Continue does not use the write deadline of the last response

Callers saw: on a kept connection, a request with Expect: 100-continue that comes over 8 s after the last response gets its connection closed without an answer.

Cause: the informational response was written with the write deadline of the response before it, which was over. The buffered writer keeps that error, so that the refusal could not be written either.

Change: it has a write deadline of its own.

Measured: TestKeptConnectionContinuesLateRequest failed before ("unexpected EOF", 1 of 1) and passes.

--- a/internal/caller/httpserver/read.go
+++ b/internal/caller/httpserver/read.go
@@ -104,6 +104,10 @@
 	if request.Header.Get("Expect") == "" {
 		return nil
 	}
+	// The deadline of the last response may be over.
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeoutMillis * time.Millisecond)); err != nil {
+		return err
+	}
 	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return err
 	}
