lifecycle: a reload that hangs does not hold the process in its stop

Operators saw: after a hang-up signal whose read of the settings file hangs, a planned stop never ends, and the platform has to kill the process. Requests are answered before.

Cause: the part that runs the reloads waited for the one in progress, also after its context had ended, and the process waits for all parts.

Change: it does not wait for a reload that lasts longer than its context.

Measured: TestPlannedStopEndsDuringReload (real program, grace period 1 s).

--- a/internal/role/lifecycle/reload.go
+++ b/internal/role/lifecycle/reload.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Reload receives the hang-up signals of a process. It is created at the start of the
@@ -27,14 +29,26 @@
 }
 
 // Run calls reload for each caught signal until ctx ends, including signals that were
-// caught before the call. Signals that arrive in quick succession may be combined.
+// caught before the call. Signals that arrive in quick succession may be combined. Run does
+// not wait for a call that lasts longer than ctx, as the read of a file may hang.
 func (r *Reload) Run(ctx context.Context, reload func()) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-r.signals:
+		}
+		reloaded := make(chan struct{})
+		var group errgroup.Group
+		group.Go(func() error {
+			defer close(reloaded)
 			reload()
+			return nil
+		})
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-reloaded:
 		}
 	}
 }
--- a/internal/trial/endtoend/platform_stopsettings_test.go
+++ b/internal/trial/endtoend/platform_stopsettings_test.go
@@ -30,3 +30,22 @@
 	is.Equal(s.entry.exitCode(), 0)
 	is.True(s.entry.loggedAt("stopped").Sub(begun) < graceMillis*time.Millisecond)
 }
+
+// TestPlannedStopEndsDuringReload guards against a process that outlives its grace period because a
+// hang-up signal before the stop made it read the settings file, and that read hangs.
+func TestPlannedStopEndsDuringReload(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const graceMillis, readMillis = 1000, 200
+	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = graceMillis / 1000 })
+	path := filepath.Join(s.directory, "entry.json")
+	is.NoErr(os.Remove(path))
+	const readWrite = 0o600
+	is.NoErr(syscall.Mkfifo(path, readWrite)) // a read of it hangs, as it has no writer
+	s.entry.signal(syscall.SIGHUP)
+	time.Sleep(readMillis * time.Millisecond)
+	begun := time.Now()
+	s.entry.terminate()
+	is.Equal(s.entry.exitCode(), 0)
+	is.True(s.entry.loggedAt("stopped").Sub(begun) < graceMillis*time.Millisecond)
+}
