directbackend: a silent connection to the metrics port does not hold the process

Operators saw: the process beside an engine ends 1 s after its signal although it has nothing to do, and may outlive its grace period and be killed, while a connection to its metrics port has sent nothing.

Cause: its server of metrics waits up to 2 s for open requests, and 1 s for the first request of a new connection.

Change: that server has 50 ms, as at the entry host.

--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -28,6 +28,9 @@
 	// period.
 	reserveMillis = 500
 	reserveShare  = 0.25
+	// metricsShutdownMillis is the time for answering open queries of metrics when the process ends. It
+	// must end within its grace period.
+	metricsShutdownMillis = 50
 )
 
 // Host is the process beside one engine. Its fields must be set before Run.
@@ -74,7 +77,7 @@
 	group.Go(func() error { return server.Run(ctx) })
 	group.Go(func() error { return registry.Run(ctx) })
 	group.Go(func() error {
-		return transport.HTTPServer{Listener: metricsListener, Handler: registry.Handler()}.Run(ctx)
+		return transport.HTTPServer{Listener: metricsListener, Handler: registry.Handler(), ShutdownMillis: metricsShutdownMillis}.Run(ctx)
 	})
 	group.Go(func() error { return life.Reload.Run(ctx, h.reload) })
 	group.Go(func() error {
