directbackend, monitor: a stop keeps to the grace period in the settings file

Callers saw: the process beside an engine plans its stop with the grace period that it read at its start. If the settings file has shortened it since, the platform kills the process while it still moves runs, before it has told the entry hosts which runs are stopped, moved or left to them.

Monitor.Stop takes a function, as the end of the stop may come nearer meanwhile.

--- a/internal/backend/monitor/stop.go
+++ b/internal/backend/monitor/stop.go
@@ -24,8 +24,8 @@
 
 // plannedStop is the state of a planned stop of the process. The zero value is ready to use.
 type plannedStop struct {
-	// endsAt is the time by which migrations must have ended; zero while no stop is planned.
-	endsAt boottime.Instant
+	// endsAt returns the time by which migrations must have ended; nil while no stop is planned.
+	endsAt func() boottime.Instant
 	// queriedAt is the time at which the newest query of the engine that has ended was sent.
 	queriedAt boottime.Instant
 	// usedAt is the time of the newest report of a leaving engine with runs, or with requests that are
@@ -42,24 +42,25 @@
 }
 
 // Stop completes what the process has begun: it migrates the runs of an engine that is about to shut
-// down, until endsAt, and then delivers the last messages to the entry hosts. It returns at once if
-// there is nothing to do. Run must go on meanwhile.
-func (m *Monitor) Stop(ctx context.Context, endsAt boottime.Instant) {
+// down, until endsAt, which may change meanwhile, and then delivers the last messages to the entry hosts.
+// It returns at once if there is nothing to do. Run must go on meanwhile.
+func (m *Monitor) Stop(ctx context.Context, endsAt func() boottime.Instant) {
 	signalledAt := boottime.Now()
 	m.setEnd(endsAt)
 	m.await(ctx, endsAt, func() bool { return m.idle(signalledAt) })
 	m.cancelMigrations()
-	deliverBy := boottime.Now().AddMillis(deliveryMillis)
+	deliveredAt := boottime.Now().AddMillis(deliveryMillis)
+	deliverBy := func() boottime.Instant { return deliveredAt }
 	m.await(ctx, deliverBy, func() bool { return !m.migrating() })
 	m.closeWatchers()
 	m.await(ctx, deliverBy, func() bool { return m.countStreams() == 0 })
 	m.Log.Info("migrations ended for the stop", "Millis", boottime.Now().MillisSince(signalledAt),
-		"LeftMillis", endsAt.MillisSince(boottime.Now()), "OpenStreams", m.countStreams())
+		"LeftMillis", endsAt().MillisSince(boottime.Now()), "OpenStreams", m.countStreams())
 }
 
 // await waits until a condition holds, until the given time, or until ctx ends.
-func (m *Monitor) await(ctx context.Context, until boottime.Instant, holds func() bool) {
-	for ctx.Err() == nil && !holds() && boottime.Now().Before(until) {
+func (m *Monitor) await(ctx context.Context, until func() boottime.Instant, holds func() bool) {
+	for ctx.Err() == nil && !holds() && boottime.Now().Before(until()) {
 		boottime.Pause(ctx, stopCheckMillis)
 	}
 }
@@ -89,7 +90,7 @@
 	}
 }
 
-func (m *Monitor) setEnd(endsAt boottime.Instant) {
+func (m *Monitor) setEnd(endsAt func() boottime.Instant) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stop.endsAt = endsAt
@@ -137,7 +138,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	endsAt := m.stop.endsAt
-	return endsAt == 0 || boottime.Now().AddMillis(step.CopyMillis()+lastCopyMillis).Before(endsAt)
+	return endsAt == nil || boottime.Now().AddMillis(step.CopyMillis()+lastCopyMillis).Before(endsAt())
 }
 
 // closeWatchers removes all watchers, whose streams end after their last messages.
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
@@ -100,7 +101,27 @@
 	if ctx.Err() != nil || h.Settings.GraceSeconds == 0 {
 		return
 	}
-	engineMonitor.Stop(ctx, migrationsEnd(life.SignalledAt(), h.Settings.GraceSeconds))
+	signalledAt := life.SignalledAt()
+	var endsAt atomic.Int64
+	endsAt.Store(int64(migrationsEnd(signalledAt, h.Settings.GraceSeconds)))
+	// The stop does not wait for the settings file, whose read may hang.
+	var reread errgroup.Group
+	reread.Go(func() error {
+		endsAt.Store(int64(migrationsEnd(signalledAt, h.graceSeconds())))
+		return nil
+	})
+	engineMonitor.Stop(ctx, func() boottime.Instant { return boottime.Instant(endsAt.Load()) })
+}
+
+// graceSeconds returns the grace period in the settings file, which may have changed since it was read.
+// If the file is invalid now, it returns the one that was read before.
+func (h *Host) graceSeconds() float64 {
+	settings, err := process.LoadDirectBackend(h.SettingsPath)
+	if err != nil {
+		h.Log.Error("failed to reload settings", "Path", h.SettingsPath, "Error", err)
+		return h.Settings.GraceSeconds
+	}
+	return settings.GraceSeconds
 }
 
 // migrationsEnd returns the time by which the migrations of a process must have ended that is
