lifecycle, directbackend: the reserve of a grace period is computed in one place

Cause: the process beside an engine and the entry host of the direct path each compute when the reserve at the end of their grace period begins, with the same formula and other constants. Change: lifecycle.Reserve holds length and share and returns the time; the process beside an engine uses it.

--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	millisPerSecond = 1000
 	// reserveMillis is the time before the end of the grace period at which migrations are cancelled,
 	// so that their messages still reach the entry hosts. It is at most reserveShare of the grace
 	// period.
@@ -97,14 +96,8 @@
 	if ctx.Err() != nil || h.Settings.GraceSeconds == 0 {
 		return
 	}
-	engineMonitor.Stop(ctx, migrationsEnd(life.SignalledAt(), h.Settings.GraceSeconds))
-}
-
-// migrationsEnd returns the time by which the migrations of a process must have ended that is
-// signalled to stop at the given time.
-func migrationsEnd(signalledAt boottime.Instant, graceSeconds float64) boottime.Instant {
-	graceMillis := graceSeconds * millisPerSecond
-	return signalledAt.AddMillis(int64(graceMillis - min(reserveMillis, reserveShare*graceMillis)))
+	reserve := lifecycle.Reserve{Millis: reserveMillis, Share: reserveShare}
+	engineMonitor.Stop(ctx, reserve.BeginsAt(life.SignalledAt(), h.Settings.GraceSeconds))
 }
 
 // reload reads and validates the settings file again. Changed settings take effect
