--- a/internal/backend/replay/command.go
+++ b/internal/backend/replay/command.go
@@ -16,13 +16,8 @@
 func (b *Buffer) Start(id string, forgetAt time.Time) (Entry, bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	b.evict(now)
-	if r, ok := b.records[id]; ok {
-		return r.entry(), true, nil
-	}
-	if err := b.admit(id, forgetAt, now); err != nil {
-		return Entry{}, false, err
+	if entry, held, err := b.findOrAdmit(id, forgetAt); held || err != nil {
+		return entry, held, err
 	}
 	b.sequence++
 	r := &record{
@@ -40,13 +35,8 @@
 func (b *Buffer) Refuse(id string, code uint32, reason string, forgetAt time.Time) (Entry, bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	b.evict(now)
-	if r, ok := b.records[id]; ok {
-		return r.entry(), true, nil
-	}
-	if err := b.admit(id, forgetAt, now); err != nil {
-		return Entry{}, false, err
+	if entry, held, err := b.findOrAdmit(id, forgetAt); held || err != nil {
+		return entry, held, err
 	}
 	r := &record{
 		id:       id,
@@ -59,6 +49,17 @@
 	return r.entry(), false, nil
 }
 
+// findOrAdmit returns the entry of an ID and true if the buffer holds it. Otherwise it makes room for
+// a new record, or returns an error if none can be added. The caller holds mu.
+func (b *Buffer) findOrAdmit(id string, forgetAt time.Time) (Entry, bool, error) {
+	now := time.Now()
+	b.evict(now)
+	if r, ok := b.records[id]; ok {
+		return r.entry(), true, nil
+	}
+	return Entry{}, false, b.admit(id, forgetAt, now)
+}
+
 // Append adds tokens to an open request. Tokens that the buffer holds already are
 // compared with the stored ones and skipped.
 func (b *Buffer) Append(id string, position uint64, texts []string) error {
