dispatch: the results of a target that is not reached or silent stand once

Cause: calls, relayed generations and the probe of an incarnation each build the same two results, with the delay of the retry as a bare second. Change: notReached and silent build them; unreachableRetryMillis names the delay. Codes, texts and delays are the same.

--- a/internal/routing/dispatch/call.go
+++ b/internal/routing/dispatch/call.go
@@ -99,12 +99,10 @@
 		timeout.observe(err, now)
 		j.Picker.Unreachable(j.target, now)
 		if !sent && j.permit == nil {
-			return Reply{}, resultcode.New(resultcode.NoBackend, "%s was not reached: %v", j.target.Backend, err).
-				WithRetryAt(now.Add(time.Second))
+			return Reply{}, j.notReached(err, now)
 		}
 		if j.request.Repeatable || timeout.expired(now) {
-			return Reply{}, resultcode.New(resultcode.OwnerSilent, "%s does not answer: %v", j.target.Backend, err).
-				WithRetryAt(now.Add(time.Second))
+			return Reply{}, j.silent(err, now)
 		}
 		waitUntil(ctx, now.Add(reconnectPauseMillis*time.Millisecond))
 	}
--- a/internal/routing/dispatch/claim.go
+++ b/internal/routing/dispatch/claim.go
@@ -111,8 +111,7 @@
 	now := time.Now()
 	if err != nil {
 		j.Picker.Unreachable(j.target, now)
-		return resultcode.New(resultcode.NoBackend, "%s was not reached: %v", j.target.Backend, err).
-			WithRetryAt(now.Add(time.Second))
+		return j.notReached(err, now)
 	}
 	j.Picker.Observe(load, sentAt, now)
 	j.target.Incarnation = load.GetIncarnation()
--- a/internal/routing/dispatch/outcome.go
+++ b/internal/routing/dispatch/outcome.go
@@ -6,9 +6,14 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 )
 
-// leavingRetryMillis is the delay after which a request that an ending process refuses
-// is retried elsewhere.
-const leavingRetryMillis = 1000
+const (
+	// leavingRetryMillis is the delay after which a request that an ending process refuses
+	// is retried elsewhere.
+	leavingRetryMillis = 1000
+	// unreachableRetryMillis is the delay after which a request is retried whose target is not
+	// reached or does not answer.
+	unreachableRetryMillis = 1000
+)
 
 // notePossibleRun keeps the result of the last attempt that may have run. A
 // request whose key is bound needs none, since it is retried only after a
@@ -35,6 +40,18 @@
 	return resultcode.New(resultcode.OwnerSilent, "the path to %s broke: %v", j.target.Backend, cause)
 }
 
+// notReached returns the result of a request whose target could not be connected to.
+func (j *job) notReached(cause error, now time.Time) *resultcode.Result {
+	return resultcode.New(resultcode.NoBackend, "%s was not reached: %v", j.target.Backend, cause).
+		WithRetryAt(now.Add(unreachableRetryMillis * time.Millisecond))
+}
+
+// silent returns the result of a request that its target may have received and does not answer.
+func (j *job) silent(cause error, now time.Time) *resultcode.Result {
+	return resultcode.New(resultcode.OwnerSilent, "%s does not answer: %v", j.target.Backend, cause).
+		WithRetryAt(now.Add(unreachableRetryMillis * time.Millisecond))
+}
+
 // stopped returns the result of a request that the end of this process cuts. sent
 // reports whether an owner may have received it. A request whose key is bound may also
 // have been sent by another entry host, so it is not reported as not run.
--- a/internal/routing/dispatch/relay.go
+++ b/internal/routing/dispatch/relay.go
@@ -59,8 +59,7 @@
 	now := time.Now()
 	j.Picker.Unreachable(j.target, now)
 	if !sent && j.permit == nil {
-		return resultcode.New(resultcode.NoBackend, "%s was not reached: %v", j.target.Backend, cause).
-			WithRetryAt(now.Add(time.Second))
+		return j.notReached(cause, now)
 	}
 	// If another generation can replace this one, an owner that can't be dialled is
 	// not waited for.
@@ -74,8 +73,7 @@
 	if j.delivery.Next() > 0 {
 		return resultcode.New(resultcode.GenerationLost, "%s does not answer: %v", j.target.Backend, cause)
 	}
-	return resultcode.New(resultcode.OwnerSilent, "%s does not answer: %v", j.target.Backend, cause).
-		WithRetryAt(now.Add(time.Second))
+	return j.silent(cause, now)
 }
 
 // withDeadline returns a context that ends at the caller's deadline.
