monitor: fields are named after what they hold, and the stop's time after its begin

Cause: Monitor has a field stop (the planned stop of the process) beside a field stops (orders that the engine stop runs). Stop calls the time of its own call signalledAt, which is not that of the signal if the process stood still before it handled it. Change: the fields are plannedStop and stopOrders, like their types; the time is begunAt. The comments on openStreams, queriedAt and usedAt say from when and until when they hold; the mutex says what it guards.

--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -203,7 +203,7 @@
 	}
 	m.migrations[move.GetRequestId()] = move
 	if move.GetStopped() {
-		m.stops.answer(move.GetRequestId())
+		m.stopOrders.answer(move.GetRequestId())
 	}
 	m.mu.Unlock()
 	m.publish(&sighting.Sighting{Move: move})
@@ -250,7 +250,7 @@
 		if move.GetStopped() {
 			continue
 		}
-		move.Stopped = m.stops.ordered[run.RequestID]
+		move.Stopped = m.stopOrders.ordered[run.RequestID]
 		obstacle, ok := m.obstacles[run.RequestID]
 		if !ok {
 			obstacle = migration.NoTime
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -56,10 +56,11 @@
 
 	sighting.DRPCLookoutUnimplementedServer
 
+	// mu guards the fields below.
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
-	// openStreams is the number of streams of entry hosts, with those whose watcher was removed
-	// already.
+	// openStreams is the number of streams of entry hosts. A stream whose watcher was removed counts until
+	// it ends, so the number is never less than that of watchers.
 	openStreams int
 	// latest is the newest report of the engine.
 	latest platform.EngineReport
@@ -70,17 +71,17 @@
 	// leavesAt is the time at which the engine will shut down; zero while no
 	// shutdown is announced.
 	leavesAt boottime.Instant
-	// stop is the state of a planned stop of this process.
-	stop   plannedStop
-	advice advice
+	// plannedStop is the state of a planned stop of this process.
+	plannedStop plannedStop
+	advice      advice
 	// migrations holds the latest message about each run that was copied since the
 	// shutdown notice, by request ID.
 	migrations map[string]*sighting.Move
 	// obstacles holds the newest reason other than a lack of time why a run could not
 	// be migrated since the shutdown notice, by request ID.
 	obstacles map[string]migration.Obstacle
-	// stops holds the orders to stop runs since the engine started.
-	stops stopOrders
+	// stopOrders holds the orders to stop runs since the engine started.
+	stopOrders stopOrders
 	// placed is the number of requests that entry hosts have placed since the
 	// latest report.
 	placed    int
@@ -224,9 +225,9 @@
 	m.observeSpeed(report, now)
 	if restarted {
 		m.engineID = ""
-		m.stops = stopOrders{}
+		m.stopOrders = stopOrders{}
 	}
-	m.stops.observe(report)
+	m.stopOrders.observe(report)
 	if restarted || !report.Leaving {
 		m.leavesAt = 0
 	}
--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -135,7 +135,7 @@
 	w := &watcher{outbox: make(chan *sighting.Sighting, outboxLength)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stop.closed {
+	if m.plannedStop.closed {
 		return nil, false
 	}
 	m.openStreams++
--- a/internal/backend/monitor/stop.go
+++ b/internal/backend/monitor/stop.go
@@ -26,16 +26,17 @@
 type plannedStop struct {
 	// endsAt is the time by which migrations must have ended; zero while no stop is planned.
 	endsAt boottime.Instant
-	// queriedAt is the time at which the newest query of the engine that has ended was sent.
+	// queriedAt is the time at which the last query of the engine that has ended was sent; zero before
+	// the first.
 	queriedAt boottime.Instant
-	// usedAt is the time of the newest report of a leaving engine with runs, or with requests that are
-	// expected to run.
+	// usedAt is the end of the last query after which, by its newest report or the forecasts, the engine
+	// had runs or was to have some; zero if none.
 	usedAt boottime.Instant
 	// shutdowns is the number of shutdowns of the engine whose migrations have begun and not ended.
 	shutdowns int
 	// copies is the number of runs whose migration has begun and not ended.
 	copies int
-	// cancel cancels all migrations; nil before Run.
+	// cancel cancels all migrations, when their time is over; nil before Run.
 	cancel context.CancelFunc
 	// closed says that all watchers were removed and that no further one is added.
 	closed bool
@@ -45,15 +46,15 @@
 // down, until endsAt, and then delivers the last messages to the entry hosts. It returns at once if
 // there is nothing to do. Run must go on meanwhile.
 func (m *Monitor) Stop(ctx context.Context, endsAt boottime.Instant) {
-	signalledAt := boottime.Now()
+	begunAt := boottime.Now()
 	m.setEnd(endsAt)
-	m.await(ctx, endsAt, func() bool { return m.idle(signalledAt) })
+	m.await(ctx, endsAt, func() bool { return m.idle(begunAt) })
 	m.cancelMigrations()
 	deliverBy := boottime.Now().AddMillis(deliveryMillis)
 	m.await(ctx, deliverBy, func() bool { return !m.migrating() })
 	m.closeWatchers()
 	m.await(ctx, deliverBy, func() bool { return m.countStreams() == 0 })
-	m.Log.Info("migrations ended for the stop", "Millis", boottime.Now().MillisSince(signalledAt),
+	m.Log.Info("migrations ended for the stop", "Millis", boottime.Now().MillisSince(begunAt),
 		"LeftMillis", endsAt.MillisSince(boottime.Now()), "OpenStreams", m.countStreams())
 }
 
@@ -65,34 +66,35 @@
 }
 
 // idle reports whether no run is being migrated, and none may have to be: by a report that was asked
-// for after the signal, the engine is not about to shut down, or it has no runs.
-func (m *Monitor) idle(signalledAt boottime.Instant) bool {
+// for after the stop began, the engine is not about to shut down, or it has no runs.
+func (m *Monitor) idle(begunAt boottime.Instant) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case m.stop.queriedAt.Before(signalledAt):
+	case m.plannedStop.queriedAt.Before(begunAt):
 		return false
-	case m.stop.shutdowns == 0:
+	case m.plannedStop.shutdowns == 0:
 		return true
 	default:
-		return m.stop.copies == 0 && m.stop.usedAt.AddMillis(lastAskMillis).Before(boottime.Now())
+		return m.plannedStop.copies == 0 && m.plannedStop.usedAt.AddMillis(lastAskMillis).Before(boottime.Now())
 	}
 }
 
-// noteQuery records that a query of the engine has ended.
+// noteQuery records that a query of the engine, which was sent at the given time, has ended, and whether
+// the engine has runs.
 func (m *Monitor) noteQuery(sentAt boottime.Instant) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stop.queriedAt = sentAt
+	m.plannedStop.queriedAt = sentAt
 	if m.latest.Running > 0 || m.latest.Queued > 0 || len(m.latest.Runs) > 0 || len(m.forecasts.all) > 0 {
-		m.stop.usedAt = boottime.Now()
+		m.plannedStop.usedAt = boottime.Now()
 	}
 }
 
 func (m *Monitor) setEnd(endsAt boottime.Instant) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stop.endsAt = endsAt
+	m.plannedStop.endsAt = endsAt
 }
 
 // migrationContext returns the context of all migrations, which a planned stop cancels.
@@ -100,7 +102,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stop.cancel = cancel
+	m.plannedStop.cancel = cancel
 	return ctx, cancel
 }
 
@@ -108,35 +110,35 @@
 func (m *Monitor) addShutdown(change int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stop.shutdowns += change
+	m.plannedStop.shutdowns += change
 }
 
 // addCopy counts a run whose migration begins, or with -1 ends.
 func (m *Monitor) addCopy(change int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stop.copies += change
+	m.plannedStop.copies += change
 }
 
 func (m *Monitor) cancelMigrations() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stop.cancel != nil {
-		m.stop.cancel()
+	if m.plannedStop.cancel != nil {
+		m.plannedStop.cancel()
 	}
 }
 
 func (m *Monitor) migrating() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stop.shutdowns > 0
+	return m.plannedStop.shutdowns > 0
 }
 
 // completesBeforeStop reports whether a migration that begins now ends before a planned stop does.
 func (m *Monitor) completesBeforeStop(step migration.Step) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	endsAt := m.stop.endsAt
+	endsAt := m.plannedStop.endsAt
 	return endsAt == 0 || boottime.Now().AddMillis(step.CopyMillis()+lastCopyMillis).Before(endsAt)
 }
 
@@ -144,7 +146,7 @@
 func (m *Monitor) closeWatchers() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stop.closed = true
+	m.plannedStop.closed = true
 	for w := range m.watchers {
 		delete(m.watchers, w)
 		close(w.outbox)
--- a/internal/backend/monitor/stoporders.go
+++ b/internal/backend/monitor/stoporders.go
@@ -52,14 +52,14 @@
 func (m *Monitor) orderStop(requestID string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stops.add(requestID)
+	return m.stopOrders.add(requestID)
 }
 
 // noteNotStopped reports to the entry hosts that a run ended before it could be stopped. One of
 // them may have asked meanwhile.
 func (m *Monitor) noteNotStopped(requestID string) {
 	m.mu.Lock()
-	m.stops.withdraw(requestID)
+	m.stopOrders.withdraw(requestID)
 	move := m.finalMove(requestID)
 	m.mu.Unlock()
 	m.publish(&sighting.Sighting{Move: move})
@@ -70,7 +70,7 @@
 // an order is open, the reply is the message about that outcome.
 func (m *Monitor) answerEnded(w *watcher, requestID string) {
 	m.mu.Lock()
-	ordered, complete := m.stops.ordered[requestID], m.stops.complete
+	ordered, complete := m.stopOrders.ordered[requestID], m.stopOrders.complete
 	move := m.finalMove(requestID)
 	m.mu.Unlock()
 	m.Log.Info("asked whether a run was stopped", "Request", requestID, "Stopped", move.GetStopped(),
@@ -88,7 +88,7 @@
 	defer m.mu.Unlock()
 	var all []*sighting.Move
 	reported := runningIDs(m.latest)
-	for id := range m.stops.unanswered {
+	for id := range m.stopOrders.unanswered {
 		if reported[id] {
 			continue
 		}
