transport, httpapi: the read of a connection is ended in one place, with names that say so

Cause: two packages set a read deadline of time.Unix(1, 0) without a word on what it does. httpapi calls the function that takes the watch back endRead, which is what the watch does. callerConnections and callerConnection differ by one letter, and the first is a listener.

--- a/internal/caller/httpapi/body.go
+++ b/internal/caller/httpapi/body.go
@@ -24,9 +24,9 @@
 	if err := controller.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, resultcode.New(resultcode.InvalidRequest, "the body can't be read: %v", err)
 	}
-	endRead := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	release := context.AfterFunc(r.Context(), func() { _ = transport.EndRead(controller) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(a.MaxBodyBytes)))
-	endRead()
+	release()
 	if transport.Stopped(r.Context()) {
 		return nil, leavingRefusal(time.Now())
 	}
--- a/internal/wire/transport/callerconnection.go
+++ b/internal/wire/transport/callerconnection.go
@@ -22,19 +22,23 @@
 	finishPollMillis = 5
 )
 
-// callerConnections is the listener of a server, and holds its open connections. The
+// callerListener is the listener of a server, and holds its open connections. The
 // server of net/http drops a request that it reads after its own shutdown has begun,
-// so callerConnections ends connections that wait for a request without it.
-type callerConnections struct {
+// so callerListener ends connections that wait for a request without it.
+type callerListener struct {
 	StoppingListener
 
-	mu        sync.Mutex
-	open      map[*callerConnection]struct{}
+	// mu guards the fields below. It may be held when that of a connection is locked, never
+	// the other way round.
+	mu sync.Mutex
+	// open holds the connections that the server of net/http has begun to serve and not closed.
+	open map[*callerConnection]struct{}
+	// accepting says that Accept may still return a connection.
 	accepting bool
 }
 
-func newCallerConnections(listener net.Listener) *callerConnections {
-	return &callerConnections{
+func newCallerListener(listener net.Listener) *callerListener {
+	return &callerListener{
 		StoppingListener: StoppingListener{Listener: listener},
 		open:             make(map[*callerConnection]struct{}),
 		accepting:        true,
@@ -42,71 +46,71 @@
 }
 
 // Accept waits for the next connection, as net/http expects it.
-func (c *callerConnections) Accept() (net.Conn, error) {
-	conn, err := c.StoppingListener.Accept()
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.StoppingListener.Accept()
 	if err != nil {
-		return nil, c.endAccept(err)
+		return nil, l.endAccept(err)
 	}
 	return &callerConnection{Conn: conn, acceptedAt: time.Now()}, nil
 }
 
 // endAccept records that the listener is closed if err says so. It returns err as
 // net/http expects it.
-func (c *callerConnections) endAccept(err error) error {
+func (l *callerListener) endAccept(err error) error {
 	if !errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.accepting = false
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting = false
 	return http.ErrServerClosed
 }
 
 // observe records a change of a connection's state.
-func (c *callerConnections) observe(conn net.Conn, state http.ConnState) {
+func (l *callerListener) observe(conn net.Conn, state http.ConnState) {
 	own, ok := conn.(*callerConnection)
 	if !ok {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		c.open[own] = struct{}{}
+		l.open[own] = struct{}{}
 		own.beginWait()
 	case http.StateIdle:
 		own.beginWait()
 	case http.StateClosed, http.StateHijacked:
-		delete(c.open, own)
+		delete(l.open, own)
 	default:
 	}
 }
 
 // finish stops accepting connections and ends those that wait for a request, until none
 // is left or the deadline passes. It makes the close of those that are left a reset.
-func (c *callerConnections) finish(deadline time.Time) {
-	c.StopAccepting()
+func (l *callerListener) finish(deadline time.Time) {
+	l.StopAccepting()
 	ticker := time.NewTicker(finishPollMillis * time.Millisecond)
 	defer ticker.Stop()
-	for !c.endWaits() && time.Now().Before(deadline) {
+	for !l.endWaits() && time.Now().Before(deadline) {
 		<-ticker.C
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.open {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
 		conn.resetOnClose()
 	}
 }
 
 // endWaits ends the wait of each connection for its next request, and reports whether no
 // connection is left.
-func (c *callerConnections) endWaits() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.open {
+func (l *callerListener) endWaits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
 		conn.endWait()
 	}
-	return !c.accepting && len(c.open) == 0
+	return !l.accepting && len(l.open) == 0
 }
 
 // callerConnection is the connection of one caller.
@@ -114,12 +118,13 @@
 	net.Conn
 	acceptedAt time.Time
 
+	// mu guards the fields below.
 	mu sync.Mutex
 	// waiting says that no byte of the next request was read.
 	waiting bool
 	// used says that a request has begun on the connection.
 	used bool
-	// closing says that the wait for the next request was ended.
+	// closing says that the wait for the next request was ended; only while waiting is set.
 	closing bool
 }
 
@@ -169,7 +174,7 @@
 		return
 	}
 	c.closing = true
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = EndRead(c)
 }
 
 // resetOnClose makes the close of the connection a reset.
--- a/internal/wire/transport/httpserver.go
+++ b/internal/wire/transport/httpserver.go
@@ -47,26 +47,26 @@
 func (s HTTPServer) Run(ctx context.Context) error {
 	requests, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
-	open := newCallerConnections(s.Listener)
+	listener := newCallerListener(s.Listener)
 	server := &http.Server{
 		Handler:           s.closing(requests),
 		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
 		BaseContext:       func(net.Listener) context.Context { return requests },
 		ConnContext:       withConnection,
-		ConnState:         open.observe,
+		ConnState:         listener.observe,
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-ctx.Done()
 		cancel(ErrStopped)
-		open.finish(time.Now().Add(time.Duration(cmp.Or(s.ShutdownMillis, DefaultShutdownMillis)) * time.Millisecond))
+		listener.finish(time.Now().Add(time.Duration(cmp.Or(s.ShutdownMillis, DefaultShutdownMillis)) * time.Millisecond))
 		if err := server.Close(); !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		return nil // the listener was closed before
 	})
 	group.Go(func() error {
-		err := server.Serve(open)
+		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -107,6 +107,7 @@
 // Unwrap returns the response of net/http, for http.ResponseController.
 func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// begin makes the response end its connection if it is to, before its head is written.
 func (w *closingWriter) begin() {
 	if !w.begun && w.leaving() {
 		w.Header().Set("Connection", "close")
@@ -122,8 +123,8 @@
 }
 
 // Abort ends the handling of a request whose response is incomplete, in a way that the
-// caller can detect. Without chunks, the end of the connection would look like the end
-// of the body, so the connection is reset.
+// caller can detect. A response of HTTP/1.0 has no chunks, so that the end of the
+// connection would look like the end of the body: such a connection is reset.
 func Abort(r *http.Request) {
 	if conn, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok && !r.ProtoAtLeast(1, 1) {
 		conn.resetOnClose()
