permitcheck: what a drain waits for at a backend server is computed in one place

Cause: the owners of engines and of plain services count open work in the same way, from the requests, the clients that are served and those that may still connect. Change: permitcheck.Clients.Open does so for both.

--- a/internal/backend/engineowner/load.go
+++ b/internal/backend/engineowner/load.go
@@ -43,11 +43,7 @@
 func (o *Owner) Open() int {
 	now := time.Now()
 	unread := o.PermitChecker.Unread(o.Settings.HoldSeconds, now)
-	open := max(o.Replay.OpenRequests()+unread, o.clients.Served())
-	if open == 0 && o.leaving.Load() && o.clients.MayConnect(now) {
-		return 1
-	}
-	return open
+	return o.clients.Open(o.Replay.OpenRequests()+unread, &o.leaving, now)
 }
 
 // Served returns the number of clients that have not disconnected. Each disconnects when
--- a/internal/backend/permitcheck/clients.go
+++ b/internal/backend/permitcheck/clients.go
@@ -68,3 +68,14 @@
 func (c *Clients) MayConnect(now time.Time) bool {
 	return now.UnixNano() < max(c.reconnectUntil.Load(), c.arriveUntil.Load())
 }
+
+// Open returns the amount of work for which a drain has to wait: the requests that are open or unread,
+// or the clients that are served if these are more. While leaving is set, it is at least 1 as long as a
+// client may connect.
+func (c *Clients) Open(requests int, leaving *atomic.Bool, now time.Time) int {
+	open := max(requests, c.Served())
+	if open == 0 && leaving.Load() && c.MayConnect(now) {
+		return 1
+	}
+	return open
+}
--- a/internal/backend/serviceowner/load.go
+++ b/internal/backend/serviceowner/load.go
@@ -53,11 +53,7 @@
 func (o *Owner) Open() int {
 	now := time.Now()
 	unread := o.PermitChecker.Unread(o.Settings.HoldSeconds, now)
-	open := max(int(o.running.Load())+unread, o.clients.Served())
-	if open == 0 && o.leaving.Load() && o.clients.MayConnect(now) {
-		return 1
-	}
-	return open
+	return o.clients.Open(int(o.running.Load())+unread, &o.leaving, now)
 }
 
 // Served returns the number of clients that have not disconnected. Each disconnects when
