relay: comments say when a wait for room ends with a planned stop

Cause: the comments on the wait for room and on the outcome stopping are older than the planned stop, or leave out that the request has not run. Change: comments only.

--- a/internal/caller/relay/outcome.go
+++ b/internal/caller/relay/outcome.go
@@ -22,7 +22,8 @@
 // noRoom says that no engine had room for the request while it could be on time.
 type noRoom struct{}
 
-// stopping says that the process ends before the request would be answered.
+// stopping says that the request has not run and is not sent, as the process ends before it would
+// be answered.
 type stopping struct{}
 
 // rateLimited says that every server that could take the request is held back, by its rate
--- a/internal/caller/relay/place.go
+++ b/internal/caller/relay/place.go
@@ -75,7 +75,7 @@
 // others of its service asks a full engine every pendingMillis, whose monitor then keeps the memory
 // that becomes free from the less urgent ones. The monitor decides on that by the priority of the
 // client account first, which the check here leaves out: a request of a less urgent account then
-// asks in vain.
+// asks in vain. A request that would not end before a planned stop does asks no more.
 func (q *request) awaitRoomOrReserve(ctx context.Context) (placement.Placement, bool) {
 	if q.route.Priority >= q.service.LowestPriority {
 		return q.awaitRoom(ctx)
@@ -120,7 +120,8 @@
 }
 
 // awaitRoom waits for an engine with room until ctx ends, which it reports as false. The
-// placement has no assignment when no engine could take the request at all.
+// placement has no assignment when no engine could take the request at all, and when the wait
+// is in vain since the request was quarantined or would not end before a planned stop does.
 func (q *request) awaitRoom(ctx context.Context) (placement.Placement, bool) {
 	var placed placement.Placement
 	ok := q.relay.Waiting.Wait(ctx, q.rank(), func() bool {
