test: set-up of drains is shared, and the tests are split by subject

Five tests open a stream and read its first tokens with the same five lines, five signal a process and wait until it drains, two open the same requests, and eight set DrainSeconds by a function of their own. Change: drain_rig_test.go holds what they share (openStream, beginDrain, openAtDrainEnd, checkDrainCut, settings); the tests stand in drain_end_entry_test.go, drain_end_backend_test.go and drain_load_test.go, and the one on both kinds of processes in drain_test.go. owner_loss_test.go and drain_silent_path_test.go use openStream.

--- a/internal/trial/endtoend/client_test.go
+++ b/internal/trial/endtoend/client_test.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// newKeepingCaller is like newCaller, but keeps its connection for further requests.
+func newKeepingCaller(e *entryHost) *caller {
+	c := newCaller(e)
+	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	return c
+}
+
 // send sends one request and returns the response with its body still open.
 func (c *caller) send(ctx context.Context, method, path string, header map[string]string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
--- a/internal/trial/endtoend/drain_silent_path_test.go
+++ b/internal/trial/endtoend/drain_silent_path_test.go
@@ -16,12 +16,8 @@
 	t.Parallel()
 	is := is.New(t)
 	d := newDeployment(t, layout{entries: 1, engines: 1, relayed: true})
-	prompt := prompts(1, 60)[0]
-	s, err := newCaller(d.entries[0]).stream(newRequest("programme", prompt))
-	is.NoErr(err)
+	answer, s := d.openStream(t, d.entries[0], prompts(1, 60)[0])
 	defer s.close()
-	answer := newTranscript(d.output(prompt))
-	is.NoErr(answer.readUntil(s, tokensBeforeFault))
 	b := d.backends[0]
 	b.relay.silence(toEntry)
 	b.terminate()
--- a/internal/trial/endtoend/drain_test.go
+++ b/internal/trial/endtoend/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -16,18 +17,6 @@
 // begun.
 const requestsDuringDrain = 12
 
-// waitDraining waits until the status of a process reports that it is draining.
-func waitDraining(t *testing.T, p *program, peerAddress string) {
-	t.Helper()
-	eventually(t, p.name+" is draining", func() error {
-		status, err := queryStatus(peerAddress)
-		if err == nil && !status.Leaving {
-			return errors.New("status does not report a drain")
-		}
-		return err
-	})
-}
-
 // TestBackendDrains checks that a process beside a backend server that receives
 // SIGTERM finishes its stream and gets no new requests, even if the host list never
 // lists it as leaving.
@@ -41,8 +30,7 @@
 	streams.started.Wait()
 	draining := d.activeBackend(t)
 	d.site.HostList.Faults.Stuck.Store(true)
-	draining.terminate()
-	waitDraining(t, draining.program, draining.settings.PeerAddress)
+	beginDrain(t, draining.program, draining.settings.PeerAddress)
 
 	for n := range requestsDuringDrain {
 		request := newRequest("programme", prompts(requestsDuringDrain, 5)[n])
@@ -105,8 +93,7 @@
 		return err
 	})
 	draining := d.calledPlainService(t)
-	draining.terminate()
-	waitDraining(t, draining.program, draining.settings.PeerAddress)
+	beginDrain(t, draining.program, draining.settings.PeerAddress)
 	other, err := c.call(http.MethodPost, "/bookings", newKey())
 	is.NoErr(err)
 	is.Equal(other.status, http.StatusOK)
@@ -128,8 +115,7 @@
 	defer s.close()
 	streams := newReaderGroup(d, "programme", prompts(2, 100), first)
 	streams.started.Wait()
-	d.entries[0].terminate()
-	waitDraining(t, d.entries[0].program, d.entries[0].settings.PeerAddress)
+	beginDrain(t, d.entries[0].program, d.entries[0].settings.PeerAddress)
 
 	refused, err := first.complete(newRequest("programme", "tokens=5 too late"))
 	is.NoErr(err)
@@ -151,12 +137,9 @@
 func resumedElsewhere(t *testing.T, d *deployment, prompt string) (*transcript, *stream) {
 	t.Helper()
 	is := is.New(t)
-	s, err := newCaller(d.entries[1]).stream(newRequest("programme", prompt))
-	is.NoErr(err)
-	answer := newTranscript(d.output(prompt))
-	is.NoErr(answer.readUntil(s, tokensBeforeFault))
+	answer, s := d.openStream(t, d.entries[1], prompt)
 	s.close()
-	s, err = newCaller(d.entries[0]).resume(account, answer.resumeToken(), answer.position)
+	s, err := newCaller(d.entries[0]).resume(account, answer.resumeToken(), answer.position)
 	is.NoErr(err)
 	is.NoErr(answer.readUntil(s, answer.position+1))
 	return answer, s
@@ -179,12 +162,8 @@
 			t.Parallel()
 			is := is.New(t)
 			d := newDeployment(t, withShortTimeouts(layout{entries: 1, engines: 1}))
-			prompt := prompts(1, 3000)[0]
-			s, err := newCaller(d.entries[0]).stream(newRequest("programme", prompt))
-			is.NoErr(err)
+			answer, s := d.openStream(t, d.entries[0], prompts(1, longTokens)[0])
 			defer s.close()
-			answer := newTranscript(d.output(prompt))
-			is.NoErr(answer.readUntil(s, tokensBeforeFault))
 			p := tt.target(d)
 			p.terminate()
 			is.NoErr(answer.readUntil(s, answer.position+tokensBeforeFault))
@@ -216,15 +195,11 @@
 	d := newDeployment(t, layout{
 		entries:       1,
 		engines:       1,
-		changeEntry:   func(s *process.Entry) { s.DrainSeconds = 1 },
-		changeBackend: func(s *process.Backend) { s.DrainSeconds = 1 },
+		changeEntry:   entryDrainSeconds(1),
+		changeBackend: backendDrainSeconds(1),
 	})
 	for _, p := range []*program{d.backends[0].program, d.entries[0].program} {
-		prompt := prompts(1, 3000)[0]
-		s, err := newCaller(d.entries[0]).stream(newRequest("programme", prompt))
-		is.NoErr(err)
-		answer := newTranscript(d.output(prompt))
-		is.NoErr(answer.readUntil(s, tokensBeforeFault))
+		answer, s := d.openStream(t, d.entries[0], prompts(1, longTokens)[0])
 		p.terminate()
 		is.Equal(p.exitCode(), 0)
 		is.NoErr(checkTruncated(answer, s))
@@ -234,23 +209,47 @@
 	}
 }
 
+// TestDrainEndsInTimeBesideSlowHostList guards against a drain that outlives its deadline since the host
+// list, which it notifies first, doesn't answer.
+func TestDrainEndsInTimeBesideSlowHostList(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const endMillis = 1800 // the deadline, and time to send the result
+	d := newDeployment(t, layout{
+		entries: 1, engines: 1,
+		changeEntry:   entryDrainSeconds(1),
+		changeBackend: backendDrainSeconds(1),
+	})
+	d.waitKeyBinding(t)
+	d.site.HostList.Faults.SlowMillis.Store(longCallMillis)
+	for _, p := range []*program{d.backends[0].program, d.entries[0].program} {
+		answer, s := d.openStream(t, d.entries[0], prompts(1, longTokens)[0])
+		begun := time.Now()
+		p.terminate()
+		is.NoErr(checkTruncated(answer, s))
+		is.True(time.Since(begun) < endMillis*time.Millisecond)
+		s.close()
+		is.Equal(p.exitCode(), 0)
+		if p == d.backends[0].program {
+			p.start()
+			d.waitKeyBinding(t)
+		}
+	}
+}
+
 // TestBackendDrainsWhileCallerReconnects checks that a drain waits for a caller that
 // resumes its stream some time after its entry host was killed.
 func TestBackendDrainsWhileCallerReconnects(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	d := newDeployment(t, layout{entries: 2, engines: 1})
-	prompt := prompts(1, 150)[0]
-	s, err := newCaller(d.entries[0]).stream(newRequest("programme", prompt))
-	is.NoErr(err)
-	answer := newTranscript(d.output(prompt))
-	is.NoErr(answer.readUntil(s, tokensBeforeFault))
+	answer, s := d.openStream(t, d.entries[0], prompts(1, 150)[0])
 	b := d.backends[0]
 	b.terminate()
 	d.entries[0].kill()
 	s.close()
 	sleepMillis(t, 150*stepMillis+shortProgressMillis)
-	s, err = newCaller(d.entries[1]).resume(account, answer.resumeToken(), answer.position)
+	s, err := newCaller(d.entries[1]).resume(account, answer.resumeToken(), answer.position)
 	is.NoErr(err)
 	defer s.close()
 	is.NoErr(answer.readAll(s))
--- a/internal/trial/endtoend/owner_loss_test.go
+++ b/internal/trial/endtoend/owner_loss_test.go
@@ -132,12 +132,8 @@
 			t.Parallel()
 			is := is.New(t)
 			d := newDeployment(t, withShortTimeouts(layout{entries: 2, engines: 2}))
-			prompt := prompts(1, 400)[0]
-			s, err := newCaller(d.entries[0]).stream(newRequest("programme", prompt))
-			is.NoErr(err)
+			answer, s := d.openStream(t, d.entries[0], prompts(1, 400)[0])
 			defer s.close()
-			answer := newTranscript(d.output(prompt))
-			is.NoErr(answer.readUntil(s, tokensBeforeFault))
 			owner := d.activeBackend(t)
 			owner.kill()
 			if tt.restarts {
