--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -23,7 +23,6 @@
 )
 
 const (
-	millisPerSecond = 1000
 	// reserveMillis is the time before the end of the grace period at which migrations are cancelled,
 	// so that their messages still reach the entry hosts. It is at most reserveShare of the grace
 	// period.
@@ -102,12 +101,13 @@
 		return
 	}
 	signalledAt := life.SignalledAt()
+	reserve := lifecycle.Reserve{Millis: reserveMillis, Share: reserveShare}
 	var endsAt atomic.Int64
-	endsAt.Store(int64(migrationsEnd(signalledAt, h.Settings.GraceSeconds)))
+	endsAt.Store(int64(reserve.BeginsAt(signalledAt, h.Settings.GraceSeconds)))
 	// The stop does not wait for the settings file, whose read may hang.
 	var reread errgroup.Group
 	reread.Go(func() error {
-		endsAt.Store(int64(migrationsEnd(signalledAt, h.graceSeconds())))
+		endsAt.Store(int64(reserve.BeginsAt(signalledAt, h.graceSeconds())))
 		return nil
 	})
 	engineMonitor.Stop(ctx, func() boottime.Instant { return boottime.Instant(endsAt.Load()) })
@@ -124,13 +124,6 @@
 	return settings.GraceSeconds
 }
 
-// migrationsEnd returns the time by which the migrations of a process must have ended that is
-// signalled to stop at the given time.
-func migrationsEnd(signalledAt boottime.Instant, graceSeconds float64) boottime.Instant {
-	graceMillis := graceSeconds * millisPerSecond
-	return signalledAt.AddMillis(int64(graceMillis - min(reserveMillis, reserveShare*graceMillis)))
-}
-
 // reload reads and validates the settings file again. Changed settings take effect
 // only after a restart, so the result is only logged.
 func (h *Host) reload() {
--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -35,13 +35,12 @@
 // stopAt returns the planned stop of a process that is signalled to stop at the given time, and the time
 // at which the connections that are left are closed.
 func stopAt(signalledAt boottime.Instant, graceSeconds float64) (stop relay.Stop, closeBy boottime.Instant) {
-	graceMillis := graceSeconds * millisPerSecond
-	reserve := min(reserveMillis, reserveShare*graceMillis)
+	reserve := lifecycle.Reserve{Millis: reserveMillis, Share: reserveShare}
 	stop = relay.Stop{
 		ReroutedAt: signalledAt.AddMillis(rerouteMillis),
-		EndsAt:     signalledAt.AddMillis(int64(graceMillis - reserve)),
+		EndsAt:     reserve.BeginsAt(signalledAt, graceSeconds),
 	}
-	return stop, signalledAt.AddMillis(int64(graceMillis - reserve/2))
+	return stop, reserve.Half().BeginsAt(signalledAt, graceSeconds)
 }
 
 // awaitStop waits for the signal to stop, and then until all requests have ended or the grace period is
