--- a/internal/trial/endtoend/platform_client_test.go
+++ b/internal/trial/endtoend/platform_client_test.go
@@ -10,7 +10,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // callerRequest describes one request of a caller on the direct path.
@@ -57,6 +60,14 @@
 	return ids
 }
 
+// checkWhole checks that a stream has each event once, in order.
+func (r callerReply) checkWhole(t *testing.T, events int) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(r.err)
+	is.Equal(r.events(), eventNumbers(events)) // each event once, in order
+}
+
 // send sends a request to the entry host over a new connection.
 func (s *platformSite) send(ctx context.Context, r callerRequest) callerReply {
 	s.t.Helper()
--- a/internal/trial/endtoend/platform_migration_test.go
+++ b/internal/trial/endtoend/platform_migration_test.go
@@ -64,8 +64,7 @@
 			e.Drain(time.Now().Add(shutdownNoticeMillis * time.Millisecond))
 			c.atNotice(s, e)
 			_ = group.Wait()
-			is.NoErr(got.err)
-			is.Equal(got.events(), eventNumbers(events)) // each event once, in order
+			got.checkWhole(t, events)
 			started := 0
 			for _, a := range s.arrivals() {
 				is.Equal(a.Header.Get("Fulmarvalve-Request-Id"), "migrated")
@@ -117,8 +116,7 @@
 				s.register(e.Replica, "engines", "draining")
 			}
 			is.NoErr(group.Wait())
-			is.NoErr(got.err)
-			is.Equal(got.events(), eventNumbers(events)) // each event once, in order
+			got.checkWhole(t, events)
 			started, continued := s.countRuns()
 			is.Equal(started, 1)
 			is.True(continued >= 1)
--- a/internal/trial/endtoend/platform_missedmove_test.go
+++ b/internal/trial/endtoend/platform_missedmove_test.go
@@ -23,9 +23,7 @@
 	time.Sleep(pauseMillis * time.Millisecond)
 	is.Equal(e.Running(), 0)
 	s.entry.thaw()
-	got := await()
-	is.NoErr(got.err)
-	is.Equal(got.events(), eventNumbers(events)) // each event once, in order
+	await().checkWhole(t, events)
 	started, _ := s.countRuns()
 	is.Equal(started, 1)
 }
--- a/internal/trial/endtoend/platform_monitorstop_test.go
+++ b/internal/trial/endtoend/platform_monitorstop_test.go
@@ -1,10 +1,7 @@
 package endtoend
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -27,6 +24,9 @@
 	stopNoticeMillis = 3000
 )
 
+// slowCopies makes a copy of a run be in progress when a process is signalled.
+var slowCopies = replica.Faults{CopyMillis: slowCopyMillis, BreakAtShutdown: true}
+
 // monitorStopCase is a planned stop of the process beside an engine whose runs are moved.
 type monitorStopCase struct {
 	name    string
@@ -41,7 +41,7 @@
 	e.Drain(time.Now().Add(stopNoticeMillis * time.Millisecond))
 }
 
-// awaitStoppedRun waits until the engine has stopped one of its runs.
+// awaitStoppedRun waits until the engine has stopped one of the given number of runs.
 func (s *platformSite) awaitStoppedRun(e *platformEngine, runs int) {
 	s.t.Helper()
 	eventually(s.t, "the engine has stopped a run", func() error {
@@ -52,6 +52,25 @@
 	})
 }
 
+// announceUntilStopped makes the engine announce its shutdown, and waits until it has stopped one of the
+// given number of runs.
+func (s *platformSite) announceUntilStopped(e *platformEngine, runs int) {
+	s.t.Helper()
+	e.announce()
+	s.awaitStoppedRun(e, runs)
+}
+
+// checkMoved checks that the only run of a site went on elsewhere, and that its stream did not wait for
+// that in vain, unless the engine e had stopped the run for too long.
+func (s *platformSite) checkMoved(t *testing.T, e *platformEngine) {
+	t.Helper()
+	is := is.New(t)
+	started, continued := s.countRuns()
+	is.Equal(started, 1)
+	is.True(continued >= 1)
+	is.True(s.entry.countLines(resumedInVain) <= e.monitor.countLines(migratedLate))
+}
+
 // newSiteWithLateEngine starts a deployment with one entry host and one engine. The process slots of a
 // further engine are reserved.
 func newSiteWithLateEngine(t *testing.T) *platformSite {
@@ -88,27 +107,22 @@
 // where it goes on.
 func TestMonitorStopLosesNoMovedStream(t *testing.T) {
 	t.Parallel()
-	slowCopies := replica.Faults{CopyMillis: slowCopyMillis, BreakAtShutdown: true}
 	for _, c := range []monitorStopCase{
 		{"while a stopped run is copied", 1, slowCopies, func(s *platformSite, e *platformEngine) {
-			e.announce()
-			s.awaitStoppedRun(e, 1)
+			s.announceUntilStopped(e, 1)
 			e.monitor.terminate()
 		}},
 		{"while a stopped run is copied, engine listed as draining", 1, slowCopies, func(s *platformSite, e *platformEngine) {
 			s.register(e.Replica, "engines", "draining")
-			e.announce()
-			s.awaitStoppedRun(e, 1)
+			s.announceUntilStopped(e, 1)
 			e.monitor.terminate()
 		}},
 		{"while several runs are moved", 4, replica.Faults{CopyMillis: 100, BreakAtShutdown: true}, func(s *platformSite, e *platformEngine) {
-			e.announce()
-			s.awaitStoppedRun(e, 4)
+			s.announceUntilStopped(e, 4)
 			e.monitor.terminate()
 		}},
 		{"by signals that are repeated", 1, slowCopies, func(s *platformSite, e *platformEngine) {
-			e.announce()
-			s.awaitStoppedRun(e, 1)
+			s.announceUntilStopped(e, 1)
 			e.monitor.terminate()
 			for range 3 {
 				time.Sleep(pollMillis * time.Millisecond)
@@ -152,9 +166,7 @@
 	s.setEngineFaults(c.faults)
 	c.stop(s, e)
 	for _, await := range awaits {
-		got := await()
-		is.NoErr(got.err)
-		is.Equal(got.events(), eventNumbers(movedEvents)) // each event once, in order
+		await().checkWhole(t, movedEvents)
 	}
 	is.True(s.entry.countLines(resumedInVain) <= e.monitor.countLines(migratedLate))
 	started, _ := s.countRuns()
@@ -162,33 +174,6 @@
 	is.Equal(e.monitor.exitCode(), 0)
 }
 
-// logLine is a line of a log on the migration of a run.
-type logLine struct {
-	Message string
-	// Stopped says that a stream went on elsewhere as it heard that its run was stopped. Otherwise it
-	// had waited for that in vain.
-	Stopped bool
-	// Millis and AheadMillis are the times of a migration, and of the copy before the run was stopped.
-	Millis, AheadMillis int64
-}
-
-// countLines returns the number of lines in the log of a process for which match returns true.
-func (p *program) countLines(match func(logLine) bool) int {
-	p.t.Helper()
-	data, err := os.ReadFile(p.logPath)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	count := 0
-	for line := range strings.Lines(string(data)) {
-		var decoded logLine
-		if json.Unmarshal([]byte(line), &decoded) == nil && match(decoded) {
-			count++
-		}
-	}
-	return count
-}
-
 // resumedInVain reports whether a stream went on elsewhere only after it had waited in vain for the
 // migration of its run.
 func resumedInVain(l logLine) bool {
--- a/internal/trial/endtoend/platform_stopmoves_test.go
+++ b/internal/trial/endtoend/platform_stopmoves_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
 
@@ -15,7 +14,6 @@
 func TestPlannedStopKeepsMovedStreams(t *testing.T) {
 	t.Parallel()
 	const graceSeconds, events = 10, 400
-	slowCopies := replica.Faults{CopyMillis: slowCopyMillis, BreakAtShutdown: true}
 	for _, c := range []struct {
 		name   string
 		before func(*platformSite, *platformEngine)
@@ -37,19 +35,16 @@
 			e.announce()
 		}},
 		{"being copied when the stop begins", nil, func(s *platformSite, e *platformEngine) {
-			e.announce()
-			s.awaitStoppedRun(e, 1)
+			s.announceUntilStopped(e, 1)
 			s.entry.terminate()
 		}},
 		{"being copied by the entry host when its stop begins", func(_ *platformSite, e *platformEngine) { e.monitor.kill() }, func(s *platformSite, e *platformEngine) {
 			s.register(e.Replica, "engines", "draining")
-			e.announce()
-			s.awaitStoppedRun(e, 1)
+			s.announceUntilStopped(e, 1)
 			s.entry.terminate()
 		}},
 		{"being copied when the monitor is stopped, too", nil, func(s *platformSite, e *platformEngine) {
-			e.announce()
-			s.awaitStoppedRun(e, 1)
+			s.announceUntilStopped(e, 1)
 			s.entry.terminate()
 			e.monitor.terminate()
 		}},
@@ -57,7 +52,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			s := newAdjustedSite(t, 2, 0, func(settings *process.DirectEntry) { settings.GraceSeconds = graceSeconds })
+			s := newAdjustedSite(t, 2, 0, withGrace(graceSeconds))
 			for _, e := range s.engines {
 				if c.before != nil {
 					c.before(s, e)
@@ -67,13 +62,8 @@
 			e := s.activeEngine()
 			s.setEngineFaults(slowCopies)
 			c.stop(s, e)
-			got := await()
-			is.NoErr(got.err)
-			is.Equal(got.events(), eventNumbers(events)) // each event once, in order
-			started, continued := s.countRuns()
-			is.Equal(started, 1)
-			is.True(continued >= 1)
-			is.True(s.entry.countLines(resumedInVain) <= e.monitor.countLines(migratedLate))
+			await().checkWhole(t, events)
+			s.checkMoved(t, e)
 			is.Equal(s.entry.exitCode(), 0)
 		})
 	}
@@ -111,19 +101,13 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
 			s := newPlatformSite(t, 2, 0)
 			await := s.sendInBackground(streamRequest("moved", events))
 			e := s.activeEngine()
 			s.setEngineFaults(replica.Faults{BreakAtShutdown: true})
 			c.restart(s, e)
-			got := await()
-			is.NoErr(got.err)
-			is.Equal(got.events(), eventNumbers(events)) // each event once, in order
-			started, continued := s.countRuns()
-			is.Equal(started, 1)
-			is.True(continued >= 1)
-			is.True(s.entry.countLines(resumedInVain) <= e.monitor.countLines(migratedLate))
+			await().checkWhole(t, events)
+			s.checkMoved(t, e)
 		})
 	}
 }
--- a/internal/trial/endtoend/platform_stopsettings_test.go
+++ b/internal/trial/endtoend/platform_stopsettings_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
 )
 
 // TestPlannedStopBeginsWithoutTheSettingsFile guards against a stop that begins only once the settings
@@ -18,7 +16,7 @@
 	t.Parallel()
 	is := is.New(t)
 	const graceMillis, noticeMillis = 1000, 500
-	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = graceMillis / 1000 })
+	s := newAdjustedSite(t, 0, 1, withGrace(graceMillis/1000))
 	path := filepath.Join(s.directory, "entry.json")
 	is.NoErr(os.Remove(path))
 	const readWrite = 0o600
--- a/internal/trial/endtoend/platform_unframed_test.go
+++ b/internal/trial/endtoend/platform_unframed_test.go
@@ -96,9 +96,7 @@
 			if c.atNotice != nil {
 				c.atNotice(s, e)
 			}
-			got := await()
-			is.NoErr(got.err)
-			is.Equal(got.events(), eventNumbers(c.events)) // each event once, in order
+			await().checkWhole(t, c.events)
 			started, continued := s.countRuns()
 			is.Equal(started, 1)
 			is.Equal(continued > 0, c.moved)
@@ -119,9 +117,7 @@
 	s.setOthersFaults(e, replica.Faults{EndByClose: true, Decline: true})
 	e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
 	s.register(e.Replica, "engines", "draining")
-	got := await()
-	is.NoErr(got.err)
-	is.Equal(got.events(), eventNumbers(events))
+	await().checkWhole(t, events)
 	started, continued := s.countRuns()
 	is.Equal(started, 1)
 	is.True(continued > 0) // the run was stopped, and went on where it was
