--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -57,7 +57,7 @@
 	readyShare = 0.6
 
 	// probeShutdownMillis is the time for answering open probes and queries of metrics when
-	// the process ends. It must end within its grace period.
+	// the process ends. It is short, as it is what is left of the grace period.
 	probeShutdownMillis = 50
 
 	millisPerSecond = 1000
@@ -85,7 +85,8 @@
 	// bounds limit the age at which the cached configuration is used. They may
 	// change when the settings are reloaded.
 	bounds atomic.Pointer[relay.Bounds]
-	// stop is nil until the process has been signalled to stop.
+	// stop is nil until the process has been signalled to stop. It is stored once more
+	// when the settings file, with the grace period, has been read again.
 	stop atomic.Pointer[relay.Stop]
 }
 
--- a/internal/wire/transport/httpserver.go
+++ b/internal/wire/transport/httpserver.go
@@ -124,7 +124,8 @@
 
 // Abort ends the handling of a request whose response is incomplete, in a way that the
 // caller can detect. A response of HTTP/1.0 has no chunks, so that the end of the
-// connection would look like the end of the body: such a connection is reset.
+// connection would look like the end of the body: such a connection is reset. Abort does
+// not return, it panics with http.ErrAbortHandler.
 func Abort(r *http.Request) {
 	if conn, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok && !r.ProtoAtLeast(1, 1) {
 		conn.resetOnClose()
