--- a/internal/trial/endtoend/platform_stop_test.go
+++ b/internal/trial/endtoend/platform_stop_test.go
@@ -197,7 +197,7 @@
 	t.Parallel()
 	is := is.New(t)
 	const runMillis = 7000
-	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = stopGraceSeconds })
+	s := newAdjustedSite(t, 0, 1, withGrace(stopGraceSeconds))
 	s.setPlainFaults(replica.Faults{RunMillis: runMillis})
 	var awaits []func() callerReply
 	for n, target := range []string{oncePath, plainPath} {
@@ -269,15 +269,8 @@
 	t.Parallel()
 	is := is.New(t)
 	const standstillMillis, runMillis = 1500, 9000
-	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = stopGraceSeconds })
-	s.setPlainFaults(replica.Faults{RunMillis: runMillis})
-	await := s.sendInBackground(callerRequest{method: http.MethodPost, target: oncePath, id: "open", key: platformKey, body: "{}"})
-	eventually(t, "the call has reached the server", func() error {
-		if len(s.arrivals()) == 0 {
-			return errNotYet
-		}
-		return nil
-	})
+	s := newAdjustedSite(t, 0, 1, withGrace(stopGraceSeconds))
+	await := s.openCall(runMillis)
 	s.entry.freeze()
 	s.entry.terminate()
 	platform := time.AfterFunc(stopGraceSeconds*time.Second, func() { _ = s.entry.command.Process.Kill() })
@@ -295,15 +288,8 @@
 	t.Parallel()
 	is := is.New(t)
 	const graceMillis, runMillis = 1500, 7000
-	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = stopGraceSeconds })
-	s.setPlainFaults(replica.Faults{RunMillis: runMillis})
-	await := s.sendInBackground(callerRequest{method: http.MethodPost, target: oncePath, id: "open", key: platformKey, body: "{}"})
-	eventually(t, "the call has reached the server", func() error {
-		if len(s.arrivals()) == 0 {
-			return errNotYet
-		}
-		return nil
-	})
+	s := newAdjustedSite(t, 0, 1, withGrace(stopGraceSeconds))
+	await := s.openCall(runMillis)
 	s.settings.GraceSeconds = float64(graceMillis) / 1000
 	s.write("entry", s.settings)
 	begun := time.Now()
--- a/internal/trial/endtoend/platform_stoplate_test.go
+++ b/internal/trial/endtoend/platform_stoplate_test.go
@@ -6,33 +6,13 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
-	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
 
-// newSiteWithOpenCall starts a deployment whose entry host has an open call, which may run once and takes
-// longer than its grace period. It returns the wait for the reply.
-func newSiteWithOpenCall(t *testing.T) (*platformSite, func() callerReply) {
-	t.Helper()
-	const runMillis = 20_000
-	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = stopGraceSeconds })
-	s.setPlainFaults(replica.Faults{RunMillis: runMillis})
-	await := s.sendInBackground(callerRequest{method: http.MethodPost, target: oncePath, id: "open", key: platformKey, body: "{}"})
-	eventually(t, "the call has reached the server", func() error {
-		if len(s.arrivals()) == 0 {
-			return errNotYet
-		}
-		return nil
-	})
-	return s, await
-}
-
 // TestPlannedStopAnswersAfterStandstill guards against open calls whose connections are reset without an
 // answer since, by the count of a process that has stood still, they should have been closed before.
 func TestPlannedStopAnswersAfterStandstill(t *testing.T) {
 	t.Parallel()
-	const graceMillis = stopGraceSeconds * 1000
+	const graceMillis, runMillis = stopGraceSeconds * 1000, 20_000
 	sleep := func(millis int) { time.Sleep(time.Duration(millis) * time.Millisecond) }
 	for name, stop := range map[string]func(*program){
 		"that ends shortly before the signal": func(p *program) {
@@ -53,7 +33,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			s, await := newSiteWithOpenCall(t)
+			s := newAdjustedSite(t, 0, 1, withGrace(stopGraceSeconds))
+			await := s.openCall(runMillis)
 			stop(s.entry)
 			got := await()
 			is.NoErr(got.err)
--- a/internal/trial/endtoend/platform_stopsettings_test.go
+++ b/internal/trial/endtoend/platform_stopsettings_test.go
@@ -17,10 +17,7 @@
 	is := is.New(t)
 	const graceMillis, noticeMillis = 1000, 500
 	s := newAdjustedSite(t, 0, 1, withGrace(graceMillis/1000))
-	path := filepath.Join(s.directory, "entry.json")
-	is.NoErr(os.Remove(path))
-	const readWrite = 0o600
-	is.NoErr(syscall.Mkfifo(path, readWrite)) // a read of it hangs, as it has no writer
+	s.hangSettings(t)
 	begun := time.Now()
 	s.entry.terminate()
 	time.Sleep(noticeMillis * time.Millisecond)
@@ -35,11 +32,8 @@
 	t.Parallel()
 	is := is.New(t)
 	const graceMillis, readMillis = 1000, 200
-	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = graceMillis / 1000 })
-	path := filepath.Join(s.directory, "entry.json")
-	is.NoErr(os.Remove(path))
-	const readWrite = 0o600
-	is.NoErr(syscall.Mkfifo(path, readWrite)) // a read of it hangs, as it has no writer
+	s := newAdjustedSite(t, 0, 1, withGrace(graceMillis/1000))
+	s.hangSettings(t)
 	s.entry.signal(syscall.SIGHUP)
 	time.Sleep(readMillis * time.Millisecond)
 	begun := time.Now()
@@ -47,3 +41,13 @@
 	is.Equal(s.entry.exitCode(), 0)
 	is.True(s.entry.loggedAt("stopped").Sub(begun) < graceMillis*time.Millisecond)
 }
+
+// hangSettings makes each further read of the settings file of the entry host hang.
+func (s *platformSite) hangSettings(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	const readWrite = 0o600
+	path := filepath.Join(s.directory, "entry.json")
+	is.NoErr(os.Remove(path))
+	is.NoErr(syscall.Mkfifo(path, readWrite)) // it has no writer
+}
