lifecycle: a process whose log nothing reads goes on

Callers saw: if the process that reads an entry host's log ends before the entry host, for example in a planned stop of both, all open requests of the host end with a closed connection and no answer, also those that may run only once and have reached a server.

Cause: the next line of the log, at the latest "stopping", is written to a pipe without a reader, and the runtime of Go ends a process by SIGPIPE if that is its standard output. The end of the process was decided without the requests.

Change: processes with a lifecycle ignore SIGPIPE.

--- a/internal/role/lifecycle/lifecycle.go
+++ b/internal/role/lifecycle/lifecycle.go
@@ -55,7 +55,8 @@
 }
 
 // WithSignals calls run with a lifecycle that follows interrupt and termination
-// signals, and returns its error.
+// signals, and returns its error. From then on, a write to a pipe that nothing reads
+// fails without ending the process.
 func WithSignals(parent context.Context, repeat Repeat, run func(Lifecycle) error) error {
 	abort, abortNow := context.WithCancel(parent)
 	defer abortNow()
@@ -64,6 +65,8 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
+	// The runtime would end the process, with its open requests, when nothing reads its log any more.
+	signal.Ignore(syscall.SIGPIPE)
 	done := make(chan struct{})
 	var received, signalledAt atomic.Int64
 	var group errgroup.Group
--- /dev/null
+++ b/internal/trial/endtoend/platform_stoplog_test.go
@@ -0,0 +1,75 @@
+package endtoend
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
+)
+
+// startPiped starts the process and returns the pipe to which it writes its log.
+func (p *program) startPiped() *os.File {
+	p.t.Helper()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = reader.Close() })
+	defer func() { _ = writer.Close() }()
+	command := exec.CommandContext(context.Background(), binary, p.role, "--settings", p.path)
+	command.Stdout, command.Stderr = writer, writer
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	p.command, p.ended, p.wait = command, ended, &errgroup.Group{}
+	p.wait.Go(func() error {
+		defer close(ended)
+		return command.Wait()
+	})
+	return reader
+}
+
+// newSiteWithPipedLog starts a deployment whose entry host writes its log to the returned pipe, and whose
+// server answers calls after runMillis.
+func newSiteWithPipedLog(t *testing.T, runMillis int) (*platformSite, *os.File) {
+	t.Helper()
+	s := newAdjustedSite(t, 0, 1, func(settings *process.DirectEntry) { settings.GraceSeconds = stopGraceSeconds })
+	s.setPlainFaults(replica.Faults{RunMillis: runMillis})
+	s.entry.kill()
+	log := s.entry.startPiped()
+	eventually(t, "entry host ready", s.ready)
+	return s, log
+}
+
+// TestPlannedStopOutlivesItsLogReader guards against a process that ends with its open requests when it
+// writes a line of its log that nothing reads any more.
+func TestPlannedStopOutlivesItsLogReader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const runMillis = 1000
+	s, log := newSiteWithPipedLog(t, runMillis)
+	await := s.sendInBackground(callerRequest{method: http.MethodPost, target: oncePath, id: "open", key: platformKey, body: "{}"})
+	eventually(t, "the call has reached the server", func() error {
+		if len(s.arrivals()) == 0 {
+			return errNotYet
+		}
+		return nil
+	})
+	is.NoErr(log.Close())
+	s.entry.terminate()
+	got := await()
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(s.entry.exitCode(), 0)
+}
