direct: a log whose reader stands still does not hold the process

Operators saw: a planned stop of a process of the direct path never ends, and the platform has to kill it, while the reader of its log stands still and the pipe is full. Requests are answered before.

Cause: the process waits without bound until the last lines are written.

Change: it waits for at most 50 ms. A line whose write has begun may be cut, and those that are queued are lost with it.

--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -16,6 +17,10 @@
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
+// lastLinesMillis bounds the time for writing the last lines of the log when a role has ended. Its end must
+// be within the grace period.
+const lastLinesMillis = 50
+
 // directFlags returns the flags of the roles of the direct path. By default, the
 // settings file is the one that the platform names in an environment variable.
 func directFlags() []cli.Flag {
@@ -68,7 +73,7 @@
 }
 
 // runRole creates the log, loads the settings of a role and runs the role. The log is
-// written until after the role has ended.
+// written until shortly after the role has ended.
 func runRole[T any](
 	ctx context.Context, c *cli.Command, life lifecycle.Lifecycle,
 	load func(string) (T, error), role func(T, *slog.Logger) roleRunner,
@@ -83,12 +88,19 @@
 		return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
 	}
 	writerCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
 	var group errgroup.Group
 	group.Go(func() error {
+		defer close(written)
 		writer.Run(writerCtx)
 		return nil
 	})
 	err = role(settings, log)(life)
 	stop()
-	return withCode(ExitFailure, errors.CombineErrors(err, group.Wait()))
+	// The reader of the log may stand still.
+	select {
+	case <-written:
+	case <-time.After(lastLinesMillis * time.Millisecond):
+	}
+	return withCode(ExitFailure, err)
 }
--- a/internal/trial/endtoend/platform_stoplog_test.go
+++ b/internal/trial/endtoend/platform_stoplog_test.go
@@ -73,3 +73,20 @@
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(s.entry.exitCode(), 0)
 }
+
+// TestPlannedStopDoesNotAwaitItsLogReader guards against a process that outlives its grace period because
+// the reader of its log stands still.
+func TestPlannedStopDoesNotAwaitItsLogReader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const refusals = 600 // whose lines are more than a pipe holds
+	s, _ := newSiteWithPipedLog(t, 0)
+	for range refusals {
+		s.sendTo(context.Background(), http.DefaultClient, s.settings.CallerAddress,
+			callerRequest{method: http.MethodPost, target: "/unknown/", id: "unknown", key: platformKey, body: "{}"})
+	}
+	begun := time.Now()
+	s.entry.terminate()
+	is.Equal(s.entry.exitCode(), 0)
+	is.True(time.Since(begun) < stopGraceSeconds*time.Second+raceExitMillis*time.Millisecond)
+}
