transport: a wait for a request that begins in a stop is ended, too

Operators saw: the stop of a server of net/http (callers of the older entry host, metrics, readiness) may last 2 s, its time limit, with nothing to answer. No request is lost by it, but the process comes 2 s closer to its kill.

Cause: net/http reports that a connection is idle and then sets the time limit of the wait for its next request, here none. If the stop ended the wait in between, that limit replaced the end, as in the server of the direct path before.

Change: a connection whose wait was ended keeps that deadline.

--- a/internal/wire/transport/callerconnection.go
+++ b/internal/wire/transport/callerconnection.go
@@ -128,7 +128,7 @@
 func (c *callerConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
-		_ = c.SetReadDeadline(time.Now().Add(lookMillis * time.Millisecond))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lookMillis * time.Millisecond))
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
@@ -137,6 +137,17 @@
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads, unless the wait for the next request was ended: net/http
+// sets the time limit of a wait after it has begun.
+func (c *callerConnection) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		at = time.Unix(1, 0)
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
 func (c *callerConnection) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -155,7 +166,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
 	}
 	c.waiting, c.closing, c.used = false, false, true
 }
@@ -169,7 +180,7 @@
 		return
 	}
 	c.closing = true
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // resetOnClose makes the close of the connection a reset.
