--- a/internal/wire/transport/callerconnection.go
+++ b/internal/wire/transport/callerconnection.go
@@ -130,7 +130,7 @@
 func (c *callerConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() && HasUnread(c.Conn) {
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
@@ -139,6 +139,17 @@
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads, unless the wait for the next request was ended: net/http
+// sets the time limit of a wait after it has begun.
+func (c *callerConnection) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return EndRead(c.Conn)
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
 func (c *callerConnection) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,7 +168,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(headerTimeoutMillis * time.Millisecond))
 	}
 	c.waiting, c.closing, c.used = false, false, true
 }
@@ -171,7 +182,7 @@
 		return
 	}
 	c.closing = true
-	_ = EndRead(c)
+	_ = EndRead(c.Conn)
 }
 
 // resetOnClose makes the close of the connection a reset.
