--- a/internal/wire/transport/transport.go
+++ b/internal/wire/transport/transport.go
@@ -12,10 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 )
 
@@ -60,20 +58,6 @@
 	return c.Conn.Write(p)
 }
 
-// boundedListener accepts connections as boundedConn.
-type boundedListener struct {
-	net.Listener
-}
-
-// Accept waits for the next connection.
-func (l boundedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return boundedConn{conn}, nil
-}
-
 // Dial opens a connection for callers' data to the process at address, which is a host
 // and a port. The caller must close it. The error is marked with ErrDial.
 func Dial(ctx context.Context, address string) (drpc.Conn, error) {
@@ -95,26 +79,3 @@
 	}
 	return reply, nil
 }
-
-// Server serves calls from other processes of this system on one address.
-type Server struct {
-	// Listener must be set before Run.
-	Listener net.Listener
-	// Handler must be set before Run.
-	Handler drpc.Handler
-	// Report receives errors of individual connections; nil discards them.
-	Report func(error)
-}
-
-// Run serves until ctx ends, and then waits for the open calls.
-func (s *Server) Run(ctx context.Context) error {
-	server := drpcserver.NewWithOptions(s.Handler, drpcserver.Options{
-		Manager: managerOptions(),
-		Log:     s.Report,
-	})
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		return server.Serve(ctx, boundedListener{s.Listener})
-	})
-	return errors.Wrap(group.Wait(), "serve calls")
-}
