dispatch: no key is bound to a backend server whose process says that it leaves

Callers saw: 504 OwnerSilent, outcome unknown and the key spent, for a call that was sent nowhere, in a planned stop of a backend process. Cause: an entry host that does not know the incarnation of a server asks for it before it binds a key. The reply says whether the process is leaving, which was not looked at: the key was bound, and the process ended before the call reached it. Change: such a server is passed over, and the key is bound to another one.

--- a/internal/routing/dispatch/claim.go
+++ b/internal/routing/dispatch/claim.go
@@ -18,9 +18,6 @@
 // the key. If the job has a permit already, the owner that it names has recorded a
 // refusal of the request, and claim replaces that binding.
 func (j *job) claim(ctx context.Context) *resultcode.Result {
-	if refusal := j.probeIncarnation(ctx); refusal != nil {
-		return refusal
-	}
 	request := &message.ClaimRequest{
 		Key:               j.request.Key,
 		Partition:         claim.PartitionOf(j.request.Key, j.Partitions),
@@ -96,10 +93,10 @@
 }
 
 // probeIncarnation requests the target's incarnation if no reply has reported it
-// yet.
-func (j *job) probeIncarnation(ctx context.Context) *resultcode.Result {
+// yet. It also reports whether the target's process is leaving.
+func (j *job) probeIncarnation(ctx context.Context) (leaving bool, refusal *resultcode.Result) {
 	if j.target.Incarnation != 0 {
-		return nil
+		return false, nil
 	}
 	sentAt := time.Now()
 	ctx, stop := context.WithDeadline(ctx, j.progressDeadline())
@@ -111,12 +108,12 @@
 	now := time.Now()
 	if err != nil {
 		j.Picker.Unreachable(j.target, now)
-		return resultcode.New(resultcode.NoBackend, "%s was not reached: %v", j.target.Backend, err).
+		return false, resultcode.New(resultcode.NoBackend, "%s was not reached: %v", j.target.Backend, err).
 			WithRetryAt(now.Add(time.Second))
 	}
 	j.Picker.Observe(load, sentAt, now)
 	j.target.Incarnation = load.GetIncarnation()
-	return nil
+	return load.GetLeaving(), nil
 }
 
 // claimCode maps the code of a claim that returned no permit to a result code.
--- a/internal/routing/dispatch/job.go
+++ b/internal/routing/dispatch/job.go
@@ -94,17 +94,26 @@
 		return result
 	}
 	j.attempt++
-	now := time.Now()
-	target, result := j.Picker.Pick(j.selection(), now)
-	if result != nil {
-		return j.noOwnerResult(result)
-	}
-	j.recordAttempt(target)
-	j.target = target
-	if j.request.Key == "" {
-		return nil
+	for {
+		target, result := j.Picker.Pick(j.selection(), time.Now())
+		if result != nil {
+			return j.noOwnerResult(result)
+		}
+		j.recordAttempt(target)
+		j.target = target
+		if j.request.Key == "" {
+			return nil
+		}
+		leaving, refusal := j.probeIncarnation(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		if !leaving {
+			return j.claim(ctx)
+		}
+		// The process may end before the request reaches it, which would spend the key.
+		j.refused[target.Backend] = true
 	}
-	return j.claim(ctx)
 }
 
 // selection describes the request to the picker.
--- a/internal/trial/endtoend/drain_unread_test.go
+++ b/internal/trial/endtoend/drain_unread_test.go
@@ -26,6 +26,15 @@
 	is.NoErr(d.bookAroundStandstill(t, d.calledPlainService(t)))
 }
 
+// TestLeavingBackendIsBoundToNoKey guards against a key that is bound to a process beside a backend server
+// whose first reply to the entry host says that it leaves: it ends before the call reaches it.
+func TestLeavingBackendIsBoundToNoKey(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newStandstillDeployment(t)
+	is.NoErr(d.bookAroundStandstill(t, d.backends[1]))
+}
+
 // newStandstillDeployment returns a deployment with two plain services beside processes whose drain is over
 // within a standstill.
 func newStandstillDeployment(t *testing.T) *deployment {
