serviceowner: a call that the end of a drain finds unsent is refused, not cut

Callers saw: 502 DrainCut, outcome unknown and the key spent, for a call that was admitted but not sent to the service as the drain ended. A call that was submitted after the end got no answer (shown by a test, not seen). What waits in the backlog runs with an ended context, and counted as sent. A task that was submitted once the backlog had been emptied never ran. Change: such a call ends with Leaving, recorded, so that its key may be bound to another server. A task that is submitted after the end is run by its submitter, with the ended context.

--- a/internal/backend/background/background.go
+++ b/internal/backend/background/background.go
@@ -41,9 +41,13 @@
 	}
 }
 
-// Submit queues a task. It blocks while the backlog is full.
+// Submit queues a task. It blocks while the backlog is full. After the end of Run it runs the task itself,
+// with the ended context.
 func (g *Group) Submit(task func(context.Context)) {
 	g.tasks <- task
+	if g.running.Err() != nil {
+		g.startWaiting(func(task func(context.Context)) { task(g.running) })
+	}
 }
 
 // Run starts submitted tasks until ctx ends, and returns when all submitted tasks have
--- a/internal/backend/serviceowner/serviceowner.go
+++ b/internal/backend/serviceowner/serviceowner.go
@@ -269,12 +269,7 @@
 	ctx, stop := context.WithDeadline(ctx, runDeadline(in))
 	defer stop()
 	code, reason := resultcode.OK, ""
-	reply, err := o.callService(ctx, in)
-	if err == nil {
-		err = o.storeReply(id, reply)
-	}
-	if err != nil {
-		result := failure(ctx, err)
+	if result := o.runAndStore(ctx, in); result != nil {
 		code, reason = result.Code, result.Reason
 	}
 	evictAt := time.Now().Add(time.Duration(o.Settings.HoldSeconds) * time.Second)
@@ -284,6 +279,22 @@
 	o.Records.Record(id, explanation.Ended{Code: uint32(code), Outcome: string(code.Info().Outcome), Reason: reason})
 }
 
+// runAndStore runs one call and stores its reply. It returns the result of a call without a reply. A call
+// that the end of the process finds in the backlog is not sent, so that it may run elsewhere.
+func (o *Owner) runAndStore(ctx context.Context, in *message.CallRequest) *resultcode.Result {
+	if errors.Is(context.Cause(ctx), background.ErrEnded) {
+		return resultcode.New(resultcode.Leaving, "the process ended before the start")
+	}
+	reply, err := o.callService(ctx, in)
+	if err == nil {
+		err = o.storeReply(in.GetRequestId(), reply)
+	}
+	if err != nil {
+		return failure(ctx, err)
+	}
+	return nil
+}
+
 // runDeadline returns the deadline of a call, or the default if it has none.
 func runDeadline(in *message.CallRequest) time.Time {
 	deadline := permitcheck.TimeFromNanos(in.GetDeadlineUnixNanos())
--- a/internal/backend/serviceowner/serviceowner_test.go
+++ b/internal/backend/serviceowner/serviceowner_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
@@ -36,9 +37,8 @@
 	return plainservice.Reply{Status: 201, ContentType: "application/json", Body: s.body}, s.err
 }
 
-// start runs an Owner until the test ends.
-func start(t *testing.T, s *fakeService) *Owner {
-	t.Helper()
+// newOwner returns an Owner that does not run yet.
+func newOwner(s *fakeService) *Owner {
 	buffer := &replay.Buffer{Backend: "desk-1", Incarnation: incarnation, MaxBytes: 16 << 20}
 	o := &Owner{
 		Crashes: &crashreport.Reports{Backend: "b"},
@@ -53,6 +53,13 @@
 		Log:           slog.New(slog.DiscardHandler),
 	}
 	o.Prepare()
+	return o
+}
+
+// start runs an Owner until the test ends.
+func start(t *testing.T, s *fakeService) *Owner {
+	t.Helper()
+	o := newOwner(s)
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return o.Run(ctx) })
@@ -162,3 +169,28 @@
 		})
 	}
 }
+
+// TestUnsentCallAtTheEndIsRefused guards against a call that is admitted as the process ends, and that gets
+// no answer or counts as one that may have run, although it was not sent.
+func TestUnsentCallAtTheEndIsRefused(t *testing.T) {
+	for _, admittedFirst := range []bool{true, false} {
+		is := is.New(t)
+		s := newFakeService()
+		close(s.release)
+		o := newOwner(s)
+		ended, end := context.WithCancel(context.Background())
+		end()
+		if !admittedFirst {
+			is.NoErr(o.background.Run(ended))
+		}
+		in := nonIdempotentCall()
+		is.Equal(o.admit(in, time.Now()), nil)
+		is.NoErr(o.Run(ended))
+		ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+		defer stop()
+		reply := o.reply(ctx, in)
+		is.Equal(resultcode.Code(reply.GetCode()), resultcode.Leaving)
+		is.True(reply.GetRecorded())
+		is.Equal(len(s.calls), 0)
+	}
+}
