engineowner: a generation that the end of a drain finds unsent is refused, not cut

Callers would see: 502 DrainCut, outcome unknown and the key spent, for a generation that was admitted but not sent to the engine as the drain ended (shown by a test, not seen). Change: it ends with Leaving, like the jobs that wait for room, and may run elsewhere.

--- a/internal/backend/engineowner/engineowner_test.go
+++ b/internal/backend/engineowner/engineowner_test.go
@@ -1,13 +1,16 @@
 package engineowner
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/background"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/explanation"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
@@ -239,3 +242,25 @@
 	}
 	return false
 }
+
+// TestUnsentJobAtTheEndIsRefused guards against a generation that is admitted as the process ends, and that
+// counts as one that may have run, although it was not sent to the engine.
+func TestUnsentJobAtTheEndIsRefused(t *testing.T) {
+	is := is.New(t)
+	server := &standin.Server{StepMillis: 1}
+	o := start(t, server)
+	in := draft("tokens=3 x")
+	entry, _, err := o.Replay.Start(in.GetRequestId(), time.Now().Add(time.Minute))
+	is.NoErr(err)
+	j := &job{request: engine.Request{ID: in.GetRequestId()}, sequence: entry.Sequence, running: true}
+	o.mu.Lock()
+	o.jobs[in.GetRequestId()] = j
+	o.mu.Unlock()
+	ended, end := context.WithCancelCause(context.Background())
+	end(background.ErrEnded)
+	o.runJob(ended, j)
+	out := &recorder{}
+	is.NoErr(generate(o, in, out))
+	is.Equal(resultcode.Code(out.last().GetEnd().GetCode()), resultcode.Leaving)
+	is.Equal(server.Starts(), 0)
+}
--- a/internal/backend/engineowner/run.go
+++ b/internal/backend/engineowner/run.go
@@ -33,6 +33,11 @@
 
 // runJob runs one generation on the engine to its end.
 func (o *Owner) runJob(ctx context.Context, j *job) {
+	if ctx.Err() != nil {
+		// The end of the process has found the job in the backlog, so that it may run elsewhere.
+		o.finish(j, resultcode.Leaving, "the process ended before the start")
+		return
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	if !o.registerStop(j, stop) {
