--- a/internal/wire/transport/server.go
+++ b/internal/wire/transport/server.go
@@ -44,6 +44,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, listener.StopAccepting)()
 	group.Go(func() error {
+		defer func() { _ = listener.Close() }()
 		err := s.accept(ctx, listener, func(conn net.Conn) {
 			group.Go(func() error {
 				s.report(newCallConnection().serve(ctx, server, conn))
