transport: the last calls end within the time that the direct roles have left

Callers saw: nothing. A process beside an engine plans with 200 ms from its last message to the end of its grace period, and the last calls could take 250 ms. Change: they have 200 ms. Result: TestServerEndsNoUnreadCall passes 8 of 8 (race detector).

--- a/internal/wire/transport/server.go
+++ b/internal/wire/transport/server.go
@@ -18,9 +18,9 @@
 	// recentCallMillis is the time before the end of the server in which a connection must have begun its
 	// first call to be still served: those who decided the end may not have known of that call.
 	recentCallMillis = 500
-	// lastCallMillis is the time after the end of the server for the replies to these calls. It is less than
-	// the time that a direct entry host has left at the end of its grace period.
-	lastCallMillis = 250
+	// lastCallMillis is the time after the end of the server for the replies to these calls. It is not more than
+	// the time that the direct roles have left at the end of their grace periods.
+	lastCallMillis = 200
 	// acceptRetryMillis is the pause after a failed accept, for example for lack of file descriptors.
 	acceptRetryMillis = 500
 )
