cmd: the log of the older roles does not hold them either

Operators saw: an entry host of the older roles hangs in its requests, and never ends its drain, while the reader of its log stands still and the pipe is full. Found by the review of the planned stop. The older roles wrote each line themselves; the direct roles have a queue since long. Change: all roles share withLog: lines are queued, over the limits dropped and counted, and written until 50 ms after the role has ended.

--- a/cmd/backend.go
+++ b/cmd/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -17,16 +18,14 @@
 		Usage: "run the process beside a backend server; the first signal drains it, the second one aborts open requests",
 		Flags: hostFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			log, err := newHostLog(c)
-			if err != nil {
-				return err
-			}
-			settings, err := process.LoadBackend(c.String("settings"))
-			if err != nil {
-				return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
-			}
-			host := &backendhost.Host{Settings: settings, Log: log, Version: Version}
-			return withCode(ExitFailure, lifecycle.WithSignals(ctx, lifecycle.RepeatAborts, host.Run))
+			return withLog(ctx, c, c.Root().ErrWriter, func(log *slog.Logger) error {
+				settings, err := process.LoadBackend(c.String("settings"))
+				if err != nil {
+					return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
+				}
+				host := &backendhost.Host{Settings: settings, Log: log, Version: Version}
+				return withCode(ExitFailure, lifecycle.WithSignals(ctx, lifecycle.RepeatAborts, host.Run))
+			})
 		},
 	}
 }
--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/logging"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/directbackend"
@@ -17,10 +15,6 @@
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
-// lastLinesMillis bounds the time for writing the last lines of the log when a role has ended. Its end must
-// be within the grace period.
-const lastLinesMillis = 50
-
 // directFlags returns the flags of the roles of the direct path. By default, the
 // settings file is the one that the platform names in an environment variable.
 func directFlags() []cli.Flag {
@@ -72,35 +66,16 @@
 	})
 }
 
-// runRole creates the log, loads the settings of a role and runs the role. The log is
-// written until shortly after the role has ended.
+// runRole creates the log, loads the settings of a role and runs the role.
 func runRole[T any](
 	ctx context.Context, c *cli.Command, life lifecycle.Lifecycle,
 	load func(string) (T, error), role func(T, *slog.Logger) roleRunner,
 ) error {
-	writer := logging.NewAsyncWriter(c.Root().Writer)
-	log, err := logging.New(writer, logging.Settings{Level: c.String("log-level"), Format: c.String("log-format")})
-	if err != nil {
-		return withCode(ExitUsage, err)
-	}
-	settings, err := load(c.String("settings"))
-	if err != nil {
-		return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
-	}
-	writerCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	written := make(chan struct{})
-	var group errgroup.Group
-	group.Go(func() error {
-		defer close(written)
-		writer.Run(writerCtx)
-		return nil
+	return withLog(ctx, c, c.Root().Writer, func(log *slog.Logger) error {
+		settings, err := load(c.String("settings"))
+		if err != nil {
+			return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
+		}
+		return withCode(ExitFailure, role(settings, log)(life))
 	})
-	err = role(settings, log)(life)
-	stop()
-	// The reader of the log may stand still.
-	select {
-	case <-written:
-	case <-time.After(lastLinesMillis * time.Millisecond):
-	}
-	return withCode(ExitFailure, err)
 }
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -22,31 +22,20 @@
 	}
 }
 
-// newHostLog returns a logger with the level and the format that the flags set.
-func newHostLog(c *cli.Command) (*slog.Logger, error) {
-	log, err := logging.New(c.Root().ErrWriter, logging.Settings{
-		Level:  c.String("log-level"),
-		Format: c.String("log-format"),
-	})
-	return log, withCode(ExitUsage, err)
-}
-
 func newEntryCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
 		Usage: "run the process of an entry host; the first signal drains it, the second one aborts open requests",
 		Flags: hostFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			log, err := newHostLog(c)
-			if err != nil {
-				return err
-			}
-			settings, err := process.LoadEntry(c.String("settings"))
-			if err != nil {
-				return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
-			}
-			host := &entryhost.Host{Settings: settings, Log: log, Version: Version}
-			return withCode(ExitFailure, lifecycle.WithSignals(ctx, lifecycle.RepeatAborts, host.Run))
+			return withLog(ctx, c, c.Root().ErrWriter, func(log *slog.Logger) error {
+				settings, err := process.LoadEntry(c.String("settings"))
+				if err != nil {
+					return withCode(ExitInvalid, errors.Wrap(err, c.String("settings")))
+				}
+				host := &entryhost.Host{Settings: settings, Log: log, Version: Version}
+				return withCode(ExitFailure, lifecycle.WithSignals(ctx, lifecycle.RepeatAborts, host.Run))
+			})
 		},
 	}
 }
