--- a/internal/role/lifecycle/standstill.go
+++ b/internal/role/lifecycle/standstill.go
@@ -4,10 +4,9 @@
 
 const (
 	// beatMillis is the period at which a process notes that it runs.
-	beatMillis = 50
-	// standstillMillis is the time without a note after which the process counts as having stood still. It is
-	// shorter than the time for which open requests are ended in a grace period of 1 s.
-	standstillMillis = 100
+	beatMillis = 100
+	// standstillMillis is the time without a note after which the process counts as having stood still.
+	standstillMillis = 300
 	// handlingMillis is the time after a standstill in which a signal is handled that came during it.
 	handlingMillis = 300
 )
