lifecycle, directentry: a signal counts from a standstill only if it is handled at once after it; answers get longer

With a grace period of 2 s, on a machine without free processors, 18 connections were reset 11 to 24 ms before their answers were ready, with time left. Connections were closed when half of the reserve was over. Change: a standstill (of 300 ms or more) counts for 100 ms after its end; connections are closed when three quarters of the reserve are over.

--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -40,7 +40,7 @@
 		ReroutedAt: signalledAt.AddMillis(rerouteMillis),
 		EndsAt:     reserve.BeginsAt(signalledAt, graceSeconds),
 	}
-	return stop, reserve.Half().BeginsAt(signalledAt, graceSeconds)
+	return stop, reserve.LastQuarter().BeginsAt(signalledAt, graceSeconds)
 }
 
 // awaitStop waits for the signal to stop, and then until all requests have ended or the grace period is
--- a/internal/role/lifecycle/reserve.go
+++ b/internal/role/lifecycle/reserve.go
@@ -14,9 +14,10 @@
 	Share float64
 }
 
-// Half returns the second half of the reserve.
-func (r Reserve) Half() Reserve {
-	return Reserve{Millis: r.Millis / 2, Share: r.Share / 2}
+// LastQuarter returns the last quarter of the reserve.
+func (r Reserve) LastQuarter() Reserve {
+	const quarter = 0.25
+	return Reserve{Millis: r.Millis * quarter, Share: r.Share * quarter}
 }
 
 // BeginsAt returns the time at which the reserve begins for a process that is signalled to stop at the given
--- a/internal/role/lifecycle/standstill.go
+++ b/internal/role/lifecycle/standstill.go
@@ -8,7 +8,7 @@
 	// standstillMillis is the time without a note after which the process counts as having stood still.
 	standstillMillis = 300
 	// handlingMillis is the time after a standstill in which a signal is handled that came during it.
-	handlingMillis = 300
+	handlingMillis = 100
 )
 
 // standstill finds out when a signal came to a process that may have stood still before it handles
