httpserver: the end of a stop resets no request whose handler is about to answer

The process reset all connections when the time for the last responses was over, whether their handlers had run or not. A reset by the process is no better for a caller than the end of the process. Change: requests of which no part of the response was sent keep their connections for up to 1 s more; streams, half-read requests and idle connections are reset as before. The process still ends as soon as the handlers have.

--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -40,6 +40,8 @@
 	reading
 	// handling means that a request was read and its response was not written completely.
 	handling
+	// responding means the same, and that a part of the response was sent.
+	responding
 )
 
 // serveOne handles the next request and reports whether the connection may be
--- a/internal/caller/httpserver/exchange.go
+++ b/internal/caller/httpserver/exchange.go
@@ -73,6 +73,7 @@
 
 // Begin starts a response of unknown length.
 func (x *Exchange) Begin(status int, header http.Header) {
+	x.connection.server.setState(x.connection, responding)
 	if x.Request.ProtoAtLeast(1, 1) {
 		x.chunked = true
 		header.Set("Transfer-Encoding", "chunked")
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -19,6 +19,9 @@
 	// and leastResponseMillis the time that they have if Run ends late, as the process stood still.
 	lastResponseMillis  = 200
 	leastResponseMillis = 50
+	// lateResponseMillis is the time after that for handlers that have sent no part of their responses, as
+	// the process gets no processor. Their callers would lose them by a reset as by the end of the process.
+	lateResponseMillis = 1000
 )
 
 // ErrStopped is the cancellation cause of an exchange's context when Run ends.
@@ -70,15 +73,23 @@
 }
 
 // abort ends the wait for requests and the reading of those that have begun, gives open requests
-// time to write their responses, and resets all connections that are left when ctx ends or that time is over.
+// time to write their responses, and resets the connections that are left when that time is over. Requests
+// whose handlers are late keep theirs for a while longer.
 func (s *Server) abort(ctx context.Context) {
 	s.advance(aborting)
 	s.limitReads(waiting)
 	s.limitReads(reading)
-	ctx, stop := context.WithDeadline(ctx, time.Now().Add(s.lastResponse()))
+	s.awaitEndUntil(ctx, time.Now().Add(s.lastResponse()))
+	s.reset(func(c *connection) bool { return c.state != handling })
+	s.awaitEndUntil(ctx, time.Now().Add(lateResponseMillis*time.Millisecond))
+	s.reset(func(*connection) bool { return true })
+}
+
+// awaitEndUntil is awaitEnd with a time limit.
+func (s *Server) awaitEndUntil(ctx context.Context, until time.Time) {
+	ctx, stop := context.WithDeadline(ctx, until)
 	defer stop()
 	s.awaitEnd(ctx)
-	s.closeAll()
 }
 
 // lastResponse returns the time that open requests have to write their responses.
@@ -162,13 +173,15 @@
 	}
 }
 
-// closeAll resets all connections.
-func (s *Server) closeAll() {
+// reset resets the connections that are selected.
+func (s *Server) reset(selected func(*connection) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
-		c.reset()
-		_ = c.conn.Close()
+		if selected(c) {
+			c.reset()
+			_ = c.conn.Close()
+		}
 	}
 }
 
