--- a/internal/caller/relay/cutanswer_test.go
+++ b/internal/caller/relay/cutanswer_test.go
@@ -56,7 +56,7 @@
 		before := answers.Requests()
 		for {
 			answer, body, err := readAt(t, server.Listener.Addr().String(), method)
-			// A connection may take too long on a busy machine; the server has then got nothing.
+			// A connection may take too long on a busy host; the server has then got nothing.
 			if !errors.Is(err, ErrNotSent) || answers.Requests() > before {
 				return answer, body, err
 			}
--- a/internal/role/lifecycle/standstill.go
+++ b/internal/role/lifecycle/standstill.go
@@ -12,12 +12,11 @@
 )
 
 // standstill finds out when a signal came to a process that may have stood still before it handles
-// the signal. A machine whose processors are taken lets a process wait for seconds.
+// the signal. On an overloaded host a process may wait for seconds.
 type standstill struct {
 	// beatAt is the last time at which the process is known to have run.
 	beatAt boottime.Instant
-	// from and until bound the last standstill; zero if there was none. They never overlap with beatAt:
-	// from < until <= beatAt.
+	// from and until bound the last standstill, from < until <= beatAt; zero if there was none.
 	from, until boottime.Instant
 }
 
--- a/internal/trial/endtoend/platform_monitorstop_test.go
+++ b/internal/trial/endtoend/platform_monitorstop_test.go
@@ -20,7 +20,7 @@
 	// movedEvents is the number of events of streams that outlast the shutdown of their engine.
 	movedEvents = 400
 	// stopNoticeMillis is the time from the notice of an engine to its shutdown. It is long enough for
-	// two slow copies of a run on a busy machine.
+	// two slow copies of a run on a busy host.
 	stopNoticeMillis = 3000
 )
 
@@ -180,7 +180,7 @@
 	return l.Message == "migrated stream is being resumed" && !l.Stopped
 }
 
-// migratedLate reports whether a run was stopped for longer than its stream waits, as the machine is
+// migratedLate reports whether a run was stopped for longer than its stream waits, as the host is
 // busy.
 func migratedLate(l logLine) bool {
 	const waitMillis = 1000
--- a/internal/trial/endtoend/soak_stop_check_test.go
+++ b/internal/trial/endtoend/soak_stop_check_test.go
@@ -266,7 +266,7 @@
 }
 
 // checkStops checks that each process ended in time and with code 0, and that it was not ready meanwhile.
-// The time for which the machine held the process up is not counted.
+// The time for which the host held the process up is not counted.
 func (c *stopCheck) checkStops() {
 	for _, h := range c.hosts {
 		for _, stop := range h.stops {
--- a/internal/trial/endtoend/soak_stop_test.go
+++ b/internal/trial/endtoend/soak_stop_test.go
@@ -44,7 +44,7 @@
 
 // TestSoakPlannedStops guards against requests that are cut, lost or repeated by planned stops of entry
 // hosts, in series and overlapping, under load of all kinds. A seed gives the same deployment and stops;
-// the load depends on the speed of the machine.
+// the load depends on the speed of the host.
 func TestSoakPlannedStops(t *testing.T) {
 	t.Parallel()
 	for n := range *soakStopRuns {
@@ -347,7 +347,7 @@
 	}
 }
 
-// watchProcess notes when a stopping process exits, and for how long the machine holds it up.
+// watchProcess notes when a stopping process exits, and for how long the host holds it up.
 func (h *stopHost) watchProcess(stop *plannedStop) {
 	const periodMillis = 20
 	before := h.processorWaits()
