directentry: a standstill before the signal ends requests no sooner than it must

Cause: the whole standstill was taken off the grace period, though the signal comes anywhere in it, and although the reserve of 0.3 s is there for lateness. Change: requests end when the reserve begins, counted from the handling of the signal, or, if that is sooner, when its last quarter begins, counted from the beginning of the standstill. So an end that comes too late is still excluded.

--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -32,15 +32,24 @@
 	return relay.Stop{}
 }
 
-// stopAt returns the planned stop of a process that is signalled to stop at the given time, and the time
-// at which the connections that are left are closed.
-func stopAt(signalledAt boottime.Instant, graceSeconds float64) (stop relay.Stop, closeBy boottime.Instant) {
+// signalTimes holds what is known of the time of the signal to stop.
+type signalTimes struct {
+	// earliestAt is the earliest time at which it may have come, and handledAt the time at which it was
+	// handled: earliestAt <= handledAt.
+	earliestAt, handledAt boottime.Instant
+}
+
+// stopAt returns the planned stop, and the time at which the connections that are left are closed. The
+// reserve of the grace period makes up for a late signal. Only if it came so early that the reserve would be
+// used up do requests end sooner, in its last quarter: a stream that is ended too early is lost as well.
+func (t signalTimes) stopAt(graceSeconds float64) (stop relay.Stop, closeBy boottime.Instant) {
 	reserve := lifecycle.Reserve{Millis: reserveMillis, Share: reserveShare}
+	closeBy = reserve.LastQuarter().BeginsAt(t.earliestAt, graceSeconds)
 	stop = relay.Stop{
-		ReroutedAt: signalledAt.AddMillis(rerouteMillis),
-		EndsAt:     reserve.BeginsAt(signalledAt, graceSeconds),
+		ReroutedAt: t.earliestAt.AddMillis(rerouteMillis),
+		EndsAt:     min(reserve.BeginsAt(t.handledAt, graceSeconds), closeBy),
 	}
-	return stop, reserve.LastQuarter().BeginsAt(signalledAt, graceSeconds)
+	return stop, closeBy
 }
 
 // awaitStop waits for the signal to stop, and then until all requests have ended or the grace period is
@@ -52,21 +61,21 @@
 	case <-life.Abort.Done():
 		return nil
 	}
-	signalledAt := life.SignalledAt()
-	h.setStop(signalledAt, h.Settings.GraceSeconds)
+	signal := signalTimes{earliestAt: life.SignalledAt(), handledAt: boottime.Now()}
+	h.setStop(signal, h.Settings.GraceSeconds)
 	h.server.Drain()
 	// The stop does not wait for the settings file, whose read may hang.
 	var reread errgroup.Group
 	reread.Go(func() error {
-		h.setStop(signalledAt, h.graceSeconds())
+		h.setStop(signal, h.graceSeconds())
 		return nil
 	})
 	// Requests that wait for room and would be cut are refused at once.
 	h.waiting.Signal()
 	begun := h.server.Begun()
 	h.Log.Info("stopping", "Open", h.server.Open(), "EndsInMillis", h.millisToEnd(),
-		"SignalAgeMillis", boottime.Now().MillisSince(signalledAt))
-	open := h.drain(life.Abort, signalledAt.AddMillis(rerouteMillis))
+		"SignalAgeMillis", signal.handledAt.MillisSince(signal.earliestAt))
+	open := h.drain(life.Abort, h.plannedStop().ReroutedAt)
 	if open > 0 {
 		h.Log.Warn("aborting open requests at the end of the grace period", "Open", open)
 	}
@@ -87,8 +96,8 @@
 }
 
 // setStop stores the planned stop.
-func (h *Host) setStop(signalledAt boottime.Instant, graceSeconds float64) {
-	stop, closeBy := stopAt(signalledAt, graceSeconds)
+func (h *Host) setStop(signal signalTimes, graceSeconds float64) {
+	stop, closeBy := signal.stopAt(graceSeconds)
 	h.stop.Store(&stop)
 	h.server.CloseBy(closeBy)
 }
