--- a/internal/caller/httpserver/newconnections_test.go
+++ b/internal/caller/httpserver/newconnections_test.go
@@ -44,14 +44,12 @@
 
 // TestStopResetsNoNewConnection guards against connections that are established while the server stops,
 // and reset by the system as it closes the listener before they were accepted.
-func TestStopResetsNoNewConnection(t *testing.T) {
-	t.Parallel()
+func TestStopResetsNoNewConnection(t *testing.T) { // not parallel, as its load would delay others
 	for name, stop := range map[string]func(runningServer){
 		"when idle":                   func(s runningServer) { s.Drain(); s.Finish(context.Background()) },
 		"when the grace period ended": func(runningServer) {},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
 			const rounds, callers, loadMillis = 40, 8, 5
 			var group errgroup.Group
--- a/internal/wire/transport/httpstop_test.go
+++ b/internal/wire/transport/httpstop_test.go
@@ -29,8 +29,7 @@
 
 // TestHTTPServerResetsNoNewConnection guards against connections that are established while the server
 // stops, and reset by the system as it closes the listener before they were accepted.
-func TestHTTPServerResetsNoNewConnection(t *testing.T) {
-	t.Parallel()
+func TestHTTPServerResetsNoNewConnection(t *testing.T) { // not parallel, as its load would delay others
 	is := is.New(t)
 	const rounds, callers, loadMillis = 100, 16, 5
 	var callersGroup errgroup.Group
--- a/internal/wire/transport/serverstop_test.go
+++ b/internal/wire/transport/serverstop_test.go
@@ -15,8 +15,7 @@
 
 // TestServerEndsNoUnreadCall guards against calls that are sent just before a server ends and whose
 // connections are closed although no call was read from them: the clients must assume that the calls have run.
-func TestServerEndsNoUnreadCall(t *testing.T) {
-	t.Parallel()
+func TestServerEndsNoUnreadCall(t *testing.T) { // not parallel, as its load would delay others
 	is := is.New(t)
 	const rounds, clients, loadMillis = 40, 16, 5
 	var callers errgroup.Group
