review: a stream that goes on where its run was stopped is cut at its end

Cause: the process beside an engine goes on answering that a run was stopped after it has gone on at the same engine. Change: a case from the known red test, with a leaving engine around a planned stop.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,10 +10,12 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*site) (bool, error){
-	"drill":   restoredStore,
-	"endless": endlessStreams,
-	"foreign": foreignEntry,
-	"late":    lateReads,
+	"drill":    restoredStore,
+	"endless":  endlessStreams,
+	"foreign":  foreignEntry,
+	"late":     lateReads,
+	"returned": returnedRuns,
+	"slow":     slowReaders,
 }
 
 const (
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// maxServers bounds the servers of a deployment.
+const maxServers = 32
+
 // replica is a stand-in for a server. A behaviour answers the requests that the server runs.
 type replica struct {
 	site       *site
@@ -24,6 +27,8 @@
 	monitorPID int
 
 	behave func(r *replica, w http.ResponseWriter, q *http.Request, a *arrival)
+	// engine is set for a server that moves its runs.
+	engine *engine
 
 	arrived atomic.Int64
 	mu      sync.Mutex
@@ -42,23 +47,40 @@
 
 // addReplica starts and registers a server.
 func (s *site) addReplica(service string, slots int, behave func(*replica, http.ResponseWriter, *http.Request, *arrival)) (*replica, error) {
-	r := &replica{
-		site: s, id: fmt.Sprintf("i-%s-%d", service, len(s.replicas)+1), ip: s.ip(), service: service, slots: slots,
-		born: time.Now().UnixMilli(), behave: behave, running: make(map[string]int),
+	r, err := s.newReplica(service, slots, behave)
+	if err != nil {
+		return nil, err
 	}
 	listener, err := net.Listen("tcp", r.addr())
 	if err != nil {
 		return nil, err
 	}
+	s.serveReplica(r, listener)
+	return r, nil
+}
+
+func (s *site) newReplica(service string, slots int, behave func(*replica, http.ResponseWriter, *http.Request, *arrival)) (*replica, error) {
+	if len(s.replicas) >= maxServers {
+		return nil, fmt.Errorf("more than %d servers", maxServers)
+	}
+	return &replica{
+		site: s, id: fmt.Sprintf("i-%s-%d", service, len(s.replicas)+1), ip: s.ip(), service: service, slots: slots,
+		born: time.Now().UnixMilli(), behave: behave, running: make(map[string]int),
+	}, nil
+}
+
+// serveReplica serves and registers a server.
+func (s *site) serveReplica(r *replica, listener net.Listener) {
 	s.replicas = append(s.replicas, r)
 	s.group.Go(func() { _ = http.Serve(listener, http.HandlerFunc(r.handle)) })
 	s.register(r, "ready")
-	return r, nil
 }
 
 func (r *replica) handle(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("Fulmarvalve-Request-Id")
 	switch {
+	case r.engine != nil && r.engine.serve(w, q):
+		return
 	case q.URL.Path == "/report":
 		r.report(w)
 		return
