--- a/review/standin-2/late.go
+++ b/review/standin-2/late.go
@@ -125,6 +125,7 @@
 	s.note("SIGTERM to %s; its grace period is 8 s", e.name)
 	signalTo(e.pid, syscall.SIGTERM)
 	clients.Wait()
+	time.Sleep(time.Second) // the servers note how far they came
 	if err := failed.Load(); err != nil {
 		return false, *err
 	}
