relay, monitor: a stop concerns only the answer that it has ended

Cause: the process beside the engine was asked whether it had stopped the run and named the stop of before the run went on; nothing told a stop before an answer from one after it. Ruled out: a second order (none in the log between the continuation and the end). Change: orders to stop a run are numbered, over restarts of the monitor too; an entry host counts only orders above those that it had heard of when it sent the request, takes only the reply to its own question, and numbers its own orders alike. Stops belong to one incarnation of the engine. A monitor that starts beside a leaving engine vouches for runs that reports list after a second. A stopped run is not stopped again before it has gone on. A closed stream to the monitor of an older incarnation no longer removes that of the new one.

--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -110,11 +110,11 @@
 }
 
 // migratable returns the runs that may still be migrated. A run can be copied only
-// after its first event. The caller holds the mutex.
+// after its first event, and not while its stream is about to go on after a stop. The caller holds the mutex.
 func (m *Monitor) migratable(attempts map[string]int) []migration.Run {
 	var runs []migration.Run
 	for _, run := range m.latest.Runs {
-		if attempts[run.RequestID] >= maxAttempts || run.Events == 0 {
+		if attempts[run.RequestID] >= maxAttempts || run.Events == 0 || m.stopOrders.Rests(run.RequestID) {
 			continue
 		}
 		runs = append(runs, m.forecasts.migratable(run))
@@ -177,7 +177,10 @@
 
 // copyAndPublish copies a run and reports the result to the entry hosts.
 func (m *Monitor) copyAndPublish(ctx context.Context, step migration.Step, stop bool) platform.Copy {
-	firstStop := stop && m.orderStop(step.Run.RequestID)
+	order := uint64(0)
+	if stop {
+		order = m.orderStop(step.Run.RequestID)
+	}
 	reply, err := m.Engines.Copy(ctx, m.EngineAddress, step.Run.RequestID, step.Destination.Address, stop)
 	if err != nil || !reply.Done {
 		m.Log.Warn("copy of run failed", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
@@ -187,10 +190,10 @@
 		m.markRefused(step.Destination.Address)
 	}
 	if reply.Handle != "" {
-		m.publishMove(moveOf(step, reply, stop))
+		m.publishMove(moveOf(step, reply, order))
 	}
-	if firstStop && reply.Status == http.StatusNotFound {
-		m.noteNotStopped(step.Run.RequestID)
+	if stop && reply.Status == http.StatusNotFound {
+		m.noteNotStopped(step.Run.RequestID, order)
 	}
 	return reply
 }
@@ -198,15 +201,17 @@
 // publishMove reports a migration to the entry hosts and stores it.
 func (m *Monitor) publishMove(move *sighting.Move) {
 	m.mu.Lock()
-	if m.migrations == nil {
-		m.migrations = make(map[string]*sighting.Move)
-	}
-	m.migrations[move.GetRequestId()] = move
-	if move.GetStopped() {
-		m.stopOrders.answer(move.GetRequestId())
+	current := !move.GetStopped() || m.noteStop(move)
+	if current {
+		if m.migrations == nil {
+			m.migrations = make(map[string]*sighting.Move)
+		}
+		m.migrations[move.GetRequestId()] = move
 	}
 	m.mu.Unlock()
-	m.publish(&sighting.Sighting{Move: move})
+	if current {
+		m.publish(&sighting.Sighting{Move: move})
+	}
 }
 
 // publishFinal reports to the entry hosts that the remaining runs will not be
@@ -246,11 +251,10 @@
 	defer m.mu.Unlock()
 	var all []stay
 	for _, run := range m.latest.Runs {
-		move := m.finalMove(run.RequestID)
-		if move.GetStopped() {
+		if m.stopOrders.Rests(run.RequestID) {
 			continue
 		}
-		move.Stopped = m.stopOrders.ordered[run.RequestID]
+		move := m.finalMove(run.RequestID)
 		obstacle, ok := m.obstacles[run.RequestID]
 		if !ok {
 			obstacle = migration.NoTime
@@ -268,9 +272,10 @@
 	m.advice.markRefused(address, boottime.Now())
 }
 
-// moveOf returns the message about a run that was copied.
-func moveOf(step migration.Step, reply platform.Copy, stop bool) *sighting.Move {
-	move := &sighting.Move{RequestId: step.Run.RequestID, Stopped: stop, Handle: reply.Handle}
+// moveOf returns the message about a run that was copied. The order is the number of that to stop it;
+// zero if it was not stopped.
+func moveOf(step migration.Step, reply platform.Copy, order uint64) *sighting.Move {
+	move := &sighting.Move{RequestId: step.Run.RequestID, Stopped: order != 0, StopOrder: order, Handle: reply.Handle}
 	if reply.Done {
 		move.Destination = step.Destination.Address
 	}
--- a/internal/backend/monitor/monitor.go
+++ b/internal/backend/monitor/monitor.go
@@ -17,6 +17,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/enginespeed"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/migration"
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/pendingreservation"
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/stoporder"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
@@ -77,11 +78,18 @@
 	// migrations holds the latest message about each run that was copied since the
 	// shutdown notice, by request ID.
 	migrations map[string]*sighting.Move
+	// stops holds the latest message about each run that was stopped since the engine started, by
+	// request ID.
+	stops map[string]*sighting.Move
 	// obstacles holds the newest reason other than a lack of time why a run could not
 	// be migrated since the shutdown notice, by request ID.
 	obstacles map[string]migration.Obstacle
-	// stopOrders holds the orders to stop runs since the engine started.
-	stopOrders stopOrders
+	// stopOrders holds the orders to stop runs since the engine started, and lastOrder the number of the
+	// newest one.
+	stopOrders stoporder.Table
+	lastOrder  uint64
+	// endQuestions holds the questions of entry hosts that wait for the outcome of an order, by request ID.
+	endQuestions map[string][]endQuestion
 	// placed is the number of requests that entry hosts have placed since the
 	// latest report.
 	placed    int
@@ -144,7 +152,7 @@
 		}
 		if err == nil {
 			m.identify(ctx)
-			m.applyReport(migrations, group, report, now)
+			m.applyReport(migrations, group, report, queriedAt)
 			placed = m.resetPlacements() || placed
 			if due(reported, report, placed, now.MillisSince(reportedAt), m.watching()) {
 				m.publish(m.lockedLoad(report))
@@ -214,9 +222,10 @@
 	m.engineID = id
 }
 
-// applyReport stores a report of the engine. The first report that announces the
-// shutdown starts the migration of the engine's runs.
-func (m *Monitor) applyReport(ctx context.Context, group *errgroup.Group, report platform.EngineReport, now boottime.Instant) {
+// applyReport stores a report of the engine, which was asked for at the given time. The first report that
+// announces the shutdown starts the migration of the engine's runs.
+func (m *Monitor) applyReport(ctx context.Context, group *errgroup.Group, report platform.EngineReport, askedAt boottime.Instant) {
+	now := boottime.Now()
 	m.mu.Lock()
 	restarted := report.BornUnixMillis != m.latest.BornUnixMillis
 	m.latest = report
@@ -225,9 +234,10 @@
 	m.observeSpeed(report, now)
 	if restarted {
 		m.engineID = ""
-		m.stopOrders = stopOrders{}
+		m.stopOrders = stoporder.Table{}
+		m.stops, m.migrations, m.endQuestions = nil, nil, nil
 	}
-	m.stopOrders.observe(report)
+	m.stopOrders.Observe(report.Leaving, requestIDs(report), askedAt)
 	if restarted || !report.Leaving {
 		m.leavesAt = 0
 	}
--- a/internal/backend/monitor/serve.go
+++ b/internal/backend/monitor/serve.go
@@ -94,7 +94,7 @@
 				m.answerReservation(w, message.GetReservation())
 				continue
 			case message.GetEndedRequestId() != "":
-				m.answerEnded(w, message.GetEndedRequestId())
+				m.answerEnded(endQuestion{watcher: w, requestID: message.GetEndedRequestId(), answer: message.GetEndedAnswer()})
 				continue
 			}
 			m.storeAdvice(message)
--- a/internal/backend/monitor/stoporders.go
+++ b/internal/backend/monitor/stoporders.go
@@ -1,84 +1,103 @@
 package monitor
 
 import (
+	"maps"
+	"slices"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/stoporder"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
-// stopOrders holds the runs that one incarnation of the engine may have stopped, as this process
-// has ordered it to. It is not safe for concurrent use. The zero value is ready to use.
-type stopOrders struct {
-	// complete says that no other process has ordered the incarnation to stop runs: this one has
-	// seen it before it announced its shutdown.
-	complete bool
-	// ordered holds the request IDs of the runs.
-	ordered map[string]bool
-	// unanswered holds those of ordered for which no reply has said how the copy ended.
-	unanswered map[string]bool
-}
-
-// observe takes in a report of the engine.
-func (s *stopOrders) observe(report platform.EngineReport) {
-	if !report.Leaving {
-		s.complete = true
-	}
+// endQuestion is the question of an entry host whether the engine has stopped the run of an answer that
+// has ended.
+type endQuestion struct {
+	watcher   *watcher
+	requestID string
+	// answer is the number by which the host tells the answers of the request apart.
+	answer uint64
 }
 
-// add records an order and returns whether it is the first one for the run.
-func (s *stopOrders) add(requestID string) bool {
-	first := !s.ordered[requestID]
-	if s.ordered == nil {
-		s.ordered = make(map[string]bool)
-		s.unanswered = make(map[string]bool)
-	}
-	s.ordered[requestID] = true
-	s.unanswered[requestID] = true
-	return first
+// requestIDs returns the request IDs of the runs in a report.
+func requestIDs(report platform.EngineReport) []string {
+	return slices.Collect(maps.Keys(runningIDs(report)))
 }
 
-// withdraw records that the engine has not stopped the run.
-func (s *stopOrders) withdraw(requestID string) {
-	delete(s.ordered, requestID)
-	delete(s.unanswered, requestID)
-}
-
-// answer records that a reply has said how the copy of a stopped run ended.
-func (s *stopOrders) answer(requestID string) {
-	delete(s.unanswered, requestID)
-}
-
-// orderStop records that the engine is about to be ordered to stop a run. It returns whether it
-// never was before.
-func (m *Monitor) orderStop(requestID string) bool {
+// orderStop records that the engine is about to be ordered to stop a run. It returns the number of the
+// order, which is also higher than those of earlier processes beside the engine: it is the time since the
+// machine has started.
+func (m *Monitor) orderStop(requestID string) uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stopOrders.add(requestID)
+	m.lastOrder = max(m.lastOrder+1, uint64(boottime.Now()))
+	m.stopOrders.Order(requestID, m.lastOrder)
+	return m.lastOrder
 }
 
-// noteNotStopped reports to the entry hosts that a run ended before it could be stopped. One of
-// them may have asked meanwhile.
-func (m *Monitor) noteNotStopped(requestID string) {
+// noteStop records that the engine has stopped a run. It returns false if the order was given to an earlier
+// incarnation of the engine. The caller holds the mutex.
+func (m *Monitor) noteStop(move *sighting.Move) bool {
+	if !m.stopOrders.SetStopped(move.GetRequestId(), move.GetStopOrder(), boottime.Now()) {
+		return false
+	}
+	if m.stops == nil {
+		m.stops = make(map[string]*sighting.Move)
+	}
+	m.stops[move.GetRequestId()] = move
+	delete(m.endQuestions, move.GetRequestId()) // the message about the stop is the reply
+	return true
+}
+
+// noteNotStopped records and reports to the entry hosts that a run ended before it could be stopped.
+func (m *Monitor) noteNotStopped(requestID string, order uint64) {
 	m.mu.Lock()
-	m.stopOrders.withdraw(requestID)
+	m.stopOrders.SetNone(requestID, order)
 	move := m.finalMove(requestID)
+	waiting := m.endQuestions[requestID]
+	delete(m.endQuestions, requestID)
 	m.mu.Unlock()
 	m.publish(&sighting.Sighting{Move: move})
+	for _, question := range waiting {
+		m.answerEnded(question)
+	}
 }
 
 // answerEnded tells an entry host whether the engine may have stopped the run of an answer that has
 // ended. The host has seen the end, so an order that caused it was given before. While the outcome of
-// an order is open, the reply is the message about that outcome.
-func (m *Monitor) answerEnded(w *watcher, requestID string) {
+// an order is open, the reply waits for it.
+func (m *Monitor) answerEnded(question endQuestion) {
 	m.mu.Lock()
-	ordered, complete := m.stopOrders.ordered[requestID], m.stopOrders.complete
-	move := m.finalMove(requestID)
+	end := m.stopOrders.End(question.requestID)
+	reply := m.endReply(question, end)
+	if unknown, ok := end.(stoporder.Unknown); ok && unknown.Pending {
+		if m.endQuestions == nil {
+			m.endQuestions = make(map[string][]endQuestion)
+		}
+		m.endQuestions[question.requestID] = append(m.endQuestions[question.requestID], question)
+	}
 	m.mu.Unlock()
-	m.Log.Info("asked whether a run was stopped", "Request", requestID, "Stopped", move.GetStopped(),
-		"Ordered", ordered, "AllOrdersKnown", complete)
-	if !move.GetStopped() && (ordered || !complete) {
-		return
+	m.Log.Info("asked whether a run was stopped", "Request", question.requestID, "Answer", question.answer,
+		"Known", reply != nil, "Stopped", reply.GetStopped(), "Order", reply.GetStopOrder())
+	if reply != nil {
+		m.send(question.watcher, &sighting.Sighting{Move: reply})
 	}
-	m.send(w, &sighting.Sighting{Move: move})
+}
+
+// endReply returns the reply to the question of an entry host; nil if it is not known. The caller holds
+// the mutex.
+func (m *Monitor) endReply(question endQuestion, end stoporder.End) *sighting.Move {
+	reply := &sighting.Move{RequestId: question.requestID, Final: true, EndedAnswer: question.answer}
+	switch e := end.(type) {
+	case stoporder.Unknown:
+		return nil
+	case stoporder.Stopped:
+		stop := m.stops[question.requestID]
+		reply.Stopped, reply.StopOrder = true, e.Order
+		reply.Handle, reply.Destination = stop.GetHandle(), stop.GetDestination()
+	case stoporder.NotStopped:
+	}
+	return reply
 }
 
 // unansweredStops returns the final messages about the runs that the engine was ordered to stop, without
@@ -88,26 +107,25 @@
 	defer m.mu.Unlock()
 	var all []*sighting.Move
 	reported := runningIDs(m.latest)
-	for id := range m.stopOrders.unanswered {
-		if reported[id] {
-			continue
+	for _, id := range m.stopOrders.AllPending() {
+		if !reported[id] {
+			all = append(all, m.finalMove(id))
 		}
-		move := m.finalMove(id)
-		move.Stopped = true
-		all = append(all, move)
 	}
 	return all
 }
 
-// finalMove returns the last message about a run, with the copy of it if there is one. The caller
-// holds the mutex.
+// finalMove returns the last message about a run, with the copy of it if there is one that was not used.
+// The caller holds the mutex.
 func (m *Monitor) finalMove(requestID string) *sighting.Move {
+	move := &sighting.Move{RequestId: requestID, Final: true}
 	latest := m.migrations[requestID]
-	return &sighting.Move{
-		RequestId:   requestID,
-		Stopped:     latest.GetStopped(),
-		Handle:      latest.GetHandle(),
-		Destination: latest.GetDestination(),
-		Final:       true,
+	if !latest.GetStopped() || m.stopOrders.Rests(requestID) {
+		move.Stopped, move.StopOrder = latest.GetStopped(), latest.GetStopOrder()
+		move.Handle, move.Destination = latest.GetHandle(), latest.GetDestination()
+	}
+	if pending := m.stopOrders.Pending(requestID); pending != 0 {
+		move.Stopped, move.StopOrder = true, pending
 	}
+	return move
 }
--- a/internal/backend/monitor/stoporders_test.go
+++ b/internal/backend/monitor/stoporders_test.go
@@ -40,6 +40,9 @@
 		{"ended before the order", []platform.EngineReport{ready, leaving}, []int{http.StatusNotFound}, &sighting.Move{Final: true}},
 		{"order without an answer", []platform.EngineReport{ready, leaving}, []int{0}, nil},
 		{"order without an answer, then none such", []platform.EngineReport{ready, leaving}, []int{0, http.StatusNotFound}, nil},
+		{"order without an answer, then stopped", []platform.EngineReport{ready, leaving}, []int{0, http.StatusOK}, &sighting.Move{Stopped: true, Handle: "h", Destination: "d:1", Final: true}},
+		{"stopped, then none such", []platform.EngineReport{ready, leaving}, []int{http.StatusServiceUnavailable, http.StatusNotFound}, &sighting.Move{Stopped: true, Handle: "h", Final: true}},
+		{"stopped, then order without an answer", []platform.EngineReport{ready, leaving}, []int{http.StatusServiceUnavailable, 0}, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -55,7 +58,7 @@
 			for len(w.outbox) > 0 {
 				<-w.outbox
 			}
-			m.answerEnded(w, "r")
+			m.answerEnded(endQuestion{watcher: w, requestID: "r", answer: 3})
 			if tt.want == nil {
 				is.Equal(len(w.outbox), 0)
 				return
@@ -63,12 +66,55 @@
 			is.Equal(len(w.outbox), 1)
 			got := (<-w.outbox).GetMove()
 			is.Equal(got.GetRequestId(), "r")
+			is.Equal(got.GetEndedAnswer(), uint64(3))
+			is.Equal(got.GetStopOrder() != 0, got.GetStopped())
 			is.Equal([]bool{got.GetStopped(), got.GetFinal()}, []bool{tt.want.GetStopped(), tt.want.GetFinal()})
 			is.Equal([]string{got.GetHandle(), got.GetDestination()}, []string{tt.want.GetHandle(), tt.want.GetDestination()})
 		})
 	}
 }
 
+// TestStopsOfALaterIncarnation guards against a run that is judged by a stop of the engine's process before,
+// which had the same ID, also if the reply to the order comes late.
+func TestStopsOfALaterIncarnation(t *testing.T) {
+	is := is.New(t)
+	var group errgroup.Group
+	m := &Monitor{KeepRuns: true, Metrics: &metrics.Registry{}, Log: slog.New(slog.DiscardHandler)}
+	apply := func(born int64, leaving bool) {
+		m.applyReport(t.Context(), &group, platform.EngineReport{BornUnixMillis: born, Leaving: leaving, LeavesInMillis: 60_000}, boottime.Now())
+	}
+	apply(1, false)
+	apply(1, true)
+	m.stopAt(t, http.StatusServiceUnavailable)
+	late := m.orderStop("r")
+	apply(2, false)
+	w, _ := m.addWatcher()
+	m.publishMove(&sighting.Move{RequestId: "r", Stopped: true, StopOrder: late, Handle: "h"})
+	is.Equal(len(w.outbox), 1) // the load alone
+	m.answerEnded(endQuestion{watcher: w, requestID: "r", answer: 3})
+	<-w.outbox
+	is.True(!(<-w.outbox).GetMove().GetStopped())
+}
+
+// TestQuestionAwaitsOrder guards against a complete answer that is cut, as the process beside its engine is
+// asked about it while the outcome of an order is open, and never says that the run had ended.
+func TestQuestionAwaitsOrder(t *testing.T) {
+	is := is.New(t)
+	var group errgroup.Group
+	m := &Monitor{KeepRuns: true, Metrics: &metrics.Registry{}, Log: slog.New(slog.DiscardHandler)}
+	m.applyReport(t.Context(), &group, platform.EngineReport{BornUnixMillis: 1}, boottime.Now())
+	w, _ := m.addWatcher()
+	<-w.outbox
+	order := m.orderStop("r")
+	m.answerEnded(endQuestion{watcher: w, requestID: "r", answer: 3})
+	is.Equal(len(w.outbox), 0)
+	m.noteNotStopped("r", order)
+	is.Equal((<-w.outbox).GetMove().GetEndedAnswer(), uint64(0)) // to all entry hosts
+	reply := (<-w.outbox).GetMove()
+	is.Equal(reply.GetEndedAnswer(), uint64(3))
+	is.True(!reply.GetStopped())
+}
+
 // stopAt orders an engine that answers with a status to stop the run "r"; with zero it breaks off.
 func (m *Monitor) stopAt(t *testing.T, status int) {
 	t.Helper()
--- a/internal/caller/relay/answerend.go
+++ b/internal/caller/relay/answerend.go
@@ -5,9 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 )
 
 // askEndMillis is the time for which a request waits for the monitor of an engine that is not about
@@ -23,14 +20,14 @@
 
 // checkEnd returns an error if an answer that has ended may have been broken off. An answer that ends
 // with its connection does not show that itself: the connection also ends with the server, and when
-// an engine stops a run for its migration. The registration is that of the answer at an engine.
-func (q *request) checkEnd(ctx context.Context, a *attempt, r *Registration) error {
+// an engine stops a run for its migration.
+func (q *request) checkEnd(ctx context.Context, a *attempt) error {
 	switch {
 	case !a.call.endsWithConnection():
 		return nil
 	case hasEnded(ctx, a.server.Address):
 		return errors.Mark(errBrokenOff, errServerEnded)
-	case q.service.Engine != nil && q.mayBeStopped(ctx, a.server, r):
+	case q.service.Engine != nil && q.mayBeStopped(ctx, a):
 		return errors.Mark(errBrokenOff, errRunStopped)
 	case ctx.Err() != nil:
 		// The checks have ended with the request, so that they show nothing.
@@ -40,21 +37,12 @@
 	}
 }
 
-// checkBufferedEnd is like checkEnd for an answer that was read completely and is not a stream.
-func (q *request) checkBufferedEnd(ctx context.Context, a *attempt) error {
-	if q.service.Engine == nil {
-		return q.checkEnd(ctx, a, nil)
-	}
-	r := q.relay.Migrations.Register(q.caller.ID, a.server.Address, func() placement.Generation { return q.generation(0) })
-	defer r.Unregister()
-	return q.checkEnd(ctx, a, r)
-}
-
 // mayBeStopped reports whether an engine has stopped the run of an answer that has ended, or may have.
 // Without a reply of its monitor, an engine that is about to shut down may have, as only such engines
 // are ordered to.
-func (q *request) mayBeStopped(ctx context.Context, server discovery.BackendServer, r *Registration) bool {
-	asked := q.relay.AskEnded(server.ID, q.caller.ID)
+func (q *request) mayBeStopped(ctx context.Context, a *attempt) bool {
+	server, run := a.server, a.call.run
+	asked := q.relay.AskEnded(server.ID, q.caller.ID, run.number)
 	waitMillis := askEndMillis
 	leaving := q.relay.mayLeave(server)
 	if leaving {
@@ -62,14 +50,13 @@
 	}
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(waitMillis)*time.Millisecond))
 	defer stop()
-	var last Migration
-	if asked || leaving || r.StopOrdered() {
-		last, _ = r.AwaitStopped(ctx)
+	stopped, known := false, false
+	if asked || leaving || run.StopOrdered() {
+		stopped, known = run.AwaitEnd(ctx)
 	}
-	unknown := !last.Stopped && !last.Final
 	leaving = q.relay.mayLeave(server)
-	stopped := last.Stopped || (unknown && (leaving || r.StopOrdered()))
-	q.log("answer ended with its connection", "Server", server.ID, "MayBeStopped", stopped, "MonitorAsked", asked,
-		"Stopped", last.Stopped, "Final", last.Final, "Leaving", leaving)
-	return stopped
+	maybe := stopped || (!known && (leaving || run.StopOrdered()))
+	q.log("answer ended with its connection", "Server", server.ID, "Answer", run.number, "MayBeStopped", maybe,
+		"MonitorAsked", asked, "Stopped", stopped, "Known", known, "StopOrdered", run.StopOrdered(), "Leaving", leaving)
+	return maybe
 }
--- a/internal/caller/relay/answerend_cancelled_test.go
+++ b/internal/caller/relay/answerend_cancelled_test.go
@@ -46,7 +46,7 @@
 				server: discovery.BackendServer{ID: "s", Address: server.Listener.Addr().String()},
 				call:   &Call{Answer: &http.Response{ContentLength: -1}},
 			}
-			is.True(errors.Is(q.checkBufferedEnd(ctx, a), errBrokenOff))
+			is.True(errors.Is(q.checkEnd(ctx, a), errBrokenOff))
 		})
 	}
 }
--- a/internal/caller/relay/answerend_test.go
+++ b/internal/caller/relay/answerend_test.go
@@ -23,6 +23,7 @@
 	engine := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(engine.Close)
 	const length = 10
+	address := engine.Listener.Addr().String()
 	for name, tt := range map[string]struct {
 		// length is that of the answer, or negative if it ends with its connection.
 		length  int64
@@ -45,10 +46,13 @@
 			migrations := &Migrations{}
 			relay := &Relay{
 				StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: migrations, Log: slog.New(slog.DiscardHandler),
-				AskEnded: func(_, request string) bool {
+				AskEnded: func(_, request string, answer uint64) bool {
 					if tt.told != nil {
 						told := *tt.told
-						told.RequestID = request
+						told.RequestID, told.Source.Address = request, address
+						if told.Final {
+							told.EndedAnswer = answer
+						}
 						migrations.Announce(told)
 					}
 					return tt.told != nil
@@ -56,10 +60,10 @@
 			}
 			q := &request{relay: relay, service: tt.service, caller: platform.CallerRequest{ID: "r"}}
 			a := &attempt{
-				server: discovery.BackendServer{ID: "e", Address: engine.Listener.Addr().String()},
-				call:   &Call{Answer: &http.Response{ContentLength: tt.length}},
+				server: discovery.BackendServer{ID: "e", Address: address},
+				call:   &Call{Answer: &http.Response{ContentLength: tt.length}, run: migrations.Register("r").Begin(address)},
 			}
-			err := q.checkBufferedEnd(context.Background(), a)
+			err := q.checkEnd(context.Background(), a)
 			is.Equal(err == nil, tt.complete)
 			is.True(err == nil || errors.Is(err, errBrokenOff))
 			is.Equal(len(migrations.RunsOn(a.server.Address)), 0)
--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -230,7 +230,7 @@
 	answer := a.call.Answer
 	body, err := q.answer.readAll(answer.Body)
 	if err == nil {
-		err = q.checkBufferedEnd(ctx, a)
+		err = q.checkEnd(ctx, a)
 	}
 	if isLoserCancelled(ctx) {
 		a.close(false)
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -80,6 +80,8 @@
 	Answer *http.Response
 
 	conn net.Conn
+	// run is the run of the request that the answer comes from.
+	run Run
 	// onSilence is called when the read deadline has passed. If it returns true, it has set another
 	// one and the call is read on. Nil ends the read.
 	onSilence func() bool
--- a/internal/caller/relay/cutrequest_test.go
+++ b/internal/caller/relay/cutrequest_test.go
@@ -264,7 +264,7 @@
 	_, _ = io.WriteString(conn, answer.Text)
 	source := conn.LocalAddr().String()
 	runs := func() bool {
-		return slices.ContainsFunc(g.relay.Migrations.RunsOn(source), func(r Run) bool { return r.RequestID == id })
+		return slices.ContainsFunc(g.relay.Migrations.RunsOn(source), func(r StreamRun) bool { return r.RequestID == id })
 	}
 	for deadline := time.Now().Add(time.Second); !runs() && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -1,9 +1,9 @@
 package relay
 
 import (
-	"context"
 	"sync"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/backend/stoporder"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -16,8 +16,15 @@
 	// Stopped says that the source has stopped the run; in a final message, that it may have.
 	// Otherwise the run still generates, and the copy lacks the tokens generated after it was made.
 	Stopped bool
+	// StopOrder is the number of the order to stop the run, by the count of this host if Own is set and
+	// of the monitor otherwise; zero if not known.
+	StopOrder uint64
+	// Own says that this host has ordered the engine.
+	Own bool
 	// Final says that no later message about the run follows.
 	Final bool
+	// EndedAnswer is the number of the answer whose end the message is a reply to; zero if it is none.
+	EndedAnswer uint64
 	// Source is the handle of the run's memory, with the address of the engine
 	// that it ran on. The ID is empty when the run was not copied.
 	Source platform.Handle
@@ -32,46 +39,84 @@
 	return m.Source.ID != ""
 }
 
-// Migrations passes announced migrations on to the open streams that they concern.
+// Migrations passes announced migrations on to the open requests that they concern.
 // It is safe for concurrent use. The zero value is ready to use.
 type Migrations struct {
 	mu sync.Mutex
-	// registered holds the open streams by request ID.
+	// registered holds the open requests by request ID.
 	registered map[string]*Registration
+	// sequence counts what is sent to engines and what is heard of runs, so that their order is known.
+	sequence uint64
 }
 
-// Registration is an open stream whose run may be migrated.
+// Registration is an open request whose run may be migrated.
 type Registration struct {
 	migrations *Migrations
 	// id is the request ID.
 	id string
-	// engine is the address of the engine that the stream currently comes from.
+	// engine is the address of the engine that a stream currently comes from; empty before the stream
+	// begins and for other answers.
 	engine string
 	// generation returns the generation of the stream as it is now.
 	generation func() placement.Generation
 
-	// latest is the newest migration; nil when there is none.
-	latest *Migration
-	// stopOrdered says that this host has ordered the engine to stop the run, and that the engine
-	// may have.
-	stopOrdered bool
-	// changed is closed when latest changes.
+	// engines holds what is known of the run at each engine, by address.
+	engines map[string]runState
+	// changed is closed when engines changes.
 	changed chan struct{}
 }
 
-// Register registers an open stream. Unregister must be called at its end.
-func (m *Migrations) Register(id, engine string, generation func() placement.Generation) *Registration {
+// runState is what is known of a run at one engine. It is immutable.
+type runState struct {
+	// copy is the newest message about the run that names no stop, and copyAt its place in the sequence;
+	// zero if there is none.
+	copy   Migration
+	copyAt uint64
+	// stop is the message of the monitor that names its newest order, and stopAt its place in the sequence;
+	// zero if there is none. ownStop is the message about the newest stop by this host.
+	stop    Migration
+	stopAt  uint64
+	ownStop Migration
+	// reply is the newest reply to a question about the end of an answer.
+	reply Migration
+	// heard is the highest number of an order of the monitor.
+	heard uint64
+	// orders are the orders of this host to stop the run.
+	orders stoporder.Orders
+}
+
+// withMessage returns the state after a message.
+func (s runState) withMessage(m Migration, at uint64) runState {
+	if m.EndedAnswer != 0 {
+		s.reply = m
+	}
+	switch {
+	case m.Stopped && m.Own:
+		s.orders = s.orders.WithStop(m.StopOrder)
+		s.ownStop = m
+	case m.Stopped && (m.StopOrder >= s.heard || m.StopOrder == 0):
+		s.heard = max(s.heard, m.StopOrder)
+		s.stop, s.stopAt = m, at
+	case m.Stopped: // an earlier stop once more
+	case m.EndedAnswer == 0:
+		s.copy, s.copyAt = m, at
+	}
+	return s
+}
+
+// Register registers an open request. Unregister must be called at its end.
+func (m *Migrations) Register(id string) *Registration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.registered == nil {
 		m.registered = make(map[string]*Registration)
 	}
-	r := &Registration{migrations: m, id: id, engine: engine, generation: generation, changed: make(chan struct{})}
+	r := &Registration{migrations: m, id: id, engines: make(map[string]runState), changed: make(chan struct{})}
 	m.registered[id] = r
 	return r
 }
 
-// Unregister removes the stream.
+// Unregister removes the request.
 func (r *Registration) Unregister() {
 	r.migrations.mu.Lock()
 	defer r.migrations.mu.Unlock()
@@ -80,121 +125,103 @@
 	}
 }
 
-// SetEngine records that the stream now comes from another engine, and drops the
-// migration that led there.
-func (r *Registration) SetEngine(engine string) {
+// Begin records that the request is about to be sent to an engine. Stops that were heard of before are
+// those of earlier answers.
+func (r *Registration) Begin(engine string) Run {
+	r.migrations.mu.Lock()
+	defer r.migrations.mu.Unlock()
+	r.migrations.sequence++
+	return Run{registration: r, engine: engine, number: r.migrations.sequence, heard: r.engines[engine].heard}
+}
+
+// Follow records that the events of a stream now come from a run, with the generation of the stream as it
+// is at any time.
+func (r *Registration) Follow(run Run, generation func() placement.Generation) {
 	r.migrations.mu.Lock()
 	defer r.migrations.mu.Unlock()
-	r.engine = engine
-	r.latest = nil
-	r.stopOrdered = false
+	r.engine, r.generation = run.engine, generation
 }
 
-// OrderStop records that this host is about to order the engine of a run to stop it. It returns
-// false if there is no open stream of the run, or if the order is not the first one.
-func (m *Migrations) OrderStop(requestID string) bool {
+// OrderStop records that this host is about to order an engine to stop a run. It returns the number of
+// the order; zero if there is no open request of the run.
+func (m *Migrations) OrderStop(requestID, engine string) uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, ok := m.registered[requestID]
-	if !ok || r.stopOrdered {
-		return false
+	if !ok {
+		return 0
 	}
-	r.stopOrdered = true
-	return true
+	m.sequence++
+	state := r.engines[engine]
+	state.orders = state.orders.With(m.sequence)
+	r.engines[engine] = state
+	return m.sequence
 }
 
-// WithdrawStop records that the engine has not stopped the run.
-func (m *Migrations) WithdrawStop(requestID string) {
+// WithdrawStop records that the engine had no such run when it got an order.
+func (m *Migrations) WithdrawStop(requestID, engine string, order uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if r, ok := m.registered[requestID]; ok {
-		r.stopOrdered = false
+		state := r.engines[engine]
+		state.orders = state.orders.WithNone(order)
+		r.setState(engine, state)
 	}
 }
 
-// StopOrdered reports whether this host has ordered the engine to stop the run.
-func (r *Registration) StopOrdered() bool {
-	r.migrations.mu.Lock()
-	defer r.migrations.mu.Unlock()
-	return r.stopOrdered
-}
-
-// Announce stores a migration for its stream. A migration of a request without an
-// open stream is dropped.
+// Announce stores a migration for its request. A migration of a request that is not
+// open is dropped.
 func (m *Migrations) Announce(migration Migration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r, ok := m.registered[migration.RequestID]
-	if !ok {
-		return
+	if r, ok := m.registered[migration.RequestID]; ok {
+		r.store(migration)
 	}
-	r.latest = &migration
+}
+
+// store stores a message about the run. The caller holds the mutex.
+func (r *Registration) store(migration Migration) {
+	r.migrations.sequence++
+	engine := migration.Source.Address
+	r.setState(engine, r.engines[engine].withMessage(migration, r.migrations.sequence))
+}
+
+// setState stores what is known of the run at an engine. The caller holds the mutex.
+func (r *Registration) setState(engine string, state runState) {
+	r.engines[engine] = state
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// AnnounceFinal says that no further migration of a run follows. A copy that was announced
+// AnnounceFinal says that no further migration of a run on an engine follows. A copy that was announced
 // stays usable.
-func (m *Migrations) AnnounceFinal(requestID string) {
+func (m *Migrations) AnnounceFinal(requestID, engine string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, ok := m.registered[requestID]
 	if !ok {
 		return
 	}
-	final := Migration{RequestID: requestID}
-	if r.latest != nil {
-		final = *r.latest
-	}
-	final.Final = true
-	r.latest = &final
-	close(r.changed)
-	r.changed = make(chan struct{})
-}
-
-// Latest returns the newest migration of the stream, if there is one, and a channel
-// that is closed when there is a newer one.
-func (r *Registration) Latest() (Migration, bool, <-chan struct{}) {
-	r.migrations.mu.Lock()
-	defer r.migrations.mu.Unlock()
-	if r.latest == nil {
-		return Migration{}, false, r.changed
-	}
-	return *r.latest, true, r.changed
-}
-
-// AwaitStopped waits until the engine has stopped the run for a migration, until
-// the last message about the run arrives, or until ctx ends. It returns the newest
-// migration, and whether the stream can be resumed by it.
-func (r *Registration) AwaitStopped(ctx context.Context) (Migration, bool) {
-	for {
-		migration, ok, changed := r.Latest()
-		if ok && (migration.Stopped || migration.Final) {
-			return migration, migration.resumable()
-		}
-		select {
-		case <-ctx.Done():
-			return migration, ok && migration.resumable()
-		case <-changed:
-		}
-	}
+	final := r.engines[engine].copy
+	final.RequestID, final.Source.Address, final.Final = requestID, engine, true
+	r.store(final)
 }
 
-// Run is a generation on an engine whose events an open stream forwards.
-type Run struct {
+// StreamRun is a generation on an engine whose events an open stream forwards.
+type StreamRun struct {
 	RequestID  string
 	Generation placement.Generation
 }
 
 // RunsOn returns the runs of the open streams that come from the engine with an
 // address.
-func (m *Migrations) RunsOn(engine string) []Run {
+func (m *Migrations) RunsOn(engine string) []StreamRun {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var runs []Run
+	var runs []StreamRun
 	for _, r := range m.registered {
 		if r.engine == engine {
-			runs = append(runs, Run{RequestID: r.id, Generation: r.generation()})
+			runs = append(runs, StreamRun{RequestID: r.id, Generation: r.generation()})
 		}
 	}
 	return runs
--- a/internal/caller/relay/observation.go
+++ b/internal/caller/relay/observation.go
@@ -34,6 +34,7 @@
 		q.calls[server.ID] = q.relay.Ends.Open(serverend.IncarnationOf(server), q.loss(), sentAt)
 	}
 	watched := q.watchCall(server, sentAt)
+	run := q.registration.Begin(server.Address)
 	call, err := Open(ctx, q.outbound(server, r))
 	watched.end(ctx, call, err)
 	if r.ContinueFrom == (platform.Handle{}) && mayRun(call, err) {
@@ -42,6 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
+	call.run = run
 	q.observeRateLimit(server.ID, call.Answer, sentAt)
 	q.observePause(server, call.Answer)
 	if isUnsignedSuccess(call.Answer) {
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -54,9 +54,9 @@
 	// OnPlaced is called when a request was placed at an engine.
 	OnPlaced func(server, request string, generation placement.Generation)
 	// AskEnded asks the monitor of an engine whether the engine has stopped the run of an answer that
-	// has ended; the reply is a final message in Migrations. It returns false when the monitor is
-	// not reached.
-	AskEnded func(server, request string) bool
+	// has ended; the reply is a message in Migrations with the number of the answer. It returns false when
+	// the monitor is not reached.
+	AskEnded func(server, request string, answer uint64) bool
 	// OnLeaving is called when a backend server has answered for the first time that it is
 	// leaving, and when a stream begins to come from such a server; it must not block.
 	OnLeaving func()
@@ -132,6 +132,8 @@
 	trial bool
 	// answer is the memory of the answer that is read completely.
 	answer answerReservation
+	// registration receives the messages about the runs of the request; it is set before it is sent.
+	registration *Registration
 	// hedgeDials is the number of connections that were attempted for hedges.
 	hedgeDials int
 }
@@ -155,5 +157,7 @@
 		q.refuse(refusal)
 		return
 	}
+	q.registration = r.Migrations.Register(q.caller.ID)
+	defer q.registration.Unregister()
 	q.run()
 }
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -70,14 +70,15 @@
 // destination. If the destination does not continue the run, the stream is resumed
 // at the engine that stopped it.
 func (s *stream) resumeMigrated(ctx context.Context, cause error) bool {
-	migration, announced, _ := s.registration.Latest()
+	run := s.attempt.call.run
+	migration, announced := run.Latest()
 	if !announced && !s.request.relay.isLeaving(s.attempt.server) {
 		return false
 	}
 	wait, stop := context.WithDeadline(ctx, time.Now().Add(migrationWaitMillis*time.Millisecond))
 	defer stop()
 	if !announced || !migration.Stopped {
-		migration, announced = s.registration.AwaitStopped(wait)
+		migration, announced = run.AwaitStopped(wait)
 	}
 	if !announced || !migration.resumable() {
 		return false
@@ -178,7 +179,7 @@
 	s.interrupted = true
 	s.recentPauses = pauseforecast.Recent{}
 	s.resumptions++
-	s.registration.SetEngine(next.server.Address)
+	s.request.registration.Follow(call.run, s.generation)
 	s.request.relay.noticeLeaving(next.server)
 	return true
 }
--- /dev/null
+++ b/internal/caller/relay/run.go
@@ -0,0 +1,97 @@
+package relay
+
+import "context"
+
+// Run is a run of a request that an engine began, or went on with, when the request was sent to it. It
+// tells the messages about that run from those about earlier runs of the same request. It is immutable.
+type Run struct {
+	registration *Registration
+	// engine is the address of the engine.
+	engine string
+	// number is the place of the sending in the sequence of the host, by which the answers to a request
+	// are told apart.
+	number uint64
+	// heard is the highest number of an order of the engine's monitor that was heard of before.
+	heard uint64
+}
+
+// state returns what is known of the request's runs at the engine, and a channel that is closed when that
+// changes.
+func (r Run) state() (runState, <-chan struct{}) {
+	m := r.registration.migrations
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return r.registration.engines[r.engine], r.registration.changed
+}
+
+// stopIn returns the message about a stop of the run, if there is one.
+func (r Run) stopIn(s runState) (Migration, bool) {
+	switch {
+	case s.ownStop.StopOrder > r.number:
+		return s.ownStop, true
+	case s.stop.StopOrder > r.heard:
+		return s.stop, true
+	default:
+		return s.stop, s.stop.StopOrder == 0 && s.stopAt > r.number
+	}
+}
+
+// latestIn returns the newest message about a migration of the run, if there is one.
+func (r Run) latestIn(s runState) (Migration, bool) {
+	if stop, ok := r.stopIn(s); ok {
+		return stop, true
+	}
+	if s.copyAt > r.number {
+		return s.copy, true
+	}
+	return Migration{}, false
+}
+
+// Latest returns the newest migration of the run, if there is one.
+func (r Run) Latest() (Migration, bool) {
+	s, _ := r.state()
+	return r.latestIn(s)
+}
+
+// StopOrdered reports whether this host has ordered the engine to stop the run, and the engine may have.
+func (r Run) StopOrdered() bool {
+	s, _ := r.state()
+	return s.orders.AnyAfter(r.number)
+}
+
+// AwaitStopped waits until the engine has stopped the run for a migration, until
+// the last message about the run arrives, or until ctx ends. It returns the newest
+// migration, and whether the stream can be resumed by it.
+func (r Run) AwaitStopped(ctx context.Context) (Migration, bool) {
+	for {
+		s, changed := r.state()
+		latest, ok := r.latestIn(s)
+		if ok && (latest.Stopped || latest.Final) {
+			return latest, latest.resumable()
+		}
+		select {
+		case <-ctx.Done():
+			return latest, ok && latest.resumable()
+		case <-changed:
+		}
+	}
+}
+
+// AwaitEnd waits until it is known whether the engine has stopped the run of an answer that has ended, or
+// until ctx ends. The engine's monitor was asked; it does not know the orders of this host.
+func (r Run) AwaitEnd(ctx context.Context) (stopped, known bool) {
+	for {
+		s, changed := r.state()
+		if _, ok := r.stopIn(s); ok {
+			return true, true
+		}
+		if s.reply.EndedAnswer == r.number && !s.orders.AnyAfter(r.number) {
+			return false, true
+		}
+		select {
+		case <-ctx.Done():
+			return false, false
+		case <-changed:
+		}
+	}
+}
--- a/internal/caller/relay/silence.go
+++ b/internal/caller/relay/silence.go
@@ -18,7 +18,7 @@
 		return s.setReadDeadline() == nil
 	}
 	q, before := s.request, s.attempt
-	_, announced, _ := s.registration.Latest()
+	_, announced := before.call.run.Latest()
 	if announced || q.relay.mayLeave(before.server) {
 		return false // resume waits for the migration of the run
 	}
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -39,8 +39,7 @@
 	eventsBefore int
 	// switched is set when the stream went on at another server while the answer of the one before
 	// was read.
-	switched     bool
-	registration *Registration
+	switched bool
 	// header is the header of the first answer. It is written with the first
 	// event.
 	header http.Header
@@ -82,8 +81,7 @@
 func (q *request) stream(ctx context.Context, a *attempt) outcome {
 	s := &stream{request: q, attempt: a, header: platform.CallerHeader(a.call.Answer.Header)}
 	a.call.onSilence = func() bool { return s.staysAfterSilence(ctx) }
-	s.registration = q.relay.Migrations.Register(q.caller.ID, a.server.Address, s.generation)
-	defer s.registration.Unregister()
+	q.registration.Follow(a.call.run, s.generation)
 	q.relay.noticeLeaving(a.server)
 	s.sample = q.relay.Outputs.Begin(q.route.Name, q.caller.HintTokens, q.caller.MaxOutputTokens)
 	complete := false
@@ -189,7 +187,7 @@
 	if s.attempt.call.endsWithConnection() && s.events.count == s.eventsBefore {
 		return errBrokenOff
 	}
-	return s.request.checkEnd(ctx, s.attempt, s.registration)
+	return s.request.checkEnd(ctx, s.attempt)
 }
 
 // forward sends the events that data completes to the caller.
--- a/internal/caller/runmigration/evacuation.go
+++ b/internal/caller/runmigration/evacuation.go
@@ -112,7 +112,7 @@
 }
 
 // newRun returns a run for the decision whether to migrate it.
-func newRun(run relay.Run) migration.Run {
+func newRun(run relay.StreamRun) migration.Run {
 	g := run.Generation
 	return migration.Run{
 		RequestID: run.RequestID,
@@ -153,7 +153,10 @@
 // copy copies a run and announces the result to its stream.
 func (e *evacuation) copy(ctx context.Context, step migration.Step, stop bool) platform.Copy {
 	startedAt := boottime.Now()
-	firstStop := stop && e.migrator.Migrations.OrderStop(step.Run.RequestID)
+	order := uint64(0)
+	if stop {
+		order = e.migrator.Migrations.OrderStop(step.Run.RequestID, e.server.Address)
+	}
 	reply, err := e.migrator.Engines.Copy(ctx, e.server.Address, step.Run.RequestID, step.Destination.Address, stop)
 	e.migrator.Log.Info("run copied", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 		"Stop", stop, "Done", reply.Done, "Tokens", step.Run.Tokens, "Remaining", step.Run.Remaining,
@@ -162,8 +165,8 @@
 		e.migrator.Log.Warn("copy of run failed", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 			"Stop", stop, "Status", reply.Status, "Error", err)
 	}
-	if firstStop && reply.Status == http.StatusNotFound {
-		e.migrator.Migrations.WithdrawStop(step.Run.RequestID)
+	if stop && reply.Status == http.StatusNotFound {
+		e.migrator.Migrations.WithdrawStop(step.Run.RequestID, e.server.Address, order)
 	}
 	if reply.Handle == "" {
 		return reply
@@ -171,6 +174,8 @@
 	announced := relay.Migration{
 		RequestID: step.Run.RequestID,
 		Stopped:   stop,
+		StopOrder: order,
+		Own:       true,
 		Source:    platform.Handle{Address: e.server.Address, ID: reply.Handle},
 	}
 	if reply.Done {
@@ -187,6 +192,6 @@
 	}
 	for _, run := range e.migrator.Migrations.RunsOn(e.server.Address) {
 		e.migrator.Log.Info("run not migrated", "Request", run.RequestID, "Server", e.server.ID)
-		e.migrator.Migrations.AnnounceFinal(run.RequestID)
+		e.migrator.Migrations.AnnounceFinal(run.RequestID, e.server.Address)
 	}
 }
--- a/internal/routing/watch/streams.go
+++ b/internal/routing/watch/streams.go
@@ -72,10 +72,13 @@
 	return o, ok
 }
 
-func (s *streams) close(id string) {
+// close removes a stream, unless one to the monitor of another incarnation has taken its place.
+func (s *streams) close(o *openStream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.all, id)
+	if s.all[o.server.ID] == o {
+		delete(s.all, o.server.ID)
+	}
 }
 
 func (s *streams) list() []*openStream {
@@ -97,13 +100,14 @@
 }
 
 // AskEnded asks an engine's monitor whether the engine has stopped the run of an answer that has
-// ended. The reply is a final migration. It returns false when the monitor is not reached.
-func (w *Watch) AskEnded(server, request string) bool {
+// ended. The reply is a migration with the number of the answer. It returns false when the monitor is not
+// reached.
+func (w *Watch) AskEnded(server, request string, answer uint64) bool {
 	o, ok := w.streams.find(server)
 	if !ok {
 		return false
 	}
-	err := o.send(&sighting.Advice{EndedRequestId: request})
+	err := o.send(&sighting.Advice{EndedRequestId: request, EndedAnswer: answer})
 	if err != nil {
 		w.Log.Warn("engine monitor not asked for the end of a run", "Request", request, "Server", server, "Error", err)
 	}
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -217,7 +217,7 @@
 		}
 	}
 	opened := w.streams.open(server, stream)
-	defer w.streams.close(server.ID)
+	defer w.streams.close(opened)
 	timeout := time.AfterFunc(receiveTimeoutMillis*time.Millisecond, stop)
 	defer timeout.Stop()
 	for {
@@ -273,6 +273,8 @@
 		w.Migrations.Announce(relay.Migration{
 			RequestID:   move.GetRequestId(),
 			Stopped:     move.GetStopped(),
+			StopOrder:   move.GetStopOrder(),
+			EndedAnswer: move.GetEndedAnswer(),
 			Final:       move.GetFinal(),
 			Source:      platform.Handle{Address: server.Address, ID: move.GetHandle()},
 			Destination: move.GetDestination(),
--- a/internal/standin/replica/faults.go
+++ b/internal/standin/replica/faults.go
@@ -57,6 +57,8 @@
 	// RefuseCopies makes the server respond to copy requests with status 503. The
 	// last copy request of a run nevertheless stops the run.
 	RefuseCopies bool
+	// RefuseLastCopies is like RefuseCopies for the last copy requests of runs alone.
+	RefuseLastCopies bool
 	// RefuseMigrations makes the server refuse copy requests and continue its runs.
 	// Their streams break when the server shuts down, at the time given to Drain.
 	RefuseMigrations bool
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -304,7 +304,7 @@
 		return
 	}
 	reply := map[string]any{"handle": r.Group.issue(message.ID), "created": created}
-	if faults.RefuseCopies {
+	if faults.RefuseCopies || (faults.RefuseLastCopies && message.Last) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	_ = json.NewEncoder(w).Encode(reply)
--- a/internal/trial/endtoend/platform_unframed_test.go
+++ b/internal/trial/endtoend/platform_unframed_test.go
@@ -105,20 +105,65 @@
 }
 
 // TestStreamThatEndsWhereItWasStopped guards against a complete stream without chunks that is cut, since its
-// engine had stopped the run for a migration before, which the other engine refused.
+// engine had stopped the run for a migration before, and against one that a later stop has cut and that reaches
+// the caller as complete.
 func TestStreamThatEndsWhereItWasStopped(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	const noticeMillis, events = 4000, 250
-	s := newPlatformSite(t, 2, 0)
-	s.setEngineFaults(replica.Faults{EndByClose: true})
-	await := s.sendInBackground(streamRequest("returned", events))
-	e := s.activeEngine()
-	s.setOthersFaults(e, replica.Faults{EndByClose: true, Decline: true})
-	e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
-	s.register(e.Replica, "engines", "draining")
-	await().checkWhole(t, events)
-	started, continued := s.countRuns()
-	is.Equal(started, 1)
-	is.True(continued > 0) // the run was stopped, and went on where it was
+	const noticeMillis, events = 6000, 350
+	refused := replica.Faults{EndByClose: true, RefuseLastCopies: true}
+	for _, c := range []struct {
+		name   string
+		target string
+		// faults are those of the leaving engine, others those of the other one.
+		faults, others replica.Faults
+		// gone runs when the stream has gone on at the engine.
+		gone     func(*platformEngine)
+		complete bool
+	}{
+		{"declined by the destination", streamPath, replica.Faults{EndByClose: true}, replica.Faults{EndByClose: true, Decline: true}, nil, true},
+		{"stopped again, each time not copied", streamPath, refused, refused, nil, true},
+		{"resumable", resumablePath, refused, replica.Faults{Decline: true}, nil, true},
+		{"stopped again, copied", streamPath, refused, replica.Faults{EndByClose: true}, func(e *platformEngine) {
+			e.SetFaults(replica.Faults{EndByClose: true})
+		}, true},
+		{"stopped again, lost", streamPath, refused, refused, func(e *platformEngine) {
+			e.SetFaults(replica.Faults{EndByClose: true, RefuseLastCopies: true, Decline: true})
+		}, false},
+		{"monitor killed and started in between", streamPath, refused, refused, func(e *platformEngine) {
+			e.monitor.kill()
+			e.monitor.start()
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newPlatformSite(t, 2, 0)
+			s.setEngineFaults(c.faults)
+			request := streamRequest("returned", events)
+			request.target = c.target
+			await := s.sendInBackground(request)
+			e := s.activeEngine()
+			s.setOthersFaults(e, c.others)
+			e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
+			s.register(e.Replica, "engines", "draining")
+			eventually(t, "the run was stopped and goes on", func() error {
+				if _, continued := s.countRuns(); continued == 0 {
+					return errNotYet
+				}
+				return nil
+			})
+			if c.gone != nil {
+				c.gone(e)
+			}
+			got := await()
+			if c.complete {
+				got.checkWhole(t, events)
+			} else {
+				is.True(got.err != nil)
+				is.True(len(got.events()) < events)
+			}
+			started, _ := s.countRuns()
+			is.Equal(started, 1)
+		})
+	}
 }
