relay: all that servers make an entry host hold has one bound, and what has no end gives way

Cause: incomplete events and heads were bounded singly, not together; answers that are read whole shared a bound at which the one that asked for memory last was lost. Ruled out: chunk extensions, trailers, informational heads, answers to other requests. Change: one budget (wire/heldbytes), a fifth of the memory limit, for heads, events and bodies, by the memory that they take. At the bound the piece that most looks as if it had no end gives way, whoever asks; small and complete pieces never do.

--- a/internal/caller/relay/attempt.go
+++ b/internal/caller/relay/attempt.go
@@ -23,9 +23,6 @@
 	// supersededMillis is the time for which a server gets no request after another
 	// one answered at its address. Its entry in the store expires meanwhile.
 	supersededMillis = 6000
-	// maxBufferedAnswerBytes is the size limit of an answer that is read completely before
-	// it is forwarded.
-	maxBufferedAnswerBytes = 8 << 20
 	// garbledMillis is the time for which a server is avoided after it sent more than any
 	// answer may hold.
 	garbledMillis = 2000
@@ -197,6 +194,8 @@
 		Host:    in.Host,
 		Header:  platform.ServerHeader(in.Header, r),
 		Body:    q.exchange.Body,
+		Route:   q.route.Name,
+		Memory:  q.relay.Memory,
 	}
 }
 
@@ -216,10 +215,14 @@
 	return 1
 }
 
-// logLost logs that the answer of a server was lost. A server that sends without end is
-// avoided for a while.
+// logLost logs that the answer of a server was lost.
 func (q *request) logLost(server discovery.BackendServer, err error) {
 	q.log("answer lost", "Server", server.ID, "Error", err)
+	q.avoidGarbled(server, err)
+}
+
+// avoidGarbled makes requests avoid a server for a while if it has sent more than any answer may hold.
+func (q *request) avoidGarbled(server discovery.BackendServer, err error) {
 	if errors.Is(err, ErrTooLarge) {
 		q.relay.LoadTable.Avoid(server.ID, boottime.Now().AddMillis(garbledMillis))
 	}
@@ -228,7 +231,7 @@
 // bufferAnswer reads an answer completely.
 func (q *request) bufferAnswer(ctx context.Context, a *attempt) outcome {
 	answer := a.call.Answer
-	body, err := q.answer.readAll(answer.Body)
+	body, err := a.call.readBody(ctx)
 	if err == nil {
 		err = q.checkEnd(ctx, a)
 	}
@@ -236,12 +239,18 @@
 		a.close(false)
 		return loserCancelled{}
 	}
+	held := a.call.held
+	if err == nil {
+		a.call.held = nil // the request holds the body until the caller has it
+	}
 	a.close(err != nil || answer.StatusCode >= http.StatusInternalServerError)
 	if err != nil {
 		q.logLost(a.server, err)
 		q.noticeBroken(ctx, a.server, 0, err)
 		return lost{err}
 	}
+	q.held.Close()
+	q.held = held
 	q.markAnswered(a.server.ID, answer.StatusCode < http.StatusInternalServerError && platform.Signed(answer.Header))
 	return answered{server: a.server.ID, status: answer.StatusCode, header: platform.CallerHeader(answer.Header), body: body}
 }
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -72,6 +73,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Route is the name of the route, by which the usual sizes of answers are known.
+	Route string
+	// Memory bounds what all servers make the process hold; nil for no bound.
+	Memory *heldbytes.Budget
 }
 
 // Call is a request that was sent to a backend server and whose answer is read.
@@ -80,6 +85,10 @@
 	Answer *http.Response
 
 	conn net.Conn
+	// held is what the answer makes the process hold.
+	held *heldbytes.Holding
+	// headBytes is the memory of the answer's head.
+	headBytes int64
 	// run is the run of the request that the answer comes from.
 	run Run
 	// onSilence is called when the read deadline has passed. If it returns true, it has set another
@@ -118,6 +127,7 @@
 	// The write of the body ends with the connection. Its error is dropped, as the
 	// error of the answer says as much.
 	_ = c.write.Wait()
+	c.held.Close()
 }
 
 var serverDialer = &net.Dialer{Timeout: dialMillis * time.Millisecond, KeepAlive: -1}
@@ -135,12 +145,13 @@
 		return nil, errors.Mark(errors.Wrapf(err, "set acknowledgement timeout of connection to %s", out.Address), ErrNotSent)
 	}
 	call := &Call{conn: conn}
+	call.held = out.Memory.Open(out.Route, func() { _ = conn.Close() })
 	call.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := call.send(out); err != nil {
 		call.Close()
 		return nil, errors.Wrapf(err, "send request to %s", out.Address)
 	}
-	call.Answer, err = readAnswer(call, out) //nolint:bodyclose // Call.Close closes the connection, which ends the body
+	call.Answer, err = readAnswer(ctx, call, out) //nolint:bodyclose // Call.Close closes the connection, which ends the body
 	if err != nil {
 		call.Close()
 		return nil, errors.Wrapf(err, "read answer from %s", out.Address)
@@ -181,9 +192,11 @@
 
 // readAnswer reads the status and the header of the answer to out. It skips
 // informational answers and up to maxSkippedAnswers answers to other requests.
-func readAnswer(call *Call, out Outbound) (*http.Response, error) {
+func readAnswer(ctx context.Context, call *Call, out Outbound) (*http.Response, error) {
 	limited := &io.LimitedReader{R: call, N: maxHeadBytes}
-	reader := bufio.NewReaderSize(limited, responseBufferBytes)
+	heads := &headReader{ctx: ctx, source: limited, call: call}
+	heads.begin()
+	reader := bufio.NewReaderSize(heads, responseBufferBytes)
 	request := &http.Request{Method: out.Method}
 	for skipped := 0; skipped <= maxSkippedAnswers; {
 		answer, err := http.ReadResponse(reader, request)
@@ -197,15 +210,18 @@
 			continue
 		}
 		if platform.AnswersRequest(answer.Header, out.ID) {
+			heads.end()
 			limited.N = math.MaxInt64
 			return answer, nil
 		}
 		skipped++
+		heads.end()
 		limited.N = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, errors.Wrap(markTooLarge(err, limited), "read answer to another request")
 		}
 		limited.N = maxHeadBytes
+		heads.begin()
 	}
 	return nil, ErrOtherRequest
 }
--- a/internal/caller/relay/events.go
+++ b/internal/caller/relay/events.go
@@ -16,11 +16,11 @@
 const maxEventBytes = 1 << 20
 
 // errEventTooLarge says that an event exceeds maxEventBytes.
-var errEventTooLarge = errors.Newf("event exceeds %d bytes", maxEventBytes)
+var errEventTooLarge = errors.Wrapf(ErrTooLarge, "event exceeds %d bytes", maxEventBytes)
 
 // eventSplitter collects the bytes of a stream into complete events.
 type eventSplitter struct {
-	// pending holds the bytes of an event that is not complete yet.
+	// pending holds the bytes of an event that is not complete yet, so that no separator is in them.
 	pending []byte
 	// lastID is the ID of the last complete event; empty before the first one.
 	lastID string
@@ -31,25 +31,41 @@
 // add adds the next bytes of the stream and returns the bytes of all events that
 // are now complete. The result is valid until the next call.
 func (s *eventSplitter) add(data []byte) ([]byte, error) {
-	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending, eventEnd)
-	if end < 0 && len(s.pending) > maxEventBytes {
-		return nil, errEventTooLarge
+	const searched = 0
+	if len(s.pending) > 0 {
+		s.pending = append(s.pending, data...)
+		data = s.pending
 	}
-	if end < 0 {
-		return nil, nil
+	at := bytes.LastIndex(data[searched:], eventEnd)
+	if at < 0 {
+		return nil, s.keepPartial(data)
 	}
-	end += len(eventEnd)
-	complete := s.pending[:end:end]
-	rest := s.pending[end:]
+	end := searched + at + len(eventEnd)
+	complete := data[:end:end]
 	if id, ok := lastEventID(complete); ok {
 		s.lastID = id
 	}
 	s.count += bytes.Count(complete, eventEnd)
-	s.pending = append([]byte(nil), rest...)
+	s.pending = bytes.Clone(data[end:])
 	return complete, nil
 }
 
+// keepPartial keeps the bytes of an event that is not complete.
+func (s *eventSplitter) keepPartial(data []byte) error {
+	if len(data) > maxEventBytes {
+		return errEventTooLarge
+	}
+	if len(s.pending) == 0 {
+		s.pending = bytes.Clone(data)
+	}
+	return nil
+}
+
+// heldBytes returns the memory of the event that is not complete.
+func (s *eventSplitter) heldBytes() int64 {
+	return int64(cap(s.pending))
+}
+
 // discardPartial drops the bytes of an event that is not complete.
 func (s *eventSplitter) discardPartial() {
 	s.pending = nil
--- a/internal/caller/relay/hedge.go
+++ b/internal/caller/relay/hedge.go
@@ -97,7 +97,7 @@
 	defer second.stop(nil)
 	result, winner := running.await(first, second)
 	call.End(resultOf(first.outcome), boottime.Now())
-	q.mergeHedge(first, second, winner)
+	q.mergeHedge(second, winner)
 	q.recordHedge(first, second, winner)
 	return result
 }
@@ -183,7 +183,7 @@
 	hedged := *q
 	hedged.tried = maps.Clone(q.tried)
 	hedged.calls = maps.Clone(q.calls)
-	hedged.answer = answerReservation{memory: q.answer.memory}
+	hedged.held = nil
 	hedged.runs, hedged.declines = 0, 0
 	return &hedged
 }
@@ -249,15 +249,12 @@
 
 // mergeHedge takes over what the second attempt of the request has found out. Both attempts have
 // ended; winner is nil if both have failed.
-func (q *request) mergeHedge(first, second, winner *hedgedAttempt) {
+func (q *request) mergeHedge(second, winner *hedgedAttempt) {
 	hedged := second.request
-	switch winner {
-	case first:
-		hedged.answer.release()
-	case second:
-		q.answer.release()
+	if winner == second {
+		q.held, hedged.held = hedged.held, q.held
 	}
-	q.answer.absorb(&hedged.answer)
+	hedged.held.Close()
 	maps.Copy(q.tried, hedged.tried)
 	maps.Copy(q.calls, hedged.calls)
 	q.sound = q.sound || hedged.sound
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverend"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -60,6 +61,8 @@
 	// OnLeaving is called when a backend server has answered for the first time that it is
 	// leaving, and when a stream begins to come from such a server; it must not block.
 	OnLeaving func()
+	// Memory bounds what all servers make the process hold; nil for no bound.
+	Memory *heldbytes.Budget
 	// Bounds returns the current bounds. They may change between requests.
 	Bounds func() Bounds
 	// Stop returns the planned stop of the process; its zero value while there is none.
@@ -67,8 +70,7 @@
 	Metrics *metrics.Registry
 	Log     *slog.Logger
 
-	returns      returnSchedule
-	answerMemory answerMemory
+	returns returnSchedule
 }
 
 // Bounds limit the age at which a cached configuration may be used. Its age is the
@@ -130,8 +132,8 @@
 	sound bool
 	// trial says that the request is sent although one of its traits is quarantined.
 	trial bool
-	// answer is the memory of the answer that is read completely.
-	answer answerReservation
+	// held is the memory of the answer that was read completely.
+	held *heldbytes.Holding
 	// registration receives the messages about the runs of the request; it is set before it is sent.
 	registration *Registration
 	// hedgeDials is the number of connections that were attempted for hedges.
@@ -149,9 +151,8 @@
 		calls:     make(map[string]*serverend.Call),
 
 		refusedUntil: make(map[string]boottime.Instant),
-		answer:       answerReservation{memory: &r.answerMemory},
 	}
-	defer q.answer.release()
+	defer func() { q.held.Close() }()
 	x.OnCut = q.recordCut
 	if refusal, ok := q.check(r.StoreWatcher.Configuration()); !ok {
 		q.refuse(refusal)
--- a/internal/caller/relay/stream.go
+++ b/internal/caller/relay/stream.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/pauseforecast"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -97,6 +98,7 @@
 			continue
 		}
 		s.events.discardPartial()
+		s.request.avoidGarbled(s.attempt.server, err)
 		s.request.noticeBroken(ctx, s.attempt.server, s.events.count, err)
 		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
 			return s.abandon(ctx, err)
@@ -166,14 +168,14 @@
 		if s.switched {
 			return err
 		}
-		if sendErr := s.forward(buffer[:n]); sendErr != nil {
+		if sendErr := s.forward(ctx, buffer[:n]); sendErr != nil {
 			return sendErr
 		}
 		if errors.Is(err, io.EOF) && len(s.events.pending) == 0 {
 			return s.checkEnd(ctx)
 		}
 		if err != nil {
-			return errors.Wrap(err, "read stream")
+			return errors.Wrap(s.attempt.call.heldError(err), "read stream")
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -191,12 +193,20 @@
 }
 
 // forward sends the events that data completes to the caller.
-func (s *stream) forward(data []byte) error {
-	before := s.events.count
+func (s *stream) forward(ctx context.Context, data []byte) error {
+	before, heldBytes := s.events.count, s.events.heldBytes()
 	events, err := s.events.add(data)
-	if err != nil || len(events) == 0 {
+	if err != nil {
 		return err
 	}
+	if len(events) == 0 {
+		return s.hold(ctx)
+	}
+	call := s.attempt.call
+	if heldBytes > 0 {
+		call.held.Complete(call.headBytes + int64(cap(events))) // until they are sent
+		defer call.held.Keep(call.headBytes)
+	}
 	s.begin()
 	s.recordEventTime(s.events.count-before, boottime.Now())
 	if err := s.request.exchange.Send(events); err != nil {
@@ -207,7 +217,18 @@
 	produced := s.request.service.OutputTokens(s.events.count)
 	s.produced.Store(int64(produced))
 	s.sample.SetProduced(produced)
-	return nil
+	return s.hold(ctx)
+}
+
+// hold takes the memory for the event that is not complete.
+func (s *stream) hold(ctx context.Context) error {
+	bytes := s.events.heldBytes()
+	if bytes == 0 {
+		return nil
+	}
+	held := s.attempt.call.held
+	held.Expect(heldbytes.Event, -1)
+	return tooMuchHeld(held.Grow(ctx, bytes))
 }
 
 // recordEventTime records the arrival of events, which came together, in the metrics and in
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -41,6 +41,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storecache"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/digest"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -50,6 +51,8 @@
 	// memoryLimitShare is the share of the process's memory limit that is set as the
 	// soft limit of the Go runtime. Near this limit, garbage is collected more often.
 	memoryLimitShare = 0.7
+	// serverBytesShare is the share of it that all servers together may make the process hold.
+	serverBytesShare = 0.2
 	// readyShare is the share of RevokeMillis up to which the age of the
 	// configuration may grow while the process reports itself as ready. RevokeMillis
 	// bounds the age at which keys are accepted. The share is below one, so that the
@@ -82,6 +85,8 @@
 	crashes      *crashlog.Log
 	metrics      *metrics.Registry
 	storeCalls   *storecalls.Counter
+	// received bounds what servers make the process hold.
+	received *heldbytes.Budget
 	// bounds limit the age at which the cached configuration is used. They may
 	// change when the settings are reloaded.
 	bounds atomic.Pointer[relay.Bounds]
@@ -92,7 +97,9 @@
 
 // Run serves until the lifecycle's drain has ended.
 func (h *Host) Run(life lifecycle.Lifecycle) error {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(h.Settings.MemoryMegabytes) * (1 << 20)))
+	memoryBytes := float64(h.Settings.MemoryMegabytes) * (1 << 20)
+	debug.SetMemoryLimit(int64(memoryLimitShare * memoryBytes))
+	h.received = &heldbytes.Budget{MostBytes: int64(serverBytesShare * memoryBytes)}
 	callers, err := transport.Listen(life.Abort, h.Settings.CallerAddress)
 	if err != nil {
 		return err
@@ -202,6 +209,7 @@
 		OnPlaced:     h.watch.NotifyPlaced,
 		AskEnded:     h.watch.AskEnded,
 		OnLeaving:    h.migrator.Wake,
+		Memory:       h.received,
 		Metrics:      h.metrics,
 		Log:          h.Log,
 		Bounds:       func() relay.Bounds { return *h.bounds.Load() },
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -60,6 +60,10 @@
 	if !faults.Unsigned {
 		w.Header().Set("Fulmarvalve-Response-Signature", id)
 	}
+	if faults.Endless != nil {
+		faults.Endless.send(w, q)
+		return
+	}
 	if faults.CutHead != 0 && !faults.CutCopies {
 		cutHead(w, faults)
 		return
--- a/internal/standin/replica/faults.go
+++ b/internal/standin/replica/faults.go
@@ -77,6 +77,8 @@
 	// Hang makes a plain service keep its requests without an answer until the fault ends. Queries
 	// of its identity and of its report are answered.
 	Hang bool
+	// Endless makes the server send bytes without end in place of answers; nil for none.
+	Endless *Endless
 	// RunMillis is the time for which a plain service runs a request.
 	RunMillis int
 }
