relay: bytes that come one by one cost bounded processor time

Change: only new bytes are searched; an answer has 250 reads of few bytes a second, the next one waits up to 4 ms.

--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
@@ -41,6 +42,10 @@
 	// maxHeadBytes bounds the heads before the body of an answer, including those of
 	// informational answers.
 	maxHeadBytes = 64 << 10
+	// smallReadBytes is the size below which a read counts as one of few bytes, and smallReadsPerSecond
+	// the limit of such reads of one answer. A sound stream has far fewer events.
+	smallReadBytes      = 512
+	smallReadsPerSecond = 250
 )
 
 // ErrNotSent marks a failure before anything was sent, so that the request
@@ -89,6 +94,8 @@
 	held *heldbytes.Holding
 	// headBytes is the memory of the answer's head.
 	headBytes int64
+	// smallReads limits the reads of few bytes.
+	smallReads *rate.Limiter
 	// run is the run of the request that the answer comes from.
 	run Run
 	// onSilence is called when the read deadline has passed. If it returns true, it has set another
@@ -113,12 +120,26 @@
 func (c *Call) Read(p []byte) (int, error) {
 	for {
 		n, err := c.conn.Read(p)
+		c.paceRead(n)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onSilence == nil || !c.onSilence() {
 			return n, err
 		}
 	}
 }
 
+// newSmallReads returns the limit of the reads of few bytes of one answer.
+func newSmallReads() *rate.Limiter {
+	return rate.NewLimiter(smallReadsPerSecond, smallReadsPerSecond)
+}
+
+// paceRead pauses after a read of few bytes if there were many of them, so that the bytes of a server that
+// sends them one by one come together.
+func (c *Call) paceRead(n int) {
+	if n > 0 && n < smallReadBytes && c.smallReads != nil {
+		time.Sleep(c.smallReads.Reserve().Delay())
+	}
+}
+
 // Close ends the call and closes its connection.
 func (c *Call) Close() {
 	c.closed.Store(true)
@@ -144,7 +165,7 @@
 		_ = conn.Close()
 		return nil, errors.Mark(errors.Wrapf(err, "set acknowledgement timeout of connection to %s", out.Address), ErrNotSent)
 	}
-	call := &Call{conn: conn}
+	call := &Call{conn: conn, smallReads: newSmallReads()}
 	call.held = out.Memory.Open(out.Route, func() { _ = conn.Close() })
 	call.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := call.send(out); err != nil {
--- a/internal/caller/relay/call_test.go
+++ b/internal/caller/relay/call_test.go
@@ -158,3 +158,34 @@
 	}
 	is.True(errors.Is(err, errEventTooLarge))
 }
+
+// TestReadsOfFewBytes guards against a server that sends its bytes one by one without end, and whose reads
+// take whole processors. Reads of many bytes are not held up.
+func TestReadsOfFewBytes(t *testing.T) {
+	for name, tt := range map[string]struct {
+		bytes int
+		slow  bool
+	}{"one byte each": {1, true}, "many bytes": {smallReadBytes, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const reads, leastMillis = 2 * smallReadsPerSecond, 800
+			c := &Call{conn: endlessConn{bytes: tt.bytes}, smallReads: newSmallReads()}
+			started := time.Now()
+			for range reads {
+				_, err := c.Read(make([]byte, streamBufferBytes))
+				is.NoErr(err)
+			}
+			is.Equal(time.Since(started) > leastMillis*time.Millisecond, tt.slow)
+		})
+	}
+}
+
+// endlessConn is a connection each of whose reads yields the same number of bytes.
+type endlessConn struct {
+	net.Conn
+
+	bytes int
+}
+
+func (c endlessConn) Read([]byte) (int, error) { return c.bytes, nil }
--- a/internal/caller/relay/events.go
+++ b/internal/caller/relay/events.go
@@ -31,7 +31,8 @@
 // add adds the next bytes of the stream and returns the bytes of all events that
 // are now complete. The result is valid until the next call.
 func (s *eventSplitter) add(data []byte) ([]byte, error) {
-	const searched = 0
+	// The separator may begin with the last byte before the data.
+	searched := max(len(s.pending)-1, 0)
 	if len(s.pending) > 0 {
 		s.pending = append(s.pending, data...)
 		data = s.pending
--- a/internal/caller/relay/events_test.go
+++ b/internal/caller/relay/events_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -87,3 +88,19 @@
 		}
 	}
 }
+
+// TestEventInSmallPieces guards against an event without end whose bytes are searched again at each read of
+// a few more, which took whole processors.
+func TestEventInSmallPieces(t *testing.T) {
+	is := is.New(t)
+	const pieces, limitMillis = 20_000, 2000
+	var s eventSplitter
+	_, err := s.add(bytes.Repeat([]byte("x"), maxEventBytes-pieces))
+	is.NoErr(err)
+	started := time.Now()
+	for range pieces {
+		_, err := s.add([]byte("x"))
+		is.NoErr(err)
+	}
+	is.True(time.Since(started) < limitMillis*time.Millisecond)
+}
--- a/internal/trial/endtoend/platform_endless_test.go
+++ b/internal/trial/endtoend/platform_endless_test.go
@@ -29,6 +29,8 @@
 	// endlessEngines is the number of engines, with room for nearly as many streams.
 	endlessEngines = 5
 	endlessMillis  = 2000
+	// dripCores bounds the processors that such streams take, with the sound requests beside them.
+	dripCores = 3
 )
 
 // unraced returns the path of the program without the race detector, which multiplies the memory.
@@ -106,6 +108,7 @@
 	cores := processorSeconds(t, s.entry.command.Process.Pid) * 1000 / endlessMillis
 	t.Logf("at most %d MB, %.1f processors, %d sound requests answered", most, cores, answered)
 	is.True(most <= smallestHostMegabytes)
+	is.True(plain || endless.AtOnceBytes != partBytes || cores < dripCores)
 }
 
 // processorSeconds returns the processor time that a process has used.
