platform: replies of the store and of engines are bounded by what they are decoded into

Cause: replies were bounded singly and in bytes; a list in pages without end was read on for the time of the call, zero bytes became empty records at ten times their size and more, rows of reports at sixteen times. Ruled out: bodies and heads without end, which had bounds.

--- a/internal/platform/exchange/exchange.go
+++ b/internal/platform/exchange/exchange.go
@@ -5,20 +5,25 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
 
 // MaxBodyBytes is the default of Request.MaxBytes.
 const MaxBodyBytes = 16 << 20
 
+// responseName names the bodies of responses in the budget of a Request.
+const responseName = "response"
+
 // ErrTooLarge means that the body of a response is larger than Request.MaxBytes.
 var ErrTooLarge = errors.New("answer is too large")
 
@@ -37,6 +42,12 @@
 	// MaxBytes is the maximum size of the response body that Do reads; zero means
 	// MaxBodyBytes.
 	MaxBytes int
+	// Memory bounds what all servers make the process hold; nil for no bound. The body counts until
+	// Response.Release.
+	Memory *heldbytes.Budget
+	// Weight is the memory that a byte of the body takes with what it is decoded into; zero counts as
+	// one.
+	Weight int64
 }
 
 // Response is an HTTP response with its complete body.
@@ -47,6 +58,14 @@
 	Header http.Header
 	// Body is the complete body.
 	Body []byte
+
+	// held is the memory of the body.
+	held *heldbytes.Holding
+}
+
+// Release says that the body is not used any more.
+func (r Response) Release() {
+	r.held.Close()
 }
 
 // Open sends the request and returns the response, whose body the caller must read and
@@ -88,25 +107,29 @@
 	return http.ErrUseLastResponse
 }
 
-// Do sends the request and reads the complete response.
+// Do sends the request and reads the complete response. If the budget of the request is set, the response
+// must be released.
 func Do(ctx context.Context, client *http.Client, r Request) (Response, error) {
+	ctx, giveWay := context.WithCancel(ctx)
+	defer giveWay()
 	resp, err := Open(ctx, client, r)
 	if err != nil {
 		return Response{}, err
 	}
 	defer resp.Body.Close()
-	limit := r.MaxBytes
-	if limit == 0 {
-		limit = MaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	limits := heldbytes.BodyLimits{MostBytes: int64(cmp.Or(r.MaxBytes, MaxBodyBytes)), Length: resp.ContentLength, Weight: r.Weight}
+	held := r.Memory.Open(responseName, giveWay)
+	body, err := held.ReadAll(ctx, resp.Body, heldbytes.Report, limits)
 	if err != nil {
-		return Response{}, errors.Wrap(err, "read answer")
+		held.Close()
 	}
-	if len(body) > limit {
+	switch {
+	case errors.Is(err, heldbytes.ErrTooLarge):
 		return Response{}, ErrTooLarge
+	case err != nil:
+		return Response{}, errors.Wrap(err, "read answer")
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, held: held}, nil
 }
 
 // Decode decodes the JSON body of a response into value.
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -189,7 +189,7 @@
 		LoadTable:    h.loadTable,
 		Migrations:   migrations,
 		Monitored:    h.watch.Monitored,
-		Engines:      &platform.Engines{HTTP: platform.NewOrderHTTP(), Orders: platform.NewOrderHTTP()},
+		Engines:      &platform.Engines{HTTP: platform.NewOrderHTTP(), Orders: platform.NewOrderHTTP(), Memory: h.received},
 		Log:          h.Log,
 	}
 	h.storeWatcher.OnServers = h.migrator.Wake
@@ -229,7 +229,7 @@
 // which other entry hosts use it.
 func (h *Host) newStore() *platform.Store {
 	h.storeCalls = &storecalls.Counter{Role: roleName, Name: h.Settings.Name}
-	store := &platform.Store{Address: h.Settings.StoreAddress, HTTP: platform.NewStoreHTTP(), Calls: h.storeCalls}
+	store := &platform.Store{Address: h.Settings.StoreAddress, HTTP: platform.NewStoreHTTP(), Calls: h.storeCalls, Memory: h.received}
 	// Another entry host asks for an append after its own failed.
 	h.cache = &storecache.Cache{AppendRecords: store.WithReason(storecalls.Retry).Append}
 	return store
