transport, older roles: messages and replies that are not complete count in one budget

Cause: a message of another process was bounded singly (4 MB, held twice); replies of a plain service too (16 MB); the heads that the older roles read had the library's bound of 10 MB. Change: connections between processes count what they have received since the last message, at both ends, in the direct and the older roles; monitors limit their memory; 64 MB for the older roles, lines of their engines' streams 128 KB, heads 16 KB.

--- a/internal/platform/engine/stream.go
+++ b/internal/platform/engine/stream.go
@@ -10,8 +10,9 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/exchange"
 )
 
-// maxEventBytes is the maximum size of one line of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of one line of a stream. An engine streams to many requests at once,
+// each of which may hold that much.
+const maxEventBytes = 128 << 10
 
 // dataPrefix is the prefix of a data line of server-sent events.
 var dataPrefix = []byte("data:")
--- a/internal/platform/plainservice/plainservice.go
+++ b/internal/platform/plainservice/plainservice.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/exchange"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
 
 // ErrRefused means that the request was certainly not sent.
@@ -57,6 +58,8 @@
 	// with ErrBroken. With DisableKeepAlives each request opens a connection, so
 	// that a request to a service that has shut down fails with ErrRefused.
 	HTTP *http.Client
+	// Memory bounds what replies that are not complete make the process hold; nil for no bound.
+	Memory *heldbytes.Budget
 }
 
 // Call sends one request and reads the complete reply. It does not retry. It fails with
@@ -71,8 +74,9 @@
 		header.Set("Content-Type", req.ContentType)
 	}
 	resp, err := exchange.Do(ctx, c.HTTP, exchange.Request{
-		Method: req.Method, Address: c.Address, Path: req.Path, Header: header, Body: req.Body,
+		Method: req.Method, Address: c.Address, Path: req.Path, Header: header, Body: req.Body, Memory: c.Memory,
 	})
+	defer resp.Release()
 	if exchange.NeverSent(err) {
 		return Reply{}, errors.Wrapf(exchange.NewOutcomeError(ErrRefused, err), "call %s", req.RequestID)
 	}
--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -34,6 +34,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/poller"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
@@ -68,9 +69,11 @@
 	// Version is the program's version.
 	Version string
 
-	incarnation   uint64
-	ring          *explanation.Ring
-	metrics       *metrics.Registry
+	incarnation uint64
+	ring        *explanation.Ring
+	metrics     *metrics.Registry
+	// received bounds what others make the process hold.
+	received      *heldbytes.Budget
 	configuration *configuration.Source
 	owner         owner
 	hosts         *hostlist.Client
@@ -99,7 +102,7 @@
 		StopAdmission: h.leave,
 		Open:          h.owner.Open,
 		Servers: []lifecycle.Part{
-			(&transport.Server{Listener: peers, Handler: h.handler()}).Run,
+			(&transport.Server{Listener: peers, Handler: h.handler(), Memory: h.received}).Run,
 			transport.HTTPServer{Listener: metricsListener, Handler: h.metricsHandler()}.Run,
 		},
 		Unsent: h.owner.Served,
@@ -128,6 +131,7 @@
 	h.incarnation = max(1, rand.Uint64())
 	h.ring = &explanation.Ring{}
 	h.metrics = &metrics.Registry{}
+	h.received = lifecycle.NewReceivedBudget()
 	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: transport.NewPlatformClient()}
 	h.peers.seeds = h.Settings.Peers
 	h.configuration = &configuration.Source{
@@ -194,6 +198,7 @@
 		Service: &plainservice.Client{
 			Address: h.Settings.ServiceAddress,
 			HTTP:    &http.Client{Transport: transport.NewTransport()},
+			Memory:  h.received,
 		},
 		ConfigVersion: h.configuration.Version,
 		VersionSeen:   h.configuration.Observe,
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -51,10 +51,11 @@
 	if err != nil {
 		return err
 	}
+	received := lifecycle.LimitMemory(h.Settings.MemoryMegabytes)
 	registry := &metrics.Registry{}
 	engineMonitor := &monitor.Monitor{
 		EngineAddress: h.Settings.EngineAddress,
-		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP(), Orders: platform.NewOrderHTTP()},
+		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP(), Orders: platform.NewOrderHTTP(), Memory: received},
 		PeerPort:      h.Settings.PeerPort,
 		KeepRuns:      h.Settings.KeepRuns,
 		Metrics:       registry,
@@ -68,7 +69,7 @@
 	if err := message.DRPCRegisterPeer(mux, &peer.StatusOnly{State: state}); err != nil {
 		return err
 	}
-	server := &transport.Server{Listener: peers, Handler: mux}
+	server := &transport.Server{Listener: peers, Handler: mux, Memory: received}
 	h.Log.Info("serving", "Name", h.Settings.Name, "Engine", h.Settings.EngineAddress)
 	ctx, end := context.WithCancel(life.Abort)
 	defer end()
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 
@@ -48,11 +47,6 @@
 )
 
 const (
-	// memoryLimitShare is the share of the process's memory limit that is set as the
-	// soft limit of the Go runtime. Near this limit, garbage is collected more often.
-	memoryLimitShare = 0.7
-	// serverBytesShare is the share of it that all servers together may make the process hold.
-	serverBytesShare = 0.2
 	// readyShare is the share of RevokeMillis up to which the age of the
 	// configuration may grow while the process reports itself as ready. RevokeMillis
 	// bounds the age at which keys are accepted. The share is below one, so that the
@@ -97,9 +91,7 @@
 
 // Run serves until the lifecycle's drain has ended.
 func (h *Host) Run(life lifecycle.Lifecycle) error {
-	memoryBytes := float64(h.Settings.MemoryMegabytes) * (1 << 20)
-	debug.SetMemoryLimit(int64(memoryLimitShare * memoryBytes))
-	h.received = &heldbytes.Budget{MostBytes: int64(serverBytesShare * memoryBytes)}
+	h.received = lifecycle.LimitMemory(h.Settings.MemoryMegabytes)
 	callers, err := transport.Listen(life.Abort, h.Settings.CallerAddress)
 	if err != nil {
 		return err
@@ -177,6 +169,7 @@
 		Migrations:   migrations,
 		Waiting:      h.waiting,
 		Log:          h.Log,
+		Memory:       h.received,
 		PeerPort:     h.Settings.PeerPort,
 		ServerLimits: limits,
 		Ends:         ends,
@@ -280,7 +273,7 @@
 	if err := message.DRPCRegisterPeer(handler, &peer.StatusOnly{State: h.status}); err != nil {
 		return err
 	}
-	server := &transport.Server{Listener: listener, Handler: handler}
+	server := &transport.Server{Listener: listener, Handler: handler, Memory: h.received}
 	return server.Run(ctx)
 }
 
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -30,6 +30,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/poller"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/quarantine"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/process"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
@@ -41,9 +42,11 @@
 	// Version is the program's version.
 	Version string
 
-	leaving       leavingFlag
-	ring          *explanation.Ring
-	metrics       *metrics.Registry
+	leaving leavingFlag
+	ring    *explanation.Ring
+	metrics *metrics.Registry
+	// received bounds what others make the process hold.
+	received      *heldbytes.Budget
 	configuration *configuration.Source
 	members       *membership.Table
 	quarantine    *quarantine.Table
@@ -72,7 +75,7 @@
 		StopAdmission: h.leave,
 		Open:          h.rateLimiter.Open,
 		Servers: []lifecycle.Part{
-			(&transport.Server{Listener: listeners.peers, Handler: h.handler()}).Run,
+			(&transport.Server{Listener: listeners.peers, Handler: h.handler(), Memory: h.received}).Run,
 			transport.HTTPServer{Listener: listeners.metrics, Handler: h.metricsHandler()}.Run,
 		},
 	}
@@ -98,6 +101,7 @@
 func (h *Host) prepare() {
 	h.ring = &explanation.Ring{}
 	h.metrics = &metrics.Registry{}
+	h.received = lifecycle.NewReceivedBudget()
 	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: transport.NewPlatformClient()}
 	h.members = &membership.Table{}
 	h.quarantine = &quarantine.Table{Host: rand.Uint64()}
@@ -112,6 +116,7 @@
 		Quota:   h.quota,
 	}
 	h.runner = &dispatch.Runner{
+		Memory:         h.received,
 		Picker:         h.balancer,
 		Claimer:        h.holder,
 		Records:        h.writer(logging.Visit),
--- a/internal/routing/dispatch/call.go
+++ b/internal/routing/dispatch/call.go
@@ -129,7 +129,7 @@
 func (j *job) send(ctx context.Context, call Call) (*message.CallReply, error) {
 	ctx, watch := j.withWatchdog(ctx)
 	defer watch.stop()
-	conn, err := transport.Dial(ctx, j.target.PeerAddress)
+	conn, err := transport.DialHeld(ctx, j.target.PeerAddress, j.Memory)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/quarantine"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/retrybudget"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/message"
 )
 
@@ -114,6 +115,9 @@
 	// Picker, Claimer, Metrics and ConfigVersion must be set before use.
 	Picker  Picker
 	Claimer Claimer
+	// Memory bounds what the owners make the process hold of messages that are not complete; nil for no
+	// bound.
+	Memory *heldbytes.Budget
 	// Records receives the decision records of the requests. The zero Writer
 	// discards them.
 	Records explanation.Writer
--- a/internal/routing/dispatch/relay.go
+++ b/internal/routing/dispatch/relay.go
@@ -117,7 +117,7 @@
 func (j *job) attach(ctx context.Context) (*resultcode.Result, error) {
 	ctx, watch := j.withWatchdog(ctx)
 	defer watch.stop()
-	conn, err := transport.Dial(ctx, j.target.PeerAddress)
+	conn, err := transport.DialHeld(ctx, j.target.PeerAddress, j.Memory)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/routing/watch/watch.go
+++ b/internal/routing/watch/watch.go
@@ -26,6 +26,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverlimit"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/unresponsive"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/sighting"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -55,6 +56,8 @@
 	// Ends is told when engines were up.
 	Ends *serverend.Watch
 	Log  *slog.Logger
+	// Memory bounds what the monitors make the process hold; nil for no bound.
+	Memory *heldbytes.Budget
 	// PeerPort is the port of the engines' monitors.
 	PeerPort int
 	// ServerLimits holds the rate limits that the entry hosts share. Its OnChange calls
@@ -196,7 +199,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	conn, err := transport.Dial(ctx, net.JoinHostPort(host, strconv.Itoa(w.PeerPort)))
+	conn, err := transport.DialHeld(ctx, net.JoinHostPort(host, strconv.Itoa(w.PeerPort)), w.Memory)
 	if err != nil {
 		return err
 	}
--- a/internal/settings/storewatcher/peers.go
+++ b/internal/settings/storewatcher/peers.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storecache"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/digest"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
@@ -229,20 +230,20 @@
 // connect opens the connection to another entry host unless it is open.
 func (f *follower) connect(ctx context.Context, address string) error {
 	if f.read {
-		return f.peer.connect(ctx, address)
+		return f.peer.connect(ctx, address, f.watcher.Store.Memory)
 	}
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(firstConnectMillis*time.Millisecond))
 	defer stop()
-	return f.peer.connect(ctx, address)
+	return f.peer.connect(ctx, address, f.watcher.Store.Memory)
 }
 
-// connect dials address unless a connection is open.
-func (p *peerConn) connect(ctx context.Context, address string) error {
+// connect dials address unless a connection is open. What the other host sends counts in the budget.
+func (p *peerConn) connect(ctx context.Context, address string, memory *heldbytes.Budget) error {
 	if p.conn != nil {
 		return nil
 	}
 	p.address = address
-	conn, err := transport.Dial(ctx, address)
+	conn, err := transport.DialHeld(ctx, address, memory)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/heldbytes/budget.go
+++ b/internal/wire/heldbytes/budget.go
@@ -67,8 +67,8 @@
 	changed chan struct{}
 }
 
-// Holding is what one exchange with a server makes the process hold. It is used by one goroutine. A nil
-// Holding has no bound.
+// Holding is what one exchange with a server makes the process hold. It is safe for concurrent use, but only
+// one goroutine lets it grow. A nil Holding has no bound.
 type Holding struct {
 	budget *Budget
 	name   string
--- a/internal/wire/transport/http.go
+++ b/internal/wire/transport/http.go
@@ -8,6 +8,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxHeadBytes bounds the head of a response of the engine or plain service.
+const maxHeadBytes = 16 << 10
+
 // NewTransport returns the HTTP transport for the engine or plain service beside the
 // process. It opens a new connection for every call: when a call fails on a reused
 // connection that the server has just closed, it is unknown whether the call arrived.
@@ -15,6 +18,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.DisableKeepAlives = true
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return transport
 }
 
--- a/internal/wire/transport/pool.go
+++ b/internal/wire/transport/pool.go
@@ -63,6 +63,20 @@
 // dial opens a connection to the process at address and adds its bytes to traffic. The
 // error is marked with ErrDial.
 func dial(ctx context.Context, address string, traffic *Traffic) (*drpcconn.Conn, error) {
+	conn, err := dialCounted(ctx, address, traffic)
+	if err != nil {
+		return nil, err
+	}
+	return newCalls(conn), nil
+}
+
+// newCalls returns the client side of a connection.
+func newCalls(conn net.Conn) *drpcconn.Conn {
+	return drpcconn.NewWithOptions(boundedConn{conn}, drpcconn.Options{Manager: managerOptions()})
+}
+
+// dialCounted is like dial, without calls on the connection.
+func dialCounted(ctx context.Context, address string, traffic *Traffic) (net.Conn, error) {
 	dialer := net.Dialer{
 		Deadline:        time.Now().Add(dialTimeoutMillis * time.Millisecond),
 		KeepAliveConfig: keepAliveConfig(),
@@ -72,8 +86,7 @@
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
 	}
 	traffic.connections.Add(1)
-	counted := countedConn{Conn: conn, traffic: traffic}
-	return drpcconn.NewWithOptions(boundedConn{counted}, drpcconn.Options{Manager: managerOptions()}), nil
+	return countedConn{Conn: conn, traffic: traffic}, nil
 }
 
 // ListenPeers opens a TCP listener at address for connections from other processes of
--- a/internal/wire/transport/server.go
+++ b/internal/wire/transport/server.go
@@ -10,6 +10,8 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
 
 const (
@@ -31,6 +33,9 @@
 	Listener net.Listener
 	// Handler must be set before Run.
 	Handler drpc.Handler
+	// Memory bounds what all clients make the process hold of messages that are not complete; nil for no
+	// bound.
+	Memory *heldbytes.Budget
 	// Report receives errors of individual connections; nil discards them.
 	Report func(error)
 }
@@ -47,7 +52,7 @@
 		defer func() { _ = listener.Close() }()
 		err := s.accept(ctx, listener, func(conn net.Conn) {
 			group.Go(func() error {
-				s.report(newCallConnection().serve(ctx, server, conn))
+				s.report(newCallConnection(newHeldConn(conn, s.Memory)).serve(ctx, server))
 				return nil
 			})
 		})
@@ -103,24 +108,25 @@
 	// begun is closed when the first call begins, and begunAt is that time.
 	begun   chan struct{}
 	begunAt time.Time
+	conn    heldConn
 }
 
-func newCallConnection() *callConnection {
-	return &callConnection{begun: make(chan struct{})}
+func newCallConnection(conn heldConn) *callConnection {
+	return &callConnection{begun: make(chan struct{}), conn: conn}
 }
 
 // callConnectionKey is the key of a call's connection in its context.
 type callConnectionKey struct{}
 
 // serve serves calls until the connection is closed or, some time after ctx has ended, canceled.
-func (c *callConnection) serve(ctx context.Context, server *drpcserver.Server, conn net.Conn) error {
+func (c *callConnection) serve(ctx context.Context, server *drpcserver.Server) error {
 	calls, cancel := context.WithCancel(context.WithValue(context.WithoutCancel(ctx), callConnectionKey{}, c))
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
 		c.awaitFirstCall(calls, time.Now())
 		cancel()
 	})()
-	return server.ServeOne(calls, boundedConn{conn})
+	return server.ServeOne(calls, boundedConn{c.conn})
 }
 
 // awaitFirstCall waits, if the connection has carried no call before the server ended, for one and for the
@@ -140,7 +146,7 @@
 	}
 }
 
-// firstCalls is a handler that notes the first call of each connection.
+// firstCalls is a handler that notes the first call of each connection, and the messages that it has received.
 type firstCalls struct {
 	drpc.Handler
 }
@@ -152,6 +158,7 @@
 			c.begunAt = time.Now()
 			close(c.begun)
 		})
+		stream = heldStream{Stream: stream, conn: c.conn}
 	}
 	return h.Handler.HandleRPC(stream, rpc)
 }
