--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -108,21 +108,19 @@
 	// The stop does not wait for the settings file, whose read may hang.
 	var reread errgroup.Group
 	reread.Go(func() error {
-		endsAt.Store(int64(reserve.BeginsAt(signalledAt, h.graceSeconds())))
+		endsAt.Store(int64(reserve.BeginsAt(signalledAt, h.grace().Seconds())))
 		return nil
 	})
 	engineMonitor.Stop(ctx, func() boottime.Instant { return boottime.Instant(endsAt.Load()) })
 }
 
-// graceSeconds returns the grace period in the settings file, which may have changed since it was read.
-// If the file is invalid now, it returns the one that was read before.
-func (h *Host) graceSeconds() float64 {
-	settings, err := process.LoadDirectBackend(h.SettingsPath)
-	if err != nil {
-		h.Log.Error("failed to reload settings", "Path", h.SettingsPath, "Error", err)
-		return h.Settings.GraceSeconds
+// grace returns the grace period.
+func (h *Host) grace() lifecycle.Grace {
+	load := func(path string) (float64, error) {
+		settings, err := process.LoadDirectBackend(path)
+		return settings.GraceSeconds, err
 	}
-	return settings.GraceSeconds
+	return lifecycle.Grace{Path: h.SettingsPath, Load: load, Before: h.Settings.GraceSeconds, Log: h.Log}
 }
 
 // reload reads and validates the settings file again. Changed settings take effect
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -163,20 +163,7 @@
 	migrations := &relay.Migrations{}
 	ends := &serverend.Watch{}
 	h.waiting = &placementqueue.Queue{}
-	h.watch = &watch.Watch{
-		StoreWatcher: h.storeWatcher,
-		LoadTable:    h.loadTable,
-		Migrations:   migrations,
-		Waiting:      h.waiting,
-		Log:          h.Log,
-		Memory:       h.received,
-		PeerPort:     h.Settings.PeerPort,
-		ServerLimits: limits,
-		Ends:         ends,
-		Unresponsive: &h.loadTable.Unresponsive,
-	}
-	limits.OnChange = h.watch.StateRateLimits
-	h.loadTable.Unresponsive.OnChange = h.watch.StateUnresponsive
+	h.watch = h.newWatch(migrations, ends)
 	h.migrator = &runmigration.Migrator{
 		StoreWatcher: h.storeWatcher,
 		LoadTable:    h.loadTable,
@@ -218,6 +205,25 @@
 	}
 }
 
+// newWatch returns the watch of the engines, which also passes on what this host states of servers.
+func (h *Host) newWatch(migrations *relay.Migrations, ends *serverend.Watch) *watch.Watch {
+	w := &watch.Watch{
+		StoreWatcher: h.storeWatcher,
+		LoadTable:    h.loadTable,
+		Migrations:   migrations,
+		Waiting:      h.waiting,
+		Log:          h.Log,
+		Memory:       h.received,
+		PeerPort:     h.Settings.PeerPort,
+		ServerLimits: &h.loadTable.ServerLimits,
+		Ends:         ends,
+		Unresponsive: &h.loadTable.Unresponsive,
+	}
+	h.loadTable.ServerLimits.OnChange = w.StateRateLimits
+	h.loadTable.Unresponsive.OnChange = w.StateUnresponsive
+	return w
+}
+
 // newStore creates the client of the store, with the counter of its calls, and the cache through
 // which other entry hosts use it.
 func (h *Host) newStore() *platform.Store {
--- a/internal/role/directentry/stop.go
+++ b/internal/role/directentry/stop.go
@@ -67,7 +67,7 @@
 	// The stop does not wait for the settings file, whose read may hang.
 	var reread errgroup.Group
 	reread.Go(func() error {
-		h.setStop(signal, h.graceSeconds())
+		h.setStop(signal, h.grace().Seconds())
 		return nil
 	})
 	// Requests that wait for room and would be cut are refused at once.
@@ -84,15 +84,13 @@
 	return nil
 }
 
-// graceSeconds returns the grace period in the settings file, which may have changed since it was read.
-// If the file is invalid now, it returns the one that was read before.
-func (h *Host) graceSeconds() float64 {
-	settings, err := process.LoadDirectEntry(h.SettingsPath)
-	if err != nil {
-		h.Log.Error("failed to reload settings", "Path", h.SettingsPath, "Error", err)
-		return h.Settings.GraceSeconds
+// grace returns the grace period.
+func (h *Host) grace() lifecycle.Grace {
+	load := func(path string) (float64, error) {
+		settings, err := process.LoadDirectEntry(path)
+		return settings.GraceSeconds, err
 	}
-	return settings.GraceSeconds
+	return lifecycle.Grace{Path: h.SettingsPath, Load: load, Before: h.Settings.GraceSeconds, Log: h.Log}
 }
 
 // setStop stores the planned stop.
--- a/internal/wire/transport/held_test.go
+++ b/internal/wire/transport/held_test.go
@@ -72,9 +72,12 @@
 			group.Go(func() error {
 				for {
 					conn, err := odd.Accept()
-					if err != nil {
+					if errors.Is(err, net.ErrClosed) {
 						return nil
 					}
+					if err != nil {
+						return err
+					}
 					group.Go(func() error {
 						defer func() { _ = conn.Close() }()
 						endlessMessage(conn)
--- a/internal/wire/transport/server.go
+++ b/internal/wire/transport/server.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
 
@@ -73,7 +74,7 @@
 			serve(conn)
 		case isTemporary(err):
 			s.report(err)
-			pause(ctx, time.Now().Add(acceptRetryMillis*time.Millisecond))
+			boottime.Pause(ctx, acceptRetryMillis)
 		default:
 			return err
 		}
@@ -92,16 +93,6 @@
 	return errors.As(err, &temporary) && temporary.Temporary()
 }
 
-// pause waits until the given time or until ctx ends.
-func pause(ctx context.Context, until time.Time) {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // callConnection is a connection on which a Server serves calls.
 type callConnection struct {
 	once sync.Once
@@ -142,7 +133,7 @@
 		return
 	}
 	if c.begunAt.After(endedAt.Add(-recentCallMillis * time.Millisecond)) {
-		pause(calls, endedAt.Add(lastCallMillis*time.Millisecond))
+		boottime.Pause(calls, time.Until(endedAt.Add(lastCallMillis*time.Millisecond)).Milliseconds())
 	}
 }
 
