metrics: memory of what others have sent; tests: set-up that stood twice

Cause: an operator could not see how much servers make a host hold, nor that pieces gave way. In endtoend the start of a process, a server with a limit and a stream in the background were set up in two or three places. Change: Received in the metrics of all roles; startWith, limitServer and streamInBackground in the tests.

--- a/internal/records/metrics/metrics.go
+++ b/internal/records/metrics/metrics.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/storecalls"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
 
 const (
@@ -32,6 +33,9 @@
 	// StoreCalls counts the calls to the platform's store; it may be nil. It is set before the
 	// first use.
 	StoreCalls *storecalls.Counter
+	// Received is the budget of what others may make the process hold; it may be nil. It is set before the
+	// first use.
+	Received *heldbytes.Budget
 
 	mu sync.RWMutex
 	// series never holds more than MaxSeries series and Other.
--- a/internal/records/metrics/query.go
+++ b/internal/records/metrics/query.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/storecalls"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
 
 // VarName is the name of the metrics among the expvar variables.
@@ -52,6 +53,8 @@
 	Hedges map[string]Quantiles
 	// StoreCalls is the number of calls to the platform's store by cause.
 	StoreCalls []storecalls.Total
+	// Received is the memory of what others have sent and is not complete, or not passed on yet.
+	Received heldbytes.Usage
 }
 
 // SeriesSnapshot holds the metrics of one client account and class.
@@ -91,6 +94,7 @@
 		MovePause:      r.migrationPause.quantiles(),
 		Hedges:         r.hedges.quantiles(),
 		StoreCalls:     r.StoreCalls.Totals(),
+		Received:       r.Received.Usage(),
 	}
 }
 
--- a/internal/role/backendhost/backendhost.go
+++ b/internal/role/backendhost/backendhost.go
@@ -130,8 +130,8 @@
 func (h *Host) prepare() {
 	h.incarnation = max(1, rand.Uint64())
 	h.ring = &explanation.Ring{}
-	h.metrics = &metrics.Registry{}
 	h.received = lifecycle.NewReceivedBudget()
+	h.metrics = &metrics.Registry{Received: h.received}
 	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: transport.NewPlatformClient()}
 	h.peers.seeds = h.Settings.Peers
 	h.configuration = &configuration.Source{
--- a/internal/role/directbackend/directbackend.go
+++ b/internal/role/directbackend/directbackend.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	received := lifecycle.LimitMemory(h.Settings.MemoryMegabytes)
-	registry := &metrics.Registry{}
+	registry := &metrics.Registry{Received: received}
 	engineMonitor := &monitor.Monitor{
 		EngineAddress: h.Settings.EngineAddress,
 		Engines:       &platform.Engines{HTTP: platform.NewEngineHTTP(), Orders: platform.NewOrderHTTP(), Memory: received},
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -150,7 +150,7 @@
 	h.quarantine = &quarantine.Table{Host: rand.Uint64()}
 	h.crashes = &crashlog.Log{Store: store, Readers: h.otherReaders(), Table: h.quarantine, Log: h.Log}
 	h.storeWatcher = h.newStoreWatcher(store)
-	h.metrics = &metrics.Registry{StoreCalls: h.storeCalls}
+	h.metrics = &metrics.Registry{StoreCalls: h.storeCalls, Received: h.received}
 	h.loadTable = &placement.LoadTable{
 		Zone:         h.Settings.Zone,
 		Policy:       placementPolicy(h.Settings.Placing),
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -100,8 +100,8 @@
 // methods.
 func (h *Host) prepare() {
 	h.ring = &explanation.Ring{}
-	h.metrics = &metrics.Registry{}
 	h.received = lifecycle.NewReceivedBudget()
+	h.metrics = &metrics.Registry{Received: h.received}
 	h.hosts = &hostlist.Client{Address: h.Settings.HostListAddress, HTTP: transport.NewPlatformClient()}
 	h.members = &membership.Table{}
 	h.quarantine = &quarantine.Table{Host: rand.Uint64()}
--- a/internal/trial/endtoend/platform_cuthead_test.go
+++ b/internal/trial/endtoend/platform_cuthead_test.go
@@ -73,9 +73,7 @@
 			is := is.New(t)
 			s := newPlatformSite(t, 2, 0)
 			s.setEngineFaults(c.before)
-			request := streamRequest("cut", events)
-			request.target = c.target
-			await := s.sendInBackground(request)
+			await := s.streamInBackground("cut", c.target, events)
 			if c.status == http.StatusOK {
 				e := s.activeEngine()
 				s.setOthersFaults(e, c.then)
--- a/internal/trial/endtoend/platform_ratelimit_test.go
+++ b/internal/trial/endtoend/platform_ratelimit_test.go
@@ -159,15 +159,21 @@
 	return plainRequest(id, platformKey)
 }
 
+// limitServer makes a backend server name a limit, and returns it with the time from which the hosts keep to
+// that.
+func (s *rateLimitSite) limitServer(perSecond float64) (limited *replica.Replica, settled time.Time) {
+	limited = s.plainServices[0]
+	limited.SetRateLimit(perSecond)
+	return limited, time.Now().Add(rateSettleMillis * time.Millisecond)
+}
+
 // TestRateLimitOfServerKeptByAllHostsTogether guards against a backend server that gets
 // more requests from all entry hosts together than the limit that it names.
 func TestRateLimitOfServerKeptByAllHostsTogether(t *testing.T) {
 	t.Parallel()
 	const limit, loadMillis, pauseMillis = 2.0, 10_000, 25
 	s := newRateLimitSite(t, 2, 3, 5)
-	limited := s.plainServices[0]
-	limited.SetRateLimit(limit)
-	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
+	limited, settled := s.limitServer(limit)
 	counts := statuses(s.load("lookup", loadMillis, pauseMillis, lookup))
 	checkRate(t, limited, limit, settled, time.Now())
 	if len(counts) != 1 || counts[http.StatusOK] == 0 {
@@ -314,9 +320,7 @@
 	t.Parallel()
 	const limit, loadMillis, pauseMillis = 2.0, 16_000, 25
 	s := newRateLimitSite(t, 2, 2, 5)
-	limited := s.plainServices[0]
-	limited.SetRateLimit(limit)
-	settled := time.Now().Add(rateSettleMillis * time.Millisecond)
+	limited, settled := s.limitServer(limit)
 	var group errgroup.Group
 	group.Go(func() error {
 		s.interruptInTurn()
--- a/internal/trial/endtoend/platform_site_test.go
+++ b/internal/trial/endtoend/platform_site_test.go
@@ -309,6 +309,13 @@
 	return found
 }
 
+// streamInBackground sends a request for a stream and returns a function that waits for its reply.
+func (s *platformSite) streamInBackground(id, target string, events int) (await func() callerReply) {
+	request := streamRequest(id, events)
+	request.target = target
+	return s.sendInBackground(request)
+}
+
 // sendInBackground sends a request and returns a function that waits for the reply.
 func (s *platformSite) sendInBackground(r callerRequest) (await func() callerReply) {
 	s.t.Helper()
--- a/internal/trial/endtoend/platform_stoplog_test.go
+++ b/internal/trial/endtoend/platform_stoplog_test.go
@@ -4,13 +4,10 @@
 	"context"
 	"net/http"
 	"os"
-	"os/exec"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 )
@@ -24,18 +21,7 @@
 	}
 	p.t.Cleanup(func() { _ = reader.Close() })
 	defer func() { _ = writer.Close() }()
-	command := exec.CommandContext(context.Background(), binary, p.role, "--settings", p.path)
-	command.Stdout, command.Stderr = writer, writer
-	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	p.command, p.ended, p.wait = command, ended, &errgroup.Group{}
-	p.wait.Go(func() error {
-		defer close(ended)
-		return command.Wait()
-	})
+	p.startWith(writer)
 	return reader
 }
 
--- a/internal/trial/endtoend/platform_unframed_test.go
+++ b/internal/trial/endtoend/platform_unframed_test.go
@@ -88,9 +88,7 @@
 					c.before(s, e)
 				}
 			}
-			request := streamRequest("unframed", c.events)
-			request.target = c.target
-			await := s.sendInBackground(request)
+			await := s.streamInBackground("unframed", c.target, c.events)
 			e := s.activeEngine()
 			e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
 			if c.atNotice != nil {
@@ -139,9 +137,7 @@
 			is := is.New(t)
 			s := newPlatformSite(t, 2, 0)
 			s.setEngineFaults(c.faults)
-			request := streamRequest("returned", events)
-			request.target = c.target
-			await := s.sendInBackground(request)
+			await := s.streamInBackground("returned", c.target, events)
 			e := s.activeEngine()
 			s.setOthersFaults(e, c.others)
 			e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
--- a/internal/trial/endtoend/process_test.go
+++ b/internal/trial/endtoend/process_test.go
@@ -82,8 +82,14 @@
 		p.t.Fatal(err)
 	}
 	defer func() { _ = log.Close() }()
+	p.startWith(log)
+}
+
+// startWith starts the process and lets it write its output to a file.
+func (p *program) startWith(output *os.File) {
+	p.t.Helper()
 	command := exec.CommandContext(context.Background(), cmp.Or(p.binary, binary), p.role, "--settings", p.path)
-	command.Stdout, command.Stderr = log, log
+	command.Stdout, command.Stderr = output, output
 	// A group of its own cannot become orphaned while the test runs, which would end
 	// a frozen process with SIGHUP.
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
--- a/internal/wire/heldbytes/budget.go
+++ b/internal/wire/heldbytes/budget.go
@@ -60,7 +60,9 @@
 	yieldingBytes int64
 	// keptBytes is the part of usedBytes of complete parts.
 	keptBytes int64
-	holdings  map[*Holding]struct{}
+	// gaveWay is the number of pieces that have given way.
+	gaveWay  int64
+	holdings map[*Holding]struct{}
 	// largest holds the size of the largest complete part of each kind.
 	largest map[kind]int64
 	// changed is closed when a waiting holding must look again; nil while none waits.
@@ -101,11 +103,28 @@
 	return h
 }
 
-// UsedBytes returns the memory that is held.
-func (b *Budget) UsedBytes() int64 {
+// Usage is the use of a budget.
+type Usage struct {
+	// UsedBytes is the memory that is held, and MostBytes its bound.
+	UsedBytes int64
+	MostBytes int64
+	// GaveWay is the number of pieces that have given way to others since the process started.
+	GaveWay int64
+}
+
+// Usage returns the use of the budget; nothing for a nil Budget.
+func (b *Budget) Usage() Usage {
+	if b == nil {
+		return Usage{}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.usedBytes
+	return Usage{UsedBytes: b.usedBytes, MostBytes: b.MostBytes, GaveWay: b.gaveWay}
+}
+
+// UsedBytes returns the memory that is held.
+func (b *Budget) UsedBytes() int64 {
+	return b.Usage().UsedBytes
 }
 
 // Expect says which part comes next, and its length; negative if that was not declared.
@@ -182,6 +201,7 @@
 	}
 	victim.err = errors.Mark(&gaveWayError{piece: first, now: boottime.Now()}, ErrGaveWay)
 	b.yieldingBytes += victim.heldBytes()
+	b.gaveWay++
 	victim.giveWay()
 	b.wake()
 	return true
