heldbytes: among what is unusual, or all usual, the oldest gives way

Cause: a large body of unknown length on a route without others gave way before smaller ones without end that had begun earlier, as it was further beyond a fixed size. Change: a body on a route that has had none is of usual size; among equals the one that has begun first gives way.

--- a/internal/wire/heldbytes/budget.go
+++ b/internal/wire/heldbytes/budget.go
@@ -21,8 +21,6 @@
 	// waitShare is the part of the memory, as a divisor, that complete parts must hold for others to wait
 	// until they were passed on.
 	waitShare = 4
-	// learntFactor is how much larger than the largest complete part of its kind a part may well be.
-	learntFactor = 2
 )
 
 // ErrGaveWay marks the error of a piece that has given way to others.
@@ -136,7 +134,7 @@
 	defer h.budget.mu.Unlock()
 	h.part = part
 	h.piece.Declared = length >= 0
-	h.piece.UsualBytes = max(part.usualBytes(), learntFactor*h.budget.largest[kind{h.name, part}])
+	h.piece.UsualBytes = part.usualBytes(h.budget.largest[kind{h.name, part}])
 }
 
 // Grow takes the memory for a piece that has a new size. It waits while those that give way still hold
@@ -196,7 +194,7 @@
 			victim, first = h, h.piece
 		}
 	}
-	if first.excess() <= 1 && bytes <= b.MostBytes && b.keptBytes >= b.MostBytes/waitShare {
+	if !first.isUnusual() && bytes <= b.MostBytes && b.keptBytes >= b.MostBytes/waitShare {
 		return false
 	}
 	victim.err = errors.Mark(&gaveWayError{piece: first, now: boottime.Now()}, ErrGaveWay)
--- a/internal/wire/heldbytes/choose.go
+++ b/internal/wire/heldbytes/choose.go
@@ -1,6 +1,8 @@
 package heldbytes
 
 import (
+	"math"
+
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 )
 
@@ -26,17 +28,23 @@
 	megabyte = 1 << 20
 )
 
-// usualBytes returns the size that a part may have on each route.
-func (p Part) usualBytes() int64 {
-	switch p {
-	case Head, Event:
-		return 16 * kilobyte
-	case Report:
-		return 4 * megabyte
-	case Message:
-		return megabyte
+// learntFactor is how much larger than the largest complete part of its kind a part may well be.
+const learntFactor = 2
+
+// usualBytes returns the size that a part may well have, if the largest complete one of its kind had the
+// given size; zero if there was none.
+func (p Part) usualBytes(largest int64) int64 {
+	switch {
+	case p == Head:
+		return max(16*kilobyte, learntFactor*largest)
+	case p == Report:
+		return max(4*megabyte, learntFactor*largest)
+	case p == Message:
+		return max(megabyte, learntFactor*largest)
+	case p == Body && largest == 0:
+		return math.MaxInt64 // any size, as nothing is known of the route's answers
 	default:
-		return megabyte
+		return max(64*kilobyte, learntFactor*largest)
 	}
 }
 
@@ -52,24 +60,23 @@
 	BegunAt boottime.Instant
 }
 
-// excess is the ratio of its size to the usual one; at most one if that is not exceeded.
-func (p Piece) excess() float64 {
-	return float64(p.Bytes) / float64(max(p.UsualBytes, 1))
+// isUnusual reports whether the piece is larger than is usual.
+func (p Piece) isUnusual() bool {
+	return p.Bytes > p.UsualBytes
 }
 
 // yieldsBefore reports whether a piece gives way before another one, when there is no memory for both.
-// One without end exceeds all that is usual, or has begun long ago. A piece with a declared length
+// One without end exceeds what is usual, or has begun long ago. A piece with a declared length
 // yields last; among such the one that has begun last does, so that the others come to their end.
 func (p Piece) yieldsBefore(other Piece) bool {
-	if p.Declared != other.Declared {
+	switch {
+	case p.Declared != other.Declared:
 		return other.Declared
-	}
-	if p.Declared {
+	case p.Declared:
 		return p.BegunAt > other.BegunAt
+	case p.isUnusual() != other.isUnusual():
+		return p.isUnusual()
+	default:
+		return p.BegunAt < other.BegunAt
 	}
-	excess, otherExcess := p.excess(), other.excess()
-	if excess > 1 || otherExcess > 1 {
-		return excess > otherExcess
-	}
-	return p.BegunAt < other.BegunAt
 }
