test: crowds of callers, broken heads and early answers, failing

Change: tests only. A crowd is sent by the test's own connections to one process without the race detector; memory (anonymous, and received and unread), descriptors, an ordinary request while the crowd stays and one after it are checked, and no times. Crowds and bounds are those of the stated limits, lowered: 64 MB and 24 bodies of 4 MB, 32 MB and 1,500 heads, 256 descriptors and 400 connections; 134 MB and 60 bodies of 3 MB for the path through owners. The stand-in of a server sends raw answers, early ones too.

Statuses 600 and 999, blanks in names and continued lines reach callers; an early answer without a length reaches them as 200 after a reset.

--- a/internal/standin/cutanswer/cutanswer.go
+++ b/internal/standin/cutanswer/cutanswer.go
@@ -111,7 +111,14 @@
 		}
 		rest = rest[n:]
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok && a.Reset {
+	if a.Reset {
+		ResetOnClose(conn)
+	}
+}
+
+// ResetOnClose makes the close of a connection a reset.
+func ResetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
--- a/internal/standin/replica/answer.go
+++ b/internal/standin/replica/answer.go
@@ -24,13 +24,13 @@
 // a run without a valid handle.
 func (r *Replica) answer(w http.ResponseWriter, q *http.Request) {
 	r.mu.Lock()
-	early := r.faults.AnswerEarly
+	early, raw := r.faults.AnswerEarly, r.faults.Raw
 	r.mu.Unlock()
 	if early {
 		r.answerEarly(w, q)
 		return
 	}
-	body, _ := io.ReadAll(q.Body)
+	body := raw.readBody(q)
 	arrival := &Arrival{At: time.Now(), Method: q.Method, Target: q.RequestURI, Header: q.Header.Clone(), Body: string(body)}
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrival)
@@ -60,6 +60,10 @@
 	if !faults.Unsigned {
 		w.Header().Set("Fulmarvalve-Response-Signature", id)
 	}
+	if faults.Raw != nil {
+		faults.Raw.send(w, q)
+		return
+	}
 	if faults.Endless != nil {
 		faults.Endless.send(w, q)
 		return
--- a/internal/standin/replica/faults.go
+++ b/internal/standin/replica/faults.go
@@ -79,6 +79,8 @@
 	Hang bool
 	// Endless makes the server send bytes without end in place of answers; nil for none.
 	Endless *Endless
+	// Raw is what the server sends in place of answers; nil for none.
+	Raw *RawAnswer
 	// RunMillis is the time for which a plain service runs a request.
 	RunMillis int
 }
--- a/internal/trial/endtoend/process_test.go
+++ b/internal/trial/endtoend/process_test.go
@@ -59,6 +59,8 @@
 	binary string
 	// environment is added to the environment of the process.
 	environment []string
+	// descriptors is the number of descriptors that the process may open; zero leaves the usual limit.
+	descriptors int
 
 	command *exec.Cmd
 	// ended is closed when the process ends.
@@ -89,6 +91,10 @@
 func (p *program) startWith(output *os.File) {
 	p.t.Helper()
 	command := exec.CommandContext(context.Background(), cmp.Or(p.binary, binary), p.role, "--settings", p.path)
+	if p.descriptors > 0 {
+		limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors)
+		command = exec.CommandContext(context.Background(), "sh", append([]string{"-c", limited}, command.Args...)...)
+	}
 	command.Stdout, command.Stderr = output, output
 	// A group of its own cannot become orphaned while the test runs, which would end
 	// a frozen process with SIGHUP.
--- a/internal/trial/endtoend/timestamp_engine_test.go
+++ b/internal/trial/endtoend/timestamp_engine_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,8 @@
 	stepMicros atomic.Int64
 	// open counts the running generations.
 	open atomic.Int64
+	// prompts holds the beginnings of the prompts that have come, up to their first bar.
+	prompts sync.Map
 }
 
 func newTimestampEngine(stepMillis int64) *timestampEngine {
@@ -56,6 +59,8 @@
 		http.Error(w, "invalid completion request", http.StatusNotFound)
 		return
 	}
+	name, _, _ := strings.Cut(c.Prompt, "|")
+	e.prompts.Store(name, true)
 	e.open.Add(1)
 	defer e.open.Add(-1)
 	flusher := http.NewResponseController(w)
