--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -19,8 +19,14 @@
 type connection struct {
 	server *Server
 	conn   net.Conn
+	source source
+	// reader and writer are nil while the connection needs no buffers.
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// headBytes is the memory of the head of the current request.
+	headBytes int64
+	// widened says that more may be received than is usual before it is read.
+	widened bool
 	// acceptedAt is the time at which the connection was accepted.
 	acceptedAt time.Time
 
@@ -52,39 +58,63 @@
 		return false
 	}
 	defer c.server.setState(c, waiting)
-	request, err := c.readHead(limits)
+	defer c.endRequest()
+	request, err := c.readHead(ctx, limits)
 	if err != nil {
-		c.refuse(headStatus(err), err)
+		c.refuse(headStatus(err), err, nil)
 		return false
 	}
-	body, err := c.readBody(request, limits)
+	body, err := c.readBody(ctx, request, limits)
 	if err != nil {
-		c.refuse(bodyStatus(err), err)
+		c.refuse(bodyStatus(err), err, request)
+		return false
+	}
+	c.releaseReader()
+	if err := c.source.holding.Handle(ctx, c.headBytes+int64(cap(body))); err != nil {
+		c.refuse(http.StatusServiceUnavailable, err, request)
 		return false
 	}
 	c.server.setState(c, handling)
 	if c.server.reached(aborting) {
-		c.refuse(http.StatusServiceUnavailable, errNotHandled)
+		c.refuse(http.StatusServiceUnavailable, errNotHandled, request)
 		return false
 	}
 	return c.answer(ctx, request, body)
 }
 
+// endRequest frees what the request made the connection hold.
+func (c *connection) endRequest() {
+	c.releaseReader()
+	c.releaseWriter()
+	c.narrow()
+	c.source.holding.End()
+}
+
+// giveWay ends the wait for a request, or its reading, as others need its memory.
+func (c *connection) giveWay() {
+	_ = c.conn.SetReadDeadline(past)
+}
+
+// past is a read deadline that ends reads.
+var past = time.Unix(1, 0)
+
 // awaitRequest waits for the first byte of a request. It returns false when none comes.
 func (c *connection) awaitRequest(limits routetable.Limits) bool {
-	if c.reader.Buffered() == 0 {
+	if !c.hasBuffered() {
 		if err := c.server.readUntil(c, time.Now().Add(time.Duration(limits.IdleMillis)*time.Millisecond)); err != nil {
 			return false
 		}
-		_, err := c.reader.Peek(1)
+		err := c.awaitByte()
 		if err != nil && !isTimeout(err) {
 			return false
 		}
-		if err != nil && !c.hasArrived() {
+		if err != nil && (c.source.holding.Err() != nil || !c.hasArrived()) {
 			c.server.noteClosedWaiting()
 			return false
 		}
 	}
+	c.source.holding.Begin()
+	c.takeReader()
 	c.server.beginRequest(c)
 	return true
 }
@@ -95,7 +125,7 @@
 		if c.conn.SetReadDeadline(time.Time{}) != nil {
 			return false
 		}
-		_, err := c.reader.Peek(1)
+		err := c.awaitByte()
 		if err == nil {
 			return true
 		}
@@ -124,8 +154,7 @@
 	var watch errgroup.Group
 	var answered atomic.Bool
 	watch.Go(func() error {
-		_, err := c.reader.Peek(1)
-		if err != nil && !answered.Load() {
+		if err := c.awaitByte(); err != nil && !answered.Load() {
 			cancel(errCallerDisconnected)
 		}
 		return nil
@@ -134,7 +163,7 @@
 	answered.Store(true)
 	// A read deadline in the past unblocks the goroutine that watches the
 	// connection.
-	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.conn.SetReadDeadline(past)
 	_ = watch.Wait()
 	if !x.finish() {
 		if x.OnCut != nil {
--- a/internal/caller/httpserver/exchange.go
+++ b/internal/caller/httpserver/exchange.go
@@ -137,7 +137,7 @@
 	if x.connection.server.reached(draining) {
 		x.closeAfter = true
 	}
-	w := x.connection.writer
+	w := x.connection.takeWriter()
 	_, err := w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	x.setError(err)
 	if x.closeAfter {
@@ -151,7 +151,7 @@
 	if x.err != nil {
 		return
 	}
-	_, err := x.connection.writer.Write(p)
+	_, err := x.connection.takeWriter().Write(p)
 	x.setError(err)
 }
 
@@ -160,7 +160,7 @@
 		return x.err
 	}
 	x.setDeadline()
-	x.setError(x.connection.writer.Flush())
+	x.setError(x.connection.takeWriter().Flush())
 	return x.err
 }
 
--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -7,7 +7,6 @@
 package httpserver
 
 import (
-	"bufio"
 	"context"
 	"log/slog"
 	"net"
@@ -17,12 +16,17 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/logging"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 const (
+	// ConnectionBytes is the memory of an open connection without a request.
+	ConnectionBytes = 12 << 10
 	// DefaultHeadBytes limits the size of a request head while no configuration
 	// has been loaded. A configured limit cannot exceed it.
 	DefaultHeadBytes = 16 << 10
@@ -40,11 +44,8 @@
 	// writeTimeoutMillis limits how long one write may block on a caller that
 	// does not read.
 	writeTimeoutMillis = 8000
-	// readBufferBytes must hold the largest request head.
-	readBufferBytes = DefaultHeadBytes + 4096
-	// writeBufferBytes holds the headers and the first part of a response, so
-	// that both are sent together.
-	writeBufferBytes = 4096
+	// acceptRetryMillis is the pause after a failed accept, for example for lack of file descriptors.
+	acceptRetryMillis = 5
 	// userTimeoutMillis limits how long sent bytes may stay unacknowledged
 	// before TCP closes the connection.
 	userTimeoutMillis = 10_000
@@ -63,11 +64,21 @@
 	Log      *slog.Logger
 	// Limits returns the limits in force. Zero values select the defaults.
 	Limits func() routetable.Limits
+	// Intake bounds what all callers make the process hold; nil for no bound.
+	Intake *intake.Budget
+	// OnFull responds to a request that was refused for lack of room, and never runs. Nil responds without a
+	// time to come back.
+	OnFull func(x *Exchange)
 
 	// begun counts the requests whose first byte was read.
 	begun atomic.Int64
 	// closedWaiting counts the connections that a planned stop closed as no request had arrived.
 	closedWaiting atomic.Int64
+	// refusals and acceptFailures bound the log lines of requests that were not read and of connections that were
+	// not accepted.
+	refusals, acceptFailures logging.Sparse
+	// discards paces the reading of what is dropped.
+	discards *rate.Limiter
 	// closeBy is the boottime.Instant set by CloseBy; zero for none.
 	closeBy atomic.Int64
 
@@ -91,6 +102,7 @@
 	s.accepting = true
 	s.changed = make(chan struct{})
 	s.mu.Unlock()
+	s.discards = rate.NewLimiter(discardBytesPerSecond, discardBytesPerSecond)
 	requests, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	var group errgroup.Group
@@ -101,7 +113,7 @@
 		s.abort(context.WithoutCancel(ctx))
 		return nil
 	})
-	s.accept(func(c *connection) {
+	s.accept(ctx, func(c *connection) {
 		group.Go(func() error {
 			s.serve(requests, c)
 			return nil
@@ -110,8 +122,8 @@
 	return group.Wait()
 }
 
-// accept passes each new connection to serve until the listener is closed.
-func (s *Server) accept(serve func(*connection)) {
+// accept passes each new connection to serve until the listener is closed. A connection without room is closed.
+func (s *Server) accept(ctx context.Context, serve func(*connection)) {
 	defer s.endAccept()
 	for {
 		conn, err := s.Listener.Accept()
@@ -119,22 +131,30 @@
 			return
 		}
 		if err != nil {
-			s.Log.Warn("failed to accept connection", "Error", err)
-			time.Sleep(time.Millisecond)
+			s.logAcceptFailure(err)
+			time.Sleep(acceptRetryMillis * time.Millisecond)
 			continue
 		}
-		c := &connection{
-			server:     s,
-			conn:       conn,
-			reader:     bufio.NewReaderSize(conn, readBufferBytes),
-			writer:     bufio.NewWriterSize(conn, writeBufferBytes),
-			acceptedAt: time.Now(),
+		c := &connection{server: s, conn: conn, acceptedAt: time.Now()}
+		holding, ok := s.Intake.Open(ctx, c.giveWay)
+		if !ok {
+			s.logAcceptFailure(intake.ErrFull)
+			_ = conn.Close()
+			continue
 		}
+		c.source = source{conn: conn, holding: holding}
 		s.add(c)
 		serve(c)
 	}
 }
 
+// logAcceptFailure logs that a connection was not accepted, unless there are many such lines.
+func (s *Server) logAcceptFailure(err error) {
+	if omitted, ok := s.acceptFailures.Allow(); ok {
+		s.Log.Warn("failed to accept connection", "Error", err, "Omitted", omitted)
+	}
+}
+
 // Open returns the number of requests that are being read or handled.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -173,6 +193,7 @@
 // serve handles the requests of one connection one after the other.
 func (s *Server) serve(ctx context.Context, c *connection) {
 	defer s.remove(c)
+	defer c.source.holding.Close()
 	defer func() { _ = c.conn.Close() }()
 	if err := transport.SetAckTimeout(c.conn, userTimeoutMillis); err != nil {
 		s.Log.Warn("TCP user timeout not set on caller connection", "Error", err)
--- a/internal/caller/httpserver/read.go
+++ b/internal/caller/httpserver/read.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 const (
@@ -17,25 +21,41 @@
 	// from a caller whose request was refused before it was read completely.
 	lingerMillis = 1000
 	lingerBytes  = 16 << 20
+	// discardBytesPerSecond limits what is read of all such requests together.
+	discardBytesPerSecond = 32 << 20
+	// wideBytes is what a connection may receive of a large body before it is read, and narrowBytes what it may
+	// receive otherwise.
+	wideBytes   = 64 << 10
+	narrowBytes = transport.NarrowBytes
 )
 
 // errBodyTooLarge means that a request body exceeds the size limit.
 var errBodyTooLarge = errors.New("request body is too large")
 
+// errHeadGaveWay marks the error of a request whose head was not read whole and has given way to others.
+var errHeadGaveWay = errors.New("request head gave way to others")
+
 // headEnd terminates a request head.
 var headEnd = []byte("\r\n\r\n")
 
 // readHead reads and checks the head of the next request within the time and
 // size limits.
-func (c *connection) readHead(limits routetable.Limits) (*http.Request, error) {
+func (c *connection) readHead(ctx context.Context, limits routetable.Limits) (*http.Request, error) {
 	deadline := time.Now().Add(time.Duration(limits.HeaderMillis) * time.Millisecond)
 	if err := c.server.readUntil(c, deadline); err != nil {
 		return nil, err
 	}
-	head, err := c.peekHead(limits.MaxHeaderBytes)
+	if err := c.source.holding.Err(); err != nil {
+		return nil, err
+	}
+	head, err := c.peekHead(ctx, limits.MaxHeaderBytes)
+	if gaveWay := c.source.holding.Err(); gaveWay != nil {
+		return nil, errors.Mark(gaveWay, errHeadGaveWay)
+	}
 	if err != nil {
 		return nil, err
 	}
+	c.headBytes = int64(len(head))
 	if err := checkHead(head); err != nil {
 		return nil, err
 	}
@@ -50,7 +70,7 @@
 }
 
 // peekHead returns the head of the next request without consuming it.
-func (c *connection) peekHead(maxBytes int) ([]byte, error) {
+func (c *connection) peekHead(ctx context.Context, maxBytes int) ([]byte, error) {
 	for {
 		seen, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
@@ -68,19 +88,36 @@
 		if bytes.Contains(seen, []byte("\n\n")) {
 			return nil, errors.Wrap(ErrMalformed, "request head with a bare LF")
 		}
+		if len(seen) == c.reader.Size() {
+			if err := c.source.holding.Head(ctx, largeHeadBytes); err != nil {
+				return nil, err
+			}
+			if err := c.enlargeReader(); err != nil {
+				return nil, err
+			}
+		}
 		if _, err := c.reader.Peek(len(seen) + 1); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// readBody reads the complete body of a request within the time and size limits.
-func (c *connection) readBody(request *http.Request, limits routetable.Limits) ([]byte, error) {
-	if request.ContentLength > limits.MaxBodyBytes {
-		return nil, errors.Wrapf(errBodyTooLarge, "%d bytes, limit %d", request.ContentLength, limits.MaxBodyBytes)
+// readBody reads the complete body of a request within the time and size limits. It takes the memory for a part
+// of the body before it reads the part.
+func (c *connection) readBody(ctx context.Context, request *http.Request, limits routetable.Limits) ([]byte, error) {
+	length := request.ContentLength
+	if length > limits.MaxBodyBytes {
+		return nil, errors.Wrapf(errBodyTooLarge, "%d bytes, limit %d", length, limits.MaxBodyBytes)
+	}
+	if request.Body == nil || length == 0 {
+		return nil, c.holdBody(ctx, 0, 0)
 	}
-	if request.Body == nil || request.ContentLength == 0 {
-		return nil, nil
+	first := int64(firstBodyBytes)
+	if length > 0 {
+		first = length
+	}
+	if err := c.holdBody(ctx, first, 0); err != nil {
+		return nil, err
 	}
 	if err := c.server.readUntil(c, time.Now().Add(bodyTimeoutMillis*time.Millisecond)); err != nil {
 		return nil, err
@@ -88,14 +125,83 @@
 	if err := c.sendContinue(request); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, limits.MaxBodyBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read request body")
+	// The deadline may have replaced the one that ends the reading.
+	if err := c.source.holding.Err(); err != nil {
+		return nil, err
+	}
+	body := make([]byte, first)
+	var err error
+	if length > 0 {
+		_, err = io.ReadFull(request.Body, body)
+	} else {
+		body, err = c.readChunks(ctx, request.Body, body, limits.MaxBodyBytes)
+	}
+	if gaveWay := c.source.holding.Err(); err != nil && gaveWay != nil {
+		return nil, gaveWay
+	}
+	return body, errors.Wrap(err, "read request body")
+}
+
+// firstBodyBytes is the size of the first part of a body without a declared length.
+const firstBodyBytes = 2 << 10
+
+// readChunks reads a body without a declared length into a buffer, which grows with it.
+func (c *connection) readChunks(ctx context.Context, chunks io.Reader, buffer []byte, maxBytes int64) ([]byte, error) {
+	read := 0
+	for {
+		if read == len(buffer) {
+			size := min(2*int64(len(buffer)), maxBytes+1)
+			// Both are held while one is copied to the other.
+			if err := c.holdBody(ctx, size, int64(len(buffer))); err != nil {
+				return nil, err
+			}
+			buffer = append(make([]byte, 0, size), buffer...)[:size]
+			if err := c.holdBody(ctx, size, 0); err != nil {
+				return nil, err
+			}
+		}
+		n, err := chunks.Read(buffer[read:])
+		read += n
+		switch {
+		case int64(read) > maxBytes:
+			return nil, errors.Wrapf(errBodyTooLarge, "over %d bytes", maxBytes)
+		case errors.Is(err, io.EOF):
+			return buffer[:read], nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// holdBody takes the memory for a body of a size and for a further buffer.
+func (c *connection) holdBody(ctx context.Context, size, further int64) error {
+	bytes := c.headBytes + size + further
+	if size > intake.LargeBytes {
+		bytes += wideBytes
 	}
-	if int64(len(body)) > limits.MaxBodyBytes {
-		return nil, errors.Wrapf(errBodyTooLarge, "over %d bytes", limits.MaxBodyBytes)
+	if err := c.source.holding.Body(ctx, bytes, size); err != nil {
+		return err
+	}
+	if size > intake.LargeBytes {
+		c.widen()
+	}
+	return nil
+}
+
+// widen lets the connection receive more before it is read, for the sake of a large body.
+func (c *connection) widen() {
+	if !c.widened {
+		c.widened = true
+		transport.SetReceiveBuffer(c.conn, wideBytes)
+	}
+}
+
+// narrow takes that back.
+func (c *connection) narrow() {
+	if c.widened {
+		c.widened = false
+		transport.SetReceiveBuffer(c.conn, narrowBytes)
 	}
-	return body, nil
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it before it sends
@@ -108,7 +214,7 @@
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeoutMillis * time.Millisecond)); err != nil {
 		return err
 	}
-	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+	if _, err := c.takeWriter().WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return err
 	}
 	return c.writer.Flush()
@@ -118,6 +224,10 @@
 // or zero when no response can be sent.
 func headStatus(err error) int {
 	switch {
+	case errors.Is(err, errHeadGaveWay):
+		return 0
+	case errors.Is(err, intake.ErrFull):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, ErrHeadTooLarge):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, ErrMalformed):
@@ -135,6 +245,8 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.IsAny(err, intake.ErrFull, intake.ErrGaveWay):
+		return http.StatusServiceUnavailable
 	case isTimeout(err):
 		return http.StatusRequestTimeout
 	case errors.Is(err, io.ErrUnexpectedEOF):
@@ -149,19 +261,31 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// refuse responds to a request that could not be read. The connection is closed
-// afterwards.
-func (c *connection) refuse(status int, cause error) {
+// refuse responds to a request that was not read or found no room, so that it never runs. The request is nil if its
+// head was not read. The connection is closed afterwards.
+func (c *connection) refuse(status int, cause error, request *http.Request) {
+	c.source.holding.Linger()
+	c.dropReader()
 	if status == 0 {
 		return
 	}
 	if status == http.StatusRequestTimeout && c.server.reached(aborting) {
 		status = http.StatusServiceUnavailable
 	}
-	c.server.Log.Info("failed to read request", "Status", status, "Error", cause)
-	x := &Exchange{connection: c, closeAfter: true, Request: &http.Request{Method: http.MethodGet}}
-	x.Respond(status, make(http.Header), nil)
+	if omitted, ok := c.server.refusals.Allow(); ok {
+		c.server.Log.Info("failed to read request", "Status", status, "Error", cause, "Omitted", omitted)
+	}
+	if request == nil {
+		request = &http.Request{Method: http.MethodGet}
+	}
+	x := &Exchange{connection: c, closeAfter: true, Request: request}
+	if status == http.StatusServiceUnavailable && c.server.OnFull != nil {
+		c.server.OnFull(x)
+	} else {
+		x.Respond(status, make(http.Header), nil)
+	}
 	if x.finish() {
+		c.releaseWriter()
 		c.linger()
 	}
 }
@@ -173,9 +297,26 @@
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
-	if tcp.SetReadDeadline(time.Now().Add(lingerMillis*time.Millisecond)) != nil {
+	until := time.Now().Add(lingerMillis * time.Millisecond)
+	if tcp.SetReadDeadline(until) != nil {
 		return
 	}
-	// The error does not matter, since the connection is closed next.
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.reader, lingerBytes))
+	buffer := discardBuffers.Get().(*[]byte)
+	defer discardBuffers.Put(buffer)
+	for left := lingerBytes; left > 0; {
+		n, err := tcp.Read(*buffer)
+		left -= n
+		now := time.Now()
+		pause := c.server.discards.ReserveN(now, n).DelayFrom(now)
+		if err != nil || now.Add(pause).After(until) {
+			return
+		}
+		time.Sleep(pause)
+	}
 }
+
+// discardBuffers holds the buffers for what is discarded.
+var discardBuffers = sync.Pool{New: func() any {
+	buffer := make([]byte, readBufferBytes)
+	return &buffer
+}}
--- /dev/null
+++ b/internal/caller/intake/budget.go
@@ -0,0 +1,451 @@
+// Package intake bounds what all callers together make a process hold: their connections, the heads and bodies
+// that are being read, and the requests that were read and are being handled. What finds no room is refused
+// before it is read. What stalls short of its end gives way to others; a request that was read whole never
+// does. Servers have a bound of their own, see package heldbytes.
+package intake
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+)
+
+const (
+	kilobyte = 1 << 10
+	// SmallBytes is the size up to which a head or a body takes memory without a wait. The number of
+	// connections bounds the sum.
+	SmallBytes = 4 * kilobyte
+	// LargeBytes is the size above which a body counts as large.
+	LargeBytes = 64 * kilobyte
+	// HandledBytes is the memory that a request takes while it is handled, beside its head and body.
+	HandledBytes = 12 * kilobyte
+	// waitMillis is the time for which a request waits for room before it is refused.
+	waitMillis = 1500
+	// maxWaiting bounds the requests that wait for room, and maxWaitingLarge those with large bodies.
+	maxWaiting, maxWaitingLarge = 256, 16
+	// maxYielding is the number of connections that may be about to be closed while others are opened.
+	maxYielding = 16
+)
+
+// Errors of requests and connections that find no room.
+var (
+	// ErrFull marks the error of a request that found no room.
+	ErrFull = errors.New("callers make the process hold as much as they may")
+	// ErrGaveWay marks the error of a request that was not read whole and has given way to others.
+	ErrGaveWay = errors.New("request that was not complete gave way to others")
+)
+
+// Budget is what all callers together may make the process hold. It is safe for concurrent use. A nil Budget has no
+// bound. Its exported fields are set before use.
+type Budget struct {
+	// MostBytes is the bound of the memory. Small pieces may exceed it, and so may a single large body.
+	MostBytes int64
+	// MostConnections is the bound of the connections; zero for none.
+	MostConnections int
+	// ConnectionBytes is the memory that an open connection takes without a request.
+	ConnectionBytes int64
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// use is what the holdings hold, and yielding the part of it that is about to be freed.
+	use, yielding use
+	// gaveWay is the number of requests and connections that have given way, and refused the number of
+	// those that found no room.
+	gaveWay, refused int64
+	holdings         map[*Holding]struct{}
+	// changes numbers the changes of stages.
+	changes int64
+	// waiting is the number of requests that wait for room, and waitingLarge the number of those with large
+	// bodies.
+	waiting, waitingLarge int
+	// changed is closed when a waiting request must look again; nil while none waits.
+	changed chan struct{}
+}
+
+// use is a use of the budget.
+type use struct {
+	connections int
+	bytes       int64
+	// largeBytes is the part of bytes that is used for large bodies.
+	largeBytes int64
+}
+
+// Holding is what one connection makes the process hold. Its methods are called by the goroutine that serves the
+// connection, but for those of the budget. A nil Holding has no bound.
+type Holding struct {
+	budget *Budget
+	// giveWay ends what the connection does, so that its memory is freed soon. It does not block.
+	giveWay func()
+	// received is the number of bytes that were read from the connection.
+	received atomic.Int64
+
+	// The fields below are guarded by the mutex of the budget.
+
+	stage stage
+	// since is the number of the change to that stage.
+	since int64
+	// bytes is the memory beside that of the connection. large says that a large body is a part of it.
+	bytes int64
+	large bool
+	// waiting says that the connection waits for room, so that it is not read, and waitsFor the stage that it
+	// then reaches.
+	waiting  bool
+	waitsFor stage
+	// seenBytes is what had been received at the last look, and seenAt the time since which no more was seen.
+	seenBytes int64
+	seenAt    boottime.Instant
+	// err is set once the holding has given way.
+	err error
+}
+
+// Open begins a holding for a new connection, which must be closed. It waits while too many connections are about to
+// be closed. It returns false if there is no room.
+func (b *Budget) Open(ctx context.Context, giveWay func()) (*Holding, bool) {
+	if b == nil {
+		return nil, true
+	}
+	h := &Holding{budget: b, giveWay: giveWay}
+	for {
+		closed, ok := b.tryOpen(h)
+		if closed == nil {
+			return h, ok
+		}
+		if await(ctx, closed, waitMillis) != nil {
+			return nil, false
+		}
+	}
+}
+
+// tryOpen begins a holding, and reports whether there is room. While too many connections are about to be closed, it
+// returns a channel that is closed when it must be tried again.
+func (b *Budget) tryOpen(h *Holding) (closed <-chan struct{}, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.lacksForConnection() {
+		if !b.makeRoom(nil, lack{connection: true}, boottime.Now()) {
+			b.refused++
+			return nil, false
+		}
+	}
+	if b.yielding.connections > maxYielding {
+		return b.awaitChange(), false
+	}
+	if b.holdings == nil {
+		b.holdings = make(map[*Holding]struct{})
+	}
+	b.holdings[h] = struct{}{}
+	b.use.connections++
+	b.use.bytes += b.ConnectionBytes
+	h.setStage(idle)
+	return nil, true
+}
+
+// awaitChange returns a channel that is closed when something is freed. The caller holds the mutex.
+func (b *Budget) awaitChange() <-chan struct{} {
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return b.changed
+}
+
+// lacksForConnection reports whether there is no room for a further connection once all that give way are
+// closed. The caller holds the mutex.
+func (b *Budget) lacksForConnection() bool {
+	left := b.use.connections - b.yielding.connections
+	return b.MostConnections > 0 && left >= b.MostConnections ||
+		int64(left+1)*b.ConnectionBytes > connectionShare.of(b.MostBytes)
+}
+
+// Begin says that the first byte of a request has come.
+func (h *Holding) Begin() {
+	h.force(head, SmallBytes)
+}
+
+// Receive says that bytes were read from the connection.
+func (h *Holding) Receive(bytes int) {
+	if h != nil {
+		h.received.Add(int64(bytes))
+	}
+}
+
+// Head takes the memory for a head that is being read.
+func (h *Holding) Head(ctx context.Context, bytes int64) error {
+	return h.take(ctx, claim{stage: head, bytes: bytes})
+}
+
+// Body takes the memory for a request whose body is being read: bytes with its head, of which bodyBytes are the
+// size of the body. It waits a bounded time for room; its error is then marked with ErrFull.
+func (h *Holding) Body(ctx context.Context, bytes, bodyBytes int64) error {
+	switch {
+	case bytes <= SmallBytes:
+		h.force(body, bytes)
+		return h.Err()
+	case bodyBytes <= LargeBytes:
+		return h.take(ctx, claim{stage: body, bytes: bytes})
+	default:
+		// It needs no more when it was read.
+		return h.take(ctx, claim{stage: body, bytes: bytes + HandledBytes, large: true})
+	}
+}
+
+// Handle takes the memory for a request that was read whole, with its head and its body. From then on it does
+// not give way.
+func (h *Holding) Handle(ctx context.Context, bytes int64) error {
+	if h == nil {
+		return nil
+	}
+	return h.take(ctx, claim{stage: whole, bytes: bytes + HandledBytes, large: h.large})
+}
+
+// End says that the request is over and the connection waits for the next one.
+func (h *Holding) End() {
+	h.force(idle, 0)
+}
+
+// Linger says that the request was refused, and that the connection is read only so that its caller gets the
+// response.
+func (h *Holding) Linger() {
+	h.force(lingering, 0)
+}
+
+// Close ends the holding. It may be called again.
+func (h *Holding) Close() {
+	if h == nil {
+		return
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, open := b.holdings[h]; !open {
+		return
+	}
+	h.set(claim{})
+	h.change(use{connections: -1, bytes: -b.ConnectionBytes})
+	delete(b.holdings, h)
+}
+
+// Err returns an error that is marked with ErrGaveWay if the holding has given way.
+func (h *Holding) Err() error {
+	if h == nil {
+		return nil
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.err
+}
+
+// force takes memory without a wait.
+func (h *Holding) force(s stage, bytes int64) {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.set(claim{stage: s, bytes: bytes})
+}
+
+// take takes memory. It waits while those that give way still hold theirs, or may give way soon.
+func (h *Holding) take(ctx context.Context, want claim) error {
+	if h == nil {
+		return nil
+	}
+	if taken, err := h.takeFree(want); taken || err != nil {
+		return err
+	}
+	giveUpAt := boottime.Now().AddMillis(waitMillis)
+	for {
+		now := boottime.Now()
+		w, err := h.makeRoomFor(want, now, giveUpAt)
+		if w.changed == nil {
+			return err
+		}
+		if err := await(ctx, w.changed, w.lookAt.MillisSince(now)); err != nil {
+			h.stopWaiting(want)
+			return err
+		}
+	}
+}
+
+// takeFree takes memory if there is room. It returns false if there is none.
+func (h *Holding) takeFree(want claim) (bool, error) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return h.takeFreeLocked(want)
+}
+
+// takeFreeLocked is takeFree for a caller that holds the mutex.
+func (h *Holding) takeFreeLocked(want claim) (bool, error) {
+	if h.err != nil {
+		return false, h.err
+	}
+	if h.budget.lack(h, want, use{}).any() {
+		return false, nil
+	}
+	h.set(want)
+	return true, nil
+}
+
+// wait says when a request that waits for room looks again.
+type wait struct {
+	// changed is closed when something was freed. It is nil if there is no need to wait.
+	changed <-chan struct{}
+	// lookAt is the time at which another request may have stalled.
+	lookAt boottime.Instant
+}
+
+// makeRoomFor takes memory if there is room. Otherwise it makes others give way, if they can, and returns a wait.
+func (h *Holding) makeRoomFor(want claim, now, giveUpAt boottime.Instant) (wait, error) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.setWaiting(false, want)
+	if taken, err := h.takeFreeLocked(want); taken || err != nil {
+		return wait{}, err
+	}
+	lacking := b.lack(h, want, b.yielding)
+	for lacking.any() && b.makeRoom(h, lacking, now) {
+		lacking = b.lack(h, want, b.yielding)
+	}
+	if !now.Before(giveUpAt) || b.waiting >= maxWaiting || want.large && b.waitingLarge >= maxWaitingLarge {
+		b.refused++
+		return wait{}, errors.Mark(errors.Newf("no room for %d bytes, %d of %d are in use", want.bytes, b.use.bytes, b.MostBytes), ErrFull)
+	}
+	h.setWaiting(true, want)
+	return wait{changed: b.awaitChange(), lookAt: min(b.nextStall(now), giveUpAt)}, nil
+}
+
+// setWaiting records whether the connection waits for room. The caller holds the mutex.
+func (h *Holding) setWaiting(waiting bool, want claim) {
+	if h.waiting == waiting {
+		return
+	}
+	h.waiting, h.waitsFor = waiting, want.stage
+	by := 1
+	if !waiting {
+		by = -1
+	}
+	h.budget.waiting += by
+	if want.large {
+		h.budget.waitingLarge += by
+	}
+}
+
+// stopWaiting records that the connection does not wait for room any more.
+func (h *Holding) stopWaiting(want claim) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.setWaiting(false, want)
+}
+
+// makeRoom makes the connection give way that is first to do so. It returns false if none can.
+// The caller holds the mutex.
+func (b *Budget) makeRoom(asking *Holding, lacking lack, now boottime.Instant) bool {
+	var victim *Holding
+	for h := range b.holdings {
+		if h != asking && h.err == nil && h.yields(lacking, now) && (victim == nil || h.yieldsBefore(victim)) {
+			victim = h
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.err = errors.Mark(errors.Newf("%d bytes held, %d received", victim.bytes, victim.received.Load()), ErrGaveWay)
+	b.yielding.connections++
+	b.yielding.bytes += victim.bytes + b.ConnectionBytes
+	b.yielding.largeBytes += victim.largeBytes()
+	b.gaveWay++
+	victim.giveWay()
+	b.wake()
+	return true
+}
+
+// set sets what the holding holds. The caller holds the mutex.
+func (h *Holding) set(want claim) {
+	before := h.largeBytes()
+	more := want.bytes - h.bytes
+	h.bytes, h.large = want.bytes, want.large
+	if h.stage != want.stage {
+		h.setStage(want.stage)
+	}
+	h.change(use{bytes: more, largeBytes: h.largeBytes() - before})
+}
+
+// setStage sets the stage. The caller holds the mutex.
+func (h *Holding) setStage(s stage) {
+	h.budget.changes++
+	h.stage, h.since = s, h.budget.changes
+}
+
+// change changes what is in use. The caller holds the mutex.
+func (h *Holding) change(by use) {
+	b := h.budget
+	b.use = b.use.add(by)
+	if h.err != nil {
+		b.yielding = b.yielding.add(by)
+	}
+	if by.bytes < 0 || by.connections < 0 {
+		b.wake()
+	}
+}
+
+// wake lets those that wait look again. The caller holds the mutex.
+func (b *Budget) wake() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
+
+func (u use) add(by use) use {
+	return use{connections: u.connections + by.connections, bytes: u.bytes + by.bytes, largeBytes: u.largeBytes + by.largeBytes}
+}
+
+// await waits until the channel is closed, a time has passed, or ctx ends, whose error it returns.
+func await(ctx context.Context, changed <-chan struct{}, millis int64) error {
+	timer := time.NewTimer(time.Duration(max(millis, 1)) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-changed:
+	case <-timer.C:
+	}
+	return nil
+}
+
+// Usage is the use of a budget.
+type Usage struct {
+	// Connections is the number of open connections, and MostConnections its bound.
+	Connections     int
+	MostConnections int
+	// UsedBytes is the memory that is held, and MostBytes its bound.
+	UsedBytes int64
+	MostBytes int64
+	// GaveWay is the number of connections that have given way to others since the process started, and
+	// Refused the number of connections and requests that found no room.
+	GaveWay int64
+	Refused int64
+}
+
+// Usage returns the use of the budget; nothing for a nil Budget.
+func (b *Budget) Usage() Usage {
+	if b == nil {
+		return Usage{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Usage{
+		Connections:     b.use.connections,
+		MostConnections: b.MostConnections,
+		UsedBytes:       b.use.bytes,
+		MostBytes:       b.MostBytes,
+		GaveWay:         b.gaveWay,
+		Refused:         b.refused,
+	}
+}
--- /dev/null
+++ b/internal/caller/intake/choose.go
@@ -0,0 +1,156 @@
+package intake
+
+import "github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+
+const (
+	// headStallMillis and bodyStallMillis are the times without a byte after which a head and a body give way to
+	// others.
+	headStallMillis = 250
+	bodyStallMillis = 1000
+	// smallRequestBytes is the size up to which a request that was read whole is a small one.
+	smallRequestBytes = 2*SmallBytes + HandledBytes
+)
+
+// share is a part of the memory.
+type share struct{ numerator, divisor int64 }
+
+// Shares of the memory, so that none of what they bound is in the way of small requests.
+var (
+	connectionShare = share{3, 4}
+	largeShare      = share{3, 4}
+	// otherShare bounds all but small requests.
+	otherShare = share{7, 8}
+)
+
+func (s share) of(bytes int64) int64 {
+	return bytes * s.numerator / s.divisor
+}
+
+// stage is what a connection does.
+type stage int
+
+const (
+	// lingering: the request was refused, and the rest of it is dropped.
+	lingering stage = iota
+	// idle: no byte of the next request has come.
+	idle
+	// head: the head of a request is being read.
+	head
+	// body: the body of a request is being read, or waits to be.
+	body
+	// whole: the request was read whole.
+	whole
+)
+
+// claim is what a holding is to hold.
+type claim struct {
+	stage stage
+	bytes int64
+	// large says that the body is a large one.
+	large bool
+}
+
+// limit returns how much of the memory may be in use for the claim to find room.
+func (c claim) limit(mostBytes int64) int64 {
+	if c.stage == whole && c.bytes <= smallRequestBytes {
+		return mostBytes
+	}
+	return otherShare.of(mostBytes)
+}
+
+// lack is what a claim, or a new connection, finds no room in.
+type lack struct {
+	// connection, memory and large stand for the connections, the whole memory, and the part for large bodies.
+	connection, memory, large bool
+}
+
+// any reports whether anything is lacking.
+func (l lack) any() bool {
+	return l != lack{}
+}
+
+// lack returns what the holding lacks for a claim if some of what is in use were free. A large body is not in
+// the way of itself: without any other one it always finds room.
+func (b *Budget) lack(h *Holding, want claim, free use) lack {
+	more := want.bytes - h.bytes
+	if more <= 0 {
+		return lack{}
+	}
+	var l lack
+	if want.large {
+		others := b.use.largeBytes - free.largeBytes - h.largeBytes()
+		if others <= 0 {
+			return lack{}
+		}
+		l.large = others+want.bytes > largeShare.of(b.MostBytes)
+	}
+	l.memory = b.use.bytes-free.bytes+more > want.limit(b.MostBytes)
+	return l
+}
+
+// largeBytes returns the part of the memory that is taken for a large body.
+func (h *Holding) largeBytes() int64 {
+	if h.large {
+		return h.bytes
+	}
+	return 0
+}
+
+// yields reports whether the holding can give way to what lacks something. A new connection takes the place of
+// one whose head is not complete, however old it is.
+func (h *Holding) yields(to lack, now boottime.Instant) bool {
+	if h.waiting && h.waitsFor != head {
+		return false
+	}
+	switch h.stage {
+	case lingering, idle:
+		return to.connection || to.memory
+	case head:
+		return to.connection || to.memory && h.stalled(now)
+	case body:
+		return (to.connection || to.memory || to.large && h.large) && h.stalled(now)
+	case whole:
+		return false
+	}
+	return false
+}
+
+// stalled reports whether no byte of a head or a body has come for some time.
+func (h *Holding) stalled(now boottime.Instant) bool {
+	if received := h.received.Load(); received != h.seenBytes {
+		h.seenBytes, h.seenAt = received, now
+	}
+	return !h.waiting && !now.Before(h.stallsAt())
+}
+
+// stallsAt returns the time from which on the head or the body has stalled, if no byte comes until then.
+func (h *Holding) stallsAt() boottime.Instant {
+	if h.stage == head {
+		return h.seenAt.AddMillis(headStallMillis)
+	}
+	return h.seenAt.AddMillis(bodyStallMillis)
+}
+
+// yieldsBefore reports whether a holding gives way before another one: first what holds no request, then the
+// head and at last the body that has been the same for longest.
+func (h *Holding) yieldsBefore(other *Holding) bool {
+	switch {
+	case h.stage != other.stage:
+		return h.stage < other.stage
+	case h.stage == body:
+		return h.seenAt.Before(other.seenAt)
+	default:
+		return h.since < other.since
+	}
+}
+
+// nextStall returns the time at which the next head or body may have stalled.
+func (b *Budget) nextStall(now boottime.Instant) boottime.Instant {
+	next := now.AddMillis(bodyStallMillis)
+	for h := range b.holdings {
+		if (h.stage == head || h.stage == body) && !h.waiting && h.err == nil && !h.stalled(now) {
+			next = min(next, h.stallsAt())
+		}
+	}
+	return max(next, now.AddMillis(1))
+}
--- /dev/null
+++ b/internal/caller/intake/intake_test.go
@@ -0,0 +1,144 @@
+package intake
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+)
+
+const (
+	megabyte = 1 << 20
+	// testBytes is the bound of the tests.
+	testBytes = 8 * megabyte
+	// startAt is the time at which tests look first.
+	startAt = boottime.Instant(1)
+)
+
+// open begins a holding and fails the test if it finds no room. It tells what has given way.
+func open(t *testing.T, b *Budget) (h *Holding, gaveWay *bool) {
+	t.Helper()
+	gaveWay = new(bool)
+	h, ok := b.Open(t.Context(), func() { *gaveWay = true })
+	if !ok {
+		t.Fatal("a connection found no room")
+	}
+	return h, gaveWay
+}
+
+// largeBody begins a request with a large body, of which bytes come.
+func largeBody(t *testing.T, b *Budget, bytes int64) (h *Holding, gaveWay *bool) {
+	t.Helper()
+	h, gaveWay = open(t, b)
+	h.Begin()
+	is.New(t).NoErr(h.Body(t.Context(), bytes, bytes))
+	h.Receive(int(bytes - 1))
+	return h, gaveWay
+}
+
+// look lets a request ask for room for a large body at a time, and returns its error. It would wait if waits is set.
+func look(h *Holding, bytes int64, now boottime.Instant) (waits bool, err error) {
+	w, err := h.makeRoomFor(claim{stage: body, bytes: bytes, large: true}, now, now.AddMillis(waitMillis))
+	return w.changed != nil, err
+}
+
+// TestStalledBodyGivesWay guards against bodies that stop short of their end and keep their memory, and against
+// those that give way although bytes come.
+func TestStalledBodyGivesWay(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{MostBytes: testBytes}
+	stalled, stalledGaveWay := largeBody(t, b, 2*megabyte)
+	moving, movingGaveWay := largeBody(t, b, 2*megabyte)
+	asking, _ := open(t, b)
+	waits, err := look(asking, 3*megabyte, startAt)
+	is.NoErr(err)
+	is.True(waits) // nothing has stalled yet
+	moving.Receive(1)
+	later := startAt.AddMillis(bodyStallMillis)
+	waits, err = look(asking, 3*megabyte, later)
+	is.NoErr(err)
+	is.True(waits) // until the other one is closed
+	is.True(*stalledGaveWay)
+	is.True(errors.Is(stalled.Err(), ErrGaveWay))
+	stalled.Close()
+	waits, err = look(asking, 3*megabyte, later)
+	is.NoErr(err)
+	is.True(!waits)
+	is.True(!*movingGaveWay)
+	is.Equal(b.Usage().GaveWay, int64(1))
+}
+
+// TestWholeRequestGivesNoWay guards against a request that was read whole and is broken off for another one.
+func TestWholeRequestGivesNoWay(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{MostBytes: testBytes}
+	handled, gaveWay := largeBody(t, b, 5*megabyte)
+	is.NoErr(handled.Handle(t.Context(), 5*megabyte))
+	asking, _ := open(t, b)
+	waits, err := look(asking, 4*megabyte, startAt)
+	is.NoErr(err)
+	is.True(waits)
+	w, err := asking.makeRoomFor(claim{stage: body, bytes: 4 * megabyte, large: true}, startAt.AddMillis(waitMillis), startAt.AddMillis(waitMillis))
+	is.True(w.changed == nil)
+	is.True(errors.Is(err, ErrFull))
+	is.True(!*gaveWay)
+	small, _ := open(t, b)
+	small.Begin()
+	is.NoErr(small.Body(t.Context(), 1000, 0))
+	is.NoErr(small.Handle(t.Context(), 1000)) // beside the large one
+	handled.End()
+	asking.Close()
+	small.Close()
+	handled.Close()
+	is.Equal(b.Usage().UsedBytes, int64(0))
+}
+
+// TestSingleLargeBody guards against a body inside the limits that finds no room in calm, as the memory is small.
+func TestSingleLargeBody(t *testing.T) {
+	b := &Budget{MostBytes: testBytes}
+	h, _ := largeBody(t, b, 2*testBytes)
+	is.New(t).NoErr(h.Handle(t.Context(), 2*testBytes))
+}
+
+// TestConnectionsAtTheirLimit checks which connection gives way to a new one.
+func TestConnectionsAtTheirLimit(t *testing.T) {
+	const limit = 3
+	begin := func(h *Holding) { h.Begin() }
+	for name, tt := range map[string]struct {
+		// each holds what the connections do, in order.
+		each [limit]func(*Holding)
+		// first is the connection that gives way; negative for none.
+		first int
+	}{
+		"all idle, the longest":   {[limit]func(*Holding){nil, nil, nil}, 0},
+		"idle before a head":      {[limit]func(*Holding){begin, begin, nil}, 2},
+		"heads, the longest":      {[limit]func(*Holding){begin, begin, begin}, 0},
+		"lingering before idle":   {[limit]func(*Holding){nil, (*Holding).Linger, nil}, 1},
+		"idle again, the longest": {[limit]func(*Holding){func(h *Holding) { h.Begin(); h.End() }, nil, nil}, 1},
+		"requests that are handled": {[limit]func(*Holding){
+			func(h *Holding) { h.force(whole, 0) }, func(h *Holding) { h.force(whole, 0) }, func(h *Holding) { h.force(whole, 0) },
+		}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := &Budget{MostBytes: testBytes, MostConnections: limit}
+			var gaveWay [limit]*bool
+			var holdings [limit]*Holding
+			for n := range limit {
+				holdings[n], gaveWay[n] = open(t, b)
+			}
+			for n, do := range tt.each {
+				if do != nil {
+					do(holdings[n])
+				}
+			}
+			_, ok := b.Open(t.Context(), func() {})
+			is.Equal(ok, tt.first >= 0)
+			for n := range limit {
+				is.Equal(*gaveWay[n], n == tt.first)
+			}
+		})
+	}
+}
--- a/internal/caller/relay/check.go
+++ b/internal/caller/relay/check.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strings"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpserver"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
@@ -34,6 +35,9 @@
 	// stoppingRetryMillis is the retry time of a process that is shutting down;
 	// the retry goes to another entry host.
 	stoppingRetryMillis = 50
+	// fullRetryMillis is the retry time of a request for which this process has no room. It exceeds the time after
+	// which requests that stall give way.
+	fullRetryMillis = 1200
 	// plainServiceMillis is the assumed maximum time of an answer of a plain
 	// service that is no stream.
 	plainServiceMillis = 300
@@ -175,21 +179,44 @@
 	return q.deadlineAt.MillisSince(boottime.Now())
 }
 
-// refuse answers the request without a backend server. It adds a random share to
-// the retry time and limits it to a third of the time until the deadline.
+// refuse answers the request without a backend server.
 func (q *request) refuse(refusal Refusal) {
-	retry := refusal.RetryMillis
-	if retry > 0 {
-		retry += int64(rand.Float64() * retryJitterShare * float64(retry))
-		if q.deadlineAt != 0 {
-			retry = max(min(retry, q.remainingMillis()/3), 1)
-		}
-	}
 	info := refusal.Code.Info()
-	q.relay.Metrics.CountResult(uint32(refusal.Code))
+	retry := q.retryMillis(refusal)
 	q.log("request refused", "Code", refusal.Code, "Reason", info.Name, "Status", info.HTTPStatus,
 		"RetryMillis", retry, "ConfirmedMillis", q.configAgeMillis)
-	q.exchange.Respond(info.HTTPStatus, platform.LocalAnswerHeader(q.caller.ID, retry), nil)
+	q.respond(refusal.Code, retry)
+}
+
+// retryMillis returns the retry time that the caller is told. It has a random share, and is limited to a third of
+// the time until the deadline.
+func (q *request) retryMillis(refusal Refusal) int64 {
+	retry := refusal.RetryMillis
+	if retry <= 0 {
+		return retry
+	}
+	retry += int64(rand.Float64() * retryJitterShare * float64(retry))
+	if q.deadlineAt != 0 {
+		retry = max(min(retry, q.remainingMillis()/3), 1)
+	}
+	return retry
+}
+
+// respond sends an answer of the system itself.
+func (q *request) respond(code resultcode.Code, retryMillis int64) {
+	q.relay.Metrics.CountResult(uint32(code))
+	q.exchange.Respond(code.Info().HTTPStatus, platform.LocalAnswerHeader(q.caller.ID, retryMillis), nil)
+}
+
+// RefuseFull refuses a request that was not read, as callers make the process hold as much as they may. It writes no
+// log line, as there may be many such requests.
+func (r *Relay) RefuseFull(x *httpserver.Exchange) {
+	q := &request{relay: r, exchange: x, caller: platform.DecodeCallerRequest(x.Request.Header), arrivedAt: boottime.Now()}
+	if q.caller.DeadlineMillis > 0 {
+		q.deadlineAt = q.arrivedAt.AddMillis(q.caller.DeadlineMillis)
+	}
+	refusal := Refusal{resultcode.EntryFull, fullRetryMillis}
+	q.respond(refusal.Code, q.retryMillis(refusal))
 }
 
 // log writes a log line about the request.
--- a/internal/records/metrics/metrics.go
+++ b/internal/records/metrics/metrics.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/storecalls"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
@@ -36,6 +37,9 @@
 	// Received is the budget of what others may make the process hold; it may be nil. It is set before the
 	// first use.
 	Received *heldbytes.Budget
+	// Callers is the budget of what callers may make the process hold; it may be nil. It is set before the first
+	// use.
+	Callers *intake.Budget
 
 	mu sync.RWMutex
 	// series never holds more than MaxSeries series and Other.
--- a/internal/records/metrics/query.go
+++ b/internal/records/metrics/query.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/storecalls"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
@@ -55,6 +56,8 @@
 	StoreCalls []storecalls.Total
 	// Received is the memory of what others have sent and is not complete, or not passed on yet.
 	Received heldbytes.Usage
+	// Callers is what callers make the process hold.
+	Callers intake.Usage
 }
 
 // SeriesSnapshot holds the metrics of one client account and class.
@@ -95,6 +98,7 @@
 		Hedges:         r.hedges.quantiles(),
 		StoreCalls:     r.StoreCalls.Totals(),
 		Received:       r.Received.Usage(),
+		Callers:        r.Callers.Usage(),
 	}
 }
 
--- a/internal/result/resultcode/table.go
+++ b/internal/result/resultcode/table.go
@@ -35,7 +35,7 @@
 	DeadlinePassed Code = 208
 	// BodyTooLarge means that the request body exceeds the limit.
 	BodyTooLarge Code = 209
-	// EntryFull means that the entry host has too many open requests.
+	// EntryFull means that the entry host has no room for the request.
 	EntryFull Code = 210
 	// NotOwner means that the permit names another incarnation.
 	NotOwner Code = 211
@@ -105,7 +105,7 @@
 	{LogUnavailable, "LogUnavailable", NotRun, RepeatWithKey, http.StatusServiceUnavailable, true, "The platform's log is down, and the request may not be repeated."},
 	{DeadlinePassed, "DeadlinePassed", NotRun, RepeatSafe, http.StatusGatewayTimeout, false, "The deadline passed before the start."},
 	{BodyTooLarge, "BodyTooLarge", NotRun, RepeatNever, http.StatusRequestEntityTooLarge, false, "The request body is over the limit."},
-	{EntryFull, "EntryFull", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The entry host has too many open requests."},
+	{EntryFull, "EntryFull", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The entry host has no room for the request."},
 	{NotOwner, "NotOwner", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The permit names another incarnation."},
 	{RetriesSpent, "RetriesSpent", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "Every attempt was refused."},
 	{EngineRefused, "EngineRefused", NotRun, RepeatSafe, http.StatusServiceUnavailable, true, "The engine did not start the request."},
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpserver"
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/runmigration"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
@@ -81,6 +82,8 @@
 	storeCalls   *storecalls.Counter
 	// received bounds what servers make the process hold.
 	received *heldbytes.Budget
+	// intake bounds what callers make it hold.
+	intake *intake.Budget
 	// bounds limit the age at which the cached configuration is used. They may
 	// change when the settings are reloaded.
 	bounds atomic.Pointer[relay.Bounds]
@@ -92,7 +95,8 @@
 // Run serves until the lifecycle's drain has ended.
 func (h *Host) Run(life lifecycle.Lifecycle) error {
 	h.received = lifecycle.LimitMemory(h.Settings.MemoryMegabytes)
-	callers, err := transport.Listen(life.Abort, h.Settings.CallerAddress)
+	h.intake = h.newIntake()
+	callers, err := transport.ListenCallers(life.Abort, h.Settings.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -111,7 +115,8 @@
 		}
 	}
 	h.prepare(callers)
-	h.Log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress)
+	h.Log.Info("serving", "Name", h.Settings.Name, "Callers", h.Settings.CallerAddress,
+		"CallerBytes", h.intake.MostBytes, "CallerConnections", h.intake.MostConnections)
 	ctx, end := context.WithCancel(life.Abort)
 	defer end()
 	group, ctx := errgroup.WithContext(ctx)
@@ -150,7 +155,7 @@
 	h.quarantine = &quarantine.Table{Host: rand.Uint64()}
 	h.crashes = &crashlog.Log{Store: store, Readers: h.otherReaders(), Table: h.quarantine, Log: h.Log}
 	h.storeWatcher = h.newStoreWatcher(store)
-	h.metrics = &metrics.Registry{StoreCalls: h.storeCalls, Received: h.received}
+	h.metrics = &metrics.Registry{StoreCalls: h.storeCalls, Received: h.received, Callers: h.intake}
 	h.loadTable = &placement.LoadTable{
 		Zone:         h.Settings.Zone,
 		Policy:       placementPolicy(h.Settings.Placing),
@@ -202,9 +207,22 @@
 		Log:      h.Log,
 		Limits:   h.limits,
 		Handler:  handler,
+		Intake:   h.intake,
+		OnFull:   handler.RefuseFull,
 	}
 }
 
+// newIntake returns the budget of what callers make the process hold.
+func (h *Host) newIntake() *intake.Budget {
+	limits := lifecycle.CallerLimits{
+		MemoryMegabytes: h.Settings.MemoryMegabytes,
+		CallerMegabytes: h.Settings.CallerMegabytes,
+		MaxDescriptors:  h.Settings.MaxDescriptors,
+		ConnectionBytes: httpserver.ConnectionBytes,
+	}
+	return limits.NewBudget()
+}
+
 // newWatch returns the watch of the engines, which also passes on what this host states of servers.
 func (h *Host) newWatch(migrations *relay.Migrations, ends *serverend.Watch) *watch.Watch {
 	w := &watch.Watch{
--- a/internal/settings/process/direct.go
+++ b/internal/settings/process/direct.go
@@ -41,6 +41,12 @@
 	StoreAddress string `validate:"required,ipport"`
 	// MemoryMegabytes is the memory limit of the process, in megabytes.
 	MemoryMegabytes int `validate:"min=32,max=1048576"`
+	// CallerMegabytes is the part of MemoryMegabytes, in megabytes, that all callers together may make the
+	// process hold. It is at most half of it. Zero means three tenths.
+	CallerMegabytes int `validate:"omitempty,min=4,max=1048576"`
+	// MaxDescriptors is the number of descriptors that the process may open. Callers use less than half of them.
+	// Zero means the limit of the system.
+	MaxDescriptors int `validate:"omitempty,min=64,max=100000000"`
 	// GraceSeconds is the time from the first termination signal to the exit of
 	// the process, in seconds.
 	GraceSeconds float64 `validate:"min=0.5,max=3600"`
@@ -126,7 +132,17 @@
 // ParseDirectEntry decodes and validates the settings of a DirectEntry. The
 // error is a *Faults.
 func ParseDirectEntry(data []byte) (DirectEntry, error) {
-	return parseDirect(data, checkHedgeRatio)
+	return parseDirect(data, func(report *validation.Report, settings DirectEntry) {
+		checkHedgeRatio(report, settings)
+		checkCallerMegabytes(report, settings)
+	})
+}
+
+// checkCallerMegabytes records a fault if callers could take more than half of the memory.
+func checkCallerMegabytes(report *validation.Report, settings DirectEntry) {
+	if settings.CallerMegabytes > settings.MemoryMegabytes/2 {
+		report.Add("CallerMegabytes", fmt.Sprintf("must not exceed half of MemoryMegabytes, which is %d, found %d", settings.MemoryMegabytes, settings.CallerMegabytes))
+	}
 }
 
 // checkHedgeRatio records a fault if the retry budget could not cover the hedges.
--- a/internal/settings/process/entry.go
+++ b/internal/settings/process/entry.go
@@ -8,6 +8,8 @@
 	DefaultMaxBodyBytes = 1 << 20
 	// DefaultMaxOpenRequests is the default of Entry.MaxOpenRequests.
 	DefaultMaxOpenRequests = 4096
+	// DefaultCallerMegabytes is the default of Entry.CallerMegabytes.
+	DefaultCallerMegabytes = 32
 	// DefaultHeartbeatMillis is the default of Entry.HeartbeatMillis and
 	// Backend.HeartbeatMillis.
 	DefaultHeartbeatMillis = 1000
@@ -45,6 +47,11 @@
 	MaxBodyBytes int `validate:"min=1,max=3145728"`
 	// MaxOpenRequests is the maximum number of requests that are open at once.
 	MaxOpenRequests int `validate:"min=1,max=1000000"`
+	// CallerMegabytes is the memory, in megabytes, that all callers together may make the process hold.
+	CallerMegabytes int `validate:"min=4,max=1048576"`
+	// MaxDescriptors is the number of descriptors that the process may open. Callers use less than half of them.
+	// Zero means the limit of the system.
+	MaxDescriptors int `validate:"omitempty,min=64,max=100000000"`
 	// DrainSeconds is the time limit of a graceful shutdown, in seconds. Zero sets
 	// no limit: the process waits for all requests.
 	DrainSeconds int `validate:"min=0,max=604800"`
@@ -75,6 +82,7 @@
 	return Entry{
 		MaxBodyBytes:     DefaultMaxBodyBytes,
 		MaxOpenRequests:  DefaultMaxOpenRequests,
+		CallerMegabytes:  DefaultCallerMegabytes,
 		HeartbeatMillis:  DefaultHeartbeatMillis,
 		ProgressMillis:   DefaultProgressMillis,
 		ProbeCandidates:  DefaultProbeCandidates,
