answerhead: one strict reading of the heads of answers, and early answers that were cut

Cause: http.ReadResponse is lenient, and one of its users alone checked more. A reset is reported once: the sender of the request got it, the reader saw an ordered end.

Change: internal/wire/answerhead reads the heads of all answers (Reader for the relay, Strict for the transports of HTTP clients: older roles, engine reports, orders, store, log, host list, weights). An answer that ends with its connection needs a request that was sent whole, also one that states that the request has not run. What is no answer may have run.

A case of TestCallWithBrokenHead was wrong, as it was committed before: a line that continues a value is an answer by TestCutAnswerIsNotWhole, and RFC 9112 allows to unfold it. In its place TestCallWithContinuedLine checks that callers get such a value on one line, and a continued length is no answer.

--- a/internal/caller/relay/answerend.go
+++ b/internal/caller/relay/answerend.go
@@ -14,6 +14,9 @@
 // errBrokenOff says that an answer without an end of its own was broken off.
 var errBrokenOff = errors.New("answer was broken off with its connection")
 
+// errNotSentWhole says that an answer without an end of its own ended while its request was being sent.
+var errNotSentWhole = errors.New("request was not sent whole")
+
 // errRunStopped says that an answer ended as its engine has stopped, or may have stopped, the run for
 // a migration.
 var errRunStopped = errors.New("engine may have stopped the run of the answer")
@@ -25,6 +28,8 @@
 	switch {
 	case !a.call.endsWithConnection():
 		return nil
+	case !a.call.wasSent():
+		return errors.Mark(errBrokenOff, errNotSentWhole)
 	case hasEnded(ctx, a.server.Address):
 		return errors.Mark(errBrokenOff, errServerEnded)
 	case q.service.Engine != nil && q.mayBeStopped(ctx, a):
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -1,17 +1,13 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"os"
-	"regexp"
-	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerhead"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -30,8 +27,6 @@
 	// serverUserTimeoutMillis is the time for which bytes sent to a backend server
 	// may stay unacknowledged (TCP_USER_TIMEOUT).
 	serverUserTimeoutMillis = 3000
-	// responseBufferBytes is the size of the read buffer of an answer.
-	responseBufferBytes = 4096
 	// smallRequestBytes is the body size up to which a request is written
 	// completely before its answer is read.
 	smallRequestBytes = 16 << 10
@@ -42,6 +37,9 @@
 	// maxHeadBytes bounds the heads before the body of an answer, including those of
 	// informational answers.
 	maxHeadBytes = 64 << 10
+	// statementMillis bounds the wait for the end of an answer without a length that states that its request was
+	// not run.
+	statementMillis = 300
 	// smallReadBytes is the size below which a read counts as one of few bytes, and smallReadsPerSecond
 	// the limit of such reads of one answer. A sound stream has far fewer events.
 	smallReadBytes      = 512
@@ -59,13 +57,6 @@
 // may never end.
 var ErrTooLarge = errors.New("answer is too large")
 
-// ErrMergedHeads says that a head was broken off and that another one followed it, so that neither
-// of them is known.
-var ErrMergedHeads = errors.New("answer begins within the head of another one")
-
-// statusLine matches the beginning of the head of an answer.
-var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( |$)`)
-
 // Outbound is a request to a backend server.
 type Outbound struct {
 	// ID is the request ID that the caller chose.
@@ -105,8 +96,9 @@
 	closed atomic.Bool
 	// stop cancels the hook that closes the connection when the context ends.
 	stop func() bool
-	// write runs the writing of a large body.
-	write errgroup.Group
+	// write runs the writing of a large body, which is concurrent with the reading of the answer.
+	write      errgroup.Group
+	concurrent bool
 }
 
 // endsWithConnection reports whether the answer has neither a length nor chunks, so that its end
@@ -115,6 +107,16 @@
 	return c.Answer.ContentLength < 0 && len(c.Answer.TransferEncoding) == 0
 }
 
+// wasSent ends the sending of the request and reports whether it was sent whole. A reset is reported once, to the
+// sender or to the reader of the answer, who then sees an ordered end.
+func (c *Call) wasSent() bool {
+	if !c.concurrent {
+		return true
+	}
+	_ = c.conn.SetWriteDeadline(time.Unix(1, 0))
+	return c.write.Wait() == nil
+}
+
 // Read reads bytes of the answer from the connection. A body can't be read on after an error, so that
 // the user of the call decides on a silence before there is one.
 func (c *Call) Read(p []byte) (int, error) {
@@ -173,6 +175,9 @@
 		return nil, errors.Wrapf(err, "send request to %s", out.Address)
 	}
 	call.Answer, err = readAnswer(ctx, call, out) //nolint:bodyclose // Call.Close closes the connection, which ends the body
+	if err == nil {
+		err = call.checkStatement()
+	}
 	if err != nil {
 		call.Close()
 		return nil, errors.Wrapf(err, "read answer from %s", out.Address)
@@ -180,6 +185,24 @@
 	return call, nil
 }
 
+// checkStatement returns an error if an answer states that the request was not run, and is no whole answer: it has no
+// end of its own, and its connection did not end in order. The request may then have run.
+func (c *Call) checkStatement() error {
+	if !platform.NotRun(c.Answer.StatusCode, c.Answer.Header) || !c.endsWithConnection() {
+		return nil
+	}
+	if err := c.conn.SetReadDeadline(time.Now().Add(statementMillis * time.Millisecond)); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(c.Answer.Body, maxSkippedBytes)); err != nil {
+		return errors.Mark(err, errBrokenOff)
+	}
+	if !c.wasSent() {
+		return errors.Mark(errBrokenOff, errNotSentWhole)
+	}
+	return nil
+}
+
 // send writes the request. A large body is written concurrently with the reading
 // of the answer, as the backend server may answer before it has read the body.
 func (c *Call) send(out Outbound) error {
@@ -191,6 +214,7 @@
 	if _, err := c.conn.Write(head); err != nil {
 		return err
 	}
+	c.concurrent = true
 	c.write.Go(func() error {
 		_, err := c.conn.Write(out.Body)
 		return err
@@ -217,16 +241,13 @@
 	limited := &io.LimitedReader{R: call, N: maxHeadBytes}
 	heads := &headReader{ctx: ctx, source: limited, call: call}
 	heads.begin()
-	reader := bufio.NewReaderSize(heads, responseBufferBytes)
+	reader := answerhead.NewReader(heads)
 	request := &http.Request{Method: out.Method}
 	for skipped := 0; skipped <= maxSkippedAnswers; {
-		answer, err := http.ReadResponse(reader, request)
+		answer, err := reader.Read(request)
 		if err != nil {
 			return nil, markTooLarge(err, limited)
 		}
-		if hasMergedHeads(answer) {
-			return nil, ErrMergedHeads
-		}
 		if answer.StatusCode < http.StatusOK {
 			continue
 		}
@@ -247,28 +268,9 @@
 	return nil, ErrOtherRequest
 }
 
-// hasMergedHeads reports whether a line of a head goes on with the beginning of another head.
-func hasMergedHeads(answer *http.Response) bool {
-	if holdsStatusLine(answer.Status) {
-		return true
-	}
-	for _, values := range answer.Header {
-		if slices.ContainsFunc(values, holdsStatusLine) {
-			return true
-		}
-	}
-	return false
-}
-
-// holdsStatusLine reports whether a text holds the beginning of a head. The protocol's name is looked for
-// first, as that costs less than the expression and few texts have it.
-func holdsStatusLine(text string) bool {
-	return strings.Contains(text, "HTTP/") && statusLine.MatchString(text)
-}
-
 // markTooLarge marks an error with ErrTooLarge if the limit has caused it.
 func markTooLarge(err error, limited *io.LimitedReader) error {
-	if limited.N > 0 {
+	if limited.N > 0 && !errors.Is(err, answerhead.ErrTooLarge) {
 		return err
 	}
 	return errors.Mark(errors.Wrap(err, ErrTooLarge.Error()), ErrTooLarge)
--- a/internal/caller/relay/hedge_test.go
+++ b/internal/caller/relay/hedge_test.go
@@ -73,6 +73,16 @@
 				"HTTP/1.1 200 OK\r\nFulmarvalve-Response-Signature: s\r\nArrival: 2\r\nContent-Length: 3\r\n\r\nr/2")
 			_ = conn.Close()
 		}, 200, "2", 2, metrics.HedgeSecondWon},
+		"hedge is answered by bytes that are no answer": {func(_ *hedgeRig, nth int, w http.ResponseWriter, r *http.Request) {
+			if nth == 2 {
+				conn, _, _ := http.NewResponseController(w).Hijack()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nFulmarvalve-Response-Signature: s\r\nBad Name: x\r\nContent-Length: 3\r\n\r\nr/2")
+				_ = conn.Close()
+				return
+			}
+			time.Sleep(3 * lateMillis * time.Millisecond)
+			answer(nth, w, r)
+		}, 200, "1", 2, metrics.HedgeFirstWon},
 		"hedge is answered without a signature": {func(_ *hedgeRig, nth int, w http.ResponseWriter, r *http.Request) {
 			if nth == 2 {
 				_, _ = w.Write([]byte("unsigned"))
--- a/internal/platform/engine/client.go
+++ b/internal/platform/engine/client.go
@@ -23,7 +23,7 @@
 type Client struct {
 	// Address is the host and port of the engine.
 	Address string
-	// HTTP sends the requests; nil means http.DefaultClient. It must not limit the
+	// HTTP sends the requests; nil means a client with default settings. It must not limit the
 	// duration of whole exchanges, because streams are long. If it reuses
 	// connections, a request on a connection that the engine has just closed fails
 	// with ErrBroken. With DisableKeepAlives each request opens a connection, so
--- a/internal/platform/exchange/cutreply_test.go
+++ b/internal/platform/exchange/cutreply_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/engine"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/hostlist"
@@ -17,6 +18,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/plainservice"
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/weights"
 	"github.com/fulmarvalve/fulmarvalve/internal/standin/cutanswer"
+	"github.com/fulmarvalve/fulmarvalve/internal/standin/replica"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
@@ -138,6 +140,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, broken := range cutanswer.Broken(text) {
+		got, err := call(broken)
+		if err == nil || isRefused(err) {
+			t.Errorf("%q: got %s and error %v, want one that says that it may have run", broken.Text, got, err)
+		}
+	}
 	below := len(text)
 	if opaque {
 		below = cutanswer.HeadBytes(text)
@@ -147,9 +155,44 @@
 		switch {
 		case err == nil && (got != want || cut.Bytes < cutanswer.HeadBytes(text)):
 			t.Errorf("%v: got %s", cut, got)
-		case errors.Is(err, engine.ErrRefused), errors.Is(err, plainservice.ErrRefused), errors.Is(err, hostlist.ErrRefused),
-			errors.Is(err, journal.ErrRefused), errors.Is(err, journal.ErrThrottled):
+		case isRefused(err):
 			t.Errorf("%v: a call that was sent counts as refused: %v", cut, err)
 		}
 	}
 }
+
+// isRefused reports whether an error says that the call was not run.
+func isRefused(err error) bool {
+	return errors.IsAny(err, engine.ErrRefused, plainservice.ErrRefused, hostlist.ErrRefused, journal.ErrRefused, journal.ErrThrottled)
+}
+
+// TestEarlyReplyWithoutLength guards against a part of a reply that counts as a whole one: the service answers a large
+// call at once, without a length, and its connection ends before the call was sent.
+func TestEarlyReplyWithoutLength(t *testing.T) {
+	const part = "part of a reply"
+	for name, tt := range map[string]struct {
+		head  string
+		early bool
+		reset bool
+		whole bool
+	}{
+		"reset":                       {okHead, true, true, false},
+		"closed in order":             {okHead, true, false, false},
+		"reset, with a length":        {okHead + fmt.Sprintf("Content-Length: %d\r\n", len(part)), true, true, true},
+		"closed in order, call whole": {okHead, false, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				(&replica.RawAnswer{Text: tt.head + "\r\n" + part, Early: tt.early, Reset: tt.reset}).Serve(w, r)
+			}))
+			t.Cleanup(server.Close)
+			client := &plainservice.Client{Address: server.Listener.Addr().String(), HTTP: &http.Client{Transport: transport.NewTransport()}}
+			reply, err := client.Call(t.Context(), plainservice.Request{RequestID: "r", Method: http.MethodPost, Path: "/", Body: make([]byte, plainservice.MaxBodyBytes)})
+			is.Equal(err == nil, tt.whole)
+			is.True(!isRefused(err))
+			is.Equal(string(reply.Body) == part, tt.whole)
+		})
+	}
+}
--- a/internal/platform/exchange/exchange.go
+++ b/internal/platform/exchange/exchange.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerhead"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
 
@@ -68,6 +69,9 @@
 	r.held.Close()
 }
 
+// defaultClient is the client of requests without one of their own.
+var defaultClient = &http.Client{Transport: answerhead.Strict(http.DefaultTransport.(*http.Transport).Clone())}
+
 // Open sends the request and returns the response, whose body the caller must read and
 // close. It does not follow redirects. The HTTP transport retries a request by itself only
 // if nothing of it was sent, or if its method is safe, such as GET.
@@ -77,7 +81,7 @@
 		return nil, NewOutcomeError(errNotSent, err)
 	}
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	direct := *client
 	direct.CheckRedirect = keepRedirect
--- a/internal/platform/hostlist/client.go
+++ b/internal/platform/hostlist/client.go
@@ -18,7 +18,7 @@
 type Client struct {
 	// Address is the host and port of the host list.
 	Address string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means a client with default settings.
 	HTTP *http.Client
 
 	mu sync.Mutex
--- a/internal/platform/journal/client.go
+++ b/internal/platform/journal/client.go
@@ -20,7 +20,7 @@
 type Client struct {
 	// Address is the host and port of the log.
 	Address string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means a client with default settings.
 	HTTP *http.Client
 }
 
--- a/internal/platform/plainservice/plainservice.go
+++ b/internal/platform/plainservice/plainservice.go
@@ -53,7 +53,7 @@
 type Client struct {
 	// Address is the host and port of the service.
 	Address string
-	// HTTP sends the requests; nil means http.DefaultClient. If it reuses
+	// HTTP sends the requests; nil means a client with default settings. If it reuses
 	// connections, a request on a connection that the service has just closed fails
 	// with ErrBroken. With DisableKeepAlives each request opens a connection, so
 	// that a request to a service that has shut down fails with ErrRefused.
--- a/internal/platform/weights/weights.go
+++ b/internal/platform/weights/weights.go
@@ -38,7 +38,7 @@
 type Client struct {
 	// Address is the host and port of the weight store.
 	Address string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means a client with default settings.
 	HTTP *http.Client
 }
 
--- a/internal/role/backendhost/orders.go
+++ b/internal/role/backendhost/orders.go
@@ -26,7 +26,7 @@
 
 func (h *Host) newOrders() *orders {
 	engineRank := newRank(h.Settings.Name, h.Settings.Model)
-	log := &journal.Client{Address: h.Settings.LogServiceAddress, HTTP: &http.Client{}}
+	log := &journal.Client{Address: h.Settings.LogServiceAddress, HTTP: transport.NewPlatformClient()}
 	r := &reconciler.Reconciler{
 		Model:         h.Settings.Model,
 		Rank:          engineRank.value,
@@ -40,7 +40,7 @@
 		Log:           h.Log,
 	}
 	if h.Settings.WeightStoreAddress != "" {
-		r.Store = &weights.Client{Address: h.Settings.WeightStoreAddress, HTTP: &http.Client{}}
+		r.Store = &weights.Client{Address: h.Settings.WeightStoreAddress, HTTP: transport.NewPlatformClient()}
 	}
 	return &orders{reconciler: r, rank: engineRank}
 }
--- a/internal/standin/cutanswer/cutanswer.go
+++ b/internal/standin/cutanswer/cutanswer.go
@@ -54,6 +54,27 @@
 	return Answer{Text: text, Bytes: len(text)}
 }
 
+// brokenLines are lines that no head has.
+var brokenLines = []string{
+	"Bad Name: x", "Transfer-Encoding : chunked", "Na\x01me: x", "Na\x00me: x", ": x", "Name", " Name: x", "Name: a\x01b", "Name: a\rb: c",
+}
+
+// brokenStatuses are statuses that no answer has.
+var brokenStatuses = []string{"000", "099", "600", "999", "20", "+20", "2000"}
+
+// Broken returns texts of an answer with another status or a further line, which are no answers. They are sent whole.
+func Broken(text string) []Answer {
+	var all []Answer
+	first, rest, _ := strings.Cut(text, "\r\n")
+	for _, line := range brokenLines {
+		all = append(all, Whole(first+"\r\n"+line+"\r\n"+rest))
+	}
+	for _, status := range brokenStatuses {
+		all = append(all, Whole("HTTP/1.1 "+status+" Trouble\r\n"+rest))
+	}
+	return append(all, Whole(strings.Replace(text, "HTTP/1.1", "HTTP/2.0", 1)))
+}
+
 // CutBefore returns a text without its last bytes, or nothing of it if it is shorter.
 func CutBefore(text string, missing int) Answer {
 	return Answer{Text: text, Bytes: max(0, len(text)-missing)}
--- a/internal/standin/replica/raw.go
+++ b/internal/standin/replica/raw.go
@@ -32,6 +32,12 @@
 	return body
 }
 
+// Serve answers a request.
+func (a *RawAnswer) Serve(w http.ResponseWriter, q *http.Request) {
+	a.readBody(q)
+	a.send(w, q)
+}
+
 // send sends the answer.
 func (a *RawAnswer) send(w http.ResponseWriter, q *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/trial/endtoend/platform_noanswer_test.go
+++ b/internal/trial/endtoend/platform_noanswer_test.go
@@ -36,7 +36,7 @@
 		"byte beyond ASCII in a name":          line("Na\xffme: x"),
 		"no name":                              line(": x"),
 		"no colon":                             line("Name"),
-		"continued line":                       line("Name: x\r\n\tTransfer-Encoding: chunked"),
+		"continued length":                     strings.Replace(line("Name: x"), "Length: 2", "Length: 2\r\n 1", 1),
 		"continued first line":                 "HTTP/1.1 200 OK\r\n Name: x\r\n" + signed + "\r\nok",
 		"control byte in a value":              line("Name: a\x01b"),
 		"zero byte in a value":                 line("Name: a\x00b"),
@@ -77,6 +77,20 @@
 	}
 }
 
+// TestCallWithContinuedLine guards against a line that continues a value and reaches callers as a field of its own.
+func TestCallWithContinuedLine(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newPlatformSite(t, 0, 1)
+	const head = "HTTP/1.1 200 OK\r\nFulmarvalve-Request-Id: %s\r\nFulmarvalve-Response-Signature: s\r\nContent-Length: 2\r\n"
+	s.setPlainFaults(replica.Faults{Raw: &replica.RawAnswer{Text: head + "Name: x\r\n\tTransfer-Encoding: chunked\r\n\r\nok"}})
+	got := s.send(context.Background(), callerRequest{method: http.MethodPost, target: oncePath, id: "continued", key: platformKey})
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, "ok")
+	is.Equal(got.header.Get("Name"), "x Transfer-Encoding: chunked")
+}
+
 // hexID returns a name as a request ID.
 func hexID(name string) string {
 	return fmt.Sprintf("%x", name)
@@ -128,6 +142,7 @@
 func TestEarlyAnswerWithoutLength(t *testing.T) {
 	t.Parallel()
 	const head = "HTTP/1.1 200 OK\r\nFulmarvalve-Request-Id: %s\r\nFulmarvalve-Response-Signature: s\r\n"
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nFulmarvalve-Request-Id: %s\r\nFulmarvalve-Not-Executed: 1\r\n"
 	const part = "part of an answer"
 	for _, c := range []struct {
 		name   string
@@ -138,6 +153,10 @@
 		{"closed in order", replica.RawAnswer{Text: head + "\r\n" + part, Early: true}, http.StatusBadGateway},
 		{"reset, whole upload", replica.RawAnswer{Text: head + "\r\n" + part, Reset: true}, http.StatusBadGateway},
 		{"closed in order, whole upload", replica.RawAnswer{Text: head + "\r\n" + part}, http.StatusOK},
+		{"refusal, reset", replica.RawAnswer{Text: refusal + "\r\n" + part, Early: true, Reset: true}, http.StatusBadGateway},
+		{"refusal, reset, whole upload", replica.RawAnswer{Text: refusal + "\r\n" + part, Reset: true}, http.StatusBadGateway},
+		{"refusal, whole upload", replica.RawAnswer{Text: refusal + "\r\n" + part}, http.StatusServiceUnavailable},
+		{"refusal with a length, reset", replica.RawAnswer{Text: refusal + "Content-Length: 17\r\n\r\n" + part, Early: true, Reset: true}, http.StatusServiceUnavailable},
 		{"reset after a whole answer with a length", replica.RawAnswer{Text: head + "Content-Length: 17\r\n\r\n" + part, Early: true, Reset: true}, http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/wire/transport/http.go
+++ b/internal/wire/transport/http.go
@@ -6,15 +6,21 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerhead"
 )
 
 // maxHeadBytes bounds the head of a response of the engine or plain service.
 const maxHeadBytes = 16 << 10
 
 // NewTransport returns the HTTP transport for the engine or plain service beside the
-// process. It opens a new connection for every call: when a call fails on a reused
+// process, which reads the heads of answers strictly. It opens a new connection for every call: when a call fails on a reused
 // connection that the server has just closed, it is unknown whether the call arrived.
-func NewTransport() *http.Transport {
+func NewTransport() http.RoundTripper {
+	return answerhead.Strict(newTransport())
+}
+
+func newTransport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.DisableKeepAlives = true
--- a/internal/wire/transport/traffic.go
+++ b/internal/wire/transport/traffic.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerhead"
 )
 
 // Traffic counts the connections of one kind that this process has opened, and their
@@ -88,7 +90,7 @@
 // connections, and counts its traffic in Platform.
 func NewPlatformClient() *http.Client {
 	dialer := &net.Dialer{}
-	transport := NewTransport()
+	transport := newTransport()
 	transport.DisableKeepAlives = false
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, stop := context.WithDeadline(ctx, time.Now().Add(dialTimeoutMillis*time.Millisecond))
@@ -100,5 +102,5 @@
 		Platform.connections.Add(1)
 		return countedConn{Conn: conn, traffic: Platform}, nil
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: answerhead.Strict(transport)}
 }
