intake: small whole requests come before stalled heads and waiting ones; single bytes are paced

Cause: found by running the crowds again. A connection that was just accepted counted as idle and gave way first in a crowd of heads; 256 heads that wait for a larger buffer made a small request that was read whole be refused; a body that had waited for room could count as stalled; connections that linger after a refusal held up accepting. Each byte of a body that comes byte by byte was a read.

Change: a new connection ranks with heads; a whole request takes the place of a waiting head and is not counted among those that wait; a wait is no stall; accepting waits at the limit alone. A search that found nothing is not repeated before something can have stalled. Reads of few bytes are paced.

--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -84,6 +84,7 @@
 	c.releaseReader()
 	c.releaseWriter()
 	c.narrow()
+	c.source.smallReads = 0
 	c.source.holding.End()
 }
 
@@ -101,6 +102,10 @@
 		if err := c.server.readUntil(c, time.Now().Add(time.Duration(limits.IdleMillis)*time.Millisecond)); err != nil {
 			return false
 		}
+		// The time limit may have replaced the one that ends the wait.
+		if c.source.holding.Err() != nil {
+			return false
+		}
 		err := c.awaitByte()
 		if err != nil && !isTimeout(err) {
 			return false
--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -77,8 +77,8 @@
 	// refusals and acceptFailures bound the log lines of requests that were not read and of connections that were
 	// not accepted.
 	refusals, acceptFailures logging.Sparse
-	// discards paces the reading of what is dropped.
-	discards *rate.Limiter
+	// discards paces the reading of what is dropped, and smallReads that of few bytes at a time.
+	discards, smallReads *rate.Limiter
 	// closeBy is the boottime.Instant set by CloseBy; zero for none.
 	closeBy atomic.Int64
 
@@ -103,6 +103,7 @@
 	s.changed = make(chan struct{})
 	s.mu.Unlock()
 	s.discards = rate.NewLimiter(discardBytesPerSecond, discardBytesPerSecond)
+	s.smallReads = rate.NewLimiter(smallReadsPerSecond, smallReadsPerSecond)
 	requests, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	var group errgroup.Group
@@ -142,7 +143,7 @@
 			_ = conn.Close()
 			continue
 		}
-		c.source = source{conn: conn, holding: holding}
+		c.source = source{conn: conn, holding: holding, pacer: s.smallReads}
 		s.add(c)
 		serve(c)
 	}
--- a/internal/caller/httpserver/source.go
+++ b/internal/caller/httpserver/source.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/intake"
 )
@@ -19,6 +22,13 @@
 	// writeBufferBytes holds the headers and the first part of a response, so
 	// that both are sent together.
 	writeBufferBytes = 4096
+	// smallReadBytes is the size below which a read counts as one of few bytes. A request may have freeSmallReads
+	// of them; those of all others together are limited to smallReadsPerSecond, by pauses of at most
+	// smallReadPauseMillis.
+	smallReadBytes       = 512
+	freeSmallReads       = 32
+	smallReadsPerSecond  = 1000
+	smallReadPauseMillis = 200
 )
 
 // The buffers belong to a connection only while it uses them, as many connections are idle.
@@ -34,6 +44,9 @@
 	// first is a byte that was awaited and not returned by Read yet; only if hasFirst is set.
 	first    [1]byte
 	hasFirst bool
+	// smallReads is the number of reads of few bytes of the current request. pacer bounds those of all callers.
+	smallReads int
+	pacer      *rate.Limiter
 }
 
 // await waits for a byte.
@@ -55,6 +68,7 @@
 	if !s.hasFirst || len(p) == 0 {
 		n, err := s.conn.Read(p)
 		s.holding.Receive(n)
+		s.pace(n)
 		return n, err
 	}
 	p[0] = s.first[0]
@@ -68,6 +82,18 @@
 	return n + 1, nil
 }
 
+// pace pauses after a read of few bytes if callers send many of them, so that the bytes of those who send them one by
+// one come together.
+func (s *source) pace(n int) {
+	if n == 0 || n >= smallReadBytes || s.pacer == nil {
+		return
+	}
+	s.smallReads++
+	if s.smallReads > freeSmallReads {
+		time.Sleep(min(s.pacer.Reserve().Delay(), smallReadPauseMillis*time.Millisecond))
+	}
+}
+
 // takeReader gives the connection a buffer to read into, if it has none.
 func (c *connection) takeReader() {
 	if c.reader == nil {
--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,9 @@
 	holdings         map[*Holding]struct{}
 	// changes numbers the changes of stages.
 	changes int64
+	// fruitlessUntil is the time before which no request that asks for memory needs to look for another one that
+	// gives way.
+	fruitlessUntil boottime.Instant
 	// waiting is the number of requests that wait for room, and waitingLarge the number of those with large
 	// bodies.
 	waiting, waitingLarge int
@@ -133,7 +137,7 @@
 			return nil, false
 		}
 	}
-	if b.yielding.connections > maxYielding {
+	if b.use.connections >= b.connectionLimit()+maxYielding {
 		return b.awaitChange(), false
 	}
 	if b.holdings == nil {
@@ -142,7 +146,7 @@
 	b.holdings[h] = struct{}{}
 	b.use.connections++
 	b.use.bytes += b.ConnectionBytes
-	h.setStage(idle)
+	h.setStage(head)
 	return nil, true
 }
 
@@ -157,9 +161,19 @@
 // lacksForConnection reports whether there is no room for a further connection once all that give way are
 // closed. The caller holds the mutex.
 func (b *Budget) lacksForConnection() bool {
-	left := b.use.connections - b.yielding.connections
-	return b.MostConnections > 0 && left >= b.MostConnections ||
-		int64(left+1)*b.ConnectionBytes > connectionShare.of(b.MostBytes)
+	return b.use.connections-b.yielding.connections >= b.connectionLimit()
+}
+
+// connectionLimit returns the number of connections that may be open.
+func (b *Budget) connectionLimit() int {
+	limit := math.MaxInt32
+	if b.MostConnections > 0 {
+		limit = b.MostConnections
+	}
+	if b.ConnectionBytes > 0 {
+		limit = min(limit, int(connectionShare.of(b.MostBytes)/b.ConnectionBytes))
+	}
+	return limit
 }
 
 // Begin says that the first byte of a request has come.
@@ -283,18 +297,26 @@
 	defer b.mu.Unlock()
 	h.setWaiting(false, want)
 	if taken, err := h.takeFreeLocked(want); taken || err != nil {
+		// It was not read while it waited.
+		h.seenBytes, h.seenAt = h.received.Load(), now
 		return wait{}, err
 	}
 	lacking := b.lack(h, want, b.yielding)
 	for lacking.any() && b.makeRoom(h, lacking, now) {
 		lacking = b.lack(h, want, b.yielding)
 	}
-	if !now.Before(giveUpAt) || b.waiting >= maxWaiting || want.large && b.waitingLarge >= maxWaitingLarge {
+	if !now.Before(giveUpAt) || b.tooManyWait(want) {
 		b.refused++
 		return wait{}, errors.Mark(errors.Newf("no room for %d bytes, %d of %d are in use", want.bytes, b.use.bytes, b.MostBytes), ErrFull)
 	}
 	h.setWaiting(true, want)
-	return wait{changed: b.awaitChange(), lookAt: min(b.nextStall(now), giveUpAt)}, nil
+	return wait{changed: b.awaitChange(), lookAt: min(b.fruitlessUntil, giveUpAt)}, nil
+}
+
+// tooManyWait reports whether so many requests wait that a further one does not. One that was read whole does; the
+// connections bound their number. The caller holds the mutex.
+func (b *Budget) tooManyWait(want claim) bool {
+	return want.stage != whole && (b.waiting >= maxWaiting || want.large && b.waitingLarge >= maxWaitingLarge)
 }
 
 // setWaiting records whether the connection waits for room. The caller holds the mutex.
@@ -323,13 +345,12 @@
 // makeRoom makes the connection give way that is first to do so. It returns false if none can.
 // The caller holds the mutex.
 func (b *Budget) makeRoom(asking *Holding, lacking lack, now boottime.Instant) bool {
-	var victim *Holding
-	for h := range b.holdings {
-		if h != asking && h.err == nil && h.yields(lacking, now) && (victim == nil || h.yieldsBefore(victim)) {
-			victim = h
-		}
+	if !lacking.connection && !lacking.whole && now.Before(b.fruitlessUntil) {
+		return false
 	}
+	victim, nextStallAt := b.findVictim(asking, lacking, now)
 	if victim == nil {
+		b.fruitlessUntil = nextStallAt
 		return false
 	}
 	victim.err = errors.Mark(errors.Newf("%d bytes held, %d received", victim.bytes, victim.received.Load()), ErrGaveWay)
@@ -355,8 +376,12 @@
 
 // setStage sets the stage. The caller holds the mutex.
 func (h *Holding) setStage(s stage) {
-	h.budget.changes++
-	h.stage, h.since = s, h.budget.changes
+	b := h.budget
+	b.changes++
+	h.stage, h.since = s, b.changes
+	if s == idle || s == lingering {
+		b.fruitlessUntil = 0 // it gives way at once
+	}
 }
 
 // change changes what is in use. The caller holds the mutex.
--- a/internal/caller/intake/choose.go
+++ b/internal/caller/intake/choose.go
@@ -32,9 +32,9 @@
 const (
 	// lingering: the request was refused, and the rest of it is dropped.
 	lingering stage = iota
-	// idle: no byte of the next request has come.
+	// idle: a request is over, and no byte of the next one has come.
 	idle
-	// head: the head of a request is being read.
+	// head: the head of a request is being read, or the connection is new.
 	head
 	// body: the body of a request is being read, or waits to be.
 	body
@@ -62,11 +62,13 @@
 type lack struct {
 	// connection, memory and large stand for the connections, the whole memory, and the part for large bodies.
 	connection, memory, large bool
+	// whole says that the claim is that of a request that was read whole.
+	whole bool
 }
 
 // any reports whether anything is lacking.
 func (l lack) any() bool {
-	return l != lack{}
+	return l.connection || l.memory || l.large
 }
 
 // lack returns what the holding lacks for a claim if some of what is in use were free. A large body is not in
@@ -76,7 +78,7 @@
 	if more <= 0 {
 		return lack{}
 	}
-	var l lack
+	l := lack{whole: want.stage == whole}
 	if want.large {
 		others := b.use.largeBytes - free.largeBytes - h.largeBytes()
 		if others <= 0 {
@@ -97,7 +99,8 @@
 }
 
 // yields reports whether the holding can give way to what lacks something. A new connection takes the place of
-// one whose head is not complete, however old it is.
+// one whose head is not complete, however old it is, and a request that was read whole that of one whose large head
+// waits for room.
 func (h *Holding) yields(to lack, now boottime.Instant) bool {
 	if h.waiting && h.waitsFor != head {
 		return false
@@ -106,7 +109,7 @@
 	case lingering, idle:
 		return to.connection || to.memory
 	case head:
-		return to.connection || to.memory && h.stalled(now)
+		return to.connection || to.memory && (h.stalled(now) || h.waiting && to.whole)
 	case body:
 		return (to.connection || to.memory || to.large && h.large) && h.stalled(now)
 	case whole:
@@ -120,7 +123,12 @@
 	if received := h.received.Load(); received != h.seenBytes {
 		h.seenBytes, h.seenAt = received, now
 	}
-	return !h.waiting && !now.Before(h.stallsAt())
+	return h.mayStall() && !now.Before(h.stallsAt())
+}
+
+// mayStall reports whether a head or a body is being read.
+func (h *Holding) mayStall() bool {
+	return !h.waiting && (h.stage == head || h.stage == body)
 }
 
 // stallsAt returns the time from which on the head or the body has stalled, if no byte comes until then.
@@ -144,13 +152,21 @@
 	}
 }
 
-// nextStall returns the time at which the next head or body may have stalled.
-func (b *Budget) nextStall(now boottime.Instant) boottime.Instant {
-	next := now.AddMillis(bodyStallMillis)
+// findVictim returns the connection that is first to give way; nil if none can. It also returns a time before which
+// none will have stalled.
+func (b *Budget) findVictim(asking *Holding, lacking lack, now boottime.Instant) (victim *Holding, nextStallAt boottime.Instant) {
+	// What begins later stalls later.
+	nextStallAt = now.AddMillis(headStallMillis)
 	for h := range b.holdings {
-		if (h.stage == head || h.stage == body) && !h.waiting && h.err == nil && !h.stalled(now) {
-			next = min(next, h.stallsAt())
+		switch {
+		case h == asking || h.err != nil:
+		case h.yields(lacking, now):
+			if victim == nil || h.yieldsBefore(victim) {
+				victim = h
+			}
+		case h.mayStall() && now.Before(h.stallsAt()):
+			nextStallAt = min(nextStallAt, h.stallsAt())
 		}
 	}
-	return max(next, now.AddMillis(1))
+	return victim, nextStallAt
 }
--- a/internal/trial/endtoend/crowd_direct_test.go
+++ b/internal/trial/endtoend/crowd_direct_test.go
@@ -122,6 +122,38 @@
 	}
 }
 
+// TestCrowdOfSingleBytes guards against an entry host whose processor is taken by bodies that come byte by byte.
+func TestCrowdOfSingleBytes(t *testing.T) {
+	// The processor of the smallest entry host is far slower than one of these; a host that reads each byte by
+	// itself takes several of them.
+	const drippers, settleMillis, measuredMillis, pauseMicros, drippedBytes, maxCores = 400, 1000, 2000, 500, 48 << 10, 0.8
+	c := newCrowdedEntry(t, smallestHostMegabytes, 0)
+	var cores float64
+	stopped := make(chan struct{})
+	c.check(drippers, func(n int, conn net.Conn) {
+		if n == 0 {
+			time.Sleep(settleMillis * time.Millisecond)
+			before := processorSeconds(t, c.process.command.Process.Pid)
+			time.Sleep(measuredMillis * time.Millisecond)
+			cores = (processorSeconds(t, c.process.command.Process.Pid) - before) * 1000 / measuredMillis
+			close(stopped)
+			return
+		}
+		head := c.head(crowdID(n)) + fmt.Sprintf("Content-Length: %d\r\n\r\n", drippedBytes)
+		_, err := io.WriteString(conn, head)
+		for err == nil {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(pauseMicros * time.Microsecond):
+				_, err = io.WriteString(conn, "x")
+			}
+		}
+	})
+	t.Logf("%.2f processors", cores)
+	is.New(t).True(cores < maxCores)
+}
+
 // TestCrowdOfConnections guards against an entry host that exhausts its memory or its descriptors as many
 // callers keep connections open: without a request, with the beginning of a head, or after a request.
 func TestCrowdOfConnections(t *testing.T) {
