--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -9,7 +9,6 @@
 	"math"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -71,14 +70,6 @@
 	changed chan struct{}
 }
 
-// use is a use of the budget.
-type use struct {
-	connections int
-	bytes       int64
-	// largeBytes is the part of bytes that is used for large bodies.
-	largeBytes int64
-}
-
 // Holding is what one connection makes the process hold. Its methods are called by the goroutine that serves the
 // connection, but for those of the budget. A nil Holding has no bound.
 type Holding struct {
@@ -240,129 +231,6 @@
 	h.set(claim{stage: s, bytes: bytes})
 }
 
-// take takes memory. It waits while those that give way still hold theirs, or may give way soon.
-func (h *Holding) take(ctx context.Context, want claim) error {
-	if h == nil {
-		return nil
-	}
-	if taken, err := h.takeFree(want); taken || err != nil {
-		return err
-	}
-	giveUpAt := boottime.Now().AddMillis(waitMillis)
-	for {
-		now := boottime.Now()
-		w, err := h.makeRoomFor(want, now, giveUpAt)
-		if w.changed == nil {
-			return err
-		}
-		if err := await(ctx, w.changed, w.lookAt.MillisSince(now)); err != nil {
-			h.stopWaiting(want)
-			return err
-		}
-	}
-}
-
-// takeFree takes memory if there is room. It returns false if there is none.
-func (h *Holding) takeFree(want claim) (bool, error) {
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return h.takeFreeLocked(want)
-}
-
-// takeFreeLocked is takeFree for a caller that holds the mutex.
-func (h *Holding) takeFreeLocked(want claim) (bool, error) {
-	if h.err != nil {
-		return false, h.err
-	}
-	if h.budget.lack(h, want, use{}).any() {
-		return false, nil
-	}
-	h.set(want)
-	return true, nil
-}
-
-// wait says when a request that waits for room looks again.
-type wait struct {
-	// changed is closed when something was freed. It is nil if there is no need to wait.
-	changed <-chan struct{}
-	// lookAt is the time at which another request may have stalled.
-	lookAt boottime.Instant
-}
-
-// makeRoomFor takes memory if there is room. Otherwise it makes others give way, if they can, and returns a wait.
-func (h *Holding) makeRoomFor(want claim, now, giveUpAt boottime.Instant) (wait, error) {
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	h.setWaiting(false, want)
-	if taken, err := h.takeFreeLocked(want); taken || err != nil {
-		// It was not read while it waited.
-		h.seenBytes, h.seenAt = h.received.Load(), now
-		return wait{}, err
-	}
-	lacking := b.lack(h, want, b.yielding)
-	for lacking.any() && b.makeRoom(h, lacking, now) {
-		lacking = b.lack(h, want, b.yielding)
-	}
-	if !now.Before(giveUpAt) || b.tooManyWait(want) {
-		b.refused++
-		return wait{}, errors.Mark(errors.Newf("no room for %d bytes, %d of %d are in use", want.bytes, b.use.bytes, b.MostBytes), ErrFull)
-	}
-	h.setWaiting(true, want)
-	return wait{changed: b.awaitChange(), lookAt: min(b.fruitlessUntil, giveUpAt)}, nil
-}
-
-// tooManyWait reports whether so many requests wait that a further one does not. One that was read whole does; the
-// connections bound their number. The caller holds the mutex.
-func (b *Budget) tooManyWait(want claim) bool {
-	return want.stage != whole && (b.waiting >= maxWaiting || want.large && b.waitingLarge >= maxWaitingLarge)
-}
-
-// setWaiting records whether the connection waits for room. The caller holds the mutex.
-func (h *Holding) setWaiting(waiting bool, want claim) {
-	if h.waiting == waiting {
-		return
-	}
-	h.waiting, h.waitsFor = waiting, want.stage
-	by := 1
-	if !waiting {
-		by = -1
-	}
-	h.budget.waiting += by
-	if want.large {
-		h.budget.waitingLarge += by
-	}
-}
-
-// stopWaiting records that the connection does not wait for room any more.
-func (h *Holding) stopWaiting(want claim) {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.setWaiting(false, want)
-}
-
-// makeRoom makes the connection give way that is first to do so. It returns false if none can.
-// The caller holds the mutex.
-func (b *Budget) makeRoom(asking *Holding, lacking lack, now boottime.Instant) bool {
-	if !lacking.connection && !lacking.whole && now.Before(b.fruitlessUntil) {
-		return false
-	}
-	victim, nextStallAt := b.findVictim(asking, lacking, now)
-	if victim == nil {
-		b.fruitlessUntil = nextStallAt
-		return false
-	}
-	victim.err = errors.Mark(errors.Newf("%d bytes held, %d received", victim.bytes, victim.received.Load()), ErrGaveWay)
-	b.yielding.connections++
-	b.yielding.bytes += victim.bytes + b.ConnectionBytes
-	b.yielding.largeBytes += victim.largeBytes()
-	b.gaveWay++
-	victim.giveWay()
-	b.wake()
-	return true
-}
-
 // set sets what the holding holds. The caller holds the mutex.
 func (h *Holding) set(want claim) {
 	before := h.largeBytes()
@@ -403,51 +271,3 @@
 		b.changed = nil
 	}
 }
-
-func (u use) add(by use) use {
-	return use{connections: u.connections + by.connections, bytes: u.bytes + by.bytes, largeBytes: u.largeBytes + by.largeBytes}
-}
-
-// await waits until the channel is closed, a time has passed, or ctx ends, whose error it returns.
-func await(ctx context.Context, changed <-chan struct{}, millis int64) error {
-	timer := time.NewTimer(time.Duration(max(millis, 1)) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-changed:
-	case <-timer.C:
-	}
-	return nil
-}
-
-// Usage is the use of a budget.
-type Usage struct {
-	// Connections is the number of open connections, and MostConnections its bound.
-	Connections     int
-	MostConnections int
-	// UsedBytes is the memory that is held, and MostBytes its bound.
-	UsedBytes int64
-	MostBytes int64
-	// GaveWay is the number of connections that have given way to others since the process started, and
-	// Refused the number of connections and requests that found no room.
-	GaveWay int64
-	Refused int64
-}
-
-// Usage returns the use of the budget; nothing for a nil Budget.
-func (b *Budget) Usage() Usage {
-	if b == nil {
-		return Usage{}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return Usage{
-		Connections:     b.use.connections,
-		MostConnections: b.MostConnections,
-		UsedBytes:       b.use.bytes,
-		MostBytes:       b.MostBytes,
-		GaveWay:         b.gaveWay,
-		Refused:         b.refused,
-	}
-}
