--- a/internal/standin/replica/raw.go
+++ b/internal/standin/replica/raw.go
@@ -19,6 +19,8 @@
 	Text string
 	// Early makes the server answer without reading the body of the request.
 	Early bool
+	// ReadsLate makes it read the body after its early answer, before it ends the connection.
+	ReadsLate bool
 	// Reset makes the connection end with a reset.
 	Reset bool
 }
@@ -40,7 +42,7 @@
 
 // send sends the answer.
 func (a *RawAnswer) send(w http.ResponseWriter, q *http.Request) {
-	conn, _, err := http.NewResponseController(w).Hijack()
+	conn, buffer, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
@@ -56,6 +58,9 @@
 		return
 	}
 	time.Sleep(rawEndMillis * time.Millisecond)
+	if a.ReadsLate {
+		_, _ = io.CopyN(io.Discard, buffer, q.ContentLength)
+	}
 	if a.Reset {
 		cutanswer.ResetOnClose(conn)
 	}
--- a/internal/trial/endtoend/platform_noanswer_test.go
+++ b/internal/trial/endtoend/platform_noanswer_test.go
@@ -153,6 +153,8 @@
 		{"closed in order", replica.RawAnswer{Text: head + "\r\n" + part, Early: true}, http.StatusBadGateway},
 		{"reset, whole upload", replica.RawAnswer{Text: head + "\r\n" + part, Reset: true}, http.StatusBadGateway},
 		{"closed in order, whole upload", replica.RawAnswer{Text: head + "\r\n" + part}, http.StatusOK},
+		{"closed in order, upload read late", replica.RawAnswer{Text: head + "\r\n" + part, Early: true, ReadsLate: true}, http.StatusOK},
+		{"reset, upload read late", replica.RawAnswer{Text: head + "\r\n" + part, Early: true, ReadsLate: true, Reset: true}, http.StatusBadGateway},
 		{"refusal, reset", replica.RawAnswer{Text: refusal + "\r\n" + part, Early: true, Reset: true}, http.StatusBadGateway},
 		{"refusal, reset, whole upload", replica.RawAnswer{Text: refusal + "\r\n" + part, Reset: true}, http.StatusBadGateway},
 		{"refusal, whole upload", replica.RawAnswer{Text: refusal + "\r\n" + part}, http.StatusServiceUnavailable},
