--- a/internal/trial/endtoend/crowd_test.go
+++ b/internal/trial/endtoend/crowd_test.go
@@ -118,7 +118,7 @@
 	process *program
 	// address is that of the listener for callers.
 	address string
-	// memoryMegabytes is the memory of its machine.
+	// memoryMegabytes is the memory of its host.
 	memoryMegabytes int
 	// head returns the head of a request without its last, empty line and without the framing of its body.
 	head func(id string) string
--- a/internal/wire/transport/http.go
+++ b/internal/wire/transport/http.go
@@ -10,7 +10,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerhead"
 )
 
-// maxHeadBytes bounds the head of a response of the engine or plain service.
+// maxHeadBytes bounds the head of a response of the engine or plain service, and that of a request to an HTTPServer.
 const maxHeadBytes = 16 << 10
 
 // NewTransport returns the HTTP transport for the engine or plain service beside the
