intake: a request that only waits for others to be closed does not look again each millisecond

Once enough others had given way, a waiting request looked again after a millisecond, although it is woken when something is freed. It now waits for that, or for the end of its wait.

--- a/internal/caller/intake/room.go
+++ b/internal/caller/intake/room.go
@@ -55,7 +55,7 @@
 type wait struct {
 	// changed is closed when something was freed. It is nil if there is no need to wait.
 	changed <-chan struct{}
-	// lookAt is the time at which another request may have stalled.
+	// lookAt is the time at which another request may have stalled, or the wait is over.
 	lookAt boottime.Instant
 }
 
@@ -79,7 +79,11 @@
 		return wait{}, errors.Mark(errors.Newf("no room for %d bytes, %d of %d are in use", want.bytes, b.use.bytes, b.MostBytes), ErrFull)
 	}
 	h.setWaiting(true, want)
-	return wait{changed: b.awaitChange(), lookAt: min(b.fruitlessUntil, giveUpAt)}, nil
+	lookAt := giveUpAt
+	if lacking.any() {
+		lookAt = min(b.fruitlessUntil, giveUpAt)
+	}
+	return wait{changed: b.awaitChange(), lookAt: lookAt}, nil
 }
 
 // tooManyWait reports whether so many requests wait that a further one does not. One that was read whole does; the
