--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -90,12 +90,9 @@
 
 // giveWay ends the wait for a request, or its reading, as others need its memory.
 func (c *connection) giveWay() {
-	_ = c.conn.SetReadDeadline(past)
+	_ = transport.EndRead(c.conn)
 }
 
-// past is a read deadline that ends reads.
-var past = time.Unix(1, 0)
-
 // awaitRequest waits for the first byte of a request. It returns false when none comes.
 func (c *connection) awaitRequest(limits routetable.Limits) bool {
 	if !c.hasBuffered() {
@@ -163,9 +160,8 @@
 	})
 	c.server.Handler.Handle(x)
 	answered.Store(true)
-	// A read deadline in the past unblocks the goroutine that watches the
-	// connection.
-	_ = c.conn.SetReadDeadline(past)
+	// This unblocks the goroutine that watches the connection.
+	_ = transport.EndRead(c.conn)
 	_ = watch.Wait()
 	if !x.finish() {
 		if x.OnCut != nil {
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -157,6 +157,7 @@
 // readLimit returns the time after which a connection is not read in the stage; the zero time for no
 // limit. The caller holds mu.
 func (s *Server) readLimit(c *connection) time.Time {
+	past := time.Unix(1, 0)
 	isNew := c.state == waiting && !c.used
 	switch {
 	case s.stage >= aborting && isNew:
