intake: callers whose bytes have arrived do not give way

Cause: the budget saw only the bytes that the process had read.

What would give way is now asked first whether bytes wait to be read; if so it has not stalled, and an idle connection counts as one that reads a head. At most 15 are passed over at a time, which bounds the time for which the mutex is held. Heads that make place for a new connection still do so by their age.

TestUnreadBytesAreNoStall and TestUnreadRequestIsNotIdle fail without the question ("not true: !unread.gaveWay", "not true: !nextCaller.gaveWay") and pass with it. The tests' way to see what has given way is a connection instead of a function; their checks are the same.

--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -88,11 +88,16 @@
 	c.source.holding.End()
 }
 
-// giveWay ends the wait for a request, or its reading, as others need its memory.
-func (c *connection) giveWay() {
+// GiveWay ends the wait for a request, or its reading, as others need its memory.
+func (c *connection) GiveWay() {
 	_ = transport.EndRead(c.conn)
 }
 
+// HasUnread reports whether bytes have arrived that were not read.
+func (c *connection) HasUnread() bool {
+	return transport.HasUnread(c.conn)
+}
+
 // awaitRequest waits for the first byte of a request. It returns false when none comes.
 func (c *connection) awaitRequest(limits routetable.Limits) bool {
 	if !c.hasBuffered() {
--- a/internal/caller/httpserver/httpserver.go
+++ b/internal/caller/httpserver/httpserver.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		c := &connection{server: s, conn: conn, acceptedAt: time.Now()}
-		holding, ok := s.Intake.Open(ctx, c.giveWay)
+		holding, ok := s.Intake.Open(ctx, c)
 		if !ok {
 			s.logAcceptFailure(intake.ErrFull)
 			_ = conn.Close()
--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -73,10 +73,8 @@
 // Holding is what one connection makes the process hold. Its methods are called by the goroutine that serves the
 // connection, but for those of the budget. A nil Holding has no bound.
 type Holding struct {
-	budget *Budget
-	// giveWay ends what the connection does, so that its memory is freed soon. It is called with the mutex of the
-	// budget held, so that it neither blocks nor uses the budget.
-	giveWay func()
+	budget     *Budget
+	connection Connection
 	// received is the number of bytes that were read from the connection.
 	received atomic.Int64
 
@@ -99,13 +97,22 @@
 	err error
 }
 
+// Connection is the connection of a holding. The budget calls it with its mutex held, so that its methods neither
+// block nor use the budget.
+type Connection interface {
+	// GiveWay ends what the connection does, so that its memory is freed soon.
+	GiveWay()
+	// HasUnread reports whether bytes have arrived that the process has not read.
+	HasUnread() bool
+}
+
 // Open begins a holding for a new connection, which must be closed. It waits while too many connections are about to
 // be closed. It returns false if there is no room.
-func (b *Budget) Open(ctx context.Context, giveWay func()) (*Holding, bool) {
+func (b *Budget) Open(ctx context.Context, connection Connection) (*Holding, bool) {
 	if b == nil {
 		return nil, true
 	}
-	h := &Holding{budget: b, giveWay: giveWay}
+	h := &Holding{budget: b, connection: connection}
 	for {
 		closed, ok := b.tryOpen(h)
 		if closed == nil {
--- a/internal/caller/intake/choose.go
+++ b/internal/caller/intake/choose.go
@@ -9,6 +9,9 @@
 	bodyStallMillis = 1000
 	// smallRequestBytes is the size up to which a request that was read whole is a small one.
 	smallRequestBytes = 2*SmallBytes + HandledBytes
+	// maxUnreadLooks bounds the connections with unread bytes that are passed over when one is looked for that gives
+	// way.
+	maxUnreadLooks = 16
 )
 
 // share is a part of the memory.
@@ -118,6 +121,20 @@
 	return false
 }
 
+// noteUnread reports whether the holding does not give way after all, as bytes have arrived that the process has
+// not read: it stood still, not the caller.
+func (h *Holding) noteUnread(to lack, now boottime.Instant) bool {
+	awaitsBytes := h.stage == idle || h.mayStall() && !(to.connection && h.stage == head)
+	if !awaitsBytes || !h.connection.HasUnread() {
+		return false
+	}
+	h.seenAt = now
+	if h.stage == idle {
+		h.setStage(head)
+	}
+	return true
+}
+
 // stalled reports whether no byte of a head or a body has come for some time.
 func (h *Holding) stalled(now boottime.Instant) bool {
 	if received := h.received.Load(); received != h.seenBytes {
--- a/internal/caller/intake/intake_test.go
+++ b/internal/caller/intake/intake_test.go
@@ -19,25 +19,33 @@
 	startAt = boottime.Instant(1)
 )
 
-// open begins a holding and fails the test if it finds no room. It tells what has given way.
-func open(t *testing.T, b *Budget) (h *Holding, gaveWay *bool) {
+// caller is a connection that records whether it has given way.
+type caller struct {
+	gaveWay, hasUnread bool
+}
+
+func (c *caller) GiveWay()        { c.gaveWay = true }
+func (c *caller) HasUnread() bool { return c.hasUnread }
+
+// open begins a holding and fails the test if it finds no room.
+func open(t *testing.T, b *Budget) (*Holding, *caller) {
 	t.Helper()
-	gaveWay = new(bool)
-	h, ok := b.Open(t.Context(), func() { *gaveWay = true })
+	c := &caller{}
+	h, ok := b.Open(t.Context(), c)
 	if !ok {
 		t.Fatal("a connection found no room")
 	}
-	return h, gaveWay
+	return h, c
 }
 
 // largeBody begins a request with a large body, of which bytes come.
-func largeBody(t *testing.T, b *Budget, bytes int64) (h *Holding, gaveWay *bool) {
+func largeBody(t *testing.T, b *Budget, bytes int64) (*Holding, *caller) {
 	t.Helper()
-	h, gaveWay = open(t, b)
+	h, c := open(t, b)
 	h.Begin()
 	is.New(t).NoErr(h.body(t.Context(), bytes, bytes))
 	h.Receive(int(bytes - 1))
-	return h, gaveWay
+	return h, c
 }
 
 // look lets a request ask for room for a large body at a time, and returns its error. It would wait if waits is set.
@@ -51,8 +59,8 @@
 func TestStalledBodyGivesWay(t *testing.T) {
 	is := is.New(t)
 	b := &Budget{MostBytes: testBytes}
-	stalled, stalledGaveWay := largeBody(t, b, 2*megabyte)
-	moving, movingGaveWay := largeBody(t, b, 2*megabyte)
+	stalled, stalledCaller := largeBody(t, b, 2*megabyte)
+	moving, movingCaller := largeBody(t, b, 2*megabyte)
 	asking, _ := open(t, b)
 	waits, err := look(asking, 3*megabyte, startAt)
 	is.NoErr(err)
@@ -62,13 +70,13 @@
 	waits, err = look(asking, 3*megabyte, later)
 	is.NoErr(err)
 	is.True(waits) // until the other one is closed
-	is.True(*stalledGaveWay)
+	is.True(stalledCaller.gaveWay)
 	is.True(errors.Is(stalled.Err(), ErrGaveWay))
 	stalled.Close()
 	waits, err = look(asking, 3*megabyte, later)
 	is.NoErr(err)
 	is.True(!waits)
-	is.True(!*movingGaveWay)
+	is.True(!movingCaller.gaveWay)
 	is.Equal(b.Usage().GaveWay, int64(1))
 }
 
@@ -77,7 +85,7 @@
 	is := is.New(t)
 	b := &Budget{MostBytes: testBytes}
 	first, _ := largeBody(t, b, 5*megabyte)
-	waiting, gaveWay := open(t, b)
+	waiting, waitingCaller := open(t, b)
 	waiting.Begin()
 	waiting.Receive(100)
 	waiting.stalled(startAt)
@@ -93,14 +101,14 @@
 	waits, err = look(asking, 5*megabyte, later.AddMillis(1))
 	is.NoErr(err)
 	is.True(waits)
-	is.True(!*gaveWay)
+	is.True(!waitingCaller.gaveWay)
 }
 
 // TestWholeRequestGivesNoWay guards against a request that was read whole and is broken off for another one.
 func TestWholeRequestGivesNoWay(t *testing.T) {
 	is := is.New(t)
 	b := &Budget{MostBytes: testBytes}
-	handled, gaveWay := largeBody(t, b, 5*megabyte)
+	handled, handledCaller := largeBody(t, b, 5*megabyte)
 	is.NoErr(handled.take(t.Context(), claim{stage: whole, bytes: 5*megabyte + HandledBytes, large: true}))
 	asking, _ := open(t, b)
 	waits, err := look(asking, 4*megabyte, startAt)
@@ -109,7 +117,7 @@
 	w, err := asking.makeRoomFor(claim{stage: body, bytes: 4 * megabyte, large: true}, startAt.AddMillis(waitMillis), startAt.AddMillis(waitMillis))
 	is.True(w.changed == nil)
 	is.True(errors.Is(err, ErrFull))
-	is.True(!*gaveWay)
+	is.True(!handledCaller.gaveWay)
 	small, _ := open(t, b)
 	small.Begin()
 	_, err = small.ReadRequest(t.Context(), strings.NewReader("{}"), BodyLimits{MostBytes: testBytes, Length: 2})
@@ -121,6 +129,41 @@
 	is.Equal(b.Usage().UsedBytes, int64(0))
 }
 
+// TestUnreadBytesAreNoStall guards against callers that give way as the process stood still: their bytes have arrived.
+func TestUnreadBytesAreNoStall(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{MostBytes: testBytes}
+	_, unread := largeBody(t, b, 5*megabyte)
+	unread.hasUnread = true
+	asking, _ := open(t, b)
+	now := boottime.Now()
+	for _, at := range []boottime.Instant{now, now.AddMillis(bodyStallMillis)} {
+		waits, err := look(asking, 5*megabyte, at)
+		is.NoErr(err)
+		is.True(waits)
+		is.True(!unread.gaveWay)
+	}
+	unread.hasUnread = false
+	_, err := look(asking, 5*megabyte, now.AddMillis(2*bodyStallMillis))
+	is.NoErr(err)
+	is.True(unread.gaveWay)
+}
+
+// TestUnreadRequestIsNotIdle guards against a caller whose next request has arrived and gives way as an idle one.
+func TestUnreadRequestIsNotIdle(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{MostBytes: testBytes, MostConnections: 2}
+	next, nextCaller := open(t, b)
+	next.End()
+	nextCaller.hasUnread = true
+	other, otherCaller := open(t, b)
+	other.End()
+	_, ok := b.Open(t.Context(), &caller{})
+	is.True(ok)
+	is.True(!nextCaller.gaveWay)
+	is.True(otherCaller.gaveWay)
+}
+
 // TestReadRequest guards against a body inside the limits that finds no room in calm, as the memory is small, and
 // checks that bodies end where they should.
 func TestReadRequest(t *testing.T) {
@@ -184,20 +227,20 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := &Budget{MostBytes: testBytes, MostConnections: limit}
-			var gaveWay [limit]*bool
+			var callers [limit]*caller
 			var holdings [limit]*Holding
 			for n := range limit {
-				holdings[n], gaveWay[n] = open(t, b)
+				holdings[n], callers[n] = open(t, b)
 			}
 			for n, do := range tt.each {
 				if do != nil {
 					do(holdings[n])
 				}
 			}
-			_, ok := b.Open(t.Context(), func() {})
+			_, ok := b.Open(t.Context(), &caller{})
 			is.Equal(ok, tt.first >= 0)
 			for n := range limit {
-				is.Equal(*gaveWay[n], n == tt.first)
+				is.Equal(callers[n].gaveWay, n == tt.first)
 			}
 		})
 	}
--- a/internal/caller/intake/room.go
+++ b/internal/caller/intake/room.go
@@ -122,6 +122,10 @@
 		return false
 	}
 	victim, nextStallAt := b.findVictim(asking, lacking, now)
+	// They are few, as they are read soon; the bound is that of the time for which the mutex is held.
+	for looks := 1; looks < maxUnreadLooks && victim != nil && victim.noteUnread(lacking, now); looks++ {
+		victim, nextStallAt = b.findVictim(asking, lacking, now)
+	}
 	if victim == nil {
 		b.fruitlessUntil = nextStallAt
 		return false
@@ -131,7 +135,7 @@
 	b.yielding.bytes += victim.bytes + b.ConnectionBytes
 	b.yielding.largeBytes += victim.largeBytes()
 	b.gaveWay++
-	victim.giveWay()
+	victim.connection.GiveWay()
 	b.wake()
 	return true
 }
--- a/internal/wire/transport/callerconnection.go
+++ b/internal/wire/transport/callerconnection.go
@@ -66,7 +66,7 @@
 			return nil, l.endAccept(err)
 		}
 		c := &callerConnection{Conn: conn, requests: l.requests, acceptedAt: time.Now()}
-		holding, ok := l.intake.Open(l.requests, c.giveWay)
+		holding, ok := l.intake.Open(l.requests, c)
 		if ok {
 			c.holding = holding
 			return c, nil
@@ -160,14 +160,19 @@
 	gaveWay bool
 }
 
-// giveWay ends the reads of the connection, as others need its memory.
-func (c *callerConnection) giveWay() {
+// GiveWay ends the reads of the connection, as others need its memory.
+func (c *callerConnection) GiveWay() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.gaveWay = true
 	_ = EndRead(c.Conn)
 }
 
+// HasUnread reports whether bytes have arrived that were not read.
+func (c *callerConnection) HasUnread() bool {
+	return HasUnread(c.Conn)
+}
+
 // endHead says that a head was read.
 func (c *callerConnection) endHead() {
 	c.inHead.Store(false)
@@ -233,7 +238,7 @@
 	if !c.endWaiting() {
 		return
 	}
-	// Not under the mutex, which giveWay needs.
+	// Not under the mutex, which GiveWay needs.
 	c.headBytes.Store(0)
 	c.inHead.Store(true)
 	c.holding.Begin()
