intake: what is small gives no way to a large body that it cannot help

What callers saw: beside a crowd of large bodies in chunks, an ordinary caller's new connection was reset before its request was read.

A large body now lacks memory in general only by what is small beyond its own eighth; what finds room is the same as before. The time before which it is of no use to look again is kept apart for both kinds of lack.

--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -60,9 +60,8 @@
 	holdings         map[*Holding]struct{}
 	// changes numbers the changes of stages.
 	changes int64
-	// fruitlessUntil is the time before which no request that asks for memory needs to look for another one that
-	// gives way.
-	fruitlessUntil boottime.Instant
+	// fruitless says when it is of use again to look for what gives way.
+	fruitless fruitless
 	// waiting is the number of requests that wait for room, and waitingLarge the number of those with large
 	// bodies.
 	waiting, waitingLarge int
@@ -90,7 +89,8 @@
 	// then reaches.
 	waiting  bool
 	waitsFor stage
-	// seenBytes is what had been received at the last look, and seenAt the time since which no more was seen.
+	// seenBytes is what had been received at the last look, and seenAt the time since which no more was seen. That
+	// of a new connection is the time at which it was opened.
 	seenBytes int64
 	seenAt    boottime.Instant
 	// err is set once the holding has given way.
@@ -129,8 +129,9 @@
 func (b *Budget) tryOpen(h *Holding) (closed <-chan struct{}, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := boottime.Now()
 	for b.lacksForConnection() {
-		if !b.makeRoom(nil, lack{connection: true}, boottime.Now()) {
+		if !b.makeRoom(nil, lack{connection: true}, now) {
 			b.refused++
 			return nil, false
 		}
@@ -144,6 +145,7 @@
 	b.holdings[h] = struct{}{}
 	b.use.connections++
 	b.use.bytes += b.ConnectionBytes
+	h.seenAt = now
 	h.setStage(head)
 	return nil, true
 }
@@ -255,7 +257,7 @@
 	b.changes++
 	h.stage, h.since = s, b.changes
 	if s == idle || s == lingering {
-		b.fruitlessUntil = 0 // it gives way at once
+		b.fruitless.memoryUntil = 0 // it gives way at once
 	}
 }
 
--- a/internal/caller/intake/choose.go
+++ b/internal/caller/intake/choose.go
@@ -63,7 +63,9 @@
 
 // lack is what a claim, or a new connection, finds no room in.
 type lack struct {
-	// connection, memory and large stand for the connections, the whole memory, and the part for large bodies.
+	// connection, memory and large stand for the connections, the whole memory, and the part for large bodies. For a
+	// large body, memory is what all but large ones have in use beyond what is left to them: what is small does not
+	// give way to it otherwise, as that would not help.
 	connection, memory, large bool
 	// whole says that the claim is that of a request that was read whole.
 	whole bool
@@ -82,14 +84,17 @@
 		return lack{}
 	}
 	l := lack{whole: want.stage == whole}
+	total := b.use.bytes - free.bytes + more
 	if want.large {
 		others := b.use.largeBytes - free.largeBytes - h.largeBytes()
 		if others <= 0 {
 			return lack{}
 		}
-		l.large = others+want.bytes > largeShare.of(b.MostBytes)
+		beyond := max(0, others+want.bytes-largeShare.of(b.MostBytes))
+		l.large = beyond > 0
+		total -= beyond
 	}
-	l.memory = b.use.bytes-free.bytes+more > want.limit(b.MostBytes)
+	l.memory = total > want.limit(b.MostBytes)
 	return l
 }
 
@@ -105,26 +110,32 @@
 // one whose head is not complete, however old it is, and a request that was read whole that of one whose large head
 // waits for room.
 func (h *Holding) yields(to lack, now boottime.Instant) bool {
-	if h.waiting && h.waitsFor != head {
+	if h.waiting && h.waitsFor != head || !h.wouldHelp(to) {
 		return false
 	}
 	switch h.stage {
 	case lingering, idle:
-		return to.connection || to.memory
+		return true
 	case head:
-		return to.connection || to.memory && (h.stalled(now) || h.waiting && to.whole)
+		return to.connection || h.stalled(now) || h.waiting && to.whole
 	case body:
-		return (to.connection || to.memory || to.large && h.large) && h.stalled(now)
+		return h.stalled(now)
 	case whole:
 		return false
 	}
 	return false
 }
 
+// wouldHelp reports whether what lacks something would find more room without the holding.
+func (h *Holding) wouldHelp(to lack) bool {
+	return to.connection || to.memory || to.large && h.large
+}
+
 // noteUnread reports whether the holding does not give way after all, as bytes have arrived that the process has
 // not read: it stood still, not the caller.
 func (h *Holding) noteUnread(to lack, now boottime.Instant) bool {
-	awaitsBytes := h.stage == idle || h.mayStall() && !(to.connection && h.stage == head)
+	byAge := to.connection && h.stage == head
+	awaitsBytes := h.stage == idle || h.mayStall() && !byAge
 	if !awaitsBytes || !h.connection.HasUnread() {
 		return false
 	}
@@ -181,9 +192,35 @@
 			if victim == nil || h.yieldsBefore(victim) {
 				victim = h
 			}
-		case h.mayStall() && now.Before(h.stallsAt()):
+		case h.wouldHelp(lacking) && h.mayStall() && now.Before(h.stallsAt()):
 			nextStallAt = min(nextStallAt, h.stallsAt())
 		}
 	}
 	return victim, nextStallAt
 }
+
+// fruitless says before which times no request needs to look for what gives way, as none was found.
+type fruitless struct {
+	// memoryUntil is the time for a request that lacks memory, and largeUntil that for a large body that lacks only the
+	// part for large ones.
+	memoryUntil, largeUntil boottime.Instant
+}
+
+// until returns the time for what is lacking.
+func (f fruitless) until(lacking lack) boottime.Instant {
+	if lacking.memory {
+		return f.memoryUntil
+	}
+	return f.largeUntil
+}
+
+// with returns f with the time for what is lacking.
+func (f fruitless) with(lacking lack, until boottime.Instant) fruitless {
+	switch {
+	case lacking.memory:
+		f.memoryUntil = until
+	case lacking.large:
+		f.largeUntil = until
+	}
+	return f
+}
--- a/internal/caller/intake/intake_test.go
+++ b/internal/caller/intake/intake_test.go
@@ -129,6 +129,54 @@
 	is.Equal(b.Usage().UsedBytes, int64(0))
 }
 
+// TestNewConnectionHasNotStalled guards against a connection that gives way before its caller can have sent anything.
+func TestNewConnectionHasNotStalled(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{MostBytes: testBytes}
+	handled, _ := open(t, b)
+	handled.force(whole, testBytes)
+	before := boottime.Now()
+	_, newCaller := open(t, b)
+	asking, _ := open(t, b)
+	small := claim{stage: body, bytes: LargeBytes}
+	_, err := asking.makeRoomFor(small, before, before.AddMillis(waitMillis))
+	is.NoErr(err)
+	is.True(!newCaller.gaveWay)
+	later := boottime.Now().AddMillis(headStallMillis)
+	_, err = asking.makeRoomFor(small, later, before.AddMillis(waitMillis))
+	is.NoErr(err)
+	is.True(newCaller.gaveWay)
+}
+
+// TestSmallGivesNoWayToLarge guards against connections, heads and small bodies that give way to a large body although
+// only large ones are in its way.
+func TestSmallGivesNoWayToLarge(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{MostBytes: testBytes}
+	var small []*caller
+	for _, do := range []func(h *Holding){
+		func(h *Holding) { h.End() },
+		func(h *Holding) { h.Begin() },
+		func(h *Holding) { h.force(body, LargeBytes) },
+	} {
+		h, c := open(t, b)
+		do(h)
+		small = append(small, c)
+	}
+	_, large := largeBody(t, b, 5*megabyte)
+	asking, _ := open(t, b)
+	now := boottime.Now()
+	waits, err := look(asking, 5*megabyte, now)
+	is.NoErr(err)
+	is.True(waits) // nothing has stalled yet
+	_, err = look(asking, 5*megabyte, now.AddMillis(bodyStallMillis))
+	is.NoErr(err)
+	is.True(large.gaveWay)
+	for _, c := range small {
+		is.True(!c.gaveWay)
+	}
+}
+
 // TestUnreadBytesAreNoStall guards against callers that give way as the process stood still: their bytes have arrived.
 func TestUnreadBytesAreNoStall(t *testing.T) {
 	is := is.New(t)
--- a/internal/caller/intake/room.go
+++ b/internal/caller/intake/room.go
@@ -81,7 +81,7 @@
 	h.setWaiting(true, want)
 	lookAt := giveUpAt
 	if lacking.any() {
-		lookAt = min(b.fruitlessUntil, giveUpAt)
+		lookAt = min(b.fruitless.until(lacking), giveUpAt)
 	}
 	return wait{changed: b.awaitChange(), lookAt: lookAt}, nil
 }
@@ -118,7 +118,7 @@
 // makeRoom makes the connection give way that is first to do so. It returns false if none can.
 // The caller holds the mutex.
 func (b *Budget) makeRoom(asking *Holding, lacking lack, now boottime.Instant) bool {
-	if !lacking.connection && !lacking.whole && now.Before(b.fruitlessUntil) {
+	if !lacking.connection && !lacking.whole && now.Before(b.fruitless.until(lacking)) {
 		return false
 	}
 	victim, nextStallAt := b.findVictim(asking, lacking, now)
@@ -127,7 +127,7 @@
 		victim, nextStallAt = b.findVictim(asking, lacking, now)
 	}
 	if victim == nil {
-		b.fruitlessUntil = nextStallAt
+		b.fruitless = b.fruitless.with(lacking, nextStallAt)
 		return false
 	}
 	victim.err = errors.Mark(errors.Newf("%d bytes held, %d received", victim.bytes, victim.received.Load()), ErrGaveWay)
