--- a/internal/caller/httpserver/head.go
+++ b/internal/caller/httpserver/head.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Errors of reading the head of a request: its request line and headers.
@@ -47,10 +48,8 @@
 	if !ok || len(name) == 0 {
 		return "", errors.Wrap(ErrMalformed, "header line without a name")
 	}
-	for _, c := range name {
-		if !isTokenByte(c) {
-			return "", errors.Wrap(ErrMalformed, "header name with an illegal character")
-		}
+	if !httpguts.ValidHeaderFieldName(string(name)) {
+		return "", errors.Wrap(ErrMalformed, "header name with an illegal character")
 	}
 	lower := strings.ToLower(string(name))
 	text := string(bytes.Trim(value, " \t"))
@@ -89,12 +88,3 @@
 	}
 	return true
 }
-
-func isTokenByte(c byte) bool {
-	switch {
-	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
-		return true
-	default:
-		return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
-	}
-}
--- a/internal/caller/httpserver/read.go
+++ b/internal/caller/httpserver/read.go
@@ -170,7 +170,7 @@
 	switch {
 	case errors.Is(err, errHeadGaveWay):
 		return 0
-	case errors.IsAny(err, intake.ErrFull, context.Canceled):
+	case errors.Is(err, intake.ErrFull):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, ErrHeadTooLarge):
 		return http.StatusRequestHeaderFieldsTooLarge
@@ -189,7 +189,7 @@
 	switch {
 	case errors.Is(err, intake.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge
-	case errors.IsAny(err, intake.ErrFull, intake.ErrGaveWay, context.Canceled):
+	case errors.IsAny(err, intake.ErrFull, intake.ErrGaveWay):
 		return http.StatusServiceUnavailable
 	case isTimeout(err):
 		return http.StatusRequestTimeout
--- a/internal/caller/intake/room.go
+++ b/internal/caller/intake/room.go
@@ -9,7 +9,8 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 )
 
-// take takes memory. It waits while those that give way still hold theirs, or may give way soon.
+// take takes memory. It waits while those that give way still hold theirs, or may give way soon. An error is marked
+// with ErrFull, also if ctx ends while it waits, or with ErrGaveWay.
 func (h *Holding) take(ctx context.Context, want claim) error {
 	if h == nil {
 		return nil
@@ -26,7 +27,7 @@
 		}
 		if err := await(ctx, w.changed, w.lookAt.MillisSince(now)); err != nil {
 			h.stopWaiting(want)
-			return err
+			return errors.Mark(errors.Wrap(err, "wait for room"), ErrFull)
 		}
 	}
 }
