transport: connections that are not accepted hold a bounded part of the memory

Cause: an open connection counts in the budget with what it may receive; one that waits to be accepted did not. The system holds as many as its own limit allows (4,096).

Beyond, the system does not answer the first packet, which callers' systems send again; nothing is reset. The metric Callers shows the bound.

--- a/internal/caller/intake/budget.go
+++ b/internal/caller/intake/budget.go
@@ -176,6 +176,11 @@
 	return limit
 }
 
+// QueueBytes returns what callers may make the system hold on connections that are not accepted; zero for no bound.
+func (b *Budget) QueueBytes() int64 {
+	return queueShare.of(b.MostBytes)
+}
+
 // Begin says that the first byte of a request has come.
 func (h *Holding) Begin() {
 	h.force(head, SmallBytes)
--- a/internal/caller/intake/choose.go
+++ b/internal/caller/intake/choose.go
@@ -23,6 +23,9 @@
 	largeShare      = share{3, 4}
 	// otherShare bounds all but small requests.
 	otherShare = share{7, 8}
+	// queueShare bounds what the system holds of connections that are not accepted. It is beside the bound, as the
+	// process may stand still while it holds as much as it may.
+	queueShare = share{1, 4}
 )
 
 func (s share) of(bytes int64) int64 {
--- a/internal/caller/intake/usage.go
+++ b/internal/caller/intake/usage.go
@@ -20,6 +20,8 @@
 	// UsedBytes is the memory that is held, and MostBytes its bound.
 	UsedBytes int64
 	MostBytes int64
+	// MostQueueBytes bounds what the system holds of connections that are not accepted.
+	MostQueueBytes int64
 	// GaveWay is the number of connections that have given way to others since the process started, and
 	// Refused the number of connections and requests that found no room.
 	GaveWay int64
@@ -38,6 +40,7 @@
 		MostConnections: b.MostConnections,
 		UsedBytes:       b.use.bytes,
 		MostBytes:       b.MostBytes,
+		MostQueueBytes:  b.QueueBytes(),
 		GaveWay:         b.gaveWay,
 		Refused:         b.refused,
 	}
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -96,7 +96,7 @@
 func (h *Host) Run(life lifecycle.Lifecycle) error {
 	h.received = lifecycle.LimitMemory(h.Settings.MemoryMegabytes)
 	h.intake = h.newIntake()
-	callers, err := transport.ListenCallers(life.Abort, h.Settings.CallerAddress)
+	callers, err := transport.ListenCallers(life.Abort, h.Settings.CallerAddress, h.intake.QueueBytes())
 	if err != nil {
 		return err
 	}
--- a/internal/role/entryhost/entryhost.go
+++ b/internal/role/entryhost/entryhost.go
@@ -151,7 +151,7 @@
 func (h *Host) listen(ctx context.Context) (listeners, error) {
 	var opened listeners
 	var err error
-	opened.callers, err = transport.ListenCallers(ctx, h.Settings.CallerAddress)
+	opened.callers, err = transport.ListenCallers(ctx, h.Settings.CallerAddress, h.intake.QueueBytes())
 	if err != nil {
 		return opened, err
 	}
--- a/internal/trial/endtoend/crowd_direct_test.go
+++ b/internal/trial/endtoend/crowd_direct_test.go
@@ -30,6 +30,8 @@
 	// crowdConnections the number of connections at once.
 	crowdedDescriptors = 256
 	crowdConnections   = 400
+	// crowdQueued is the number of connections at once that are not accepted. The usual queue of the system holds them.
+	crowdQueued = 3000
 	// crowdRunMillis is the time for which servers run the requests of a crowd that waits for them.
 	crowdRunMillis = 1500
 	// crowdExtraBytes is what a member sends after its request.
@@ -177,3 +179,11 @@
 		})
 	}
 }
+
+// TestCrowdOfQueuedConnections guards against an entry host that exhausts its memory by what callers send on connections
+// that it has not accepted, as it stands still.
+func TestCrowdOfQueuedConnections(t *testing.T) {
+	c := newCrowdedEntry(t, leastMegabytes, 0)
+	c.answers("calm", crowdShapes()[0], c.bodyBytes)
+	c.checkBeside(func() (leave func()) { return c.joinFrozen(crowdQueued, c.sendHead(crowdHeadBytes)) })
+}
--- a/internal/trial/endtoend/crowd_test.go
+++ b/internal/trial/endtoend/crowd_test.go
@@ -27,6 +27,8 @@
 	crowdWholeShare = 4
 	// crowdWatchMillis is the period at which the memory of a crowded process is read.
 	crowdWatchMillis = 10
+	// frozenDialMillis is the time after which a member gives up that is not connected as the process stands still.
+	frozenDialMillis = 1500
 	// endlessBytes is what a member sends of a body far over the limit.
 	endlessBytes = 64 << 20
 	// socketEstablished and socketCloseWait are states in which a socket may hold received bytes.
@@ -258,6 +260,35 @@
 	}
 }
 
+// joinFrozen is join for a process that stands still meanwhile. Not all may be connected until it goes on.
+func (c *crowded) joinFrozen(members int, send func(n int, conn net.Conn)) (leave func()) {
+	c.t.Helper()
+	c.process.freeze()
+	conns := make([]net.Conn, members)
+	var group errgroup.Group
+	for n := range conns {
+		group.Go(func() error {
+			// The system may leave connections without an answer.
+			if conn, err := net.DialTimeout("tcp", c.address, frozenDialMillis*time.Millisecond); err == nil {
+				conns[n] = conn
+				_ = conn.SetWriteDeadline(time.Now().Add(frozenDialMillis * time.Millisecond))
+				send(n, conn)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	c.record()
+	c.process.thaw()
+	return func() {
+		for _, conn := range conns {
+			if conn != nil {
+				_ = conn.Close()
+			}
+		}
+	}
+}
+
 // read reads what a member of a crowd gets. A response that promises that its request has not run keeps that.
 func (c *crowded) read(id string, conn net.Conn) {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -323,13 +354,19 @@
 // stay does not send anything.
 func stay(int, net.Conn) {}
 
-// check checks a process under a crowd: it lives within its memory, with descriptors to spare, and answers an
-// ordinary request while the crowd stays, and one afterwards.
+// check checks a process under a crowd of members.
 func (c *crowded) check(members int, send func(n int, conn net.Conn)) {
+	c.t.Helper()
+	c.checkBeside(func() (leave func()) { return c.join(members, send) })
+}
+
+// checkBeside checks a process under a crowd: it lives within its memory, with descriptors to spare, and answers an
+// ordinary request while the crowd stays, and one afterwards.
+func (c *crowded) checkBeside(join func() (leave func())) {
 	c.t.Helper()
 	is := is.New(c.t)
 	stop := c.watch()
-	leave := c.join(members, send)
+	leave := join()
 	c.ordinary("ordinary-beside")
 	c.ordinary("ordinary-beside-again")
 	leave()
