intake, httpserver: the beginning of a body and a read limit after giving way are in one place each

- Both servers kept a flag of their own so that the hook of a body's room acts only the first time, and httpserver compared sizes with intake's bound of a large body. intake knows both: BodyLimits has Begin and Large instead of OnRoom, and the flags are gone.
- That a time limit may replace the one that ended the reads of a connection that gave way was checked after three of four calls that set one. limitRead, which readUntil and limitReads call, does it for all, as callerConnection.SetReadDeadline does on the other path.
The fourth call, limitReads in a stop, was without the check: a connection that gave way could be waited for until the limit of the stage.

Otherwise behaviour is as before.

--- a/internal/caller/httpapi/body.go
+++ b/internal/caller/httpapi/body.go
@@ -50,7 +50,9 @@
 		Length:    r.ContentLength,
 		HeadBytes: headBytes,
 		Weight:    bodyWeight,
-		OnRoom:    newBodyDeadline(controller),
+		Begin: func() error {
+			return setReadDeadline(controller, time.Now().Add(bodyTimeoutMillis*time.Millisecond))
+		},
 	})
 	if err != nil {
 		return nil, err
@@ -58,18 +60,6 @@
 	return body, setReadDeadline(controller, time.Time{})
 }
 
-// newBodyDeadline returns a function that sets the time limit of a body when it is called first.
-func newBodyDeadline(controller *http.ResponseController) func(int64) error {
-	begun := false
-	return func(int64) error {
-		if begun {
-			return nil
-		}
-		begun = true
-		return setReadDeadline(controller, time.Now().Add(bodyTimeoutMillis*time.Millisecond))
-	}
-}
-
 func setReadDeadline(controller *http.ResponseController, at time.Time) error {
 	if err := controller.SetReadDeadline(at); !errors.Is(err, http.ErrNotSupported) {
 		return err
--- a/internal/caller/httpserver/connection.go
+++ b/internal/caller/httpserver/connection.go
@@ -93,6 +93,19 @@
 	_ = transport.EndRead(c.conn)
 }
 
+// limitRead sets the time until which the connection is read. If it has given way it is not read any more, as that time
+// may have replaced the one that ended its reads; the error says so.
+func (c *connection) limitRead(until time.Time) error {
+	if err := c.conn.SetReadDeadline(until); err != nil {
+		return err
+	}
+	err := c.source.holding.Err()
+	if err != nil {
+		c.GiveWay()
+	}
+	return err
+}
+
 // HasUnread reports whether bytes have arrived that were not read.
 func (c *connection) HasUnread() bool {
 	return transport.HasUnread(c.conn)
@@ -104,10 +117,6 @@
 		if err := c.server.readUntil(c, time.Now().Add(time.Duration(limits.IdleMillis)*time.Millisecond)); err != nil {
 			return false
 		}
-		// The time limit may have replaced the one that ends the wait.
-		if c.source.holding.Err() != nil {
-			return false
-		}
 		err := c.awaitByte()
 		if err != nil && !isTimeout(err) {
 			return false
--- a/internal/caller/httpserver/read.go
+++ b/internal/caller/httpserver/read.go
@@ -42,9 +42,6 @@
 	if err := c.server.readUntil(c, deadline); err != nil {
 		return nil, err
 	}
-	if err := c.source.holding.Err(); err != nil {
-		return nil, err
-	}
 	head, err := c.peekHead(ctx, limits.MaxHeaderBytes)
 	if gaveWay := c.source.holding.Err(); gaveWay != nil {
 		return nil, errors.Mark(gaveWay, errHeadGaveWay)
@@ -102,21 +99,12 @@
 // readBody reads the complete body of a request within the time and size limits, and takes the memory for its
 // handling.
 func (c *connection) readBody(ctx context.Context, request *http.Request, limits routetable.Limits) ([]byte, error) {
-	begun := false
 	return c.source.holding.ReadRequest(ctx, request.Body, intake.BodyLimits{
 		MostBytes: limits.MaxBodyBytes,
 		Length:    request.ContentLength,
 		HeadBytes: c.headBytes,
-		OnRoom: func(bytes int64) error {
-			if bytes > intake.LargeBytes {
-				c.widen()
-			}
-			if begun || bytes == 0 {
-				return nil
-			}
-			begun = true
-			return c.beginBody(request)
-		},
+		Begin:     func() error { return c.beginBody(request) },
+		Large:     c.widen,
 	})
 }
 
@@ -125,10 +113,6 @@
 	if err := c.server.readUntil(c, time.Now().Add(bodyTimeoutMillis*time.Millisecond)); err != nil {
 		return err
 	}
-	// The time limit may have replaced the one that ends the reading.
-	if err := c.source.holding.Err(); err != nil {
-		return err
-	}
 	return c.sendContinue(request)
 }
 
--- a/internal/caller/httpserver/shutdown.go
+++ b/internal/caller/httpserver/shutdown.go
@@ -138,7 +138,7 @@
 	defer s.mu.Unlock()
 	for c := range s.connections {
 		if until := s.readLimit(c); c.state == state && !until.IsZero() {
-			_ = c.conn.SetReadDeadline(until)
+			_ = c.limitRead(until)
 		}
 	}
 }
@@ -151,7 +151,7 @@
 	if limit := s.readLimit(c); !limit.IsZero() && limit.Before(until) {
 		until = limit
 	}
-	return c.conn.SetReadDeadline(until)
+	return c.limitRead(until)
 }
 
 // readLimit returns the time after which a connection is not read in the stage; the zero time for no
--- a/internal/caller/intake/readbody.go
+++ b/internal/caller/intake/readbody.go
@@ -23,8 +23,11 @@
 	HeadBytes int64
 	// Weight is the memory that a byte of the body takes while the request is read and handled; zero counts as one.
 	Weight int64
-	// OnRoom is called when there is room for a body of a size, before more of it is read; nil for nothing.
-	OnRoom func(bytes int64) error
+	// Begin is called when there is room for the beginning of a body that may not be empty, before it is read; nil for
+	// nothing.
+	Begin func() error
+	// Large is called when there is room for a large body, or for more of it, before that is read; nil for nothing.
+	Large func()
 }
 
 // held returns the memory of a request with a body of a size.
@@ -61,6 +64,11 @@
 	if err := h.makeRoomForBody(ctx, limits, size, 0); err != nil {
 		return nil, err
 	}
+	if size > 0 && limits.Begin != nil {
+		if err := limits.Begin(); err != nil {
+			return nil, err
+		}
+	}
 	data := make([]byte, size)
 	if limits.Length < 0 {
 		return h.readChunks(ctx, body, data, limits)
@@ -105,10 +113,10 @@
 	if err := h.body(ctx, limits.held(size), size); err != nil {
 		return err
 	}
-	if limits.OnRoom == nil {
-		return nil
+	if size > LargeBytes && limits.Large != nil {
+		limits.Large()
 	}
-	return limits.OnRoom(size)
+	return nil
 }
 
 // body takes the memory for a request whose body is being read: bytes in all, size of them for the body.
