--- a/internal/wire/transport/callerconnection.go
+++ b/internal/wire/transport/callerconnection.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			return nil, l.endAccept(err)
 		}
-		c := &callerConnection{Conn: conn, requests: l.requests, acceptedAt: time.Now()}
+		c := &callerConnection{Conn: conn, listener: l, acceptedAt: time.Now()}
 		holding, ok := l.intake.Open(l.requests, c)
 		if ok {
 			c.holding = holding
@@ -139,8 +139,7 @@
 // callerConnection is the connection of one caller.
 type callerConnection struct {
 	net.Conn
-	// requests ends when the server does.
-	requests   context.Context //nolint:containedctx // its lifetime is that of the server
+	listener   *callerListener
 	acceptedAt time.Time
 	// holding is what the connection makes the process hold.
 	holding *intake.Holding
@@ -188,7 +187,7 @@
 	if held <= intake.SmallBytes {
 		return nil
 	}
-	return c.holding.Head(c.requests, held)
+	return c.holding.Head(c.listener.requests, held)
 }
 
 // Read reads from the connection. When the wait for a request was ended, one that has
--- a/internal/wire/transport/http.go
+++ b/internal/wire/transport/http.go
@@ -14,8 +14,9 @@
 const maxHeadBytes = 16 << 10
 
 // NewTransport returns the HTTP transport for the engine or plain service beside the
-// process, which reads the heads of answers strictly. It opens a new connection for every call: when a call fails on a reused
-// connection that the server has just closed, it is unknown whether the call arrived.
+// process, which reads the heads of answers strictly. It opens a new connection for
+// every call: when a call fails on a reused connection that the server has just closed,
+// it is unknown whether the call arrived.
 func NewTransport() http.RoundTripper {
 	return answerhead.Strict(newTransport())
 }
