endtoend: the crowds of bodies of both paths share one check

TestCrowdOfBodies and TestOwnerCrowdOfBodies were the same but for the process and the number of members, and join and joinFrozen closed their connections in the same way. Crowds, bounds and checks are unchanged.

--- a/internal/trial/endtoend/crowd_direct_test.go
+++ b/internal/trial/endtoend/crowd_direct_test.go
@@ -110,18 +110,7 @@
 // TestCrowdOfBodies guards against an entry host that exhausts its memory, or answers no ordinary caller, as
 // many callers send large bodies at once and most stop short of their end.
 func TestCrowdOfBodies(t *testing.T) {
-	for _, shape := range crowdShapes() {
-		t.Run(shape.name, func(t *testing.T) {
-			c := newCrowdedEntry(t, crowdedMegabytes, 0)
-			if !shape.over {
-				c.answers("calm", shape, c.bodyBytes)
-			}
-			c.check(crowdBodies, c.sendBody(shape))
-			if shape.over {
-				is.New(t).Equal(c.answered.Load(), int64(0))
-			}
-		})
-	}
+	checkCrowdsOfBodies(t, crowdBodies, func(t *testing.T) *crowded { return newCrowdedEntry(t, crowdedMegabytes, 0) })
 }
 
 // TestCrowdOfSingleBytes guards against an entry host whose processor is taken by bodies that come byte by byte.
--- a/internal/trial/endtoend/crowd_owner_test.go
+++ b/internal/trial/endtoend/crowd_owner_test.go
@@ -5,8 +5,6 @@
 	"net"
 	"strings"
 	"testing"
-
-	"github.com/matryer/is"
 )
 
 const (
@@ -63,18 +61,7 @@
 
 // TestOwnerCrowdOfBodies is TestCrowdOfBodies for the path through owners.
 func TestOwnerCrowdOfBodies(t *testing.T) {
-	for _, shape := range crowdShapes() {
-		t.Run(shape.name, func(t *testing.T) {
-			c := newCrowdedOwnerEntry(t, 0)
-			if !shape.over {
-				c.answers("calm", shape, c.bodyBytes)
-			}
-			c.check(ownerBodies, c.sendBody(shape))
-			if shape.over {
-				is.New(t).Equal(c.answered.Load(), int64(0))
-			}
-		})
-	}
+	checkCrowdsOfBodies(t, ownerBodies, func(t *testing.T) *crowded { return newCrowdedOwnerEntry(t, 0) })
 }
 
 // TestOwnerCrowdOfConnections is TestCrowdOfConnections for the path through owners.
--- a/internal/trial/endtoend/crowd_test.go
+++ b/internal/trial/endtoend/crowd_test.go
@@ -251,15 +251,20 @@
 	}
 	_ = sending.Wait()
 	return func() {
-		for _, conn := range conns {
-			if conn != nil {
-				_ = conn.Close()
-			}
-		}
+		closeAll(conns)
 		_ = reading.Wait()
 	}
 }
 
+// closeAll closes the connections that were made.
+func closeAll(conns []net.Conn) {
+	for _, conn := range conns {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}
+}
+
 // joinFrozen is join for a process that stands still meanwhile. Not all may be connected until it goes on.
 func (c *crowded) joinFrozen(members int, send func(n int, conn net.Conn)) (leave func()) {
 	c.t.Helper()
@@ -280,13 +285,7 @@
 	_ = group.Wait()
 	c.record()
 	c.process.thaw()
-	return func() {
-		for _, conn := range conns {
-			if conn != nil {
-				_ = conn.Close()
-			}
-		}
-	}
+	return func() { closeAll(conns) }
 }
 
 // read reads what a member of a crowd gets. A response that promises that its request has not run keeps that.
@@ -354,6 +353,23 @@
 // stay does not send anything.
 func stay(int, net.Conn) {}
 
+// checkCrowdsOfBodies checks processes under crowds of large bodies, one process for each shape.
+func checkCrowdsOfBodies(t *testing.T, members int, start func(t *testing.T) *crowded) {
+	t.Helper()
+	for _, shape := range crowdShapes() {
+		t.Run(shape.name, func(t *testing.T) {
+			c := start(t)
+			if !shape.over {
+				c.answers("calm", shape, c.bodyBytes)
+			}
+			c.check(members, c.sendBody(shape))
+			if shape.over {
+				is.New(t).Equal(c.answered.Load(), int64(0))
+			}
+		})
+	}
+}
+
 // check checks a process under a crowd of members.
 func (c *crowded) check(members int, send func(n int, conn net.Conn)) {
 	c.t.Helper()
