Replace review case 14: a move's destination by its address alone

Cause: attemptAt looks the destination of a move up by its address when the stream goes on, and names whatever server is listed there as the expected one.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,7 +23,7 @@
 	"11": playSilentChannel,
 	"12": playRestartedServer,
 	"13": playUnheardStop,
-	"14": playForeignEntry,
+	"14": playReusedAddress,
 	"15": playSilentLeavingEngine,
 }
 
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -64,6 +64,8 @@
 	open map[net.Conn]bool
 	// path is the proxy by which the server is listed; nil for none.
 	path *proxy
+	// onOrder is called with each order to copy a run; nil for nothing.
+	onOrder func(last bool)
 	// copies holds the handles of the runs that were copied, which the engines of a service share; nil if there is room
 	// at no destination.
 	copies *copies
@@ -221,6 +223,22 @@
 	s.trace.printf("server %s has preempted %d runs for %d ms", s.id, len(s.runs), pause.Milliseconds())
 }
 
+// setFull says whether the server has room.
+func (s *server) setFull(full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full = full
+}
+
+// end ends the server for good, as the end of its process does. Its entry stays until it lapses.
+func (s *server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trace.printf("server %s crashes for good", s.id)
+	s.hidden = true
+	_ = s.listener.Close()
+}
+
 // join lists a server that was hidden.
 func (s *server) join() {
 	s.mu.Lock()
@@ -307,6 +325,9 @@
 		Last bool   `json:"last"`
 	}
 	_ = json.Unmarshal(body, &order)
+	if s.onOrder != nil {
+		s.onOrder(order.Last)
+	}
 	s.mu.Lock()
 	running, ok := s.runs[order.ID]
 	s.mu.Unlock()
@@ -346,7 +367,7 @@
 		w.WriteHeader(a.declined)
 		return
 	}
-	if from := r.Header.Get("Kv-From"); from != "" && !s.copies.redeem(from, a.id) {
+	if from := r.Header.Get("Kv-From"); s.engine && from != "" && !s.copies.redeem(from, a.id) {
 		full = true
 	}
 	if full {
