relay: an end of which nothing is known is not that of a whole answer

Callers got streams without a length or chunks as complete after some 64 of 100 events, at an entry host that was cut off from the store and from the monitors while engines left.

Cause: checkEnd took a missing reply of the monitor for "not stopped" unless the host knew that the engine was leaving, which it hears over the same paths; and a connection attempt without a result for "the server is up". Ruled out: that the question did not leave; the list (as old as the cut).

Change: caller/answerend holds the one rule, without I/O, with a test of each row of its table. The relay asks the port until it accepts or refuses, the monitor each 0.3 s, as its connection may be a new one, and, while it is silent, the engine itself 1 s after the end, when its report can't be from before the stop. What nobody tells for 1.7 s is broken off. A monitor of another incarnation is not asked.

AskEnded takes the server in place of its ID, and AwaitEnd returns a word in place of two booleans, so that the rigs of three older tests were adapted; what they assert is the same.

--- a/internal/backend/stoporder/table.go
+++ b/internal/backend/stoporder/table.go
@@ -2,11 +2,12 @@
 
 import (
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
 // settledMillis is the time after the first report to a process from which a report shows what the orders
-// of an earlier process beside the engine have done: a report may be some hundred milliseconds old.
-const settledMillis = 1000
+// of an earlier process beside the engine have done.
+const settledMillis = platform.ReportLagMillis
 
 // End says what is known of the end of a run.
 type End interface{ end() }
--- a/internal/caller/relay/answerend_cancelled_test.go
+++ b/internal/caller/relay/answerend_cancelled_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpserver"
+	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
@@ -37,7 +38,7 @@
 			q := &request{
 				relay: &Relay{
 					StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: &Migrations{},
-					Log: slog.New(slog.DiscardHandler),
+					Log: slog.New(slog.DiscardHandler), Metrics: &metrics.Registry{},
 				},
 				service: routetable.Service{Name: "plain"},
 				caller:  platform.CallerRequest{ID: "r"},
--- a/internal/caller/relay/answerend_test.go
+++ b/internal/caller/relay/answerend_test.go
@@ -10,7 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/enginereport"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
@@ -46,7 +48,10 @@
 			migrations := &Migrations{}
 			relay := &Relay{
 				StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: migrations, Log: slog.New(slog.DiscardHandler),
-				AskEnded: func(_, request string, answer uint64) bool {
+				Metrics:             &metrics.Registry{},
+				AskEngine:           (&enginereport.Desk{Engines: &platform.Engines{HTTP: platform.NewOrderHTTP()}}).Ask,
+				MonitorSilentMillis: func(discovery.BackendServer) int64 { return -1 },
+				AskEnded: func(_ discovery.BackendServer, request string, answer uint64) bool {
 					if tt.told != nil {
 						told := *tt.told
 						told.RequestID, told.Source.Address = request, address
--- a/internal/caller/relay/relay.go
+++ b/internal/caller/relay/relay.go
@@ -15,6 +15,8 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/crashlog"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/enginereport"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/hedge"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
@@ -57,7 +59,12 @@
 	// AskEnded asks the monitor of an engine whether the engine has stopped the run of an answer that
 	// has ended; the reply is a message in Migrations with the number of the answer. It returns false when
 	// the monitor is not reached.
-	AskEnded func(server, request string, answer uint64) bool
+	AskEnded func(server discovery.BackendServer, request string, answer uint64) bool
+	// AskEngine asks the engine at an address for its state.
+	AskEngine func(ctx context.Context, address string) (enginereport.Report, error)
+	// MonitorSilentMillis returns the time since the last message of an engine's monitor; negative if there
+	// is no connection to it.
+	MonitorSilentMillis func(server discovery.BackendServer) int64
 	// OnLeaving is called when a backend server has answered for the first time that it is
 	// leaving, and when a stream begins to come from such a server; it must not block.
 	OnLeaving func()
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -9,6 +9,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/enginereport"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/pauseforecast"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/platform"
@@ -77,7 +78,8 @@
 	}
 	wait, stop := context.WithDeadline(ctx, time.Now().Add(migrationWaitMillis*time.Millisecond))
 	defer stop()
-	if !announced || !migration.Stopped {
+	// Where nobody could tell how the answer has ended, the monitor was asked in vain before.
+	if !errors.Is(cause, errEndUnknown) && (!announced || !migration.Stopped) {
 		migration, announced = run.AwaitStopped(wait)
 	}
 	if !announced || !migration.resumable() {
@@ -192,6 +194,17 @@
 	}
 }
 
+// noticeReport records the shutdown that the report of an engine announces.
+func (r *Relay) noticeReport(server discovery.BackendServer, report enginereport.Report) {
+	listed, ok := r.StoreWatcher.Servers().List.Find(server.ID)
+	same := ok && listed.BornUnixMillis == server.BornUnixMillis && report.BornUnixMillis == server.BornUnixMillis
+	if !same || !report.Leaving || r.LoadTable.Leaving(server.ID) {
+		return
+	}
+	r.Log.Info("engine reports its shutdown", "Server", server.ID, "InMillis", report.LeavesInMillis)
+	r.LoadTable.SetLeaving(server.ID, report.AskedAt.AddMillis(max(report.LeavesInMillis, 0)))
+}
+
 // mayLeave reports whether an engine is about to shut down, or is not listed any more.
 func (r *Relay) mayLeave(server discovery.BackendServer) bool {
 	_, listed := r.StoreWatcher.Servers().List.Find(server.ID)
--- a/internal/caller/relay/run.go
+++ b/internal/caller/relay/run.go
@@ -1,6 +1,10 @@
 package relay
 
-import "context"
+import (
+	"context"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
+)
 
 // Run is a run of a request that an engine began, or went on with, when the request was sent to it. It
 // tells the messages about that run from those about earlier runs of the same request. It is immutable.
@@ -77,20 +81,26 @@
 	}
 }
 
-// AwaitEnd waits until it is known whether the engine has stopped the run of an answer that has ended, or
-// until ctx ends. The engine's monitor was asked; it does not know the orders of this host.
-func (r Run) AwaitEnd(ctx context.Context) (stopped, known bool) {
+// AwaitEnd waits for the reply of the engine's monitor, which was asked whether the engine has stopped the
+// run of an answer that has ended, or until ctx ends. A message about a stop of the run is such a reply, too,
+// also if this host has ordered the stop. The monitor does not know the orders of this host: while one is
+// open, AwaitEnd waits on.
+func (r Run) AwaitEnd(ctx context.Context) answerend.MonitorWord {
 	for {
 		s, changed := r.state()
 		if _, ok := r.stopIn(s); ok {
-			return true, true
+			return answerend.MonitorStopped{}
 		}
-		if s.reply.EndedAnswer == r.number && !s.orders.AnyAfter(r.number) {
-			return false, true
+		replied := s.reply.EndedAnswer == r.number
+		if replied && !s.orders.AnyAfter(r.number) {
+			return answerend.MonitorNotStopped{}
 		}
 		select {
 		case <-ctx.Done():
-			return false, false
+			if replied {
+				return answerend.MonitorNotStopped{}
+			}
+			return answerend.MonitorSilent{}
 		case <-changed:
 		}
 	}
--- a/internal/caller/relay/run_test.go
+++ b/internal/caller/relay/run_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -61,8 +62,10 @@
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel() // what is not known yet is not waited for
-			stopped, known := second.AwaitEnd(ctx)
-			is.Equal([]bool{stopped, known}, []bool{tt.stopped, tt.known})
+			word := second.AwaitEnd(ctx)
+			_, stopped := word.(answerend.MonitorStopped)
+			_, silent := word.(answerend.MonitorSilent)
+			is.Equal([]bool{stopped, !silent}, []bool{tt.stopped, tt.known})
 			latest, _ := second.Latest()
 			is.Equal(latest.Stopped, tt.stopped)
 		})
--- a/internal/caller/relay/serverend.go
+++ b/internal/caller/relay/serverend.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
@@ -221,6 +222,18 @@
 	return errors.Is(dial(ctx, address), syscall.ECONNREFUSED)
 }
 
+// portWord returns what a connection attempt shows of the end of a server.
+func portWord(err error) answerend.PortWord {
+	switch {
+	case err == nil:
+		return answerend.PortOpen{}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return answerend.PortClosed{}
+	default:
+		return answerend.PortSilent{}
+	}
+}
+
 // dial opens a connection to a backend server and closes it, to see whether the server is up.
 func dial(ctx context.Context, address string) error {
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(endCheckMillis*time.Millisecond))
--- a/internal/records/lossreport/lossreport.go
+++ b/internal/records/lossreport/lossreport.go
@@ -24,6 +24,12 @@
 	MigrationFailed Cause = "MigrationFailed"
 	// ServerBroke means that the backend server broke the answer off without notice.
 	ServerBroke Cause = "ServerBroke"
+	// RunStopped means that the engine had stopped the run for a migration, and that the stream did not go
+	// on elsewhere.
+	RunStopped Cause = "RunStopped"
+	// EndUnknown means that the answer ended with its connection, and that nobody could tell whether it was
+	// whole.
+	EndUnknown Cause = "EndUnknown"
 	// EngineCrashed means that the engine ended without notice.
 	EngineCrashed Cause = "EngineCrashed"
 	// ProcessEnded means that the log of the request ends with its process.
@@ -54,6 +60,9 @@
 // Causes of refused requests begin with this text, before the reason of the refusal.
 const refusedPrefix = "Refused"
 
+// unknownVerdict is the verdict on the end of an answer of which nothing is known.
+const unknownVerdict = "Unknown"
+
 // waitedShare is the share of the time to the first event from which a wait for room is
 // the cause of a late one.
 const waitedShare = 0.5
@@ -119,6 +128,8 @@
 	obstacle string
 	// resumed says that the stream was resumed after a migration.
 	resumed bool
+	// verdict is the last one on the end of an answer without a length or chunks; empty if there is none.
+	verdict string
 	// crashed says that an engine ended without notice under the request.
 	crashed bool
 }
@@ -152,6 +163,8 @@
 		s.obstacle, _ = line.Fields["Obstacle"].(string)
 	case "migrated stream is being resumed":
 		s.resumed = true
+	case "answer ended with its connection":
+		s.verdict, _ = line.Fields["Verdict"].(string)
 	case "answer broken off":
 		ended, _ := line.Fields["Ended"].(bool)
 		s.crashed = s.crashed || ended
@@ -221,6 +234,10 @@
 		return MigrationFailed
 	case s.crashed:
 		return EngineCrashed
+	case s.verdict == string(RunStopped):
+		return RunStopped
+	case s.verdict == unknownVerdict:
+		return EndUnknown
 	default:
 		return ServerBroke
 	}
--- a/internal/records/lossreport/lossreport_test.go
+++ b/internal/records/lossreport/lossreport_test.go
@@ -15,6 +15,7 @@
 	lostLine   = `{"Time":"2026-01-01T00:00:09Z","Message":"stream lost","Request":"r"}`
 	refused    = `{"Time":"2026-01-01T00:00:10Z","Message":"request refused","Request":"r","Reason":`
 	brokenOff  = `{"Time":"2026-01-01T00:00:08Z","Message":"answer broken off","Request":"r",`
+	endedBy    = `{"Time":"2026-01-01T00:00:07Z","Message":"answer ended with its connection","Request":"r",`
 	notMoved   = `{"Time":"2026-01-01T00:00:08Z","Message":"run not migrated","Request":"r","Obstacle":`
 )
 
@@ -37,6 +38,8 @@
 		{"server broke off", []string{placedLine, lostLine}, ServerBroke},
 		{"lost before the first event", []string{placedLine, lostLine, refused + `"ReplyLost"}`}, ServerBroke},
 		{"engine crashed", []string{placedLine, brokenOff + `"Ended":true}`, lostLine}, EngineCrashed},
+		{"run stopped", []string{placedLine, endedBy + `"Verdict":"RunStopped"}`, lostLine}, RunStopped},
+		{"end unknown", []string{placedLine, endedBy + `"Verdict":"Unknown"}`, brokenOff + `"Ended":false}`, lostLine}, EndUnknown},
 		{"engine went on", []string{placedLine, brokenOff + `"Ended":false}`, lostLine}, ServerBroke},
 		{"process ended", []string{placedLine}, ProcessEnded},
 		{"failed by its server", []string{`{"Time":"2026-01-01T00:00:02Z","Message":"answered","Request":"r","Status":500}`}, FailedByServer},
--- a/internal/records/metrics/metrics.go
+++ b/internal/records/metrics/metrics.go
@@ -59,6 +59,7 @@
 	migrations     expvar.Map
 	unresponsive   expvar.Map
 	cuts           expvar.Map
+	answerEnds     expvar.Map
 	// migrationPause holds the times for which migrated generations paused.
 	migrationPause timer
 	hedges         hedgeTimers
@@ -165,6 +166,12 @@
 	r.cuts.Add(cause, 1)
 }
 
+// CountAnswerEnd counts an answer that ended with its connection by the verdict on its end. The verdict
+// must come from a fixed set, since the registry keeps a counter for each one.
+func (r *Registry) CountAnswerEnd(verdict string) {
+	r.answerEnds.Add(verdict, 1)
+}
+
 // CountRejectedFrame counts a rejected frame by the reason. The reason must come
 // from a fixed set, since the registry keeps a counter for each one.
 func (r *Registry) CountRejectedFrame(reason string) {
--- a/internal/records/metrics/query.go
+++ b/internal/records/metrics/query.go
@@ -42,6 +42,9 @@
 	Unresponsive map[string]int64
 	// CutAnswers is the number of answers that did not reach their callers completely, by cause.
 	CutAnswers map[string]int64
+	// AnswerEnds is the number of answers that ended with their connections, without a length or chunks, by
+	// the verdict on their ends.
+	AnswerEnds map[string]int64
 	// RejectedFrames is the number of rejected frames by reason.
 	RejectedFrames map[string]int64
 	// Moves is the number of planned migrations of generations by outcome.
@@ -92,6 +95,7 @@
 		EventMicros:    r.eventMicros.Value(),
 		Unresponsive:   counts(&r.unresponsive),
 		CutAnswers:     counts(&r.cuts),
+		AnswerEnds:     counts(&r.answerEnds),
 		RejectedFrames: counts(&r.rejectedFrames),
 		Moves:          counts(&r.migrations),
 		MovePause:      r.migrationPause.quantiles(),
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -26,6 +26,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/role/lifecycle"
 	"github.com/fulmarvalve/fulmarvalve/internal/role/peer"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/crashlog"
+	"github.com/fulmarvalve/fulmarvalve/internal/routing/enginereport"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/hedge"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/outputestimate"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
@@ -169,12 +170,13 @@
 	ends := &serverend.Watch{}
 	h.waiting = &placementqueue.Queue{}
 	h.watch = h.newWatch(migrations, ends)
+	engines := &platform.Engines{HTTP: platform.NewOrderHTTP(), Orders: platform.NewOrderHTTP(), Memory: h.received}
 	h.migrator = &runmigration.Migrator{
 		StoreWatcher: h.storeWatcher,
 		LoadTable:    h.loadTable,
 		Migrations:   migrations,
 		Monitored:    h.watch.Monitored,
-		Engines:      &platform.Engines{HTTP: platform.NewOrderHTTP(), Orders: platform.NewOrderHTTP(), Memory: h.received},
+		Engines:      engines,
 		Log:          h.Log,
 	}
 	h.storeWatcher.OnServers = h.migrator.Wake
@@ -193,12 +195,15 @@
 		Reserve:      h.watch.Reserve,
 		OnPlaced:     h.watch.NotifyPlaced,
 		AskEnded:     h.watch.AskEnded,
+		AskEngine:    (&enginereport.Desk{Engines: engines}).Ask,
 		OnLeaving:    h.migrator.Wake,
 		Memory:       h.received,
 		Metrics:      h.metrics,
 		Log:          h.Log,
 		Bounds:       func() relay.Bounds { return *h.bounds.Load() },
 		Stop:         h.plannedStop,
+
+		MonitorSilentMillis: h.watch.SilentMillis,
 	}
 	h.storeWatcher.OnEnded = handler.NoticeUnlisted
 	h.relay = handler
--- a/internal/routing/watch/streams.go
+++ b/internal/routing/watch/streams.go
@@ -72,6 +72,12 @@
 	return o, ok
 }
 
+// findIncarnation returns the stream to the monitor of an incarnation of an engine.
+func (s *streams) findIncarnation(server discovery.BackendServer) (*openStream, bool) {
+	o, ok := s.find(server.ID)
+	return o, ok && o.server.BornUnixMillis == server.BornUnixMillis
+}
+
 // close removes a stream, unless one to the monitor of another incarnation has taken its place.
 func (s *streams) close(o *openStream) {
 	s.mu.Lock()
@@ -101,19 +107,29 @@
 
 // AskEnded asks an engine's monitor whether the engine has stopped the run of an answer that has
 // ended. The reply is a migration with the number of the answer. It returns false when the monitor is not
-// reached.
-func (w *Watch) AskEnded(server, request string, answer uint64) bool {
-	o, ok := w.streams.find(server)
+// reached, or watches another incarnation of the engine, which knows nothing of the run.
+func (w *Watch) AskEnded(server discovery.BackendServer, request string, answer uint64) bool {
+	o, ok := w.streams.findIncarnation(server)
 	if !ok {
 		return false
 	}
 	err := o.send(&sighting.Advice{EndedRequestId: request, EndedAnswer: answer})
 	if err != nil {
-		w.Log.Warn("engine monitor not asked for the end of a run", "Request", request, "Server", server, "Error", err)
+		w.Log.Warn("engine monitor not asked for the end of a run", "Request", request, "Server", server.ID, "Error", err)
 	}
 	return err == nil
 }
 
+// SilentMillis returns the time since the last message of an engine's monitor; negative if none came on
+// its connection.
+func (w *Watch) SilentMillis(server discovery.BackendServer) int64 {
+	o, ok := w.streams.findIncarnation(server)
+	if !ok || o.heardAt.Load() == 0 {
+		return -1
+	}
+	return boottime.Now().MillisSince(boottime.Instant(o.heardAt.Load()))
+}
+
 // newPlacement returns the message that announces a request at an engine.
 func newPlacement(request string, g placement.Generation) *sighting.Advice {
 	return &sighting.Advice{Placement: &sighting.Placement{
--- a/internal/trial/endtoend/process_log_test.go
+++ b/internal/trial/endtoend/process_log_test.go
@@ -16,6 +16,8 @@
 	Stopped bool
 	// Millis and AheadMillis are the times of a migration, and of the copy before the run was stopped.
 	Millis, AheadMillis int64
+	// Verdict is that on the end of an answer without a length or chunks.
+	Verdict string
 }
 
 // logLines returns the lines in the log of a process for which match returns true.
