relay: a stream whose stop was not heard asks the monitor

Cause: a broken stream waited for the migration of its run only if the host knew of a shutdown, and only for the one message, which goes to the hosts that are connected at that moment. A missing word counted as "not moved", and this host's own last word as that of the monitor. Known red as TestMovesAreHeardAfterAPause.

Change: awaitMigration asks the monitor, again each 0.3 s. The reply "not stopped" ends the wait unless the engine leaves. Without any reply it waits 1.2 s, or 0.3 s if the stream can go on as a new generation without a sign of a shutdown. Streams of plain services do not wait.

--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -19,7 +19,7 @@
 	// StopOrder is the number of the order to stop the run, by the count of this host if Own is set and
 	// of the monitor otherwise; zero if not known.
 	StopOrder uint64
-	// Own says that this host has ordered the engine.
+	// Own says that this host has ordered the engine, or that a final message is this host's.
 	Own bool
 	// Final says that no later message about the run follows.
 	Final bool
@@ -193,7 +193,7 @@
 	r.changed = make(chan struct{})
 }
 
-// AnnounceFinal says that no further migration of a run on an engine follows. A copy that was announced
+// AnnounceFinal says that this host migrates a run on an engine no more. A copy that was announced
 // stays usable.
 func (m *Migrations) AnnounceFinal(requestID, engine string) {
 	m.mu.Lock()
@@ -203,7 +203,7 @@
 		return
 	}
 	final := r.engines[engine].copy
-	final.RequestID, final.Source.Address, final.Final = requestID, engine, true
+	final.RequestID, final.Source.Address, final.Final, final.Own = requestID, engine, true, true
 	r.store(final)
 }
 
--- a/internal/caller/relay/resume.go
+++ b/internal/caller/relay/resume.go
@@ -71,18 +71,10 @@
 // destination. If the destination does not continue the run, the stream is resumed
 // at the engine that stopped it.
 func (s *stream) resumeMigrated(ctx context.Context, cause error) bool {
-	run := s.attempt.call.run
-	migration, announced := run.Latest()
-	if !announced && !s.request.relay.isLeaving(s.attempt.server) {
-		return false
-	}
 	wait, stop := context.WithDeadline(ctx, time.Now().Add(migrationWaitMillis*time.Millisecond))
 	defer stop()
-	// Where nobody could tell how the answer has ended, the monitor was asked in vain before.
-	if !errors.Is(cause, errEndUnknown) && (!announced || !migration.Stopped) {
-		migration, announced = run.AwaitStopped(wait)
-	}
-	if !announced || !migration.resumable() {
+	migration, ok := s.awaitMigration(wait, cause)
+	if !ok {
 		return false
 	}
 	s.request.log("migrated stream is being resumed", "From", s.attempt.server.Address, "To", migration.Destination,
@@ -96,6 +88,39 @@
 	return false
 }
 
+// awaitMigration returns the migration of the run by which the stream can be resumed, if there is one. The
+// engine's monitor is asked, as the message about the stop may have missed this host, and again each
+// askAgainMillis, as the connection to it may be opened anew.
+func (s *stream) awaitMigration(ctx context.Context, cause error) (Migration, bool) {
+	run := s.attempt.call.run
+	migration, announced := run.Latest()
+	asked := errors.Is(cause, errEndUnknown)
+	if (announced && migration.Stopped) || asked || s.request.service.Engine == nil {
+		return migration, announced && migration.resumable()
+	}
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(time.Duration(s.patienceMillis(migration))*time.Millisecond))
+	defer stop()
+	for {
+		s.request.relay.AskEnded(s.attempt.server, s.request.caller.ID, run.number)
+		again, cancel := context.WithDeadline(ctx, time.Now().Add(askAgainMillis*time.Millisecond))
+		latest, known := run.AwaitStopped(again, s.request.relay.isLeaving(s.attempt.server))
+		cancel()
+		if known || ctx.Err() != nil {
+			return latest, latest.resumable()
+		}
+	}
+}
+
+// patienceMillis returns the time for which a stream waits for a word about its run. Without a sign of a
+// migration, a stream that can go on as a new generation does not wait for long.
+func (s *stream) patienceMillis(latest Migration) int64 {
+	expected := s.request.relay.isLeaving(s.attempt.server) && !latest.Final
+	if !expected && s.request.route.Resumable && s.request.runs < s.request.route.MaxAttempts {
+		return askAgainMillis
+	}
+	return migrationWaitMillis
+}
+
 // attemptAt opens an assignment at the engine with an address, if need be as soon as the
 // engine accepts requests again. It returns false when the address belongs to no known server,
 // the server's zone is being evacuated, or ctx ends.
--- a/internal/caller/relay/run.go
+++ b/internal/caller/relay/run.go
@@ -63,19 +63,21 @@
 	return s.orders.AnyAfter(r.number)
 }
 
-// AwaitStopped waits until the engine has stopped the run for a migration, until
-// the last message about the run arrives, or until ctx ends. It returns the newest
-// migration, and whether the stream can be resumed by it.
-func (r Run) AwaitStopped(ctx context.Context) (Migration, bool) {
+// AwaitStopped waits until the engine has stopped the run for a migration, until its monitor says that no
+// message follows, or until ctx ends. It returns the newest migration, and whether one of these is known.
+// That this host migrates the run no more says nothing of the monitor. The argument leaving says that the
+// engine may still stop the run; otherwise the reply that it has not ends the wait, too.
+func (r Run) AwaitStopped(ctx context.Context, leaving bool) (latest Migration, known bool) {
 	for {
 		s, changed := r.state()
-		latest, ok := r.latestIn(s)
-		if ok && (latest.Stopped || latest.Final) {
-			return latest, latest.resumable()
+		latest, _ = r.latestIn(s)
+		stays := !leaving && s.reply.EndedAnswer == r.number && !s.orders.AnyAfter(r.number)
+		if latest.Stopped || (latest.Final && !latest.Own) || stays {
+			return latest, true
 		}
 		select {
 		case <-ctx.Done():
-			return latest, ok && latest.resumable()
+			return latest, false
 		case <-changed:
 		}
 	}
--- a/internal/trial/endtoend/platform_cutend_test.go
+++ b/internal/trial/endtoend/platform_cutend_test.go
@@ -212,3 +212,27 @@
 		})
 	}
 }
+
+// TestMovedStreamsOfACutOffHost guards against streams that are lost as the word that their runs were stopped
+// comes late: without a sign that their engine leaves, they did not wait for it.
+func TestMovedStreamsOfACutOffHost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const seed, engines, streams, leastEvents, noticeMillis, healMillis = 6, 3, 9, 200, 2500, 500
+	s := newCutSite(t, engines)
+	s.setEngineFaults(replica.Faults{}) // a cut stream shows that it is cut
+	all := s.startStreams(rand.New(rand.NewPCG(seed, 64)), streamPath, streams, leastEvents)
+	s.cut()
+	e := s.busiest()
+	runs := e.Running()
+	e.Drain(time.Now().Add(noticeMillis * time.Millisecond))
+	s.awaitStoppedRun(e, runs)
+	time.Sleep(healMillis * time.Millisecond)
+	s.heal()
+	for _, stream := range all {
+		stream.await().checkWhole(t, stream.events)
+	}
+	started, continued := s.countRuns()
+	is.Equal(started, streams)
+	is.True(continued > 0)
+}
