monitor, runmigration: an order that the engine has not acted on is withdrawn

Cause: only 404 counted as "this order has not stopped the run".

Change: Copy.NotActed says whether the engine has acted; the monitor and the entry host withdraw an order that it has not acted on, and the monitor answers the questions that have waited for it.

--- a/internal/backend/monitor/migrations.go
+++ b/internal/backend/monitor/migrations.go
@@ -192,8 +192,8 @@
 	if reply.Handle != "" {
 		m.publishMove(moveOf(step, reply, order))
 	}
-	if stop && reply.Status == http.StatusNotFound {
-		m.noteNotStopped(step.Run.RequestID, order)
+	if stop && reply.NotActed {
+		m.noteNotStopped(step.Run.RequestID, order, reply.Status == http.StatusNotFound)
 	}
 	return reply
 }
--- a/internal/backend/monitor/stoporders.go
+++ b/internal/backend/monitor/stoporders.go
@@ -49,15 +49,18 @@
 	return true
 }
 
-// noteNotStopped records and reports to the entry hosts that a run ended before it could be stopped.
-func (m *Monitor) noteNotStopped(requestID string, order uint64) {
+// noteNotStopped records that an order has not stopped a run, and answers the questions that have waited for
+// its outcome. If the run had ended before, the entry hosts are told that no message about it follows.
+func (m *Monitor) noteNotStopped(requestID string, order uint64, ended bool) {
 	m.mu.Lock()
 	m.stopOrders.SetNone(requestID, order)
 	move := m.finalMove(requestID)
 	waiting := m.endQuestions[requestID]
 	delete(m.endQuestions, requestID)
 	m.mu.Unlock()
-	m.publish(&sighting.Sighting{Move: move})
+	if ended {
+		m.publish(&sighting.Sighting{Move: move})
+	}
 	for _, question := range waiting {
 		m.answerEnded(question)
 	}
--- a/internal/backend/monitor/stoporders_test.go
+++ b/internal/backend/monitor/stoporders_test.go
@@ -27,7 +27,8 @@
 	for _, tt := range []struct {
 		name    string
 		reports []platform.EngineReport
-		// stops are the answers of the engine to the orders to stop the run; zero for none.
+		// stops are the answers of the engine to the orders to stop the run; zero for none, notSent for an
+		// order that does not reach it.
 		stops []int
 		want  *sighting.Move
 	}{
@@ -42,6 +43,10 @@
 		{"order without an answer, then none such", []platform.EngineReport{ready, leaving}, []int{0, http.StatusNotFound}, nil},
 		{"order without an answer, then stopped", []platform.EngineReport{ready, leaving}, []int{0, http.StatusOK}, &sighting.Move{Stopped: true, Handle: "h", Destination: "d:1", Final: true}},
 		{"stopped, then none such", []platform.EngineReport{ready, leaving}, []int{http.StatusServiceUnavailable, http.StatusNotFound}, &sighting.Move{Stopped: true, Handle: "h", Final: true}},
+		{"order while another copy is in progress", []platform.EngineReport{ready, leaving}, []int{http.StatusConflict}, &sighting.Move{Final: true}},
+		{"order that was not sent", []platform.EngineReport{ready, leaving}, []int{notSent}, &sighting.Move{Final: true}},
+		{"order without an answer, then not sent", []platform.EngineReport{ready, leaving}, []int{0, notSent}, nil},
+		{"stopped, then another copy in progress", []platform.EngineReport{ready, leaving}, []int{http.StatusOK, http.StatusConflict}, &sighting.Move{Stopped: true, Handle: "h", Destination: "d:1", Final: true}},
 		{"stopped, then order without an answer", []platform.EngineReport{ready, leaving}, []int{http.StatusServiceUnavailable, 0}, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -108,13 +113,16 @@
 	order := m.orderStop("r")
 	m.answerEnded(endQuestion{watcher: w, requestID: "r", answer: 3})
 	is.Equal(len(w.outbox), 0)
-	m.noteNotStopped("r", order)
+	m.noteNotStopped("r", order, true)
 	is.Equal((<-w.outbox).GetMove().GetEndedAnswer(), uint64(0)) // to all entry hosts
 	reply := (<-w.outbox).GetMove()
 	is.Equal(reply.GetEndedAnswer(), uint64(3))
 	is.True(!reply.GetStopped())
 }
 
+// notSent stands for the answer to an order that the engine does not get, as nothing listens at its address.
+const notSent = -1
+
 // stopAt orders an engine that answers with a status to stop the run "r"; with zero it breaks off.
 func (m *Monitor) stopAt(t *testing.T, status int) {
 	t.Helper()
@@ -128,6 +136,9 @@
 		}
 	}))
 	defer engine.Close()
+	if status == notSent {
+		engine.Close()
+	}
 	m.EngineAddress = strings.TrimPrefix(engine.URL, "http://")
 	m.Engines = &platform.Engines{HTTP: engine.Client(), Orders: engine.Client()}
 	m.copyAndPublish(t.Context(), migration.Step{Run: migration.Run{RequestID: "r"}, Destination: migration.Destination{Address: "d:1"}}, true)
--- a/internal/backend/stoporder/orders.go
+++ b/internal/backend/stoporder/orders.go
@@ -18,8 +18,8 @@
 	return Orders{open: append(slices.Clone(o.open), number)}
 }
 
-// WithNone returns the orders when the reply to one of them has said that the engine had no such run.
-// An earlier one may have stopped it.
+// WithNone returns the orders when one of them is known not to have stopped the run: the engine had no such
+// run, or did not act on the order. An earlier one may have stopped it.
 func (o Orders) WithNone(number uint64) Orders {
 	return o.without(func(n uint64) bool { return n == number })
 }
--- a/internal/backend/stoporder/table.go
+++ b/internal/backend/stoporder/table.go
@@ -106,7 +106,7 @@
 	return true
 }
 
-// SetNone records that the reply to an order has said that the engine had no such run.
+// SetNone records that an order has not stopped the run.
 func (t *Table) SetNone(requestID string, number uint64) {
 	if r := t.runs[requestID]; r.orders.Has(number) {
 		r.orders = r.orders.WithNone(number)
--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -158,7 +158,7 @@
 	return m.sequence
 }
 
-// WithdrawStop records that the engine had no such run when it got an order.
+// WithdrawStop records that an order has not stopped the run.
 func (m *Migrations) WithdrawStop(requestID, engine string, order uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/caller/runmigration/evacuation.go
+++ b/internal/caller/runmigration/evacuation.go
@@ -165,7 +165,7 @@
 		e.migrator.Log.Warn("copy of run failed", "Request", step.Run.RequestID, "Destination", step.Destination.Address,
 			"Stop", stop, "Status", reply.Status, "Error", err)
 	}
-	if stop && reply.Status == http.StatusNotFound {
+	if stop && reply.NotActed {
 		e.migrator.Migrations.WithdrawStop(step.Run.RequestID, e.server.Address, order)
 	}
 	if reply.Handle == "" {
