runmigration: a copy is kept while the stream of its run is open

Cause: when the engine had no such run any more, the host took the run for ended and freed the copy. A missing word counted as "all is well".

Change: the copy is freed once the request of the run has ended, or lapses after the shutdown of the engine.

Result: TestCopyOfARunThatTheMonitorStopped, which failed before (freed 1, want 0), passes.

--- a/internal/caller/relay/migrations.go
+++ b/internal/caller/relay/migrations.go
@@ -207,6 +207,14 @@
 	r.store(final)
 }
 
+// IsOpen reports whether a request is open.
+func (m *Migrations) IsOpen(requestID string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, open := m.registered[requestID]
+	return open
+}
+
 // StreamRun is a generation on an engine whose events an open stream forwards.
 type StreamRun struct {
 	RequestID  string
--- a/internal/caller/runmigration/evacuation.go
+++ b/internal/caller/runmigration/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/backend/migration"
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/relay"
@@ -21,6 +22,8 @@
 	attempts map[string]int
 	// copied holds the runs that were copied while they continued, by request ID.
 	copied map[string]copiedRun
+	// unclaimed holds the copied runs that the engine did not have any more when it was to stop them.
+	unclaimed []copiedRun
 	// assigned counts the runs that were copied to each destination, by address.
 	assigned map[string]int
 }
@@ -58,16 +61,34 @@
 	}
 }
 
-// stopCopied stops the runs that were copied and copies what is new. The copies of runs that
-// have ended meanwhile are released, as they take memory at their destinations.
+// stopCopied stops the runs that were copied and copies what is new. The engine may have no such run any
+// more: it has ended, or the monitor, which this host does not hear, has stopped it.
 func (e *evacuation) stopCopied(ctx context.Context) {
 	for _, run := range e.copied {
 		if !e.goesOn(ctx, lastMigrationMillis) {
 			return
 		}
 		if e.copy(ctx, run.step, true).Status == http.StatusNotFound {
+			e.unclaimed = append(e.unclaimed, run)
+		}
+	}
+}
+
+// releaseUnclaimed frees the copies of runs that have ended, as they take memory at their destinations. While
+// the stream of a run is open, it may still go on at the copy. What is left at the shutdown lapses there.
+func (e *evacuation) releaseUnclaimed(ctx context.Context) {
+	for {
+		e.unclaimed = slices.DeleteFunc(e.unclaimed, func(run copiedRun) bool {
+			if e.migrator.Migrations.IsOpen(run.step.Run.RequestID) {
+				return false
+			}
 			e.release(ctx, run)
+			return true
+		})
+		if len(e.unclaimed) == 0 || ctx.Err() != nil || e.left() <= lastMigrationMillis {
+			return
 		}
+		boottime.Pause(ctx, replanMillis)
 	}
 }
 
--- a/internal/caller/runmigration/evacuation_test.go
+++ b/internal/caller/runmigration/evacuation_test.go
@@ -1,6 +1,7 @@
 package runmigration
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -78,3 +79,23 @@
 		})
 	}
 }
+
+// TestCopyOfARunThatTheMonitorStopped guards against a stream that can't go on, as this host frees the copy of
+// its run: the engine has no such run any more, which does not mean that it has ended.
+func TestCopyOfARunThatTheMonitorStopped(t *testing.T) {
+	is := is.New(t)
+	freed := 0
+	e, _ := newEvacuation(t, http.StatusNotFound, &freed)
+	e.copied = map[string]copiedRun{"r": {step: stepOfR, handle: "h"}}
+	r := e.migrator.Migrations.Register("r")
+	e.stopCopied(t.Context())
+	ctx, stop := context.WithCancel(t.Context())
+	stop() // the stream is still open at the end
+	e.releaseUnclaimed(ctx)
+	is.Equal(freed, 0)
+	is.Equal(len(e.unclaimed), 1)
+	r.Unregister()
+	e.releaseUnclaimed(t.Context())
+	is.Equal(freed, 1)
+	is.Equal(len(e.unclaimed), 0)
+}
--- a/internal/caller/runmigration/runmigration.go
+++ b/internal/caller/runmigration/runmigration.go
@@ -170,10 +170,11 @@
 		copied:   make(map[string]copiedRun),
 		assigned: make(map[string]int),
 	}
-	defer e.announceFinal()
 	e.copyAhead(ctx)
 	e.stopCopied(ctx)
 	e.migrateRest(ctx)
+	e.announceFinal()
+	e.releaseUnclaimed(ctx)
 }
 
 // shutdownTime returns the time at which the engine shuts down.
