plainservice: a reply that ends with its connection is whole only if the service is up

Cause: the client of plain services took the end of the connection for that of the reply, also if the service had ended in the middle of it: no word counted as "all is well".

Change: the client asks the port of the service, and the rule of answerend decides. The package moves to internal/wire, as both paths use it; the attempt to connect moves from relay to transport, which tries again while nothing comes. An answer to HEAD ends with its head and is not asked about.

--- a/internal/caller/relay/answerend.go
+++ b/internal/caller/relay/answerend.go
@@ -6,8 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -18,6 +19,8 @@
 	// askAgainMillis is the pause after which a monitor that has not replied is asked again, as the
 	// connection to it may have been opened anew.
 	askAgainMillis = 300
+	// askPortMillis is the time for which a connection to an engine is tried before others are asked.
+	askPortMillis = 100
 )
 
 // errBrokenOff says that an answer without an end of its own was broken off.
@@ -90,28 +93,35 @@
 func (i *endInquiry) run(ctx context.Context) (answerend.Verdict, answerend.Basis) {
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add(endWaitMillis*time.Millisecond))
 	defer stop()
-	verdict, basis := answerend.Decide(i.knowledge)
-	for verdict == answerend.Unknown && ctx.Err() == nil {
-		i.askPort(ctx)
-		if verdict, basis = answerend.Decide(i.knowledge); verdict != answerend.Unknown {
-			break
-		}
-		if i.knowledge.Engine {
-			i.askMonitor(ctx)
-			i.askEngine(ctx)
-		} else {
-			boottime.Pause(ctx, endCheckMillis)
+	for ctx.Err() == nil {
+		if verdict, basis := answerend.Decide(i.knowledge); verdict != answerend.Unknown {
+			return verdict, basis
 		}
-		verdict, basis = answerend.Decide(i.knowledge)
+		i.askAll(ctx)
 	}
-	return verdict, basis
+	return answerend.Decide(i.knowledge)
 }
 
-// askPort tries to connect to the server if no attempt was accepted yet.
-func (i *endInquiry) askPort(ctx context.Context) {
+// askAll asks those who have not said all that they can.
+func (i *endInquiry) askAll(ctx context.Context) {
 	if _, open := i.knowledge.Port.(answerend.PortOpen); !open {
-		i.knowledge = i.knowledge.WithPort(portWord(dial(ctx, i.attempt.server.Address)))
+		i.askPort(ctx)
+	}
+	if _, closed := i.knowledge.Port.(answerend.PortClosed); closed || !i.knowledge.Engine {
+		return
+	}
+	i.askMonitor(ctx)
+	i.askEngine(ctx)
+}
+
+// askPort tries to connect to the server: once if there are others to ask, or else until that shows something.
+func (i *endInquiry) askPort(ctx context.Context) {
+	if i.knowledge.Engine {
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadline(ctx, time.Now().Add(askPortMillis*time.Millisecond))
+		defer stop()
 	}
+	i.knowledge = i.knowledge.WithPort(transport.AskPort(ctx, i.attempt.server.Address))
 }
 
 // askMonitor asks the engine's monitor, and waits for its reply until it is time to ask somebody again.
@@ -150,7 +160,7 @@
 	server := i.attempt.server
 	report, err := i.request.relay.AskEngine(ctx, server.Address)
 	if err != nil {
-		i.request.log("engine not asked for its state", "Server", server.ID, "Error", err)
+		i.request.log("engine report not received", "Server", server.ID, "Error", err)
 		return
 	}
 	i.reportAskedAt = report.AskedAt
--- a/internal/caller/relay/answerend_inquiry_test.go
+++ b/internal/caller/relay/answerend_inquiry_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
@@ -20,6 +19,7 @@
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
 	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -102,8 +102,11 @@
 }
 
 // endsWithConnection reports whether the answer has neither a length nor chunks, so that its end
-// is that of the connection.
+// is that of the connection. An answer to HEAD ends with its head.
 func (c *Call) endsWithConnection() bool {
+	if c.Answer.Request != nil && c.Answer.Request.Method == http.MethodHead {
+		return false
+	}
 	return c.Answer.ContentLength < 0 && len(c.Answer.TransferEncoding) == 0
 }
 
--- a/internal/caller/relay/run.go
+++ b/internal/caller/relay/run.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
 )
 
 // Run is a run of a request that an engine began, or went on with, when the request was sent to it. It
--- a/internal/caller/relay/run_test.go
+++ b/internal/caller/relay/run_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
--- a/internal/caller/relay/serverend.go
+++ b/internal/caller/relay/serverend.go
@@ -2,24 +2,21 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/caller/answerend"
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/result/resultcode"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/quarantine"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverend"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 const (
-	// endCheckMillis bounds the time of the check whether a backend server has ended.
-	endCheckMillis = 100
 	// probeRetryMillis is the retry time of a request while another one finds out whether servers
 	// crash under requests like it.
 	probeRetryMillis = 1000
@@ -219,28 +216,5 @@
 // hasEnded reports whether nothing listens at the address of a backend server any more. A
 // server that can't be reached at all may still run.
 func hasEnded(ctx context.Context, address string) bool {
-	return errors.Is(dial(ctx, address), syscall.ECONNREFUSED)
-}
-
-// portWord returns what a connection attempt shows of the end of a server.
-func portWord(err error) answerend.PortWord {
-	switch {
-	case err == nil:
-		return answerend.PortOpen{}
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return answerend.PortClosed{}
-	default:
-		return answerend.PortSilent{}
-	}
-}
-
-// dial opens a connection to a backend server and closes it, to see whether the server is up.
-func dial(ctx context.Context, address string) error {
-	ctx, stop := context.WithDeadline(ctx, time.Now().Add(endCheckMillis*time.Millisecond))
-	defer stop()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-	}
-	return err
+	return errors.Is(transport.DialPort(ctx, address), syscall.ECONNREFUSED)
 }
--- a/internal/caller/relay/settle.go
+++ b/internal/caller/relay/settle.go
@@ -9,6 +9,7 @@
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/serverend"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 const (
@@ -62,7 +63,7 @@
 		return
 	}
 	startedAt := boottime.Now()
-	err := dial(ctx, server.Address)
+	err := transport.DialPort(ctx, server.Address)
 	switch {
 	case err == nil:
 		r.Ends.ConfirmUp(checked, startedAt)
--- a/internal/platform/exchange/exchange.go
+++ b/internal/platform/exchange/exchange.go
@@ -59,6 +59,9 @@
 	Header http.Header
 	// Body is the complete body.
 	Body []byte
+	// EndsWithConnection says that the body has neither a length nor chunks, so that nothing in it shows
+	// that it is complete.
+	EndsWithConnection bool
 
 	// held is the memory of the body.
 	held *heldbytes.Holding
@@ -133,7 +136,10 @@
 	case err != nil:
 		return Response{}, errors.Wrap(err, "read answer")
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, held: held}, nil
+	return Response{
+		Status: resp.StatusCode, Header: resp.Header, Body: body, held: held,
+		EndsWithConnection: r.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}, nil
 }
 
 // Decode decodes the JSON body of a response into value.
--- a/internal/platform/plainservice/plainservice.go
+++ b/internal/platform/plainservice/plainservice.go
@@ -4,11 +4,14 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/platform/exchange"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
 )
 
 // ErrRefused means that the request was certainly not sent.
@@ -17,6 +20,12 @@
 // ErrBroken means that it is unknown whether the service ran the request.
 var ErrBroken = errors.New("exchange with the service broke")
 
+// errServiceEnded says that a reply that ended with its connection may have been cut.
+var errServiceEnded = errors.New("service has ended, or can't be reached, after a reply without a length")
+
+// endWaitMillis is the time for which it is asked whether a service is up.
+const endWaitMillis = 1000
+
 // RequestHeader is the header field with the request ID.
 const RequestHeader = "Fulmarvalve-Request"
 
@@ -83,5 +92,17 @@
 	if err != nil {
 		return Reply{}, errors.Wrapf(exchange.NewOutcomeError(ErrBroken, err), "call %s", req.RequestID)
 	}
+	if resp.EndsWithConnection && !c.isUp(ctx) {
+		return Reply{}, errors.Wrapf(exchange.NewOutcomeError(ErrBroken, errServiceEnded), "call %s", req.RequestID)
+	}
 	return Reply{Status: resp.Status, ContentType: resp.Header.Get("Content-Type"), Body: resp.Body}, nil
 }
+
+// isUp reports whether the service is up after the end of a reply that ended with its connection. Otherwise
+// it may have ended in the middle of the reply.
+func (c *Client) isUp(ctx context.Context) bool {
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(endWaitMillis*time.Millisecond))
+	defer stop()
+	verdict, _ := answerend.Decide(answerend.Knowledge{Port: transport.AskPort(ctx, c.Address)})
+	return verdict == answerend.Whole
+}
