--- a/internal/caller/relay/answerend_test.go
+++ b/internal/caller/relay/answerend_test.go
@@ -49,7 +49,7 @@
 			relay := &Relay{
 				StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: migrations, Log: slog.New(slog.DiscardHandler),
 				Metrics:             &metrics.Registry{},
-				AskEngine:           (&enginereport.Desk{Engines: &platform.Engines{HTTP: platform.NewOrderHTTP()}}).Ask,
+				AskEngine:           (&enginereport.Client{Engines: &platform.Engines{HTTP: platform.NewOrderHTTP()}}).Ask,
 				MonitorSilentMillis: func(discovery.BackendServer) int64 { return -1 },
 				AskEnded: func(_ discovery.BackendServer, request string, answer uint64) bool {
 					if tt.told != nil {
--- a/internal/caller/relay/run.go
+++ b/internal/caller/relay/run.go
@@ -87,7 +87,7 @@
 // run of an answer that has ended, or until ctx ends. A message about a stop of the run is such a reply, too,
 // also if this host has ordered the stop. The monitor does not know the orders of this host: while one is
 // open, AwaitEnd waits on.
-func (r Run) AwaitEnd(ctx context.Context) answerend.MonitorWord {
+func (r Run) AwaitEnd(ctx context.Context) answerend.MonitorReply {
 	for {
 		s, changed := r.state()
 		if _, ok := r.stopIn(s); ok {
--- a/internal/caller/relay/run_test.go
+++ b/internal/caller/relay/run_test.go
@@ -62,9 +62,9 @@
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel() // what is not known yet is not waited for
-			word := second.AwaitEnd(ctx)
-			_, stopped := word.(answerend.MonitorStopped)
-			_, silent := word.(answerend.MonitorSilent)
+			reply := second.AwaitEnd(ctx)
+			_, stopped := reply.(answerend.MonitorStopped)
+			_, silent := reply.(answerend.MonitorSilent)
 			is.Equal([]bool{stopped, !silent}, []bool{tt.stopped, tt.known})
 			latest, _ := second.Latest()
 			is.Equal(latest.Stopped, tt.stopped)
--- a/internal/role/directentry/directentry.go
+++ b/internal/role/directentry/directentry.go
@@ -195,7 +195,7 @@
 		Reserve:      h.watch.Reserve,
 		OnPlaced:     h.watch.NotifyPlaced,
 		AskEnded:     h.watch.AskEnded,
-		AskEngine:    (&enginereport.Desk{Engines: engines}).Ask,
+		AskEngine:    (&enginereport.Client{Engines: engines}).Ask,
 		OnLeaving:    h.migrator.Wake,
 		Memory:       h.received,
 		Metrics:      h.metrics,
--- a/internal/routing/enginereport/enginereport.go
+++ b/internal/routing/enginereport/enginereport.go
@@ -27,8 +27,8 @@
 	return r.AskedAt.AddMillis(-platform.ReportLagMillis)
 }
 
-// Desk asks engines. Its exported field is set before use. It is safe for concurrent use.
-type Desk struct {
+// Client asks engines. Its exported field is set before use. It is safe for concurrent use.
+type Client struct {
 	Engines *platform.Engines
 
 	queries singleflight.Group
@@ -36,13 +36,13 @@
 
 // Ask returns the state of the engine at an address, by a query that may have been sent before. It takes
 // queryMillis at most.
-func (d *Desk) Ask(ctx context.Context, address string) (Report, error) {
-	report, err, _ := d.queries.Do(address, func() (any, error) {
+func (c *Client) Ask(ctx context.Context, address string) (Report, error) {
+	report, err, _ := c.queries.Do(address, func() (any, error) {
 		// The query goes on for the others if the request that has sent it ends.
 		ctx, stop := context.WithDeadline(context.WithoutCancel(ctx), time.Now().Add(queryMillis*time.Millisecond))
 		defer stop()
 		askedAt := boottime.Now()
-		state, err := d.Engines.Report(ctx, address)
+		state, err := c.Engines.Report(ctx, address)
 		return Report{EngineReport: state, AskedAt: askedAt}, err
 	})
 	return report.(Report), err
--- a/internal/wire/answerend/answerend.go
+++ b/internal/wire/answerend/answerend.go
@@ -10,8 +10,8 @@
 
 import "github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
 
-// PortWord is what a connection attempt to the server has shown after the end.
-type PortWord interface{ portWord() }
+// PortResult is what a connection attempt to the server has shown after the end.
+type PortResult interface{ portResult() }
 
 type (
 	// PortSilent says that the attempt was neither accepted nor refused.
@@ -22,13 +22,13 @@
 	PortClosed struct{}
 )
 
-func (PortSilent) portWord() {}
-func (PortOpen) portWord()   {}
-func (PortClosed) portWord() {}
+func (PortSilent) portResult() {}
+func (PortOpen) portResult()   {}
+func (PortClosed) portResult() {}
 
-// MonitorWord is the reply of the engine's monitor, the process beside it, to the question whether it has
+// MonitorReply is the reply of the engine's monitor, the process beside it, to the question whether it has
 // ordered the engine to stop the run.
-type MonitorWord interface{ monitorWord() }
+type MonitorReply interface{ monitorReply() }
 
 type (
 	// MonitorSilent says that no reply came: the monitor was not reached, or does not know.
@@ -39,12 +39,12 @@
 	MonitorNotStopped struct{}
 )
 
-func (MonitorSilent) monitorWord()     {}
-func (MonitorStopped) monitorWord()    {}
-func (MonitorNotStopped) monitorWord() {}
+func (MonitorSilent) monitorReply()     {}
+func (MonitorStopped) monitorReply()    {}
+func (MonitorNotStopped) monitorReply() {}
 
-// EngineWord is the engine's own report of its state.
-type EngineWord interface{ engineWord() }
+// EngineReply is the engine's own report of its state.
+type EngineReply interface{ engineReply() }
 
 type (
 	// EngineSilent says that no report came.
@@ -61,11 +61,11 @@
 	}
 )
 
-func (EngineSilent) engineWord() {}
-func (EngineReport) engineWord() {}
+func (EngineSilent) engineReply() {}
+func (EngineReport) engineReply() {}
 
-// Knowledge is what is known of the end of an answer. It is immutable; the zero value of a word means
-// that nothing was heard.
+// Knowledge is what is known of the end of an answer. It is immutable. A reply that is nil was not asked for,
+// and counts as none.
 type Knowledge struct {
 	// EndedAt is the time at which the host saw the end.
 	EndedAt boottime.Instant
@@ -78,29 +78,29 @@
 	Engine bool
 	// OwnOrder says that this host has ordered the engine to stop the run, and that the outcome is not known.
 	OwnOrder bool
-	// Leaving says that the engine has announced its shutdown, by any sign. That word holds on, however old
-	// it is. That a host has not heard it proves nothing.
+	// Leaving says that the engine has announced its shutdown, by any sign. That stays true, however old the
+	// sign is. That a host has not heard of it proves nothing.
 	Leaving bool
-	Port    PortWord
-	Monitor MonitorWord
-	Report  EngineWord
+	Port    PortResult
+	Monitor MonitorReply
+	Report  EngineReply
 }
 
 // WithPort returns the knowledge with the result of a connection attempt.
-func (k Knowledge) WithPort(word PortWord) Knowledge {
-	k.Port = word
+func (k Knowledge) WithPort(result PortResult) Knowledge {
+	k.Port = result
 	return k
 }
 
 // WithMonitor returns the knowledge with the reply of the monitor.
-func (k Knowledge) WithMonitor(word MonitorWord) Knowledge {
-	k.Monitor = word
+func (k Knowledge) WithMonitor(reply MonitorReply) Knowledge {
+	k.Monitor = reply
 	return k
 }
 
 // WithReport returns the knowledge with a report of the engine.
-func (k Knowledge) WithReport(word EngineWord) Knowledge {
-	k.Report = word
+func (k Knowledge) WithReport(reply EngineReply) Knowledge {
+	k.Report = reply
 	return k
 }
 
--- a/internal/wire/answerend/verdict.go
+++ b/internal/wire/answerend/verdict.go
@@ -23,11 +23,11 @@
 // String returns the name of the verdict in logs and metrics.
 func (v Verdict) String() string { return verdictNames[v] }
 
-// Basis names the word that decides, or that keeps the verdict Unknown.
+// Basis names what decides, or what keeps the verdict Unknown.
 type Basis int
 
 const (
-	// ByNobody says that nobody has said anything.
+	// ByNobody says that nobody has replied.
 	ByNobody Basis = iota
 	// ByRequest is the sending of the request.
 	ByRequest
@@ -51,9 +51,9 @@
 // String returns the name of the basis in logs.
 func (b Basis) String() string { return basisNames[b] }
 
-// NameOf returns the name of a word in logs; Silent also for one that was not asked for.
-func NameOf(word any) string {
-	switch w := word.(type) {
+// NameOf returns the name of a reply in logs; Silent also for one that was not asked for.
+func NameOf(reply any) string {
+	switch r := reply.(type) {
 	case PortOpen:
 		return "Open"
 	case PortClosed:
@@ -63,7 +63,7 @@
 	case MonitorNotStopped:
 		return "NotStopped"
 	case EngineReport:
-		if w.Ready {
+		if r.Ready {
 			return "Ready"
 		}
 		return "NotReady"
--- a/internal/wire/transport/port.go
+++ b/internal/wire/transport/port.go
@@ -32,7 +32,7 @@
 
 // AskPort tries to connect to an address until an attempt is accepted or refused, or until ctx ends. It tries
 // at least once.
-func AskPort(ctx context.Context, address string) answerend.PortWord {
+func AskPort(ctx context.Context, address string) answerend.PortResult {
 	for {
 		err := DialPort(ctx, address)
 		switch {
