answerend: one piece says which answers end with their connections

Found on reading the change once more; behaviour stays as it is. - The same three conditions stood in relay.Call and in exchange.Do: now answerend.EndsWithConnection. - The inquiry kept the time of the report beside the report: its age follows from AsOf. - lossreport had the names of verdicts as literals: they come from answerend. - Two older tests use the rig of the new ones; their assertions are the same.

--- a/internal/caller/relay/answerend.go
+++ b/internal/caller/relay/answerend.go
@@ -71,8 +71,6 @@
 	// monitorSilentMillis is the time since the last message of the monitor when it was asked last; negative
 	// if there was none on the connection to it.
 	monitorSilentMillis int64
-	// reportAskedAt is the time at which the report was asked for that knowledge holds; zero if none is held.
-	reportAskedAt boottime.Instant
 }
 
 // newEndInquiry returns an inquiry into the end of an answer, which the host has just seen.
@@ -163,7 +161,6 @@
 		i.request.log("engine report not received", "Server", server.ID, "Error", err)
 		return
 	}
-	i.reportAskedAt = report.AskedAt
 	i.knowledge = i.knowledge.WithReport(answerend.EngineReport{
 		AsOf: report.AsOf(), BornUnixMillis: report.BornUnixMillis, Ready: report.Ready,
 	})
@@ -179,8 +176,8 @@
 func (i *endInquiry) log(verdict answerend.Verdict, basis answerend.Basis) {
 	k, now := i.knowledge, boottime.Now()
 	reportAgeMillis := int64(-1)
-	if i.reportAskedAt != 0 {
-		reportAgeMillis = now.MillisSince(i.reportAskedAt) + platform.ReportLagMillis
+	if report, ok := k.Report.(answerend.EngineReport); ok {
+		reportAgeMillis = now.MillisSince(report.AsOf)
 	}
 	i.request.log("answer ended with its connection", "Server", i.attempt.server.ID, "Answer", i.attempt.call.run.number,
 		"Verdict", verdict.String(), "Basis", basis.String(), "AfterMillis", now.MillisSince(k.EndedAt),
--- a/internal/caller/relay/answerend_cancelled_test.go
+++ b/internal/caller/relay/answerend_cancelled_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,12 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/caller/httpserver"
-	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
-	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
-	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
 // TestEndedServerOfAnAnswerAtAStop guards against an answer without a length that its server has broken off
@@ -35,18 +29,7 @@
 			if cause != nil {
 				cancel(cause)
 			}
-			q := &request{
-				relay: &Relay{
-					StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: &Migrations{},
-					Log: slog.New(slog.DiscardHandler), Metrics: &metrics.Registry{},
-				},
-				service: routetable.Service{Name: "plain"},
-				caller:  platform.CallerRequest{ID: "r"},
-			}
-			a := &attempt{
-				server: discovery.BackendServer{ID: "s", Address: server.Listener.Addr().String()},
-				call:   &Call{Answer: &http.Response{ContentLength: -1}},
-			}
+			q, a := newEndedAnswer(routetable.Service{Name: "plain"}, server.Listener.Addr().String())
 			is.True(errors.Is(q.checkEnd(ctx, a), errBrokenOff))
 		})
 	}
--- a/internal/caller/relay/answerend_inquiry_test.go
+++ b/internal/caller/relay/answerend_inquiry_test.go
@@ -31,6 +31,7 @@
 			StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: migrations,
 			Metrics: &metrics.Registry{}, Log: slog.New(slog.DiscardHandler),
 			AskEnded:            func(discovery.BackendServer, string, uint64) bool { return true },
+			AskEngine:           (&enginereport.Client{Engines: &platform.Engines{HTTP: platform.NewOrderHTTP()}}).Ask,
 			MonitorSilentMillis: func(discovery.BackendServer) int64 { return -1 },
 		},
 		service: service,
--- a/internal/caller/relay/answerend_test.go
+++ b/internal/caller/relay/answerend_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,12 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/fulmarvalve/fulmarvalve/internal/records/metrics"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/discovery"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/enginereport"
-	"github.com/fulmarvalve/fulmarvalve/internal/routing/placement"
 	"github.com/fulmarvalve/fulmarvalve/internal/routing/routetable"
-	"github.com/fulmarvalve/fulmarvalve/internal/settings/storewatcher"
 	"github.com/fulmarvalve/fulmarvalve/platform"
 )
 
@@ -45,28 +40,19 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			migrations := &Migrations{}
-			relay := &Relay{
-				StoreWatcher: &storewatcher.Watcher{}, LoadTable: &placement.LoadTable{}, Migrations: migrations, Log: slog.New(slog.DiscardHandler),
-				Metrics:             &metrics.Registry{},
-				AskEngine:           (&enginereport.Client{Engines: &platform.Engines{HTTP: platform.NewOrderHTTP()}}).Ask,
-				MonitorSilentMillis: func(discovery.BackendServer) int64 { return -1 },
-				AskEnded: func(_ discovery.BackendServer, request string, answer uint64) bool {
-					if tt.told != nil {
-						told := *tt.told
-						told.RequestID, told.Source.Address = request, address
-						if told.Final {
-							told.EndedAnswer = answer
-						}
-						migrations.Announce(told)
+			q, a := newEndedAnswer(tt.service, address)
+			a.call.Answer.ContentLength = tt.length
+			migrations := q.relay.Migrations
+			q.relay.AskEnded = func(_ discovery.BackendServer, request string, answer uint64) bool {
+				if tt.told != nil {
+					told := *tt.told
+					told.RequestID, told.Source.Address = request, address
+					if told.Final {
+						told.EndedAnswer = answer
 					}
-					return tt.told != nil
-				},
-			}
-			q := &request{relay: relay, service: tt.service, caller: platform.CallerRequest{ID: "r"}}
-			a := &attempt{
-				server: discovery.BackendServer{ID: "e", Address: address},
-				call:   &Call{Answer: &http.Response{ContentLength: tt.length}, run: migrations.Register("r").Begin(address)},
+					migrations.Announce(told)
+				}
+				return tt.told != nil
 			}
 			err := q.checkEnd(context.Background(), a)
 			is.Equal(err == nil, tt.complete)
--- a/internal/caller/relay/call.go
+++ b/internal/caller/relay/call.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerhead"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/transport"
@@ -101,13 +102,9 @@
 	concurrent bool
 }
 
-// endsWithConnection reports whether the answer has neither a length nor chunks, so that its end
-// is that of the connection. An answer to HEAD ends with its head.
+// endsWithConnection reports whether nothing in the answer shows its end.
 func (c *Call) endsWithConnection() bool {
-	if c.Answer.Request != nil && c.Answer.Request.Method == http.MethodHead {
-		return false
-	}
-	return c.Answer.ContentLength < 0 && len(c.Answer.TransferEncoding) == 0
+	return answerend.EndsWithConnection(c.Answer)
 }
 
 // wasSent ends the sending of the request and reports whether it was sent whole. A reset is reported once, to the
--- a/internal/platform/exchange/exchange.go
+++ b/internal/platform/exchange/exchange.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerhead"
 	"github.com/fulmarvalve/fulmarvalve/internal/wire/heldbytes"
 )
@@ -138,7 +139,7 @@
 	}
 	return Response{
 		Status: resp.StatusCode, Header: resp.Header, Body: body, held: held,
-		EndsWithConnection: r.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		EndsWithConnection: answerend.EndsWithConnection(resp),
 	}, nil
 }
 
--- a/internal/records/lossreport/lossreport.go
+++ b/internal/records/lossreport/lossreport.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/fulmarvalve/fulmarvalve/internal/records/requestlog"
+	"github.com/fulmarvalve/fulmarvalve/internal/wire/answerend"
 )
 
 // Cause is why a request was lost, late or refused.
@@ -60,9 +61,6 @@
 // Causes of refused requests begin with this text, before the reason of the refusal.
 const refusedPrefix = "Refused"
 
-// unknownVerdict is the verdict on the end of an answer of which nothing is known.
-const unknownVerdict = "Unknown"
-
 // waitedShare is the share of the time to the first event from which a wait for room is
 // the cause of a late one.
 const waitedShare = 0.5
@@ -234,9 +232,9 @@
 		return MigrationFailed
 	case s.crashed:
 		return EngineCrashed
-	case s.verdict == string(RunStopped):
+	case s.verdict == answerend.RunStopped.String():
 		return RunStopped
-	case s.verdict == unknownVerdict:
+	case s.verdict == answerend.Unknown.String():
 		return EndUnknown
 	default:
 		return ServerBroke
--- a/internal/wire/answerend/answerend.go
+++ b/internal/wire/answerend/answerend.go
@@ -8,7 +8,20 @@
 // The package does no I/O and reads no clock.
 package answerend
 
-import "github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+import (
+	"net/http"
+
+	"github.com/fulmarvalve/fulmarvalve/internal/records/boottime"
+)
+
+// EndsWithConnection reports whether an answer has neither a length nor chunks, so that its end is that of
+// the connection. An answer to HEAD ends with its head.
+func EndsWithConnection(answer *http.Response) bool {
+	if answer.Request != nil && answer.Request.Method == http.MethodHead {
+		return false
+	}
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
 
 // PortResult is what a connection attempt to the server has shown after the end.
 type PortResult interface{ portResult() }
